--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+PACKAGES := $(sort $(wildcard packages/*))
+SOURCES := packages tests demo benchmarks
+STAMP := $(VENV)/.installed
+
+.DEFAULT_GOAL := help
+
+.PHONY: help setup format lint types tests test demo clean
+
+help: ## List the commands
+	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 24
+
+$(STAMP): constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt --requirement requirements-dev.txt
+	$(BIN)/pip install --quiet --no-build-isolation --constraint constraints.txt $(addprefix --editable ./,$(PACKAGES))
+	touch $@
+
+setup: $(STAMP) ## Create the virtual environment with the workspace's packages
+
+format: $(STAMP) ## Rewrite the sources in the house format
+	$(BIN)/ruff format $(SOURCES)
+
+lint: $(STAMP) ## Check format and style
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+
+types: $(STAMP) ## Check types strictly
+	$(BIN)/mypy
+
+tests: $(STAMP) ## Run the tests only
+	$(BIN)/pytest
+
+test: lint types tests ## Run every check: format, style, types, tests
+
+demo: $(STAMP) ## Start a small mesh of real processes and show a good and a bad move
+	$(BIN)/python -m demo
+
+clean: ## Remove the virtual environment and build output
+	rm -rf $(VENV) build .mypy_cache .pytest_cache .ruff_cache
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demo of a small mesh of real processes."""
--- /dev/null
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log of the control instances."""
--- /dev/null
+++ b/packages/mustardspur_client/src/mustardspur_client/__init__.py
@@ -0,0 +1,1 @@
+"""Operator's command line."""
--- /dev/null
+++ b/packages/mustardspur_control/src/mustardspur_control/__init__.py
@@ -0,0 +1,1 @@
+"""Control instance: store, streams to nodes, registry, operators' interface."""
--- /dev/null
+++ b/packages/mustardspur_core/src/mustardspur_core/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that every mustardspur process shares."""
--- /dev/null
+++ b/packages/mustardspur_core/src/mustardspur_core/profile/checks.py
@@ -0,0 +1,154 @@
+"""Checks of a profile that a schema cannot express."""
+
+from collections.abc import Callable, Iterable, Iterator
+from datetime import UTC, datetime
+
+from mustardspur_core.findings import Finding
+from mustardspur_core.profile.model import Profile, Route
+
+_Place = tuple[str, str, str]
+_Check = Callable[[Profile, float], Iterator[_Place]]
+_checks: list[_Check] = []
+
+
+def check_profile(
+    profile: Profile,
+    file_name: str,
+    now_s: float,
+) -> list[Finding]:
+    """Run every registered check and return all findings together.
+
+    Parameters
+    ----------
+    profile : Profile
+        A profile of the right shape.
+    file_name : str
+        Name for the findings.
+    now_s : float
+        Wall clock in seconds.
+    """
+    return [
+        Finding(source=file_name, path=path, expected=expected, found=found)
+        for check in _checks
+        for path, expected, found in check(profile, now_s)
+    ]
+
+
+def profile_check(check: _Check) -> _Check:
+    """Register a check."""
+    _checks.append(check)
+    return check
+
+
+@profile_check
+def _check_references(profile: Profile, now_s: float) -> Iterator[_Place]:
+    for place, route in enumerate(profile.routes):
+        path = f'$.routes[{place}]'
+        for name in route.weights:
+            if name not in profile.target_sets:
+                yield (
+                    f'{path}.weights.{name}',
+                    _one_of(profile.target_sets),
+                    name,
+                )
+        if route.call_class not in profile.call_classes:
+            yield (
+                f'{path}.call_class',
+                _one_of(profile.call_classes),
+                route.call_class,
+            )
+        if route.retry not in profile.retries:
+            yield f'{path}.retry', _one_of(profile.retries), route.retry
+
+
+@profile_check
+def _check_weights(profile: Profile, now_s: float) -> Iterator[_Place]:
+    for place, route in enumerate(profile.routes):
+        if not any(route.weights.values()):
+            yield (
+                f'$.routes[{place}].weights',
+                'at least one weight above 0',
+                str(route.weights),
+            )
+
+
+@profile_check
+def _check_route_names(profile: Profile, now_s: float) -> Iterator[_Place]:
+    places_by_name: dict[str, int] = {}
+    for place, route in enumerate(profile.routes):
+        first = places_by_name.setdefault(route.name, place)
+        if first != place:
+            yield (
+                f'$.routes[{place}].name',
+                f'a name other than that of routes[{first}]',
+                route.name,
+            )
+
+
+@profile_check
+def _check_reachable(profile: Profile, now_s: float) -> Iterator[_Place]:
+    for place, route in enumerate(profile.routes):
+        for earlier, other in enumerate(profile.routes[:place]):
+            if _hides(other, route):
+                yield (
+                    f'$.routes[{place}]',
+                    'a route that an earlier one does not hide',
+                    f'{route.name}, hidden by routes[{earlier}] {other.name}',
+                )
+                break
+
+
+@profile_check
+def _check_retries(profile: Profile, now_s: float) -> Iterator[_Place]:
+    for place, route in enumerate(profile.routes):
+        policy = profile.retries.get(route.retry)
+        if policy is None:
+            continue
+        path = f'$.routes[{place}].retry'
+        if policy.hedge_after_ms and not route.idempotent:
+            yield path, 'no hedging for a non-idempotent route', route.retry
+        if policy.hedge_after_ms >= route.timeout_ms:
+            yield (
+                path,
+                f'hedge_after_ms below timeout_ms {route.timeout_ms}',
+                str(policy.hedge_after_ms),
+            )
+
+
+@profile_check
+def _check_retry_limits(profile: Profile, now_s: float) -> Iterator[_Place]:
+    for name, policy in profile.retries.items():
+        if policy.attempts > 1 and not policy.budget_ratio:
+            yield (
+                f'$.retries.{name}',
+                'a budget_ratio above 0 where attempts is above 1',
+                f'attempts {policy.attempts}, budget_ratio 0',
+            )
+
+
+@profile_check
+def _check_stated_time(profile: Profile, now_s: float) -> Iterator[_Place]:
+    if profile.move.by is None:
+        return
+    try:
+        by = datetime.fromisoformat(profile.move.by)
+    except ValueError:
+        yield '$.move.by', 'an ISO 8601 time', profile.move.by
+        return
+    if by.tzinfo is None:
+        yield '$.move.by', 'a time with its offset from UTC', profile.move.by
+    elif by <= datetime.fromtimestamp(now_s, UTC):
+        yield '$.move.by', 'a time in the future', profile.move.by
+
+
+def _hides(earlier: Route, later: Route) -> bool:
+    return (
+        later.path_prefix.startswith(earlier.path_prefix)
+        and set(later.methods) <= set(earlier.methods)
+        and earlier.headers.items() <= later.headers.items()
+    )
+
+
+def _one_of(names: Iterable[str]) -> str:
+    listed = ', '.join(sorted(names))
+    return f'one of {listed}'
--- /dev/null
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/__init__.py
@@ -0,0 +1,18 @@
+"""Settings of a process, read from one JSON file and checked as a whole."""
+
+from mustardspur_core.settings.loading import load_settings, parse_settings
+from mustardspur_core.settings.model import (
+    Intervals,
+    Listen,
+    Peer,
+    Settings,
+)
+
+__all__ = [
+    'Intervals',
+    'Listen',
+    'Peer',
+    'Settings',
+    'load_settings',
+    'parse_settings',
+]
--- /dev/null
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/loading.py
@@ -0,0 +1,110 @@
+"""From a settings file to checked settings."""
+
+import json
+from collections.abc import Mapping
+from pathlib import Path
+from types import MappingProxyType
+from typing import Any, Final
+
+from expression import Error, Ok, Result
+
+from mustardspur_core.findings import Finding, Findings
+from mustardspur_core.conversion import decode_mapping
+from mustardspur_core.schemas import load_schema, schema_findings
+from mustardspur_core.settings.model import Settings
+
+_VALIDATOR = load_schema('mustardspur_core.settings', 'settings.schema.json')
+_DEFAULTS: Final[Mapping[str, Any]] = MappingProxyType(
+    {
+        'data_dir': None,
+        'peers': [],
+        'control': [],
+        'service': None,
+        'calls': [],
+        'statsd': None,
+        'log_level': 'info',
+        'timeline': None,
+    }
+)
+_DEFAULT_INTERVALS: Final = MappingProxyType(
+    {
+        'heartbeat_s': 1.0,
+        'silence_s': 3.0,
+        'lease_s': 3.0,
+        'election_s': 0.5,
+        'drain_s': 30.0,
+    }
+)
+
+
+def load_settings(path: Path) -> Result[Settings, Findings]:
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : Path
+        The JSON file.
+
+    Returns
+    -------
+    Result
+        The settings, or every finding with its place.
+    """
+    try:
+        document = json.loads(path.read_text('utf-8'))
+    except OSError as error:
+        return _single(path, 'a readable file', str(error))
+    except ValueError as error:
+        return _single(path, 'JSON', str(error))
+    return parse_settings(document, str(path))
+
+
+def parse_settings(
+    document: Any,
+    file_name: str,
+) -> Result[Settings, Findings]:
+    """Check a decoded settings document."""
+    entries = schema_findings(_VALIDATOR, document, file_name)
+    if not entries:
+        entries = _check_intervals(document, file_name)
+    if entries:
+        return Error(Findings(entries=entries))
+    filled = {**_DEFAULTS, **document}
+    filled['intervals'] = _intervals(document)
+    filled['listen'] = {'stream': None} | document['listen']
+    return Ok(decode_mapping(Settings, filled))
+
+
+def _intervals(document: dict[str, Any]) -> dict[str, float]:
+    return {**_DEFAULT_INTERVALS, **document.get('intervals', {})}
+
+
+def _check_intervals(
+    document: dict[str, Any],
+    file_name: str,
+) -> list[Finding]:
+    intervals = _intervals(document)
+    if intervals['silence_s'] > intervals['heartbeat_s']:
+        return []
+    return [
+        Finding(
+            source=file_name,
+            path='$.intervals.silence_s',
+            expected=f'more than heartbeat_s {intervals["heartbeat_s"]}',
+            found=str(intervals['silence_s']),
+        ),
+    ]
+
+
+def _single(
+    path: Path,
+    expected: str,
+    found: str,
+) -> Result[Settings, Findings]:
+    finding = Finding(
+        source=str(path),
+        path='$',
+        expected=expected,
+        found=found,
+    )
+    return Error(Findings(entries=[finding]))
--- /dev/null
+++ b/packages/mustardspur_core/src/mustardspur_core/state.py
@@ -0,0 +1,146 @@
+"""What the control instances agree on and what a node is sent."""
+
+from enum import StrEnum
+
+from mustardspur_core.profile.model import Profile
+from mustardspur_core.record import Record
+from mustardspur_core.world import DataCentre
+
+
+class MoveState(StrEnum):
+    """State of a move."""
+
+    RUNNING = 'running'
+    PAUSED = 'paused'
+    DONE = 'done'
+    TAKEN_BACK = 'taken_back'
+
+
+class TargetState(StrEnum):
+    """State that a target announces."""
+
+    STARTING = 'starting'
+    READY = 'ready'
+    DRAINING = 'draining'
+
+
+class Move(Record):
+    """A move of a target set from one version to another.
+
+    Parameters
+    ----------
+    id : str
+        ``service:target_set:index`` with the log index of its edit.
+    started_s, by_s : float
+        Start and stated time, wall clock in seconds.
+    state : str
+        One of `MoveState`.
+    share : float
+        Share of the traffic that goes to the new version.
+    step : int
+        Number of agreed steps so far; a later step replaces an earlier.
+    reason : str
+        Why the last step was taken.
+    """
+
+    __slots__ = (
+        'id',
+        'service',
+        'target_set',
+        'from_version',
+        'to_version',
+        'started_s',
+        'by_s',
+        'state',
+        'share',
+        'step',
+        'reason',
+    )
+    id: str
+    service: str
+    target_set: str
+    from_version: str
+    to_version: str
+    started_s: float
+    by_s: float
+    state: str
+    share: float
+    step: int
+    reason: str
+
+
+class ServiceConfig(Record):
+    """All that a node needs of one service besides its targets.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    index : int
+        Log index of the newest entry that changed any part of it.
+    number : int
+        Number of the profile, counted up by each edit of the profile.
+    profile : Profile
+        The profile that the service follows, complete.
+    moves : list of Move
+        The newest move of each target set that ever moved.
+    """
+
+    __slots__ = ('service', 'index', 'number', 'profile', 'moves')
+    service: str
+    index: int
+    number: int
+    profile: Profile
+    moves: list[Move]
+
+
+class Target(Record):
+    """A target as it announced itself.
+
+    Parameters
+    ----------
+    id : str
+        Identifier of the target, chosen by its instance.
+    service, version : str
+        What it runs.
+    address : str
+        ``ip:port`` for calls.
+    incarnation : int
+        Goes up with every start of the target.
+    slots : int
+        Calls that it runs at a time.
+    state : str
+        One of `TargetState`.
+    node : str
+        Identifier of the node in its instance's slot.
+    data_centre, region : str
+        Where it runs.
+    """
+
+    __slots__ = (
+        'id',
+        'service',
+        'version',
+        'address',
+        'incarnation',
+        'slots',
+        'state',
+        'node',
+        'data_centre',
+        'region',
+    )
+    id: str
+    service: str
+    version: str
+    address: str
+    incarnation: int
+    slots: int
+    state: str
+    node: str
+    data_centre: str
+    region: str
+
+    @property
+    def location(self) -> DataCentre:
+        """The data centre that the target runs in."""
+        return DataCentre(name=self.data_centre, region=self.region)
--- /dev/null
+++ b/packages/mustardspur_core/src/mustardspur_core/timeline.py
@@ -0,0 +1,76 @@
+"""Time line of events: one JSON line an event, one file a process."""
+
+import json
+import time
+from pathlib import Path
+from typing import IO, Any
+
+from mustardspur_core.units import NS_PER_S
+
+
+class Timeline:
+    """Writer of one process's events.
+
+    Explanation
+    ===========
+
+    Every event has the wall clock for people, the monotonic clock for
+    durations inside the process, a sequence number, and for events that
+    cross processes the identifiers (``index``, ``move``, ``request``) by
+    which a reader orders them in spite of clock offsets.
+
+    Parameters
+    ----------
+    process_id : str
+        Identifier of the process.
+    data_centre : str
+        Where the process runs.
+    path : Path or None
+        File to append to; None keeps no time line.
+    """
+
+    __slots__ = ('_output', '_sequence', 'data_centre', 'process_id')
+
+    def __init__(
+        self,
+        process_id: str,
+        data_centre: str,
+        path: Path | None,
+    ) -> None:
+        """Open the file for appending."""
+        self.process_id = process_id
+        self.data_centre = data_centre
+        self._sequence = 0
+        self._output: IO[str] | None = None
+        if path is not None:
+            path.parent.mkdir(parents=True, exist_ok=True)
+            self._output = path.open('a', buffering=1, encoding='utf-8')
+
+    def record(self, event: str, **details: Any) -> None:
+        """Append an event.
+
+        Parameters
+        ----------
+        event : str
+            Name of the event, for example ``config_in_force``.
+        **details : object
+            Values that JSON can hold.
+        """
+        if self._output is None:
+            return
+        self._sequence += 1
+        row = {
+            'wall_s': time.time_ns() / NS_PER_S,
+            'monotonic_s': time.monotonic_ns() / NS_PER_S,
+            'sequence': self._sequence,
+            'process': self.process_id,
+            'data_centre': self.data_centre,
+            'event': event,
+        }
+        self._output.write(f'{json.dumps(row | details)}\n')
+
+    def close(self) -> None:
+        """Close the file."""
+        if self._output is not None:
+            self._output.close()
+            self._output = None
--- /dev/null
+++ b/packages/mustardspur_core/src/mustardspur_core/wire/__init__.py
@@ -0,0 +1,27 @@
+"""Streams of msgpack frames between mustardspur's own processes."""
+
+from mustardspur_core.wire.codec import (
+    PROTOCOL_VERSION,
+    Frame,
+    MalformedFrame,
+    decode_frame,
+    encode_frame,
+    message,
+)
+from mustardspur_core.wire.streams import (
+    MAX_FRAME_BYTES,
+    FrameStream,
+    connect_stream,
+)
+
+__all__ = [
+    'MAX_FRAME_BYTES',
+    'PROTOCOL_VERSION',
+    'Frame',
+    'FrameStream',
+    'MalformedFrame',
+    'connect_stream',
+    'decode_frame',
+    'encode_frame',
+    'message',
+]
--- /dev/null
+++ b/packages/mustardspur_core/src/mustardspur_core/wire/streams.py
@@ -0,0 +1,125 @@
+"""A TCP stream of frames."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from typing import Final
+
+from mustardspur_core.record import Record
+from mustardspur_core.units import BYTES_PER_MIB
+from mustardspur_core.wire.codec import (
+    Frame,
+    MalformedFrame,
+    decode_frame,
+    encode_frame,
+)
+
+LENGTH_BYTES: Final = 4
+MAX_FRAME_BYTES: Final = 4 * BYTES_PER_MIB
+
+
+class FrameStream:
+    """Frames over one connection, with counts of the bytes each way.
+
+    Parameters
+    ----------
+    reader : asyncio.StreamReader
+        Source of the bytes.
+    writer : asyncio.StreamWriter
+        Sink of the bytes.
+    """
+
+    __slots__ = ('_reader', '_writer', 'received_bytes', 'sent_bytes')
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Wrap a connected pair."""
+        self._reader = reader
+        self._writer = writer
+        self.received_bytes = 0
+        self.sent_bytes = 0
+
+    @property
+    def peer_address(self) -> str:
+        """IP number and port of the other end."""
+        peername = self._writer.get_extra_info('peername')
+        return f'{peername[0]}:{peername[1]}' if peername else 'unknown'
+
+    def send_soon(self, body: Record, request_id: int = 0) -> None:
+        """Queue a message without waiting for the peer to take it."""
+        self.send_encoded(encode_frame(body, request_id))
+
+    def send_encoded(self, encoded: bytes) -> None:
+        """Queue an encoded frame, for one frame that goes to many peers."""
+        prefix = len(encoded).to_bytes(LENGTH_BYTES, 'big')
+        self._writer.write(prefix + encoded)
+        self.sent_bytes += LENGTH_BYTES + len(encoded)
+
+    async def send(self, body: Record, request_id: int = 0) -> None:
+        """Send a message and wait until the buffer is below its limit.
+
+        Raises
+        ------
+        ConnectionError
+            If the connection is gone.
+        """
+        self.send_soon(body, request_id)
+        await self._writer.drain()
+
+    async def drain(self) -> None:
+        """Wait until the write buffer is below its limit."""
+        await self._writer.drain()
+
+    async def receive(self) -> Frame:
+        """Wait for the next frame.
+
+        Raises
+        ------
+        asyncio.IncompleteReadError
+            If the peer closed the connection.
+        MalformedFrame
+            If the frame is too long or cannot be decoded.
+        """
+        prefix = await self._reader.readexactly(LENGTH_BYTES)
+        length = int.from_bytes(prefix, 'big')
+        if length > MAX_FRAME_BYTES:
+            raise MalformedFrame(
+                'length',
+                f'{length} bytes, at most {MAX_FRAME_BYTES}',
+            )
+        encoded = await self._reader.readexactly(length)
+        self.received_bytes += LENGTH_BYTES + length
+        return decode_frame(encoded)
+
+    def close(self) -> None:
+        """Close the connection without waiting."""
+        self._writer.close()
+
+
+@asynccontextmanager
+async def connect_stream(
+    address: str,
+    timeout_s: float,
+) -> AsyncIterator[FrameStream]:
+    """Connect to ``ip:port`` for the length of a block.
+
+    Raises
+    ------
+    OSError
+        If the peer refuses or cannot be reached.
+    TimeoutError
+        If the peer does not answer within ``timeout_s`` seconds.
+    """
+    host, _, port = address.rpartition(':')
+    async with asyncio.timeout(timeout_s):
+        reader, writer = await asyncio.open_connection(host, int(port))
+    stream = FrameStream(reader, writer)
+    try:
+        yield stream
+    finally:
+        stream.close()
+        with suppress(OSError):
+            await writer.wait_closed()
--- /dev/null
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: control instance or node."""
--- /dev/null
+++ b/packages/mustardspur_moves/src/mustardspur_moves/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on moves of target versions."""
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/__init__.py
@@ -0,0 +1,1 @@
+"""Node: the proxy beside a target."""
