Add streams from control instances to nodes

Change: Hub, Registry and ControlStreams at the control instance; ControlLink, HeldConfig and Announcements at the node. A stream that ends inside a frame is now a malformed frame of kind "truncated".

--- /dev/null
+++ b/packages/mustardspur_control/src/mustardspur_control/control_stream.py
@@ -0,0 +1,97 @@
+"""Streams that other processes open to a control instance."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from typing import Any, Final
+
+from mustardspur_core.messages import Hello, ProtocolFault
+from mustardspur_core.record import Record
+from mustardspur_core.wire import FrameStream, MalformedFrame
+
+from mustardspur_control.hub import Hub
+from mustardspur_control.node_stream import serve_node
+
+_LOG: Final = logging.getLogger(__name__)
+ServeStream = Callable[[FrameStream, Any], Awaitable[None]]
+
+
+class ControlStreams:
+    """Dispatches a stream by the type of its first frame.
+
+    Parameters
+    ----------
+    hub : Hub
+        Serves the streams that start with `Hello`.
+    """
+
+    __slots__ = ('_hub', '_serve_by_type')
+
+    def __init__(self, hub: Hub) -> None:
+        """Serve nodes only."""
+        self._hub = hub
+        self._serve_by_type: dict[type[Record], ServeStream] = {}
+        self.add(Hello, self._serve_hello)
+
+    def add(self, first_type: type[Record], serve: ServeStream) -> None:
+        """Let a function serve the streams that start with a message type.
+
+        Parameters
+        ----------
+        first_type : type
+            Class of the first message.
+        serve : callable
+            Takes the stream and the first message and returns at its end.
+        """
+        self._serve_by_type[first_type] = serve
+
+    async def serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Serve a connection until its end; for `asyncio.start_server`."""
+        stream = FrameStream(reader, writer)
+        try:
+            await self._dispatch(stream)
+        except MalformedFrame as fault:
+            await self._answer_fault(stream, fault)
+        except (OSError, EOFError, TimeoutError) as error:
+            _LOG.info(
+                'stream ended',
+                extra={'peer': stream.peer_address, 'reason': repr(error)},
+            )
+        finally:
+            stream.close()
+
+    async def _dispatch(self, stream: FrameStream) -> None:
+        async with asyncio.timeout(self._hub.settings.intervals.silence_s):
+            frame = await stream.receive()
+        serve = self._serve_by_type.get(type(frame.body))
+        if serve is None:
+            kind = type(frame.body).__name__
+            raise MalformedFrame('type', f'{kind} as the first frame')
+        await serve(stream, frame.body)
+
+    async def _answer_fault(
+        self,
+        stream: FrameStream,
+        fault: MalformedFrame,
+    ) -> None:
+        self._hub.metrics.incr(f'malformed.{fault.kind}')
+        self._hub.timeline.record('malformed_frame', kind=fault.kind)
+        _LOG.warning(
+            'malformed frame',
+            extra={'peer': stream.peer_address, 'reason': str(fault)},
+        )
+        with suppress(OSError, TimeoutError):
+            async with asyncio.timeout(
+                self._hub.settings.intervals.silence_s,
+            ):
+                await stream.send(
+                    ProtocolFault(kind=fault.kind, detail=str(fault)),
+                )
+
+    async def _serve_hello(self, stream: FrameStream, hello: Hello) -> None:
+        await serve_node(self._hub, stream, hello)
--- /dev/null
+++ b/packages/mustardspur_control/src/mustardspur_control/expiry.py
@@ -0,0 +1,24 @@
+"""Expiry of leases in the background."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Final
+
+from mustardspur_core.settings import Settings
+from mustardspur_core.tasks import background, every
+
+from mustardspur_control.registry import Registry
+
+# A quarter of a heartbeat keeps leases exact to a quarter of a second.
+CHECKS_PER_HEARTBEAT: Final = 4
+
+
+@asynccontextmanager
+async def expiring(
+    settings: Settings,
+    registry: Registry,
+) -> AsyncIterator[None]:
+    """Expire the registry's leases for the length of a block."""
+    interval_s = settings.intervals.heartbeat_s / CHECKS_PER_HEARTBEAT
+    async with background(every(interval_s, registry.expire)):
+        yield
--- /dev/null
+++ b/packages/mustardspur_control/src/mustardspur_control/history.py
@@ -0,0 +1,40 @@
+"""Earlier configurations, kept so that a delta can start from them."""
+
+from collections import OrderedDict
+from typing import Final
+
+import msgpack
+import zstandard
+from mustardspur_core.conversion import decode_row, encode_row
+from mustardspur_core.state import ServiceConfig
+
+# Two days of changes at 8,500 a day; a node away for longer gets full copies.
+MAX_CONFIGS: Final = 16384
+
+_Key = tuple[str, int]
+
+
+class History:
+    """Packed earlier configurations by service and index, oldest dropped."""
+
+    __slots__ = ('_packed',)
+
+    def __init__(self) -> None:
+        """Start without any."""
+        self._packed: OrderedDict[_Key, bytes] = OrderedDict()
+
+    def add(self, config: ServiceConfig) -> None:
+        """Keep a configuration."""
+        row = msgpack.packb(encode_row(config), use_bin_type=True)
+        key = (config.service, config.index)
+        self._packed[key] = zstandard.ZstdCompressor().compress(row)
+        while len(self._packed) > MAX_CONFIGS:
+            self._packed.popitem(last=False)
+
+    def find(self, service: str, index: int) -> ServiceConfig | None:
+        """Return a configuration, None if it is no longer kept."""
+        packed = self._packed.get((service, index))
+        if packed is None:
+            return None
+        row = zstandard.ZstdDecompressor().decompress(packed)
+        return decode_row(ServiceConfig, msgpack.unpackb(row, raw=False))
--- /dev/null
+++ b/packages/mustardspur_control/src/mustardspur_control/sessions.py
@@ -0,0 +1,119 @@
+"""State of the nodes' streams at a control instance."""
+
+import asyncio
+from collections import defaultdict
+
+from mustardspur_core.messages import Hello
+from mustardspur_core.wire import FrameStream
+
+
+class NodeSession:
+    """What a connected node needs, holds and waits for.
+
+    Explanation
+    ===========
+
+    Changes are kept as a set of dirty services, not as a queue: however many
+    changes a service sees while the node is slow, the node is sent one update
+    to the newest state.
+
+    Parameters
+    ----------
+    hello : Hello
+        First frame of the node.
+    stream : FrameStream
+        Stream to the node.
+    """
+
+    __slots__ = (
+        'confirmed',
+        'cut_offs',
+        'dirty',
+        'hello',
+        'indexes',
+        'revisions',
+        'services',
+        'stream',
+        'wake',
+    )
+
+    def __init__(self, hello: Hello, stream: FrameStream) -> None:
+        """Take all of the node's services as dirty."""
+        self.hello = hello
+        self.stream = stream
+        self.confirmed = False
+        self.services = set(hello.services)
+        self.indexes = dict(hello.held)
+        self.revisions = dict(hello.target_revisions)
+        self.dirty = set(hello.services)
+        self.cut_offs: set[str] = set()
+        self.wake = asyncio.Event()
+
+    @property
+    def node(self) -> str:
+        """Identifier of the node."""
+        return self.hello.node
+
+    @property
+    def needs_confirmation(self) -> bool:
+        """Whether the node may take a first configuration of a service."""
+        return bool(self.services - self.hello.held.keys())
+
+    def mark(self, service: str) -> None:
+        """Note a change of a service and wake the sender."""
+        self.dirty.add(service)
+        self.wake.set()
+
+    def mark_cut_off(self, move: str) -> None:
+        """Note a cut-off and wake the sender."""
+        self.cut_offs.add(move)
+        self.wake.set()
+
+
+class Sessions:
+    """Sessions by node and by service."""
+
+    __slots__ = ('_by_service', 'by_node')
+
+    def __init__(self) -> None:
+        """Start without sessions."""
+        self.by_node: dict[str, NodeSession] = {}
+        self._by_service: dict[str, set[NodeSession]] = defaultdict(set)
+
+    def add(self, session: NodeSession) -> NodeSession | None:
+        """Add a session; return the one of the same node that it replaces."""
+        earlier = self.by_node.get(session.node)
+        if earlier is not None:
+            self.remove(earlier)
+        self.by_node[session.node] = session
+        for service in session.services:
+            self._by_service[service].add(session)
+        return earlier
+
+    def remove(self, session: NodeSession) -> bool:
+        """Remove a session; return whether it was still in use."""
+        for service in session.services:
+            self._by_service[service].discard(session)
+        if self.by_node.get(session.node) is not session:
+            return False
+        self.by_node.pop(session.node)
+        return True
+
+    def subscribe(self, session: NodeSession, services: list[str]) -> None:
+        """Add services; one that is there already is sent in full again."""
+        for service in services:
+            if service in session.services:
+                session.indexes.pop(service, None)
+                session.revisions.pop(service, None)
+            session.services.add(service)
+            self._by_service[service].add(session)
+            session.mark(service)
+
+    def of_service(self, service: str) -> set[NodeSession]:
+        """Return the sessions that need a service."""
+        return self._by_service[service]
+
+    def mark(self, service: str) -> None:
+        """Note a change of a service at each session that needs it."""
+        for session in self._by_service[service]:
+            session.mark(service)
--- /dev/null
+++ b/packages/mustardspur_core/src/mustardspur_core/reach.py
@@ -0,0 +1,94 @@
+"""Versions that the routes of a configuration can reach."""
+
+from collections.abc import Collection
+
+from mustardspur_core.state import Move, MoveState, ServiceConfig
+
+
+def version_shares(
+    config: ServiceConfig,
+    target_set: str,
+    cut_off_moves: Collection[str],
+) -> dict[str, float]:
+    """Return the share of each version in a target set's traffic.
+
+    Parameters
+    ----------
+    config : ServiceConfig
+        Configuration of the service.
+    target_set : str
+        Name of one of its target sets.
+    cut_off_moves : collection of str
+        Moves whose new version gets no traffic.
+
+    Returns
+    -------
+    dict of float
+        Shares above 0 by version, with a sum of 1.
+
+    Raises
+    ------
+    KeyError
+        If the profile lacks the target set.
+    """
+    version = config.profile.target_sets[target_set].version
+    move = _move_of(config, target_set)
+    if move is None or version not in {move.from_version, move.to_version}:
+        return {version: 1.0}
+    share = 0 if move.id in cut_off_moves else _share(move)
+    shares = {move.from_version: 1.0 - share}
+    # The two versions of a move may be equal after an edit that went back.
+    shares[move.to_version] = shares.get(move.to_version, 0) + share
+    return {name: part for name, part in shares.items() if part > 0}
+
+
+def reachable_versions(
+    config: ServiceConfig,
+    cut_off_moves: Collection[str],
+) -> set[str]:
+    """Return the versions that get a share of any route's traffic.
+
+    Raises
+    ------
+    KeyError
+        If a route names a target set that the profile lacks.
+    """
+    return {
+        version
+        for target_set in routed_sets(config)
+        for version in version_shares(config, target_set, cut_off_moves)
+    }
+
+
+def known_versions(config: ServiceConfig) -> set[str]:
+    """Return every version that a route may come to reach by a cut-off."""
+    names = {
+        config.profile.target_sets[target_set].version
+        for target_set in routed_sets(config)
+    }
+    for move in config.moves:
+        names |= {move.from_version, move.to_version}
+    return names
+
+
+def routed_sets(config: ServiceConfig) -> set[str]:
+    """Return the target sets to which some route gives a weight."""
+    return {
+        target_set
+        for route in config.profile.routes
+        for target_set, weight in route.weights.items()
+        if weight > 0
+    }
+
+
+def _move_of(config: ServiceConfig, target_set: str) -> Move | None:
+    moves = [move for move in config.moves if move.target_set == target_set]
+    return moves[-1] if moves else None
+
+
+def _share(move: Move) -> float:
+    if move.state == MoveState.DONE:
+        return 1.0
+    if move.state == MoveState.TAKEN_BACK:
+        return 0
+    return move.share
--- a/packages/mustardspur_core/src/mustardspur_core/wire/codec.py
+++ b/packages/mustardspur_core/src/mustardspur_core/wire/codec.py
@@ -23,8 +23,8 @@
     Parameters
     ----------
     kind : str
-        Short reason for counters: ``length``, ``msgpack``, ``shape``,
-        ``version``, ``type`` or ``fields``.
+        Short reason for counters: ``length``, ``truncated``, ``msgpack``,
+        ``shape``, ``version``, ``type`` or ``fields``.
     detail : str
         Description for the log and for the peer.
     """
--- a/packages/mustardspur_core/src/mustardspur_core/wire/streams.py
+++ b/packages/mustardspur_core/src/mustardspur_core/wire/streams.py
@@ -79,18 +79,18 @@
         Raises
         ------
         asyncio.IncompleteReadError
-            If the peer closed the connection.
+            If the peer closed the connection between two frames.
         MalformedFrame
-            If the frame is too long or cannot be decoded.
+            If the frame is too long, truncated or cannot be decoded.
         """
-        prefix = await self._reader.readexactly(LENGTH_BYTES)
+        prefix = await self._read(LENGTH_BYTES)
         length = int.from_bytes(prefix, 'big')
         if length > MAX_FRAME_BYTES:
             raise MalformedFrame(
                 'length',
                 f'{length} bytes, at most {MAX_FRAME_BYTES}',
             )
-        encoded = await self._reader.readexactly(length)
+        encoded = await self._read(length)
         self.received_bytes += LENGTH_BYTES + length
         return decode_frame(encoded)
 
@@ -98,6 +98,16 @@
         """Close the connection without waiting."""
         self._writer.close()
 
+    async def _read(self, length: int) -> bytes:
+        try:
+            return await self._reader.readexactly(length)
+        except asyncio.IncompleteReadError as error:
+            if not error.partial and length == LENGTH_BYTES:
+                raise
+            found = len(error.partial)
+            detail = f'{found} of {length} bytes'
+            raise MalformedFrame('truncated', detail) from error
+
 
 @asynccontextmanager
 async def connect_stream(
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/announcements.py
@@ -0,0 +1,192 @@
+"""Targets that announce themselves to the node of their instance."""
+
+import time
+from collections.abc import Callable
+from typing import Any, Final
+
+from aiohttp import web
+from expression import Error, Ok, Result
+from mustardspur_core.conversion import encode_mapping
+from mustardspur_core.findings import Finding, Findings
+from mustardspur_core.schemas import load_schema, schema_findings
+from mustardspur_core.settings import Settings
+from mustardspur_core.state import Target
+
+ANNOUNCEMENTS_PATH: Final = '/mustardspur/v1/targets'
+_SOURCE: Final = 'announcement'
+_VALIDATOR = load_schema('mustardspur_node', 'announcement.schema.json')
+
+
+class Announcements:
+    """Targets of the own instance, each with a lease.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the node.
+    clock : callable
+        Monotonic clock in seconds; jumps of the wall clock have no effect.
+    """
+
+    __slots__ = ('_callbacks', '_clock', '_ends', '_settings', '_targets')
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Start without targets."""
+        self._settings = settings
+        self._clock = clock
+        self._targets: dict[str, Target] = {}
+        self._ends: dict[str, float] = {}
+        self._callbacks: list[Callable[[], None]] = []
+
+    @property
+    def targets(self) -> list[Target]:
+        """Targets whose lease runs."""
+        return [self._targets[target_id] for target_id in sorted(self._ends)]
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Call back after a target is new, changed or gone."""
+        self._callbacks.append(callback)
+
+    def take(self, document: Any) -> Result[Target, Findings]:
+        """Check an announcement and renew the target's lease.
+
+        Parameters
+        ----------
+        document : object
+            Decoded JSON of the announcement.
+
+        Returns
+        -------
+        Result
+            The target, or every finding with its place.
+        """
+        entries = schema_findings(_VALIDATOR, document, _SOURCE)
+        if not entries:
+            entries = self._check(document)
+        if entries:
+            return Error(Findings(entries=entries))
+        target = self._target(document)
+        is_known = target.id in self._ends
+        self._displace(target)
+        lease_s = self._settings.intervals.lease_s
+        self._ends[target.id] = self._clock() + lease_s
+        if not is_known or self._targets[target.id] != target:
+            self._targets[target.id] = target
+            self._notify()
+        return Ok(target)
+
+    def expire(self) -> None:
+        """Drop the targets that did not renew their lease."""
+        now = self._clock()
+        expired = [
+            target_id for target_id, end in self._ends.items() if end <= now
+        ]
+        for target_id in expired:
+            self._ends.pop(target_id)
+        if expired:
+            self._notify()
+
+    def _check(self, document: dict[str, Any]) -> list[Finding]:
+        host = _host(self._settings.listen.http)
+        service = self._settings.service
+        expected = {
+            '$.address': (
+                f'an address of this instance ({host})',
+                document['address'],
+                _host(document['address']) == host,
+            ),
+            '$.service': (
+                f'{service}, the service of this instance',
+                document['service'],
+                document['service'] == service,
+            ),
+        }
+        incarnation = self._newest_incarnation(document)
+        expected['$.incarnation'] = (
+            f'at least {incarnation}, which was announced before',
+            str(document['incarnation']),
+            document['incarnation'] >= incarnation,
+        )
+        return [
+            Finding(source=_SOURCE, path=path, expected=wanted, found=found)
+            for path, (wanted, found, is_right) in expected.items()
+            if not is_right
+        ]
+
+    def _newest_incarnation(self, document: dict[str, Any]) -> int:
+        known = self._targets.get(self._id_of(document))
+        same_address = [
+            target.incarnation
+            for target in self.targets
+            if target.address == document['address']
+        ]
+        if known is not None:
+            same_address.append(known.incarnation)
+        return max(same_address, default=0)
+
+    def _displace(self, newer: Target) -> None:
+        # A new target at a reused address replaces the one before it.
+        for target in self.targets:
+            if target.address == newer.address and target.id != newer.id:
+                self._ends.pop(target.id)
+
+    def _target(self, document: dict[str, Any]) -> Target:
+        return Target(
+            id=self._id_of(document),
+            service=document['service'],
+            version=document['version'],
+            address=document['address'],
+            incarnation=document['incarnation'],
+            slots=document['slots'],
+            state=document['state'],
+            node=self._settings.id,
+            data_centre=self._settings.data_centre,
+            region=self._settings.region,
+        )
+
+    def _id_of(self, document: dict[str, Any]) -> str:
+        port = document['address'].rpartition(':')[2]
+        own_id = self._settings.id
+        name: str = document.get('id', f'{own_id}-{port}')
+        return name
+
+    def _notify(self) -> None:
+        for callback in self._callbacks:
+            callback()
+
+
+async def post_target(
+    announcements: Announcements,
+    request: web.Request,
+) -> web.Response:
+    """Answer ``POST /mustardspur/v1/targets``."""
+    try:
+        document = await request.json()
+    except ValueError as error:
+        finding = Finding(
+            source=_SOURCE,
+            path='$',
+            expected='JSON',
+            found=str(error),
+        )
+        return _refusal(Findings(entries=[finding]))
+    outcome = announcements.take(document)
+    if outcome.is_error():
+        return _refusal(outcome.error)
+    return web.json_response({'id': outcome.ok.id})
+
+
+def _host(address: str) -> str:
+    return address.rpartition(':')[0]
+
+
+def _refusal(findings: Findings) -> web.Response:
+    status = web.HTTPUnprocessableEntity.status_code
+    return web.json_response(
+        {'findings': encode_mapping(findings.entries)},
+        status=status,
+    )
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/poll.py
@@ -0,0 +1,85 @@
+"""Asks the other control instances what they have of a service."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Final
+
+from mustardspur_core.messages import Hello
+from mustardspur_core.settings import Settings
+from mustardspur_core.wire import MalformedFrame
+
+from mustardspur_node.first_config import FirstConfigs
+from mustardspur_node.held import HeldConfig
+from mustardspur_node.link_session import Connect, LinkSession
+
+CONNECT_TIMEOUT_S: Final = 1.0
+POLL_INTERVAL_S: Final = 2.0
+
+
+async def poll_often(
+    settings: Settings,
+    held: HeldConfig,
+    first_configs: FirstConfigs,
+    connect: Connect,
+    current: Callable[[], LinkSession | None],
+) -> None:
+    """Ask the other instances while the current one is not confirmed.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the node.
+    held : HeldConfig
+        Keeps what the instances have as candidates.
+    first_configs : FirstConfigs
+        Counts the answers.
+    connect : callable
+        Opens a stream.
+    current : callable
+        Returns the session with the current instance, if any.
+    """
+    while True:
+        await asyncio.sleep(POLL_INTERVAL_S)
+        session = current()
+        if session is None or session.is_confirmed:
+            continue
+        addresses: set[str] = set()
+        for service in held.unconfirmed:
+            addresses |= first_configs.unasked(service)
+        await asyncio.gather(
+            *(
+                _poll(settings, held, first_configs, connect, address)
+                for address in addresses - {session.address}
+            ),
+        )
+
+
+async def _poll(
+    settings: Settings,
+    held: HeldConfig,
+    first_configs: FirstConfigs,
+    connect: Connect,
+    address: str,
+) -> None:
+    hello = Hello(
+        node=settings.id,
+        data_centre=settings.data_centre,
+        region=settings.region,
+        incarnation=0,
+        services=held.unconfirmed,
+        held={},
+        target_revisions={},
+    )
+    # An instance that does not answer is asked again later.
+    with suppress(OSError, EOFError, TimeoutError, MalformedFrame):
+        async with connect(address, CONNECT_TIMEOUT_S) as stream:
+            session = LinkSession(address, stream, hello, held, first_configs)
+            stream.send_soon(hello)
+            async with asyncio.timeout(settings.intervals.silence_s):
+                await _until_welcome(session)
+
+
+async def _until_welcome(session: LinkSession) -> None:
+    while session.control is None:
+        await session.receive()
--- /dev/null
+++ b/tests/support/pipes.py
@@ -0,0 +1,60 @@
+"""Streams inside a process, without ports."""
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, closing, suppress
+
+from mustardspur_core.wire import FrameStream
+
+Serve = Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter],
+    Awaitable[None],
+]
+
+
+class Pipes:
+    """Servers by address, and the streams that were opened to each."""
+
+    def __init__(self) -> None:
+        """Start without servers."""
+        self.servers: dict[str, Serve] = {}
+        self.opened: list[tuple[float, str]] = []
+
+    @asynccontextmanager
+    async def connect(
+        self,
+        address: str,
+        timeout_s: float,
+    ) -> AsyncIterator[FrameStream]:
+        """Open a stream to a server; takes the place of `connect_stream`."""
+        now_s = asyncio.get_running_loop().time()
+        self.opened.append((now_s, address))
+        if address not in self.servers:
+            raise ConnectionRefusedError(address)
+        near, far = socket.socketpair()
+        server = asyncio.create_task(
+            self._serve(self.servers[address], far),
+        )
+        reader, writer = await asyncio.open_connection(sock=near)
+        stream = FrameStream(reader, writer)
+        try:
+            yield stream
+        finally:
+            await _end(writer, server)
+
+    async def _serve(self, serve: Serve, far: socket.socket) -> None:
+        reader, writer = await asyncio.open_connection(sock=far)
+        with closing(writer):
+            await serve(reader, writer)
+
+
+async def _end(
+    writer: asyncio.StreamWriter,
+    server: asyncio.Task[None],
+) -> None:
+    writer.close()
+    with suppress(OSError):
+        await writer.wait_closed()
+    server.cancel()
+    await asyncio.gather(server, return_exceptions=True)
