Add relays between control instances and tests of the streams

Tests on a virtual clock over socket pairs: orders of updates, restarts, silent streams, malformed frames, a slow node, leases, claims, first configurations without a quorum.

--- a/packages/mustardspur_control/src/mustardspur_control/applied.py
+++ b/packages/mustardspur_control/src/mustardspur_control/applied.py
@@ -9,6 +9,7 @@
 
 NOT_CONNECTED: Final = 'not connected'
 NOT_REPORTED: Final = 'connected, not reported yet'
+_NO_REPORT: Final = frozenset((NOT_CONNECTED, NOT_REPORTED))
 
 
 class NodeApplied(Record):
@@ -45,14 +46,12 @@
         self._callbacks.append(callback)
 
     def put(self, row: NodeApplied) -> None:
-        """Take a report, unless it is the farewell of an old connection."""
+        """Take a report; only a real one moves a node to another control."""
         rows = self._rows[row.report.service]
         held = rows.get(row.node)
         if held is not None:
             moved = held.control != row.control
-            if moved and row.report.reason == NOT_CONNECTED:
-                return
-            if held == row:
+            if held == row or (moved and row.report.reason in _NO_REPORT):
                 return
         rows[row.node] = row
         for callback in self._callbacks:
--- a/packages/mustardspur_control/src/mustardspur_control/registry.py
+++ b/packages/mustardspur_control/src/mustardspur_control/registry.py
@@ -63,9 +63,15 @@
             Why some targets were refused, empty if none was.
         """
         faults = [(target, self._fault(node, target)) for target in targets]
-        taken = {target.id: target for target, fault in faults if not fault}
         self._leases.renew(node)
-        for gone_id in self.known.held_by(node).keys() - taken.keys():
+        held = self.known.held_by(node)
+        # An older start of a target does not end the newer one.
+        named = {target.id for target in targets}
+        taken = {name: held[name] for name in held.keys() & named}
+        taken.update(
+            {target.id: target for target, fault in faults if not fault},
+        )
+        for gone_id in held.keys() - taken.keys():
             self._drop_own(node, gone_id)
         for target in taken.values():
             self.own.put(target.id, target)
@@ -82,9 +88,18 @@
         for target_id in update.removals:
             held.pop(target_id, None)
         held.update({target.id: target for target in update.upserts})
-        self._leases.keep(peer)
+        self.keep_peer(peer)
         self.known.hold(peer, held)
 
+    def keep_peer(self, peer: str) -> None:
+        """Keep the targets of a connected control instance."""
+        self._leases.keep(peer)
+
+    def merge_sample(self, region: str, targets: list[Target]) -> None:
+        """Take a few targets of each service of another region."""
+        sample = {target.id: target for target in targets}
+        self.known.hold(f'region {region}', sample)
+
     def lose_peer(self, peer: str) -> None:
         """Drop a control instance's targets unless it is back in time."""
         lease_s = self._settings.intervals.lease_s
--- /dev/null
+++ b/packages/mustardspur_control/src/mustardspur_control/relay/messages.py
@@ -0,0 +1,113 @@
+"""Messages between control instances; type codes 70 to 79."""
+
+from mustardspur_core.messages import OutcomeRow, TargetUpdate
+from mustardspur_core.record import Record
+from mustardspur_core.state import Target
+from mustardspur_core.wire import message
+
+
+@message(70)
+class RelayHello(Record):
+    """First frame of a control instance that will report to another."""
+
+    __slots__ = ('control', 'data_centre', 'region')
+    control: str
+    data_centre: str
+    region: str
+
+
+@message(71)
+class RegistryShare(Record):
+    """Targets that nodes announced to the sender.
+
+    Parameters
+    ----------
+    settled : bool
+        Whether the sender has heard from all of its nodes after its start;
+        until then, missing targets are not known to be gone.
+    update : TargetUpdate
+        The targets of all services, under an empty service name.
+    """
+
+    __slots__ = ('settled', 'update')
+    settled: bool
+    update: TargetUpdate
+
+
+class SummaryRow(Record):
+    """Targets of one service and version in a region.
+
+    Parameters
+    ----------
+    ready, slots : int
+        Ready targets and their slots.
+    sample : list of Target
+        A few of them.
+    """
+
+    __slots__ = ('service', 'version', 'ready', 'slots', 'sample')
+    service: str
+    version: str
+    ready: int
+    slots: int
+    sample: list[Target]
+
+
+@message(72)
+class RegistrySummary(Record):
+    """Summary of a region's targets.
+
+    Parameters
+    ----------
+    region : str
+        The region.
+    services : list of str
+        Services that are new, changed or gone since the last frame; the
+        first frame of a stream has all.
+    rows : list of SummaryRow
+        All rows of these services.
+    full : bool
+        Whether services that are not named are gone.
+    """
+
+    __slots__ = ('region', 'services', 'rows', 'full')
+    region: str
+    services: list[str]
+    rows: list[SummaryRow]
+    full: bool
+
+
+class AppliedRow(Record):
+    """Nodes that report the same for a service."""
+
+    __slots__ = (
+        'service',
+        'index',
+        'pending_index',
+        'reason',
+        'control',
+        'nodes',
+    )
+    service: str
+    index: int
+    pending_index: int
+    reason: str
+    control: str
+    nodes: list[str]
+
+
+@message(73)
+class AppliedSummary(Record):
+    """Changed reports of nodes, on their way to the leader."""
+
+    __slots__ = ('rows',)
+    rows: list[AppliedRow]
+
+
+@message(74)
+class OutcomeSummary(Record):
+    """Merged evidence about a move, on its way to the leader."""
+
+    __slots__ = ('move', 'rows')
+    move: str
+    rows: list[OutcomeRow]
--- a/packages/mustardspur_core/src/mustardspur_core/reach.py
+++ b/packages/mustardspur_core/src/mustardspur_core/reach.py
@@ -33,11 +33,10 @@
     """
     version = config.profile.target_sets[target_set].version
     move = _move_of(config, target_set)
-    if move is None or version not in {move.from_version, move.to_version}:
+    if move is None or move.to_version != version:
         return {version: 1.0}
     share = 0 if move.id in cut_off_moves else _share(move)
     shares = {move.from_version: 1.0 - share}
-    # The two versions of a move may be equal after an edit that went back.
     shares[move.to_version] = shares.get(move.to_version, 0) + share
     return {name: part for name, part in shares.items() if part > 0}
 
@@ -61,10 +60,9 @@
 
 
 def known_versions(config: ServiceConfig) -> set[str]:
-    """Return every version that a route may come to reach by a cut-off."""
+    """Return every version that a target set has or a move had."""
     names = {
-        config.profile.target_sets[target_set].version
-        for target_set in routed_sets(config)
+        target_set.version for target_set in config.profile.target_sets.values()
     }
     for move in config.moves:
         names |= {move.from_version, move.to_version}
--- a/packages/mustardspur_node/src/mustardspur_node/announcements.py
+++ b/packages/mustardspur_node/src/mustardspur_node/announcements.py
@@ -118,15 +118,15 @@
         ]
 
     def _newest_incarnation(self, document: dict[str, Any]) -> int:
-        known = self._targets.get(self._id_of(document))
-        same_address = [
-            target.incarnation
-            for target in self.targets
-            if target.address == document['address']
-        ]
-        if known is not None:
-            same_address.append(known.incarnation)
-        return max(same_address, default=0)
+        own_id = self._id_of(document)
+        return max(
+            (
+                target.incarnation
+                for target in self.targets
+                if target.id == own_id or target.address == document['address']
+            ),
+            default=0,
+        )
 
     def _displace(self, newer: Target) -> None:
         # A new target at a reused address replaces the one before it.
--- a/packages/mustardspur_node/src/mustardspur_node/held.py
+++ b/packages/mustardspur_node/src/mustardspur_node/held.py
@@ -192,7 +192,9 @@
         self._cut_offs.update(state.cut_offs)
         if state.in_force is not None:
             held.view = held.build_view(state.in_force, self._cut_offs)
-        held.reason = 'read back from the disk'
+        config = held.next_config(self._cut_offs)
+        if config is not None:
+            held.view = held.build_view(config, self._cut_offs)
         self._services[held.name] = held
 
 
--- /dev/null
+++ b/tests/control/test_applied.py
@@ -0,0 +1,41 @@
+"""Guards the knowledge of which node has which index in force."""
+
+import pytest
+from mustardspur_control.applied import (
+    NOT_CONNECTED,
+    NOT_REPORTED,
+    AppliedTable,
+    NodeApplied,
+)
+from mustardspur_core.messages import Applied
+
+
+def row(control: str, index: int, reason: str = '') -> NodeApplied:
+    """Return a row of node ``n1`` for ``forms``."""
+    report = Applied(
+        service='forms',
+        index=index,
+        pending_index=index,
+        reason=reason,
+    )
+    return NodeApplied(control=control, node='n1', report=report)
+
+
+@pytest.mark.parametrize(
+    ('later', 'is_taken'),
+    [
+        (row('c1', 6), True),
+        (row('c1', 5, NOT_CONNECTED), True),
+        (row('c2', 5), True),
+        (row('c2', 5, NOT_CONNECTED), False),
+        (row('c2', 0, NOT_REPORTED), False),
+    ],
+)
+def test_only_reports_move_a_node(later: NodeApplied, is_taken: bool) -> None:
+    """Guards against the farewell of an old stream hiding the new one."""
+    table = AppliedTable()
+    held = row('c1', 5)
+    table.put(held)
+    table.put(later)
+    expected = later if is_taken else held
+    assert table.rows('forms') == [expected]
--- /dev/null
+++ b/tests/control/test_registry.py
@@ -0,0 +1,134 @@
+"""Guards the targets that a control instance knows."""
+
+from collections.abc import Callable
+
+import pytest
+from mustardspur_control.registry import Registry
+from mustardspur_core.record import replaced
+from mustardspur_core.state import Target
+from mustardspur_core.target_list import TargetList
+
+from tests.support.samples import control_settings, target
+
+
+class Clock:
+    """A monotonic clock that a test moves."""
+
+    def __init__(self) -> None:
+        """Start at 0."""
+        self.now_s: float = 0
+
+    def __call__(self) -> float:
+        """Return the time in seconds."""
+        return self.now_s
+
+
+def registry_at(clock: Callable[[], float]) -> Registry:
+    """Return an empty registry of a control instance."""
+    return Registry(control_settings(), clock)
+
+
+def names(registry: Registry) -> list[tuple[str, int]]:
+    """Return identifier and incarnation of each target."""
+    return [(each.id, each.incarnation) for each in registry.targets('forms')]
+
+
+HELD = target('t1', incarnation=5)
+
+
+@pytest.mark.parametrize(
+    ('newer', 'expected', 'is_refused'),
+    [
+        (target('t1', incarnation=5), [('t1', 5)], False),
+        (target('t1', incarnation=6), [('t1', 6)], False),
+        (target('t1', incarnation=4, node='n1'), [('t1', 5)], True),
+        (target('t1', incarnation=9, node='n2'), [('t1', 9)], False),
+        (target('t1', incarnation=5, node='n2'), [('t1', 5)], True),
+        (
+            target('t1', incarnation=9, node='n2', address='127.0.0.1:1'),
+            [('t1', 5)],
+            True,
+        ),
+        (
+            replaced(target('t2', incarnation=6), address=HELD.address),
+            [('t2', 6)],
+            False,
+        ),
+    ],
+)
+def test_claims_to_one_target(
+    newer: Target,
+    expected: list[tuple[str, int]],
+    is_refused: bool,
+) -> None:
+    """Guards against duplicates, old starts and foreign claims."""
+    registry = registry_at(Clock())
+    registry.announce('n1', [HELD])
+    faults = registry.announce(newer.node, [newer])
+    assert bool(faults) == is_refused
+    assert names(registry) == expected
+
+
+def test_address_goes_to_the_newer_of_two_nodes() -> None:
+    """Guards against calls to an address that another target took over."""
+    registry = registry_at(Clock())
+    registry.announce('n1', [HELD])
+    newer = target('t2', incarnation=6, node='n2', address=HELD.address)
+    registry.announce('n2', [newer])
+    assert names(registry) == [('t2', 6)]
+    registry.announce('n2', [])
+    assert names(registry) == [('t1', 5)]
+
+
+def test_lease_ends_by_the_receiver() -> None:
+    """Guards against targets of a lost node staying for ever."""
+    clock = Clock()
+    registry = registry_at(clock)
+    registry.announce('n1', [target('t1')])
+    clock.now_s = 2.9
+    registry.renew('n1')
+    clock.now_s = 5.8
+    registry.expire()
+    assert names(registry) == [('t1', 1)]
+    clock.now_s = 6
+    registry.expire()
+    assert names(registry) == []
+    assert not registry.own.targets_by_id
+
+
+def test_unsettled_registry_removes_nothing() -> None:
+    """Guards against a restart that empties the nodes' lists."""
+    clock = Clock()
+    before = registry_at(clock)
+    before.settled = True
+    before.announce('n1', [target('t1')])
+    before.announce('n2', [target('t2', node='n2')])
+    held = TargetList('forms').updated(before.update_from('forms', ''))
+    restarted = registry_at(clock)
+    restarted.announce('n1', [target('t1')])
+    assert not restarted.has_news('forms', held.revision)
+    restarted.announce('n1', [target('t1', state='draining')])
+    partial = restarted.update_from('forms', held.revision)
+    assert held.updated(partial).targets_by_id.keys() == {'t1', 't2'}
+    assert [each.state for each in partial.upserts] == ['draining']
+    clock.now_s = 10
+    restarted.renew('n1')
+    restarted.expire()
+    complete = restarted.update_from('forms', partial.revision)
+    assert held.updated(complete).targets_by_id.keys() == {'t1'}
+
+
+def test_targets_outlive_their_control_instance() -> None:
+    """Guards against a loss of targets with the control instance."""
+    clock = Clock()
+    registry = registry_at(clock)
+    source = TargetList('')
+    source.put('t1', target('t1'))
+    registry.merge('c2', source.update_from(''))
+    registry.lose_peer('c2')
+    clock.now_s = 8.9
+    registry.expire()
+    assert names(registry) == [('t1', 1)]
+    clock.now_s = 9
+    registry.expire()
+    assert names(registry) == []
--- a/tests/control/test_streams.py
+++ b/tests/control/test_streams.py
@@ -3,20 +3,19 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Any
 
-from mustardspur_control.control_stream import ControlStreams
+import msgpack
+import pytest
+from mustardspur_control.admission import MAX_HANDSHAKES
 from mustardspur_control.expiry import expiring
-from mustardspur_control.hub import Hub
-from mustardspur_control.registry import Registry
-from mustardspur_core.settings import Settings
-from mustardspur_node.announcements import Announcements
-from mustardspur_node.control_link import ControlLink
-from mustardspur_node.held import HeldConfig
+from mustardspur_core.messages import Busy, Heartbeat, Hello
+from mustardspur_core.record import replaced
+from mustardspur_core.wire import encode_frame
 
 from tests.support.pipes import Pipes
+from tests.support.processes import Control, Node
 from tests.support.samples import (
-    QUIET,
-    CountingMetrics,
     FakeBarrier,
     FakeSource,
     announcement,
@@ -24,72 +23,180 @@
     control_settings,
     node_settings,
 )
-from tests.support.virtual_time import in_virtual_time, virtual_now_s
-
-
-class Control:
-    """A control instance without its log and its relays."""
-
-    def __init__(self, source: FakeSource, barrier: FakeBarrier) -> None:
-        """Assemble the parts that serve nodes."""
-        self.settings = control_settings()
-        self.metrics = CountingMetrics()
-        self.registry = Registry(self.settings, virtual_now_s)
-        self.hub = Hub(
-            self.settings,
-            source,
-            self.registry,
-            barrier,
-            QUIET,
-            self.metrics,
-        )
-        self.streams = ControlStreams(self.hub)
-
-
-class Node:
-    """A node without its proxy."""
-
-    def __init__(self, settings: Settings, pipes: Pipes) -> None:
-        """Assemble the parts that hold configuration."""
-        self.metrics = CountingMetrics()
-        self.held = HeldConfig(settings, QUIET, self.metrics)
-        self.announcements = Announcements(settings, virtual_now_s)
-        self.link = ControlLink(
-            settings,
-            self.held,
-            self.announcements,
-            QUIET,
-            self.metrics,
-            pipes.connect,
+from tests.support.virtual_time import in_virtual_time, ticks
+
+HELLO = Hello(
+    node='slow',
+    data_centre='split-a',
+    region='dalmacija',
+    incarnation=1,
+    services=['forms'],
+    held={},
+    target_revisions={},
+)
+
+
+class Mesh:
+    """One control instance with its pipes and its source."""
+
+    def __init__(self, barrier: FakeBarrier | None = None) -> None:
+        """Serve the control instance at address ``c1``."""
+        self.source = FakeSource(config(1))
+        self.control = Control(
+            control_settings(),
+            self.source,
+            barrier or FakeBarrier(),
         )
+        self.pipes = Pipes()
+        self.pipes.servers['c1'] = self.control.streams.serve
+
+    @asynccontextmanager
+    async def node(self, name: str = 'n1') -> AsyncIterator[Node]:
+        """Run a node, and the expiry of leases beside it."""
+        node = Node(node_settings(name), self.pipes)
+        control = self.control
+        async with expiring(control.settings, control.registry):
+            async with node.link.running():
+                yield node
+
+    def index_of(self, node: str) -> int:
+        """Return the index that the node reports."""
+        row = self.control.hub.applied.row('forms', node)
+        return row.report.index if row else 0
 
 
-@asynccontextmanager
-async def connected(
-    source: FakeSource,
-) -> AsyncIterator[tuple[Control, Node]]:
-    """Run a control instance and one node."""
-    pipes = Pipes()
-    control = Control(source, FakeBarrier())
-    pipes.servers['c1'] = control.streams.serve
-    node = Node(node_settings(), pipes)
-    async with expiring(control.settings, control.registry):
-        async with node.link.running():
-            yield control, node
+def ready_ids(node: Node) -> list[str]:
+    """Return the identifiers of the node's ready targets."""
+    view = node.held.view('forms')
+    assert view is not None
+    return [each.id for each in view.targets_by_version['1']]
 
 
 @in_virtual_time
 async def test_change_reaches_node_and_is_reported() -> None:
     """Guards against a change that does not reach a node, or no answer."""
-    source = FakeSource(config(1))
-    async with connected(source) as (control, node):
+    mesh = Mesh()
+    async with mesh.node() as node:
+        node.announcements.take(announcement())
+        await asyncio.sleep(0.5)
+        assert ready_ids(node) == ['t1']
+        mesh.source.put(config(5))
+        await asyncio.sleep(0.5)
+        assert mesh.index_of('n1') == 5
+
+
+@pytest.mark.parametrize(
+    ('changes', 'wait_s'),
+    [({'state': 'draining'}, 0.5), ({}, 3.5)],
+)
+@in_virtual_time
+async def test_leaving_target_is_gone_from_nodes(
+    changes: dict[str, Any],
+    wait_s: float,
+) -> None:
+    """Guards against work for a target that drains or lost its lease."""
+    mesh = Mesh()
+    async with mesh.node() as node:
+        # The registry of the control instance is settled after 9 s.
+        async for _ in ticks(11, 1):
+            node.announcements.take(announcement())
+        assert ready_ids(node) == ['t1']
+        if changes:
+            node.announcements.take(announcement(**changes))
+        await asyncio.sleep(wait_s)
+        assert ready_ids(node) == []
+
+
+@in_virtual_time
+async def test_slow_node_delays_no_other() -> None:
+    """Guards against one full buffer holding back the other streams."""
+    mesh = Mesh()
+    async with mesh.pipes.connect('c1', 1) as slow, mesh.node() as node:
+        node.announcements.take(announcement())
+        slow.send_soon(HELLO)
+        await asyncio.sleep(0.5)
+        async for index in ticks(3000, 0.001):
+            mesh.source.put(config(index))
+            slow.send_soon(Heartbeat(sequence=index))
+        await asyncio.sleep(0.5)
+        assert mesh.index_of('n1') == 2999
+        session = mesh.control.hub.sessions.by_node['slow']
+        assert len(session.dirty) <= 1
+        # 3 s of changes go out in updates at least 0.05 s apart.
+        assert slow.received_bytes + session.stream.sent_bytes < 40_000
+
+
+async def answer_of(mesh: Mesh) -> Busy:
+    """Return the answer to a node that has to wait."""
+    async with mesh.pipes.connect('c1', 1) as stream:
+        stream.send_soon(HELLO)
+        busy = (await stream.receive()).body
+        assert isinstance(busy, Busy)
+        return busy
+
+
+@in_virtual_time
+async def test_busy_spreads_the_nodes() -> None:
+    """Guards against more handshakes at a time than there are places."""
+    mesh = Mesh()
+    admission = mesh.control.hub.admission
+    admission.running = MAX_HANDSHAKES
+    answers = await asyncio.gather(*(answer_of(mesh) for _ in range(5)))
+    delays = {busy.retry_after_ms for busy in answers}
+    assert len(delays) > 1
+    admission.running = 0
+    async with mesh.node():
+        await asyncio.sleep(0.5)
+        assert mesh.control.hub.sessions.by_node.keys() == {'n1'}
+
+
+def framed(parts: object) -> bytes:
+    """Return a frame with its length, of parts or of bytes."""
+    encoded = parts if isinstance(parts, bytes) else msgpack.packb(parts)
+    return len(encoded).to_bytes(4, 'big') + encoded
+
+
+def last_frame(sent: bytes) -> bytes:
+    """Return the last frame of a stream without its length."""
+    while sent:
+        end = 4 + int.from_bytes(sent[:4], 'big')
+        frame, sent = sent[4:end], sent[end:]
+    return frame
+
+
+PROTOCOL_FAULT = 12
+HELLO_BYTES = framed(encode_frame(replaced(HELLO, node='bad')))
+
+
+@pytest.mark.parametrize(
+    ('sent', 'kind'),
+    [
+        (bytes((0, 80, 0, 0)), 'length'),
+        (b'\0\0', 'truncated'),
+        (b'\0\0\0\x09abc', 'truncated'),
+        (framed(b'\xc1'), 'msgpack'),
+        (framed([2, 11, 0, [1]]), 'version'),
+        (framed([1, 9999, 0, [1]]), 'type'),
+        (framed([1, 11, 0]), 'shape'),
+        (framed([1, 11, 0, ['x']]), 'fields'),
+        (framed([1, 11, 0, [1]]), 'type'),
+        (HELLO_BYTES * 2, 'type'),
+        (HELLO_BYTES + framed([1, 9999, 0, [1]]), 'type'),
+        (b''.join((HELLO_BYTES, b'\0\0\0\x09abc')), 'truncated'),
+    ],
+)
+@in_virtual_time
+async def test_malformed_frame_ends_one_stream(sent: bytes, kind: str) -> None:
+    """Guards against a bad peer going uncounted or harming another."""
+    mesh = Mesh()
+    async with mesh.node() as node:
         node.announcements.take(announcement())
         await asyncio.sleep(0.5)
-        view = node.held.view('forms')
-        assert view is not None
-        assert view.config == config(1)
-        assert [each.id for each in view.targets_by_version['1']] == ['t1']
-        source.put(config(5))
+        answer = await mesh.pipes.exchange('c1', sent)
+        assert kind.encode() in answer
+        assert msgpack.unpackb(last_frame(answer))[1] == PROTOCOL_FAULT
+        assert mesh.control.metrics.counts[f'malformed.{kind}'] == 1
+        mesh.source.put(config(2))
         await asyncio.sleep(0.5)
-        rows = control.hub.applied.rows('forms')
-        assert [row.report.index for row in rows] == [5]
+        assert mesh.index_of('n1') == 2
+        assert mesh.pipes.opened == [(0, 'c1')]
--- /dev/null
+++ b/tests/node/test_announcements.py
@@ -0,0 +1,71 @@
+"""Guards against wrong announcements of targets."""
+
+from typing import Any
+
+import pytest
+from mustardspur_node.announcements import Announcements
+
+from tests.support.samples import announcement, node_settings
+
+
+class Clock:
+    """A monotonic clock that a test moves."""
+
+    def __init__(self) -> None:
+        """Start at 0."""
+        self.now_s: float = 0
+
+    def __call__(self) -> float:
+        """Return the time in seconds."""
+        return self.now_s
+
+
+@pytest.mark.parametrize(
+    ('changes', 'path'),
+    [
+        ({'address': '127.0.0.9:9001'}, '$.address'),
+        ({'address': 'localhost:9001'}, '$.address'),
+        ({'service': 'stamps'}, '$.service'),
+        ({'incarnation': 4}, '$.incarnation'),
+        ({'id': 't2', 'incarnation': 4}, '$.incarnation'),
+        ({'state': 'asleep'}, '$.state'),
+        ({'slots': 0}, '$.slots'),
+        ({'colour': 'red'}, '$'),
+    ],
+)
+def test_wrong_announcement_names_its_fault(
+    changes: dict[str, Any],
+    path: str,
+) -> None:
+    """Guards against a target of another instance, or an older start."""
+    announcements = Announcements(node_settings())
+    assert announcements.take(announcement(incarnation=5)).is_ok()
+    refusal = announcements.take(announcement(**{'incarnation': 5, **changes}))
+    assert [finding.path for finding in refusal.error.entries] == [path]
+    assert [each.incarnation for each in announcements.targets] == [5]
+
+
+def test_lease_ends_and_can_begin_again() -> None:
+    """Guards against a silent target staying, or one that cannot return."""
+    clock = Clock()
+    announcements = Announcements(node_settings(), clock)
+    changes: list[int] = []
+    announcements.on_change(lambda: changes.append(len(announcements.targets)))
+    announcements.take(announcement())
+    clock.now_s = 2.9
+    announcements.take(announcement())
+    clock.now_s = 5.8
+    announcements.expire()
+    assert len(announcements.targets) == 1
+    clock.now_s = 5.9
+    announcements.expire()
+    announcements.take(announcement())
+    assert changes == [1, 0, 1]
+
+
+def test_new_target_replaces_one_at_its_address() -> None:
+    """Guards against two targets at a reused address."""
+    announcements = Announcements(node_settings())
+    announcements.take(announcement())
+    announcements.take(announcement(id='t2', incarnation=2))
+    assert [each.id for each in announcements.targets] == ['t2']
--- /dev/null
+++ b/tests/node/test_control_link.py
@@ -0,0 +1,208 @@
+"""Guards a node's stream against silence, and its first configuration."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import pytest
+from mustardspur_core.messages import (
+    Announce,
+    Busy,
+    Heartbeat,
+    ProtocolFault,
+    Welcome,
+)
+from mustardspur_core.record import Record
+from mustardspur_core.wire import FrameStream
+
+from tests.support.pipes import Pipes
+from tests.support.processes import Control, Node
+from tests.support.samples import (
+    FakeBarrier,
+    FakeSource,
+    announcement,
+    config,
+    control_settings,
+    node_settings,
+)
+from tests.support.virtual_time import in_virtual_time, ticks, virtual_now_s
+
+WELCOME = Welcome(control='c1', confirmed=True)
+
+
+class Script:
+    """A control instance that sends fixed frames and then is silent."""
+
+    def __init__(self, *frames: Record, last_beat_s: float = 0) -> None:
+        """Keep the frames, and until when heartbeats follow them."""
+        self._frames = frames
+        self._last_beat_s = last_beat_s
+        self.received: list[Record] = []
+
+    async def serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Serve a stream."""
+        stream = FrameStream(reader, writer)
+        for frame in self._frames:
+            stream.send_soon(frame)
+        beats = asyncio.create_task(self._beat(stream))
+        while True:
+            self.received.append((await stream.receive()).body)
+            assert not beats.cancelled()
+
+    async def _beat(self, stream: FrameStream) -> None:
+        while virtual_now_s() < self._last_beat_s:
+            await asyncio.sleep(1)
+            stream.send_soon(Heartbeat(sequence=1))
+
+
+@asynccontextmanager
+async def running(pipes: Pipes, **changes: Any) -> AsyncIterator[Node]:
+    """Run a node that knows the control instances of the pipes."""
+    known = {'control': list(pipes.servers), **changes}
+    settings = node_settings(**known)
+    node = Node(settings, pipes)
+    async with node.link.running():
+        yield node
+
+
+def control(newest: int, *, passes: bool) -> Control:
+    """Return a control instance with one configuration."""
+    return Control(
+        control_settings(),
+        FakeSource(config(newest)),
+        FakeBarrier(passes=passes),
+    )
+
+
+@in_virtual_time
+async def test_silent_stream_is_replaced() -> None:
+    """Guards against a node that waits on a dead stream."""
+    pipes = Pipes()
+    script = Script(WELCOME, last_beat_s=10)
+    pipes.servers['c1'] = script.serve
+    async with running(pipes) as node:
+        await asyncio.sleep(11)
+        node.announcements.take(announcement())
+        await asyncio.sleep(1.9)
+        assert [at for at, _ in pipes.opened] == [0]
+        await asyncio.sleep(0.35)
+        assert len(pipes.opened) == 2
+        # 3 s after the last frame, and a jittered delay of at most 0.1 s.
+        assert round(pipes.opened[1][0]) == 13
+        announced = [
+            len(frame.targets)
+            for frame in script.received
+            if isinstance(frame, Announce)
+        ]
+        assert announced == [0, 1, 1]
+
+
+@pytest.mark.parametrize(
+    'frames',
+    [
+        (Announce(targets=[]),),
+        (ProtocolFault(kind='type', detail=''),),
+        (),
+    ],
+)
+@in_virtual_time
+async def test_bad_instance_is_left_for_the_next(
+    frames: tuple[Record, ...],
+) -> None:
+    """Guards against one bad control instance keeping a node out."""
+    pipes = Pipes()
+    pipes.servers['c0'] = Script(*frames).serve
+    good = control(1, passes=True)
+    pipes.servers['c1'] = good.streams.serve
+    async with running(pipes) as node:
+        await asyncio.sleep(4)
+        assert node.link.control == 'c1'
+
+
+@in_virtual_time
+async def test_busy_instance_is_asked_later() -> None:
+    """Guards against a refused node coming back at once."""
+    pipes = Pipes()
+    pipes.servers['c1'] = Script(Busy(retry_after_ms=700)).serve
+    async with running(pipes):
+        await asyncio.sleep(2)
+    assert [round(at, 1) for at, _ in pipes.opened] == [0, 0.7, 1.4]
+
+
+@in_virtual_time
+async def test_refused_attempts_are_spaced() -> None:
+    """Guards against a storm of connects while nobody listens."""
+    pipes = Pipes()
+    async with running(pipes, control=['c8', 'c9']):
+        await asyncio.sleep(10)
+    assert 8 < len(pipes.opened) < 32
+
+
+@pytest.mark.parametrize(
+    ('reachable', 'passes', 'expected'),
+    [
+        # A behind instance that confirms has caught up by definition.
+        ({'c1': 7}, True, 7),
+        # Alone and without a quorum it may be behind; nothing is accepted.
+        ({'c1': 7}, False, 0),
+        ({'c1': 7, 'c2': 9}, False, 0),
+        # All answered without a quorum: the highest index wins.
+        ({'c1': 7, 'c2': 9, 'c3': 8}, False, 9),
+    ],
+)
+@in_virtual_time
+async def test_first_configuration_without_a_disk(
+    reachable: dict[str, int],
+    passes: bool,
+    expected: int,
+) -> None:
+    """Guards against an older configuration after a restart."""
+    pipes = Pipes()
+    for address, newest in reachable.items():
+        served = control(newest, passes=passes)
+        pipes.servers[address] = served.streams.serve
+    async with running(pipes, control=['c1', 'c2', 'c3']) as node:
+        await asyncio.sleep(6)
+        assert node.held.indexes.get('forms', 0) == expected
+        if not expected:
+            assert node.held.waiting['forms']
+
+
+@in_virtual_time
+async def test_instance_that_is_behind_changes_nothing() -> None:
+    """Guards against reverting when a node changes its instance."""
+    pipes = Pipes()
+    ahead = control(9, passes=True)
+    pipes.servers['c1'] = ahead.streams.serve
+    async with running(pipes, control=['c1', 'c2']) as node:
+        node.announcements.take(announcement())
+        await asyncio.sleep(0.5)
+        pipes.servers['c2'] = control(5, passes=True).streams.serve
+        pipes.servers.pop('c1')
+        session = ahead.hub.sessions.by_node['n1']
+        session.stream.close()
+        async for _ in ticks(4, 1):
+            view = node.held.view('forms')
+            assert view is not None
+            assert view.config.index == 9
+        assert pipes.opened[-1][1] == 'c2'
+
+
+@in_virtual_time
+async def test_service_can_be_added() -> None:
+    """Guards against a service on demand that never arrives."""
+    pipes = Pipes()
+    source = FakeSource(config(1), config(3, service='stamps'))
+    served = Control(control_settings(), source, FakeBarrier())
+    pipes.servers['c1'] = served.streams.serve
+    async with running(pipes) as node:
+        await asyncio.sleep(0.5)
+        node.link.subscribe('stamps')
+        await asyncio.sleep(0.5)
+        assert node.held.indexes == {'forms': 1, 'stamps': 3}
+        assert len(pipes.opened) == 1
--- a/tests/support/pipes.py
+++ b/tests/support/pipes.py
@@ -43,6 +43,17 @@
         finally:
             await _end(writer, server)
 
+    async def exchange(self, address: str, sent: bytes) -> bytes:
+        """Send bytes and the end of the stream; return all that comes."""
+        near, far = socket.socketpair()
+        server = asyncio.create_task(self._serve(self.servers[address], far))
+        reader, writer = await asyncio.open_connection(sock=near)
+        writer.write(sent)
+        writer.write_eof()
+        received = await reader.read()
+        await _end(writer, server)
+        return received
+
     async def _serve(self, serve: Serve, far: socket.socket) -> None:
         reader, writer = await asyncio.open_connection(sock=far)
         with closing(writer):
--- /dev/null
+++ b/tests/support/processes.py
@@ -0,0 +1,60 @@
+"""A control instance and a node without the parts of other packages."""
+
+from mustardspur_control.control_stream import ControlStreams
+from mustardspur_control.hub import Hub
+from mustardspur_control.registry import Registry
+from mustardspur_core.settings import Settings
+from mustardspur_node.announcements import Announcements
+from mustardspur_node.control_link import ControlLink
+from mustardspur_node.held import HeldConfig
+
+from tests.support.pipes import Pipes
+from tests.support.samples import (
+    QUIET,
+    CountingMetrics,
+    FakeBarrier,
+    FakeSource,
+)
+from tests.support.virtual_time import virtual_now_s
+
+
+class Control:
+    """A control instance without its log and its relays."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        source: FakeSource,
+        barrier: FakeBarrier,
+    ) -> None:
+        """Assemble the parts that serve nodes."""
+        self.settings = settings
+        self.metrics = CountingMetrics()
+        self.registry = Registry(self.settings, virtual_now_s)
+        self.hub = Hub(
+            self.settings,
+            source,
+            self.registry,
+            barrier,
+            QUIET,
+            self.metrics,
+        )
+        self.streams = ControlStreams(self.hub)
+
+
+class Node:
+    """A node without its proxy."""
+
+    def __init__(self, settings: Settings, pipes: Pipes) -> None:
+        """Assemble the parts that hold configuration."""
+        self.metrics = CountingMetrics()
+        self.held = HeldConfig(settings, QUIET, self.metrics)
+        self.announcements = Announcements(settings, virtual_now_s)
+        self.link = ControlLink(
+            settings,
+            self.held,
+            self.announcements,
+            QUIET,
+            self.metrics,
+            pipes.connect,
+        )
--- a/tests/support/virtual_time.py
+++ b/tests/support/virtual_time.py
@@ -3,7 +3,7 @@
 import asyncio
 import functools
 import selectors
-from collections.abc import Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine
 from typing import Any
 
 AsyncTest = Callable[..., Coroutine[Any, Any, None]]
@@ -49,6 +49,15 @@
     return wrapper
 
 
+async def ticks(count: int, interval_s: float) -> AsyncIterator[int]:
+    """Yield numbers from 0 with a wait after each."""
+    number = 0
+    while number < count:
+        yield number
+        await asyncio.sleep(interval_s)
+        number += 1
+
+
 def virtual_now_s() -> float:
     """Return the time of the running loop, a monotonic clock for tests."""
     return asyncio.get_running_loop().time()
