Add the applied store, a one-instance log and the operators' interface

Cause: edits need one defined outcome on every replica, and operators need a way to submit them and to see which state a read is based on.

Change: `Store` applies profile edits, follow edits, orders and steps of moves deterministically. `LocalLog` commits in memory.

Conclusion: the daemon can be assembled over `LocalLog`; the sources of nodes in force, targets, move reports and status are protocols.

--- /dev/null
+++ b/packages/mustardspur_control/src/mustardspur_control/local_log.py
@@ -0,0 +1,62 @@
+"""A log of one instance in memory, for tests and single-instance use."""
+
+from expression import Ok, Result
+from mustardspur_agreement.ports import (
+    Committed,
+    ProposalError,
+    StateMachine,
+)
+
+
+class LocalLog:
+    """Commits each entry at once; nothing survives the process.
+
+    Parameters
+    ----------
+    instance : str
+        Identifier of the instance, which is always the leader.
+    machine : StateMachine
+        What applies the entries.
+
+    See Also
+    --------
+    mustardspur_agreement.ports.CommittedLog : the interface.
+    """
+
+    __slots__ = ('_commit_index', '_instance', '_machine')
+
+    def __init__(self, instance: str, machine: StateMachine) -> None:
+        """Start with an empty log."""
+        self._instance = instance
+        self._machine = machine
+        self._commit_index = 0
+
+    @property
+    def is_leader(self) -> bool:
+        """Always true."""
+        return True
+
+    @property
+    def leader(self) -> str | None:
+        """This instance."""
+        return self._instance
+
+    @property
+    def term(self) -> int:
+        """Always 1."""
+        return 1
+
+    @property
+    def commit_index(self) -> int:
+        """Index of the newest entry."""
+        return self._commit_index
+
+    async def propose(self, entry: bytes) -> Result[Committed, ProposalError]:
+        """Commit and apply an entry."""
+        self._commit_index += 1
+        answer = self._machine.apply(self._commit_index, entry)
+        return Ok(Committed(index=self._commit_index, answer=answer))
+
+    async def read_barrier(self) -> Result[int, ProposalError]:
+        """Return the index of the newest entry, which is always applied."""
+        return Ok(self._commit_index)
--- /dev/null
+++ b/packages/mustardspur_control/src/mustardspur_control/operators_api/bodies.py
@@ -0,0 +1,41 @@
+"""Bodies of edits: reading and checking their shape."""
+
+from typing import Any, Final
+
+from aiohttp import web
+from expression import Error, Ok, Result
+from jsonschema import Draft202012Validator
+from mustardspur_core.findings import Findings
+from mustardspur_core.schemas import load_schema, schema_findings
+from mustardspur_core.strict_json import parse_json
+from mustardspur_core.units import BYTES_PER_KIB
+
+# A profile of 200 routes, the most that the schema allows, takes 60 KiB.
+MAX_BODY_KIB: Final = 256
+MAX_BODY_BYTES: Final = MAX_BODY_KIB * BYTES_PER_KIB
+SOURCE: Final = 'request'
+
+
+def load_body_schema(name: str) -> Draft202012Validator:
+    """Return the validator of a body's shape."""
+    return load_schema('mustardspur_control.operators_api', name)
+
+
+async def read_body(
+    request: web.Request,
+    validator: Draft202012Validator,
+) -> Result[dict[str, Any], Findings]:
+    """Read the body of an edit and check its shape.
+
+    Raises
+    ------
+    web.HTTPRequestEntityTooLarge
+        If the body has more than ``MAX_BODY_BYTES`` bytes.
+    """
+    parsed = parse_json(await request.read(), SOURCE)
+    if parsed.is_error():
+        return parsed
+    entries = schema_findings(validator, parsed.ok, SOURCE)
+    if entries:
+        return Error(Findings(entries=entries))
+    return Ok(parsed.ok)
--- /dev/null
+++ b/packages/mustardspur_control/src/mustardspur_control/store/store.py
@@ -0,0 +1,180 @@
+"""The applied state and its interface to the log and to its readers."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgpack
+from mustardspur_core.conversion import decode_row, encode_row
+from mustardspur_core.edits import EditAnswer
+from mustardspur_core.state import Move, ServiceConfig
+
+from mustardspur_control.store.answers import AnswerBook, Edit
+from mustardspur_control.store.entries import apply_entry
+from mustardspur_control.store.moves import newest_moves
+from mustardspur_control.store.planning import ACTIVE_STATES
+from mustardspur_control.store.records import (
+    STATE_FORMAT,
+    FollowedService,
+    MoveRecord,
+    StoredProfile,
+    StoreState,
+    empty_state,
+)
+
+
+class Store:
+    """Applied state of one control instance.
+
+    Explanation
+    ===========
+
+    Implements `StateMachine` for the replicated log and `ConfigSource` for
+    the streams to nodes. Applying the same entries gives the same state and
+    answers everywhere: no clock, random number or other outside input is
+    read; the time is the one in the entry.
+
+    See Also
+    --------
+    mustardspur_agreement.ports.StateMachine
+    mustardspur_control.ports.ConfigSource
+    """
+
+    __slots__ = ('_answers', '_callbacks', '_state')
+
+    def __init__(self) -> None:
+        """Start with nothing applied."""
+        self._callbacks: list[Callable[[str], None]] = []
+        self._state = empty_state()
+        self._answers = AnswerBook(self._state.answers)
+
+    @property
+    def index(self) -> int:
+        """Log index of the last applied entry."""
+        return self._state.index
+
+    @property
+    def profiles(self) -> dict[str, StoredProfile]:
+        """Profiles by name."""
+        return dict(self._state.profiles)
+
+    @property
+    def moves(self) -> dict[str, MoveRecord]:
+        """Records of moves by identifier, oldest first."""
+        return dict(self._state.moves)
+
+    def apply(self, index: int, entry: bytes) -> EditAnswer:
+        """Apply a committed entry.
+
+        Parameters
+        ----------
+        index : int
+            Log index, above that of each entry before.
+        entry : bytes
+            An edit or a step in the form of `encode_frame`.
+
+        Returns
+        -------
+        EditAnswer
+            The answer; for a resend, the answer that its edit got first.
+
+        Raises
+        ------
+        ValueError
+            If the index is not above the last one.
+        """
+        if index <= self._state.index:
+            last = self._state.index
+            raise ValueError(f'index {index} after {last}')
+        outcome = apply_entry(self._state, self._answers, index, entry)
+        self._state.index = index
+        self._notify(outcome.services)
+        return outcome.answer
+
+    def snapshot(self) -> bytes:
+        """Return the whole state as msgpack."""
+        packed: bytes = msgpack.packb(encode_row(self._state))
+        return packed
+
+    def restore(self, index: int, snapshot: bytes) -> None:
+        """Replace the whole state by a snapshot taken at an index.
+
+        Raises
+        ------
+        ValueError
+            If the snapshot is damaged, of another layout, or older than
+            what is applied already.
+        """
+        state = decode_row(StoreState, _unpacked(snapshot))
+        if max(state.index, self._state.index) > index:
+            raise ValueError(f'snapshot at {index} is older than the state')
+        before = self._state.services
+        state.index = index
+        self._state = state
+        self._answers = AnswerBook(state.answers)
+        self._notify(
+            [
+                name
+                for name, followed in state.services.items()
+                if followed != before.get(name)
+            ],
+        )
+
+    def config(self, service: str) -> ServiceConfig | None:
+        """Return the newest configuration of a service."""
+        followed = self._state.services.get(service)
+        if followed is None:
+            return None
+        stored = self._state.profiles[followed.profile]
+        return ServiceConfig(
+            service=service,
+            index=followed.index,
+            number=stored.number,
+            profile=stored.profile,
+            moves=newest_moves(self._state, followed),
+        )
+
+    def services(self) -> list[str]:
+        """Return the names of all services that follow a profile."""
+        return sorted(self._state.services)
+
+    def followed(self, service: str) -> FollowedService | None:
+        """Return what a service follows."""
+        return self._state.services.get(service)
+
+    def running_moves(self) -> list[Move]:
+        """Return the moves that are running or paused."""
+        return [
+            record.move
+            for record in self._state.moves.values()
+            if record.move.state in ACTIVE_STATES
+        ]
+
+    def first_answer(self, edit: Edit) -> EditAnswer | None:
+        """Return the answer that an edit got before, None if it is new.
+
+        Raises
+        ------
+        EditIdReused
+            If the identifier belongs to an edit with other content.
+        """
+        return self._answers.first_answer(edit)
+
+    def on_change(self, callback: Callable[[str], None]) -> None:
+        """Call back with a service's name after each change of its config."""
+        self._callbacks.append(callback)
+
+    def _notify(self, services: list[str]) -> None:
+        for service in services:
+            for callback in self._callbacks:
+                callback(service)
+
+
+def _unpacked(snapshot: bytes) -> Any:
+    try:
+        row = msgpack.unpackb(snapshot, raw=False)
+    # msgpack raises several unrelated exception types on damaged input.
+    except (ValueError, TypeError, RecursionError) as error:
+        raise ValueError('snapshot is damaged') from error
+    if not isinstance(row, list) or row[:1] != [STATE_FORMAT]:
+        raise ValueError(f'snapshot is not of layout {STATE_FORMAT}')
+    return row
--- /dev/null
+++ b/tests/control/operators_api/fakes.py
@@ -0,0 +1,105 @@
+"""Fakes at the interfaces of the operators' interface."""
+
+from typing import Any
+
+from expression import Error, Result
+from mustardspur_agreement.ports import Committed, ProposalError
+from mustardspur_control.local_log import LocalLog
+from mustardspur_control.operators_api import NodeInForce, OperatorsContext
+from mustardspur_control.store import Store
+from mustardspur_core.state import Target
+
+from tests.control.builders import NOW_S
+
+LEADER_ADDRESS = '127.0.0.1:7001'
+
+
+class FakeLog(LocalLog):
+    """A log that can be made to fail.
+
+    Parameters
+    ----------
+    store : Store
+        What applies the entries.
+    """
+
+    __slots__ = ('failure', 'lost_answers')
+
+    def __init__(self, store: Store) -> None:
+        """Start without failures."""
+        super().__init__('c1', store)
+        self.failure: ProposalError | None = None
+        self.lost_answers = 0
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether no other instance leads."""
+        return self.failure is None or self.failure.kind != 'not_leader'
+
+    @property
+    def leader(self) -> str | None:
+        """The leader that the failure names, otherwise this instance."""
+        return super().leader if self.failure is None else self.failure.leader
+
+    async def propose(self, entry: bytes) -> Result[Committed, ProposalError]:
+        """Commit an entry, fail, or commit it and lose the answer."""
+        if self.failure is not None:
+            return Error(self.failure)
+        committed = await super().propose(entry)
+        if not self.lost_answers:
+            return committed
+        self.lost_answers -= 1
+        return Error(failure('unknown'))
+
+    async def read_barrier(self) -> Result[int, ProposalError]:
+        """Confirm the index, or fail."""
+        if self.failure is not None:
+            return Error(self.failure)
+        return await super().read_barrier()
+
+
+class FakeSources:
+    """Nodes, targets, reports, status and clock that a test sets."""
+
+    __slots__ = ('known_targets', 'nodes', 'now_s')
+
+    def __init__(self) -> None:
+        """Start without nodes and targets."""
+        self.nodes: list[NodeInForce] = []
+        self.known_targets: list[Target] = []
+        self.now_s = NOW_S
+
+    def in_force(self, service: str) -> list[NodeInForce]:
+        """Return the nodes, whatever the service."""
+        return list(self.nodes)
+
+    def targets(self) -> list[Target]:
+        """Return the targets."""
+        return list(self.known_targets)
+
+    def report(self, move: str) -> dict[str, Any]:
+        """Return no evidence."""
+        return {'evidence': []}
+
+    def status(self) -> dict[str, Any]:
+        """Return the identifier."""
+        return {'id': 'c1', 'connected_nodes': len(self.nodes)}
+
+
+def failure(kind: str) -> ProposalError:
+    """Return an error of the log."""
+    return ProposalError(kind=kind, detail=f'test {kind}', leader='c2')
+
+
+def context_of(store: Store, sources: FakeSources) -> OperatorsContext:
+    """Return a context over fakes, with `FakeLog` as its log."""
+    return OperatorsContext(
+        log=FakeLog(store),
+        store=store,
+        nodes=sources,
+        targets=sources,
+        moves=sources,
+        status=sources,
+        http_addresses={'c1': '127.0.0.1:7000', 'c2': LEADER_ADDRESS},
+        clock=lambda: sources.now_s,
+    )
