Add the operators' command line

Cause: operators need to check and put profiles, see what is in force and steer moves from scripts and terminals.

Change: `mustardspur` with verbs registered by a decorator, tables or JSON, and documented exit codes. Addresses are tried in turn, a leader that an answer names is tried next, and after a lost answer the same edit identifier is sent again. `put` takes the expected number from the last `get`. `LocalLog.commit` lets the tests step a move between two reads.

Conclusion: a session can be run against an instance over `LocalLog`; the time line is still missing.

--- /dev/null
+++ b/packages/mustardspur_client/src/mustardspur_client/main.py
@@ -0,0 +1,92 @@
+"""Entry point of the command line."""
+
+import argparse
+import asyncio
+import sys
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from typing import IO
+
+import aiohttp
+
+from mustardspur_client.arguments import (
+    CONTROL_VARIABLE,
+    build_parser,
+    control_addresses,
+)
+from mustardspur_client.control import ControlClient, patience_of
+from mustardspur_client.exit_codes import ExitCode
+from mustardspur_client.invocation import Invocation
+from mustardspur_client.numbers import last_numbers
+from mustardspur_client.output import Output
+from mustardspur_client.problems import Problem
+from mustardspur_client.transport import HttpTransport
+from mustardspur_client.verbs import Verb, verbs
+
+
+def main() -> int:
+    """Run the command line of the process and return its exit code."""
+    try:
+        return asyncio.run(run(sys.argv[1:], sys.stdout, sys.stderr))
+    except KeyboardInterrupt:
+        return ExitCode.TIMED_OUT
+
+
+async def run(
+    arguments: Sequence[str],
+    stdout: IO[str],
+    stderr: IO[str],
+) -> ExitCode:
+    """Run one verb.
+
+    Parameters
+    ----------
+    arguments : sequence of str
+        The command line without the program's name.
+    stdout, stderr : text file
+        Where the result and the messages go.
+
+    Raises
+    ------
+    SystemExit
+        If argparse refuses the command line or has shown the help.
+    """
+    options = build_parser().parse_args(arguments)
+    output = Output(options.output, stdout, stderr)
+    made = verbs()[options.verb]
+    try:
+        async with _invocation(options, output, made) as invocation:
+            return await made.run(invocation)
+    except Problem as problem:
+        output.problem(problem)
+        return problem.code
+
+
+@asynccontextmanager
+async def _invocation(
+    options: argparse.Namespace,
+    output: Output,
+    made: Verb,
+) -> AsyncIterator[Invocation]:
+    addresses = _addresses(options, made)
+    async with aiohttp.ClientSession() as session:
+        yield Invocation(
+            options=options,
+            output=output,
+            control=ControlClient(
+                addresses,
+                HttpTransport(session),
+                patience_of(options.timeout),
+            ),
+            numbers=last_numbers(options.state_dir, addresses),
+        )
+
+
+def _addresses(options: argparse.Namespace, made: Verb) -> list[str]:
+    addresses = control_addresses(options)
+    if made.needs_control and not addresses:
+        raise Problem(
+            ExitCode.USAGE,
+            f'give --control or set {CONTROL_VARIABLE}',
+        )
+    return addresses
--- /dev/null
+++ b/packages/mustardspur_client/src/mustardspur_client/verbs/__init__.py
@@ -0,0 +1,16 @@
+"""Verbs of the command line."""
+
+from mustardspur_client.verbs import (
+    instances,
+    moves,
+    profiles,
+    services,
+    waiting,
+    watching,
+)
+from mustardspur_client.verbs.registry import Verb, verb, verbs
+
+# Importing these modules registers their verbs.
+VERB_MODULES = (profiles, services, waiting, moves, watching, instances)
+
+__all__ = ['VERB_MODULES', 'Verb', 'verb', 'verbs']
--- a/packages/mustardspur_control/src/mustardspur_control/local_log.py
+++ b/packages/mustardspur_control/src/mustardspur_control/local_log.py
@@ -51,11 +51,15 @@
         """Index of the newest entry."""
         return self._commit_index
 
-    async def propose(self, entry: bytes) -> Result[Committed, ProposalError]:
-        """Commit and apply an entry."""
+    def commit(self, entry: bytes) -> Committed:
+        """Commit and apply an entry without waiting."""
         self._commit_index += 1
         answer = self._machine.apply(self._commit_index, entry)
-        return Ok(Committed(index=self._commit_index, answer=answer))
+        return Committed(index=self._commit_index, answer=answer)
+
+    async def propose(self, entry: bytes) -> Result[Committed, ProposalError]:
+        """Commit and apply an entry."""
+        return Ok(self.commit(entry))
 
     async def read_barrier(self) -> Result[int, ProposalError]:
         """Return the index of the newest entry, which is always applied."""
--- a/tests/control/operators_api/fakes.py
+++ b/tests/control/operators_api/fakes.py
@@ -1,5 +1,7 @@
 """Fakes at the interfaces of the operators' interface."""
 
+from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 from expression import Error, Result
@@ -61,13 +63,14 @@
 class FakeSources:
     """Nodes, targets, reports, status and clock that a test sets."""
 
-    __slots__ = ('known_targets', 'nodes', 'now_s')
+    __slots__ = ('known_targets', 'nodes', 'now_s', 'script')
 
     def __init__(self) -> None:
         """Start without nodes and targets."""
         self.nodes: list[NodeInForce] = []
         self.known_targets: list[Target] = []
         self.now_s = NOW_S
+        self.script: deque[Callable[[], object]] = deque()
 
     def in_force(self, service: str) -> list[NodeInForce]:
         """Return the nodes, whatever the service."""
@@ -78,7 +81,9 @@
         return list(self.known_targets)
 
     def report(self, move: str) -> dict[str, Any]:
-        """Return no evidence."""
+        """Return no evidence; then the next thing of the script happens."""
+        if self.script:
+            self.script.popleft()()
         return {'evidence': []}
 
     def status(self) -> dict[str, Any]:
