--- a/packages/mustardspur_client/src/mustardspur_client/answers.py
+++ b/packages/mustardspur_client/src/mustardspur_client/answers.py
@@ -38,7 +38,7 @@
     changes = answer.body.get('changes', [])
     return Problem(
         ExitCode.CONFLICT,
-        f'not applied after an earlier edit by {winner}; now at number {number}',
+        f'lost to an earlier edit by {winner}; now at number {number}',
         [{'change': change} for change in changes],
     )
 
