--- /dev/null
+++ b/demo/processes.py
@@ -0,0 +1,70 @@
+"""Processes of the demo, started and ended by their identifiers."""
+
+import asyncio
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Final
+
+STOP_TIMEOUT_S: Final = 12.0
+
+
+class ProcessGroup:
+    """Started processes by name, with their output in files."""
+
+    __slots__ = ('_folder', 'by_name')
+
+    def __init__(self, folder: Path) -> None:
+        """Keep the folder for the output files."""
+        self._folder = folder
+        self.by_name: dict[str, asyncio.subprocess.Process] = {}
+
+    async def start(self, module: str, settings: Path) -> None:
+        """Start ``python -m module --settings file``."""
+        name = settings.stem
+        self._folder.mkdir(parents=True, exist_ok=True)
+        with (self._folder / f'{name}.log').open('ab') as output:
+            self.by_name[name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                module,
+                '--settings',
+                str(settings),
+                stdout=output,
+                stderr=output,
+            )
+
+    async def stop(self, name: str) -> int:
+        """Send SIGTERM, wait, and return the exit code."""
+        process = self.by_name.pop(name)
+        if process.returncode is None:
+            process.terminate()
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                return await process.wait()
+        except TimeoutError:
+            process.kill()
+            return await process.wait()
+
+    async def kill(self, name: str) -> None:
+        """Kill a process without warning."""
+        process = self.by_name.pop(name)
+        process.kill()
+        await process.wait()
+
+    async def stop_all(self) -> dict[str, int]:
+        """Stop every process and return the exit codes by name."""
+        names = list(self.by_name)
+        codes = await asyncio.gather(*(self.stop(name) for name in names))
+        return dict(zip(names, codes, strict=True))
+
+
+@asynccontextmanager
+async def process_group(folder: Path) -> AsyncIterator[ProcessGroup]:
+    """Give a group that leaves no process behind."""
+    group = ProcessGroup(folder)
+    try:
+        yield group
+    finally:
+        await group.stop_all()
--- /dev/null
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/main.py
@@ -0,0 +1,102 @@
+"""Entry point of the daemon ``mustardspurd``."""
+
+import argparse
+import errno
+import logging
+import sys
+from collections.abc import Sequence
+from enum import IntEnum
+from pathlib import Path
+
+from mustardspur_core.event_loop import run_in_loop
+from mustardspur_core.logs import configure_logs
+from mustardspur_core.settings import Settings, load_settings
+from mustardspur_daemon.roles import run_role
+
+logger = logging.getLogger(__name__)
+
+
+class ExitCode(IntEnum):
+    """Exit codes of the daemon."""
+
+    STOPPED = 0
+    BAD_SETTINGS = 2
+    CANNOT_START = 3
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run a control instance or a node until it is told to stop.
+
+    Parameters
+    ----------
+    arguments : sequence of str, optional
+        Command line without the program's name.
+
+    Returns
+    -------
+    int
+        One of `ExitCode`.
+    """
+    options = _parser().parse_args(arguments)
+    loaded = load_settings(options.settings)
+    if loaded.is_error():
+        sys.stderr.write(f'{loaded.error}\n')
+        return ExitCode.BAD_SETTINGS
+    if options.check:
+        sys.stdout.write(f'{options.settings}: no findings\n')
+        return ExitCode.STOPPED
+    return _run(loaded.ok)
+
+
+def _run(settings: Settings) -> int:
+    configure_logs(settings)
+    try:
+        run_in_loop(run_role(settings))
+    except OSError as error:
+        logger.error(
+            'cannot start',
+            extra={'reason': explain(error), 'settings_id': settings.id},
+        )
+        return ExitCode.CANNOT_START
+    return ExitCode.STOPPED
+
+
+def explain(error: OSError) -> str:
+    """Describe an error of the operating system for an operator.
+
+    Parameters
+    ----------
+    error : OSError
+        What stopped the process.
+    """
+    if error.errno == errno.EADDRINUSE:
+        return f'address taken by another process: {error}'
+    if error.errno == errno.EADDRNOTAVAIL:
+        return f'address is not on this instance: {error}'
+    if error.errno in {errno.EACCES, errno.EROFS, errno.EPERM}:
+        return f'no permission, check data_dir and timeline: {error}'
+    if error.errno in {errno.ENOTDIR, errno.EEXIST, errno.ENOENT}:
+        return f'not a usable folder, check data_dir and timeline: {error}'
+    if error.errno in {errno.ENOSPC, errno.EDQUOT}:
+        return f'the disk is full: {error}'
+    return str(error)
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog='mustardspurd',
+        description='Run a control instance or a node of mustardspur.',
+        epilog='Exit codes: 0 stopped, 2 bad settings, 3 cannot start.',
+    )
+    parser.add_argument(
+        '--settings',
+        type=Path,
+        required=True,
+        help='JSON file with the settings of this process',
+    )
+    parser.add_argument(
+        '--check',
+        action='store_true',
+        help='check the settings, report every finding, start nothing',
+    )
+    return parser
--- /dev/null
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/roles.py
@@ -0,0 +1,23 @@
+"""Registry of the roles that a daemon can take."""
+
+from collections.abc import Awaitable, Callable
+
+from mustardspur_core.settings import Settings
+
+Role = Callable[[Settings], Awaitable[None]]
+_roles_by_name: dict[str, Role] = {}
+
+
+def role(name: str) -> Callable[[Role], Role]:
+    """Register a coroutine function as a role of the daemon."""
+
+    def decorator(run: Role) -> Role:
+        _roles_by_name[name] = run
+        return run
+
+    return decorator
+
+
+async def run_role(settings: Settings) -> None:
+    """Run the role that the settings name until the process is stopped."""
+    await _roles_by_name[settings.role](settings)
