--- a/demo/mesh.py
+++ b/demo/mesh.py
@@ -79,7 +79,6 @@
         for place, (name, region) in enumerate(_DATA_CENTRES):
             prefix = f'127.{network}.{place}'
             data_centre = DataCentre(name=name, region=region)
-            data_centre = DataCentre(name=name, region=region)
             self.controls.append(
                 Control(
                     id=f'control-{place}',
--- /dev/null
+++ b/tests/daemon/test_main.py
@@ -0,0 +1,61 @@
+"""Guards against a daemon that starts on bad settings or fails mutely."""
+
+import errno
+import json
+import os
+from pathlib import Path
+
+import pytest
+from mustardspur_daemon.main import ExitCode, explain, main
+
+BAD_NODE = '{"role": "node", "id": "", "listen": {}}'
+
+
+def test_bad_settings_start_nothing(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against a start in spite of findings."""
+    path = tmp_path / 'bad.json'
+    path.write_text(BAD_NODE)
+    assert main(['--settings', str(path)]) == ExitCode.BAD_SETTINGS
+    reported = capsys.readouterr().err
+    for place in ('$.id', '$.listen', 'data_centre', 'region'):
+        assert place in reported
+
+
+def test_check_starts_nothing(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against --check starting the process."""
+    path = tmp_path / 'node.json'
+    path.write_text(
+        json.dumps({
+            'role': 'node',
+            'id': 'n1',
+            'data_centre': 'split-a',
+            'region': 'dalmacija',
+            'listen': {'http': '127.0.0.1:1'},
+            'control': ['127.0.0.1:2'],
+            'service': 'forms',
+        }),
+    )
+    assert main(['--settings', str(path), '--check']) == ExitCode.STOPPED
+    assert 'no findings' in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    ('number', 'text'),
+    [
+        (errno.EADDRINUSE, 'taken by another process'),
+        (errno.EADDRNOTAVAIL, 'not on this instance'),
+        (errno.EACCES, 'no permission'),
+        (errno.ENOTDIR, 'not a usable folder'),
+        (errno.ENOSPC, 'disk is full'),
+        (errno.EIO, os.strerror(errno.EIO)),
+    ],
+)
+def test_errors_are_explained(number: int, text: str) -> None:
+    """Guards against a bare error number as the only message."""
+    assert text in explain(OSError(number, os.strerror(number)))
