--- a/tests/daemon/test_main.py
+++ b/tests/daemon/test_main.py
@@ -31,15 +31,17 @@
     """Guards against --check starting the process."""
     path = tmp_path / 'node.json'
     path.write_text(
-        json.dumps({
-            'role': 'node',
-            'id': 'n1',
-            'data_centre': 'split-a',
-            'region': 'dalmacija',
-            'listen': {'http': '127.0.0.1:1'},
-            'control': ['127.0.0.1:2'],
-            'service': 'forms',
-        }),
+        json.dumps(
+            {
+                'role': 'node',
+                'id': 'n1',
+                'data_centre': 'split-a',
+                'region': 'dalmacija',
+                'listen': {'http': '127.0.0.1:1'},
+                'control': ['127.0.0.1:2'],
+                'service': 'forms',
+            }
+        ),
     )
     assert main(['--settings', str(path), '--check']) == ExitCode.STOPPED
     assert 'no findings' in capsys.readouterr().out
