Add the path of a call through a node

Change: the package mustardspur_node.calls with CallForwarder and run_forwarder. Routing tables are compiled once per view; levels of locality, power of two choices, adaptive limits, priority queues, deadlines, retry budgets, hedging, ejection, probes of silent connections, idempotency keys and drain are in place. aiohttp's connector lends idle connections on which bytes arrived in the meantime, and its session sends GET, PUT and DELETE a second time by itself; the channel uses the connector directly and rejects such connections.

--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/answers.py
@@ -0,0 +1,68 @@
+"""Answers that the node itself gives to callers."""
+
+from enum import StrEnum
+from http import HTTPStatus
+
+from aiohttp import web
+
+from mustardspur_node.calls import names
+
+
+class Outcome(StrEnum):
+    """What the node knows of a call that it could not complete."""
+
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+
+
+class CallFault(Exception):
+    """A call that ends with an answer of the node itself.
+
+    Parameters
+    ----------
+    status : HTTPStatus
+        Status of the answer.
+    outcome : Outcome
+        ``not-run`` only where no target can have run the call.
+    reason : str
+        Reason for the caller, in words that do not change.
+    """
+
+    def __init__(
+        self,
+        status: HTTPStatus,
+        outcome: Outcome,
+        reason: str,
+    ) -> None:
+        """Keep the parts of the answer."""
+        super().__init__(reason)
+        self.status = status
+        self.outcome = outcome
+        self.reason = reason
+
+
+def not_run(status: HTTPStatus, reason: str) -> CallFault:
+    """Return the fault of a call that certainly was not run."""
+    return CallFault(status, Outcome.NOT_RUN, reason)
+
+
+def unknown(status: HTTPStatus, reason: str) -> CallFault:
+    """Return the fault of a call that a target may have run."""
+    return CallFault(status, Outcome.UNKNOWN, reason)
+
+
+def fault_response(fault: CallFault, node: str) -> web.Response:
+    """Return the answer for a fault.
+
+    Parameters
+    ----------
+    fault : CallFault
+        What became of the call.
+    node : str
+        Identifier of the node, for the operators of the caller.
+    """
+    return web.json_response(
+        {'outcome': fault.outcome, 'reason': fault.reason, 'node': node},
+        status=fault.status,
+        headers={names.OUTCOME: fault.outcome},
+    )
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/endpoint_sets.py
@@ -0,0 +1,169 @@
+"""The targets of a service that a node uses, kept across views."""
+
+import asyncio
+from collections.abc import Iterable
+from itertools import chain
+from typing import Final
+
+from mustardspur_core.settings.model import Settings
+from mustardspur_core.state import Target, TargetState
+from mustardspur_core.world import Distance, link_between
+
+from mustardspur_node.calls.channels import Channel
+from mustardspur_node.calls.endpoints import Endpoint
+from mustardspur_node.calls.links import LinkMeter
+from mustardspur_node.calls.ramps import COLD_START_S, Ramp
+from mustardspur_node.calls.subsets import choose_subset, position_of
+from mustardspur_node.views import ServiceView, ViewSource
+
+MAX_CONNECTIONS: Final = 110
+_LEAST_CONNECTIONS: Final = 2
+
+_Key = tuple[str, str, int]
+_Levels = list[list[Endpoint]]
+
+
+class EndpointSet:
+    """Endpoints of one service by identity of their target.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the node.
+    views : ViewSource
+        Source of the node's own view, which tells its neighbours.
+    meters_by_region : dict of LinkMeter
+        Meters of the paid links, shared by all services of the node.
+    """
+
+    __slots__ = (
+        '_endpoints_by_key',
+        '_leaving',
+        '_meters_by_region',
+        '_settings',
+        '_views',
+    )
+
+    def __init__(
+        self,
+        settings: Settings,
+        views: ViewSource,
+        meters_by_region: dict[str, LinkMeter],
+    ) -> None:
+        """Start empty."""
+        self._settings = settings
+        self._views = views
+        self._meters_by_region = meters_by_region
+        self._endpoints_by_key: dict[_Key, Endpoint] = {}
+        self._leaving: list[Endpoint] = []
+
+    @property
+    def in_use(self) -> Iterable[Endpoint]:
+        """Endpoints of the newest view."""
+        return self._endpoints_by_key.values()
+
+    def replace(self, view: ServiceView) -> dict[str, _Levels]:
+        """Take over a view and return the endpoints by version and level.
+
+        A target that stays keeps what this node observed of it.
+        """
+        chosen_by_version = {
+            version: self._levels(targets)
+            for version, targets in view.targets_by_version.items()
+        }
+        every_level = chain.from_iterable(chosen_by_version.values())
+        self._replace_endpoints(list(chain.from_iterable(every_level)))
+        return {
+            version: [self._find(level) for level in levels]
+            for version, levels in chosen_by_version.items()
+        }
+
+    async def close_left(self) -> None:
+        """Close the connections of targets that left, after their calls."""
+        if not self._leaving:
+            return
+        idle = [one for one in self._leaving if not one.in_flight]
+        self._leaving = [one for one in self._leaving if one.in_flight]
+        await asyncio.gather(*(one.channel.close() for one in idle))
+
+    async def close(self) -> None:
+        """Close all connections."""
+        endpoints = (*self.in_use, *self._leaving)
+        await asyncio.gather(*(one.channel.close() for one in endpoints))
+
+    def _find(self, level: list[Target]) -> list[Endpoint]:
+        return [self._endpoints_by_key[_key(target)] for target in level]
+
+    def _levels(self, targets: list[Target]) -> list[list[Target]]:
+        own = self._settings.location
+        position = position_of(self._settings.id, self._neighbours())
+        levels: list[list[Target]] = [[] for _ in Distance]
+        for target in sorted(targets, key=_key):
+            if target.state == TargetState.READY:
+                levels[own.distance_to(target.location)].append(target)
+        return [choose_subset(level, position) for level in levels]
+
+    def _neighbours(self) -> list[str]:
+        """Return the nodes of this node's own service and data centre."""
+        own_service = self._settings.service
+        view = self._views.view(own_service) if own_service else None
+        if view is None:
+            return []
+        nodes = {
+            target.node
+            for targets in view.targets_by_version.values()
+            for target in targets
+            if target.data_centre == self._settings.data_centre
+        }
+        return list(nodes)
+
+    def _replace_endpoints(self, targets: list[Target]) -> None:
+        known = self._endpoints_by_key
+        limit = self._connections_per_target(len(targets))
+        self._endpoints_by_key = {
+            _key(target): known.get(_key(target))
+            or self._endpoint(target, limit, cold=bool(known))
+            for target in targets
+        }
+        self._leaving.extend(
+            endpoint
+            for key, endpoint in known.items()
+            if key not in self._endpoints_by_key
+        )
+
+    def _connections_per_target(self, count: int) -> int:
+        services = len(self._settings.calls) + 1
+        return max(
+            _LEAST_CONNECTIONS,
+            MAX_CONNECTIONS // (services * max(count, 1)),
+        )
+
+    def _endpoint(
+        self,
+        target: Target,
+        limit: int,
+        *,
+        cold: bool,
+    ) -> Endpoint:
+        own = self._settings.location
+        meter = None
+        link = link_between(own, target.location)
+        if link is not None:
+            meter = self._meters_by_region.setdefault(
+                target.region,
+                LinkMeter(link),
+            )
+        return Endpoint(
+            target,
+            own.distance_to(target.location),
+            meter,
+            Channel(target.address, limit),
+            # The targets of a node's first view were there before it.
+            Ramp(
+                asyncio.get_running_loop().time(), COLD_START_S if cold else 0
+            ),
+        )
+
+
+def _key(target: Target) -> _Key:
+    return (target.id, target.address, target.incarnation)
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/limits.py
@@ -0,0 +1,78 @@
+"""Adaptive limit of the calls that a node has at one target."""
+
+from typing import Final
+
+from mustardspur_core.units import MS_PER_S
+
+_SLOWDOWN: Final = 0.9
+_REFUSAL_BACKOFF: Final = 0.8
+# A latency of twice the floor plus the slack shows that calls queue at the
+# target; the slack keeps timer noise on very short calls from counting.
+_QUEUEING_FACTOR: Final = 2.0
+_QUEUEING_SLACK_MS: Final = 5.0
+# The floor rises slowly, so that a target that became slower for good gets
+# a new floor after some thousand calls.
+_FLOOR_RISE: Final = 1.001
+_RESERVED_SHARE: Final = 0.2
+# Two calls at least, so that a slot stays free of calls of lower priority.
+_LOWEST_LIMIT: Final = 2.0
+
+
+class AdaptiveLimit:
+    """Concurrency limit by additive increase, multiplicative decrease.
+
+    Explanation
+    ===========
+
+    Latencies are compared with the lowest of the same route, since a quick
+    check and a bulk call at one target differ without any queueing.
+
+    Parameters
+    ----------
+    slots : int
+        Calls that the target runs at a time; more would only queue there.
+    """
+
+    __slots__ = ('_ceiling', '_floor_ms_by_route', '_next_cut_at', 'current')
+
+    def __init__(self, slots: int) -> None:
+        """Start at the target's slots."""
+        self._ceiling = float(max(slots, 1))
+        self._floor_ms_by_route: dict[str, float] = {}
+        self._next_cut_at: float = 0
+        self.current = self._ceiling
+
+    @property
+    def reserve(self) -> float:
+        """The part that calls of lower priority leave free."""
+        return max(1.0, self.current * _RESERVED_SHARE)
+
+    def on_success(
+        self,
+        route: str,
+        latency_ms: float,
+        in_flight: int,
+        now: float,
+    ) -> None:
+        """Grow while the limit is in use, shrink while calls queue."""
+        floor_ms = self._floor_ms_by_route.get(route, latency_ms)
+        floor_ms = min(latency_ms, floor_ms * _FLOOR_RISE)
+        self._floor_ms_by_route[route] = floor_ms
+        if in_flight * 2 < self.current:
+            return
+        if latency_ms > floor_ms * _QUEUEING_FACTOR + _QUEUEING_SLACK_MS:
+            self._cut(_SLOWDOWN, latency_ms, now)
+        elif self.current < self._ceiling:
+            self.current = min(self.current + 1 / self.current, self._ceiling)
+
+    def on_refusal(self, latency_ms: float, now: float) -> None:
+        """Shrink after the target refused or did not answer in time."""
+        self._cut(_REFUSAL_BACKOFF, latency_ms, now)
+
+    def _cut(self, factor: float, latency_ms: float, now: float) -> None:
+        # All calls of one round trip see the same queue; one cut is enough.
+        if now < self._next_cut_at:
+            return
+        self._next_cut_at = now + latency_ms / MS_PER_S
+        lowest = min(_LOWEST_LIMIT, self._ceiling)
+        self.current = max(lowest, self.current * factor)
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/probes.py
@@ -0,0 +1,40 @@
+"""Probes of targets over new connections."""
+
+import asyncio
+from typing import Final
+
+from aiohttp import ClientError
+from aiohttp.http import HttpProcessingError
+from multidict import CIMultiDict
+
+from mustardspur_node.calls.channels import Channel, send_request
+from mustardspur_node.calls.endpoints import Endpoint
+
+HEALTH_PATH: Final = '/health'
+PROBE_TIMEOUT_S: Final = 0.5
+
+
+async def answers_probe(endpoint: Endpoint) -> bool:
+    """Return whether a target answers over a new connection.
+
+    Explanation
+    ===========
+
+    Any HTTP answer counts. What it says about health or load is a hint
+    that can lag or mislead, so it neither ejects a target nor keeps it.
+    """
+    channel = Channel(endpoint.target.address, 1)
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT_S):
+            await _ask(channel)
+    except (ClientError, HttpProcessingError, OSError):
+        return False
+    finally:
+        await channel.close()
+    return True
+
+
+async def _ask(channel: Channel) -> None:
+    headers = CIMultiDict({'host': channel.address, 'connection': 'close'})
+    request = channel.request('GET', HEALTH_PATH, headers, None)
+    await send_request(request, await channel.connect(request))
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/services.py
@@ -0,0 +1,192 @@
+"""What a node keeps of a service across its views."""
+
+import random
+from collections.abc import Iterable
+
+from mustardspur_core.profile.model import Profile
+from mustardspur_core.settings.model import Settings
+
+from mustardspur_node.calls.balancing import Balancer, Random
+from mustardspur_node.calls.budgets import RetryBudget
+from mustardspur_node.calls.call_classes import limited_classes
+from mustardspur_node.calls.endpoint_sets import EndpointSet
+from mustardspur_node.calls.endpoints import Endpoint
+from mustardspur_node.calls.links import LinkMeter
+from mustardspur_node.calls.queues import CallQueue
+from mustardspur_node.calls.routing import (
+    CompiledRoute,
+    RouteTable,
+    VersionPool,
+    compile_splits,
+)
+from mustardspur_node.views import ServiceView, ViewSource
+
+
+class Service:
+    """A called service: its compiled table and its targets' state.
+
+    Parameters
+    ----------
+    name : str
+        Name of the service.
+    settings : Settings
+        Settings of the node.
+    views : ViewSource
+        Source of the views.
+    meters_by_region : dict of LinkMeter
+        Meters of the paid links, shared by all services of the node.
+    """
+
+    __slots__ = (
+        '_budgets_by_ratio',
+        '_endpoints',
+        '_table',
+        '_uniform',
+        '_views',
+        'name',
+        'queue',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        settings: Settings,
+        views: ViewSource,
+        meters_by_region: dict[str, LinkMeter],
+        uniform: Random = random.random,
+    ) -> None:
+        """Compile nothing before the first call."""
+        self.name = name
+        self._views = views
+        self._uniform = uniform
+        self._table: RouteTable | None = None
+        self._endpoints = EndpointSet(settings, views, meters_by_region)
+        self._budgets_by_ratio: dict[tuple[str, float], RetryBudget] = {}
+        self.queue = CallQueue()
+
+    @property
+    def endpoints(self) -> Iterable[Endpoint]:
+        """All targets of the table."""
+        return self._endpoints.in_use
+
+    @property
+    def pools(self) -> list[VersionPool]:
+        """The targets by version."""
+        return self._table.pools if self._table else []
+
+    def table(self) -> RouteTable | None:
+        """Return the table of the view in force, None before the first.
+
+        The table is compiled when the view changes, not for each call.
+        """
+        view = self._views.view(self.name)
+        table = self._table
+        if table is not None and table.view is view:
+            return table
+        if view is None:
+            return None
+        self._table = self._compile(view)
+        self.queue.dispatch()
+        return self._table
+
+    async def close_left(self) -> None:
+        """Close the connections of targets that left, after their calls."""
+        await self._endpoints.close_left()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._endpoints.close()
+
+    def _compile(self, view: ServiceView) -> RouteTable:
+        pools_by_version = self._pools(view)
+        profile = view.config.profile
+        splits_by_set = compile_splits(view, pools_by_version.__getitem__)
+        classes_by_name = limited_classes(profile)
+        routes = [
+            CompiledRoute(
+                view,
+                route,
+                classes_by_name[route.call_class],
+                self._budget(profile, route.retry),
+                splits_by_set,
+            )
+            for route in profile.routes
+        ]
+        return RouteTable(view, routes, list(pools_by_version.values()))
+
+    def _pools(self, view: ServiceView) -> dict[str, VersionPool]:
+        levels_by_version = self._endpoints.replace(view)
+        return {
+            version: VersionPool(Balancer(version, levels, self._uniform))
+            for version, levels in levels_by_version.items()
+        }
+
+    def _budget(self, profile: Profile, policy: str) -> RetryBudget:
+        ratio = profile.retries[policy].budget_ratio
+        return self._budgets_by_ratio.setdefault(
+            (policy, ratio),
+            RetryBudget(ratio),
+        )
+
+
+class ServiceDirectory:
+    """The services that this node calls.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the node.
+    views : ViewSource
+        Views in force.
+    uniform : callable
+        Returns a random number from 0 to below 1.
+    """
+
+    __slots__ = (
+        '_settings',
+        '_uniform',
+        '_views',
+        'meters_by_region',
+        'services_by_name',
+    )
+
+    def __init__(
+        self,
+        settings: Settings,
+        views: ViewSource,
+        uniform: Random = random.random,
+    ) -> None:
+        """Start without services; each is added by its first call."""
+        self._settings = settings
+        self._views = views
+        self._uniform = uniform
+        self.meters_by_region: dict[str, LinkMeter] = {}
+        self.services_by_name: dict[str, Service] = {}
+
+    @property
+    def services(self) -> Iterable[Service]:
+        """All services that were called."""
+        return self.services_by_name.values()
+
+    def find(self, name: str | None) -> Service | None:
+        """Return a service, None if it has no view.
+
+        Parameters
+        ----------
+        name : str or None
+            Name of the service; None for the node's own.
+        """
+        name = name or self._settings.service
+        if name is None:
+            return None
+        service = self.services_by_name.get(name)
+        if service is None and self._views.view(name) is not None:
+            service = Service(
+                name,
+                self._settings,
+                self._views,
+                self.meters_by_region,
+                self._uniform,
+            )
+            self.services_by_name[name] = service
+        return service
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/serving.py
@@ -0,0 +1,166 @@
+"""Serving a node's callers."""
+
+import asyncio
+import gc
+import logging
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from contextlib import asynccontextmanager
+from http import HTTPStatus
+from typing import Final
+
+from aiohttp import web
+from mustardspur_core.units import BYTES_PER_KIB
+
+from mustardspur_node.calls.answers import (
+    CallFault,
+    fault_response,
+    not_run,
+    unknown,
+)
+from mustardspur_node.calls.forwarder import CallForwarder
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+OWN_PREFIX: Final = '/mustardspur/'
+READY_PATH: Final = '/mustardspur/v1/ready'
+MAX_HEADER_BYTES: Final = 8 * BYTES_PER_KIB
+MAX_HEADERS: Final = 100
+# Time for a caller to read an early refusal while it still sends its body.
+_LINGERING_S: Final = 1.0
+_BACKLOG: Final = 512
+# Objects of one call live for milliseconds; a full collection among them
+# costs more than the budget of a call.
+_GC_THRESHOLDS: Final = (50_000, 50, 100)
+
+_logger = logging.getLogger(__name__)
+
+
+class CallProtocol(web.RequestHandler):
+    """A caller's connection; answers malformed requests as not run."""
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = HTTPStatus.INTERNAL_SERVER_ERROR,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the answer for an error outside of the handler."""
+        if request.writer.output_size > 0:
+            raise ConnectionError('the answer was started already')
+        response = fault_response(_error_fault(status, exc), '')
+        response.force_close()
+        return response
+
+
+class CallServer(web.Server):
+    """Server whose connections cancel the call of a caller that is gone."""
+
+    def __call__(self) -> CallProtocol:
+        """Return the protocol of a new connection."""
+        return CallProtocol(
+            self,
+            loop=asyncio.get_running_loop(),
+            # The library takes None for no access log.
+            access_log=None,  # type: ignore[arg-type]
+            auto_decompress=False,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            max_headers=MAX_HEADERS,
+            lingering_time=_LINGERING_S,
+        )
+
+
+@asynccontextmanager
+async def run_forwarder(
+    forwarder: CallForwarder,
+    address: str,
+    drain_s: float,
+    own_handlers_by_path: Mapping[str, Handler] | None = None,
+) -> AsyncIterator[str]:
+    """Serve callers until the end of the block, then drain.
+
+    Parameters
+    ----------
+    forwarder : CallForwarder
+        Forwards the calls.
+    address : str
+        ``ip:port`` to listen on; port 0 takes a free one.
+    drain_s : float
+        Longest wait in seconds for calls in flight at the end.
+    own_handlers_by_path : mapping, optional
+        Handlers of the node's own paths, which start with `OWN_PREFIX`.
+
+    Yields
+    ------
+    str
+        The address that the server is bound to.
+    """
+    own = {
+        READY_PATH: _ready_handler(forwarder),
+        **(own_handlers_by_path or {}),
+    }
+    server = CallServer(_dispatch(forwarder, own), handler_cancellation=True)
+    runner = web.ServerRunner(server)
+    await runner.setup()
+    host, _, port = address.rpartition(':')
+    await web.TCPSite(runner, host, int(port), backlog=_BACKLOG).start()
+    upkeep = asyncio.create_task(forwarder.upkeep.run())
+    try:
+        yield '{}:{}'.format(*runner.addresses[0][:2])
+    finally:
+        await forwarder.drain(drain_s)
+        await _stop(forwarder, runner, upkeep)
+
+
+async def _stop(
+    forwarder: CallForwarder,
+    runner: web.ServerRunner,
+    upkeep: asyncio.Task[None],
+) -> None:
+    upkeep.cancel()
+    await asyncio.gather(upkeep, return_exceptions=True)
+    await runner.cleanup()
+    await forwarder.close()
+
+
+def tune_collector() -> None:
+    """Keep the objects of start-up out of every later collection."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*_GC_THRESHOLDS)
+
+
+def _dispatch(
+    forwarder: CallForwarder,
+    own_handlers_by_path: Mapping[str, Handler],
+) -> Handler:
+    async def factory(request: web.BaseRequest) -> web.StreamResponse:
+        if request.raw_path.startswith(OWN_PREFIX):
+            own = own_handlers_by_path.get(request.path)
+            if own is not None:
+                return await own(request)
+        response = await forwarder.handle(request)
+        return response
+
+    return factory
+
+
+def _ready_handler(forwarder: CallForwarder) -> Handler:
+    async def factory(request: web.BaseRequest) -> web.StreamResponse:
+        status = (
+            HTTPStatus.OK if forwarder.ready else HTTPStatus.SERVICE_UNAVAILABLE
+        )
+        return web.json_response(
+            {'ready': forwarder.ready, 'in_flight': forwarder.in_flight.count},
+            status=status,
+        )
+
+    return factory
+
+
+def _error_fault(status: int, error: BaseException | None) -> CallFault:
+    if status < HTTPStatus.INTERNAL_SERVER_ERROR:
+        return not_run(HTTPStatus(status), 'request is malformed')
+    _logger.error('call failed inside the node', exc_info=error)
+    return unknown(HTTPStatus(status), 'call failed inside the node')
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/shapes.py
@@ -0,0 +1,51 @@
+"""Shapes of requests that two HTTP parsers could read differently."""
+
+from http import HTTPStatus
+from typing import Final
+
+from aiohttp import HttpVersion11, web
+
+from mustardspur_node.calls import names
+from mustardspur_node.calls.answers import CallFault, not_run
+
+_REFUSED_METHODS: Final = frozenset(('CONNECT', 'TRACE'))
+
+
+def shape_fault(request: web.BaseRequest) -> CallFault | None:
+    """Return why a request's shape is refused, None for a right one.
+
+    Explanation
+    ===========
+
+    The library's parser refuses malformed lines and chunks. Checked here
+    are requests that it accepts but that a target could delimit in another
+    way, so that the rest of one call would be read as the next.
+    """
+    headers = request.headers
+    if request.method in _REFUSED_METHODS:
+        return _refusal('method is not forwarded')
+    if len(headers.getall(names.HOST, ())) != 1:
+        return _refusal('not exactly one host header')
+    if not request.raw_path.startswith('/'):
+        return _refusal('request target is not a path')
+    if names.TRANSFER_ENCODING in headers:
+        return _transfer_fault(request)
+    if len(headers.getall(names.CONTENT_LENGTH, ())) > 1:
+        return _refusal('more than one content-length header')
+    return None
+
+
+def _transfer_fault(request: web.BaseRequest) -> CallFault | None:
+    headers = request.headers
+    encodings = headers.getall(names.TRANSFER_ENCODING)
+    if names.CONTENT_LENGTH in headers:
+        return _refusal('both content-length and transfer-encoding')
+    if len(encodings) > 1 or encodings[0].strip().lower() != 'chunked':
+        return _refusal('transfer-encoding other than chunked')
+    if request.version < HttpVersion11:
+        return _refusal('transfer-encoding before HTTP/1.1')
+    return None
+
+
+def _refusal(reason: str) -> CallFault:
+    return not_run(HTTPStatus.BAD_REQUEST, reason)
--- /dev/null
+++ b/tests/node/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for a node's surroundings."""
--- /dev/null
+++ b/tests/node/stand_ins/mesh.py
@@ -0,0 +1,113 @@
+"""A node with stand-in targets, all in one event loop."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import Any
+
+from aiohttp import ClientSession, web
+from mustardspur_core.metrics import NullMetrics
+from mustardspur_core.timeline import Timeline
+from mustardspur_node.calls import CallForwarder, run_forwarder
+from mustardspur_node.views import ServiceView
+from yarl import URL
+
+from tests.node.stand_ins.views import Outcomes, Views, make_settings
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+@asynccontextmanager
+async def run_target(handler: Handler) -> AsyncIterator[str]:
+    """Run an HTTP target and yield its address."""
+    runner = web.ServerRunner(
+        web.Server(handler, handler_cancellation=True),
+        shutdown_timeout=0.1,
+    )
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    try:
+        yield '{}:{}'.format(*runner.addresses[0])
+    finally:
+        await runner.cleanup()
+
+
+RawHandler = Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter],
+    Awaitable[None],
+]
+
+
+@asynccontextmanager
+async def run_raw_target(handler: RawHandler) -> AsyncIterator[str]:
+    """Run a target that writes bytes as it likes."""
+    server = await asyncio.start_server(handler, '127.0.0.1', 0)
+    try:
+        yield '{}:{}'.format(*server.sockets[0].getsockname())
+    finally:
+        server.close()
+
+
+class Mesh:
+    """A running node with a client."""
+
+    def __init__(
+        self,
+        forwarder: CallForwarder,
+        address: str,
+        client: ClientSession,
+        views: Views,
+        outcomes: Outcomes,
+    ) -> None:
+        """Keep the parts."""
+        self.forwarder = forwarder
+        self.address = address
+        self.client = client
+        self.views = views
+        self.outcomes = outcomes
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        **options: Any,
+    ) -> tuple[int, str | None, bytes]:
+        """Return status, outcome and body of an answer."""
+        url = URL(f'http://{self.address}{path}', encoded=True)
+        async with self.client.request(method, url, **options) as answer:
+            outcome = answer.headers.get('x-mustardspur-outcome')
+            return answer.status, outcome, await answer.read()
+
+    async def raw(self, sent: bytes) -> bytes:
+        """Return all that the node answers to bytes until it closes."""
+        host, _, port = self.address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(sent)
+        writer.write_eof()
+        received = await reader.read()
+        writer.close()
+        return received
+
+
+@asynccontextmanager
+async def run_mesh(
+    view: ServiceView,
+    drain_s: float = 3.0,
+    **settings: Any,
+) -> AsyncIterator[Mesh]:
+    """Run a node with one view."""
+    views = Views(lens_bench=view)
+    outcomes = Outcomes()
+    forwarder = CallForwarder(
+        make_settings(**settings),
+        views,
+        outcomes,
+        NullMetrics(),
+        Timeline('n1', 'erie-toledo', None),
+    )
+    async with AsyncExitStack() as stack:
+        address = await stack.enter_async_context(
+            run_forwarder(forwarder, '127.0.0.1:0', drain_s),
+        )
+        client = await stack.enter_async_context(ClientSession())
+        yield Mesh(forwarder, address, client, views, outcomes)
