--- a/demo/processes.py
+++ b/demo/processes.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Final
 
+BINARIES: Final = Path(sys.executable).parent
 STOP_TIMEOUT_S: Final = 12.0
 
 
@@ -20,20 +21,13 @@
         self._folder = folder
         self.by_name: dict[str, asyncio.subprocess.Process] = {}
 
-    async def start(self, module: str, settings: Path) -> None:
-        """Start ``python -m module --settings file``."""
-        name = settings.stem
-        self._folder.mkdir(parents=True, exist_ok=True)
-        with (self._folder / f'{name}.log').open('ab') as output:
-            self.by_name[name] = await asyncio.create_subprocess_exec(
-                sys.executable,
-                '-m',
-                module,
-                '--settings',
-                str(settings),
-                stdout=output,
-                stderr=output,
-            )
+    async def start_daemon(self, settings: Path) -> None:
+        """Start ``mustardspurd`` with a settings file."""
+        await self._start([str(BINARIES / 'mustardspurd')], settings)
+
+    async def start_target(self, settings: Path) -> None:
+        """Start a stand-in target with a settings file."""
+        await self._start([sys.executable, '-m', 'demo.target'], settings)
 
     async def stop(self, name: str) -> int:
         """Send SIGTERM, wait, and return the exit code."""
@@ -59,6 +53,18 @@
         codes = await asyncio.gather(*(self.stop(name) for name in names))
         return dict(zip(names, codes, strict=True))
 
+    async def _start(self, program: list[str], settings: Path) -> None:
+        name = settings.stem
+        self._folder.mkdir(parents=True, exist_ok=True)
+        with (self._folder / f'{name}.log').open('ab') as output:
+            self.by_name[name] = await asyncio.create_subprocess_exec(
+                *program,
+                '--settings',
+                str(settings),
+                stdout=output,
+                stderr=output,
+            )
+
 
 @asynccontextmanager
 async def process_group(folder: Path) -> AsyncIterator[ProcessGroup]:
--- /dev/null
+++ b/packages/mustardspur_control/src/mustardspur_control/operator_sources.py
@@ -0,0 +1,75 @@
+"""What the operators' interface reads of the other parts of an instance."""
+
+from typing import Any
+
+from mustardspur_core.settings import Settings
+from mustardspur_core.state import Target
+
+from mustardspur_control.applied import NodeApplied
+from mustardspur_control.hub import Hub
+from mustardspur_control.operators_api.ports import NodeInForce
+
+
+class HubNodes:
+    """Reports of the nodes from the hub's table."""
+
+    __slots__ = ('_hub',)
+
+    def __init__(self, hub: Hub) -> None:
+        """Read from a hub."""
+        self._hub = hub
+
+    def in_force(self, service: str) -> list[NodeInForce]:
+        """Return one entry for each node that needs a service."""
+        return [self._entry(row) for row in self._hub.applied.rows(service)]
+
+    def _entry(self, row: NodeApplied) -> NodeInForce:
+        session = self._hub.sessions.by_node.get(row.node)
+        return NodeInForce(
+            node=row.node,
+            data_centre=session.hello.data_centre if session else '',
+            index=row.report.index,
+            pending_index=row.report.pending_index,
+            reason=row.report.reason,
+        )
+
+
+class RegistryTargets:
+    """Targets from the hub's registry."""
+
+    __slots__ = ('_hub',)
+
+    def __init__(self, hub: Hub) -> None:
+        """Read from a hub."""
+        self._hub = hub
+
+    def targets(self) -> list[Target]:
+        """Return the targets of all services."""
+        registry = self._hub.registry
+        return [
+            target
+            for service in sorted(registry.known.services)
+            for target in registry.targets(service)
+        ]
+
+
+class HubStatus:
+    """Counters of the hub."""
+
+    __slots__ = ('_hub', '_settings')
+
+    def __init__(self, settings: Settings, hub: Hub) -> None:
+        """Read from a hub."""
+        self._settings = settings
+        self._hub = hub
+
+    def status(self) -> dict[str, Any]:
+        """Return JSON values: identifier, connected nodes, counters."""
+        return {
+            'id': self._settings.id,
+            'data_centre': self._settings.data_centre,
+            'region': self._settings.region,
+            'connected_nodes': sorted(self._hub.sessions.by_node),
+            'registry_settled': self._hub.registry.settled,
+            'cut_offs': sorted(self._hub.cut_offs.by_move),
+        }
--- a/packages/mustardspur_daemon/src/mustardspur_daemon/main.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/main.py
@@ -11,9 +11,12 @@
 from mustardspur_core.event_loop import run_in_loop
 from mustardspur_core.logs import configure_logs
 from mustardspur_core.settings import Settings, load_settings
+from mustardspur_daemon import processes
 from mustardspur_daemon.roles import run_role
 
 logger = logging.getLogger(__name__)
+# Importing the module registers the roles.
+ROLE_MODULES = (processes,)
 
 
 class ExitCode(IntEnum):
--- a/packages/mustardspur_node/src/mustardspur_node/announcements.py
+++ b/packages/mustardspur_node/src/mustardspur_node/announcements.py
@@ -161,7 +161,7 @@
 
 async def post_target(
     announcements: Announcements,
-    request: web.Request,
+    request: web.BaseRequest,
 ) -> web.Response:
     """Answer ``POST /mustardspur/v1/targets``."""
     try:
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/instance.py
@@ -0,0 +1,84 @@
+"""A node put together from its parts."""
+
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
+
+from mustardspur_core.metrics import Metrics
+from mustardspur_core.settings import Settings
+from mustardspur_core.state import Target
+from mustardspur_core.timeline import Timeline
+
+from mustardspur_node.announcements import (
+    ANNOUNCEMENTS_PATH,
+    Announcements,
+    post_target,
+)
+from mustardspur_node.calls import (
+    CallForwarder,
+    run_forwarder,
+    tune_collector,
+)
+from mustardspur_node.control_link import ControlLink
+from mustardspur_node.held import HeldConfig
+from mustardspur_node.views import ServiceView
+
+
+class _NoOutcomes:
+    __slots__ = ()
+
+    def record_outcome(
+        self,
+        view: ServiceView,
+        route: str,
+        target: Target,
+        outcome: str,
+        latency_ms: float,
+    ) -> None:
+        """Drop an outcome."""
+
+
+@asynccontextmanager
+async def running_node(
+    settings: Settings,
+    timeline: Timeline,
+    metrics: Metrics,
+) -> AsyncIterator[ControlLink]:
+    """Run a node for the length of a block, then drain it.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the node.
+    timeline : Timeline
+        Receives the events.
+    metrics : Metrics
+        Receives the metrics.
+
+    Raises
+    ------
+    OSError
+        If the address cannot be listened on or the data folder not used.
+    """
+    held = HeldConfig(settings, timeline, metrics)
+    announcements = Announcements(settings)
+    link = ControlLink(settings, held, announcements, timeline, metrics)
+    forwarder = CallForwarder(
+        settings,
+        held,
+        _NoOutcomes(),
+        metrics,
+        timeline,
+    )
+    async with AsyncExitStack() as stack:
+        await stack.enter_async_context(link.running())
+        await stack.enter_async_context(
+            run_forwarder(
+                forwarder,
+                settings.listen.http,
+                settings.intervals.drain_s,
+                {ANNOUNCEMENTS_PATH: partial(post_target, announcements)},
+            ),
+        )
+        tune_collector()
+        yield link
