--- a/packages/mustardspur_agreement/src/mustardspur_agreement/__init__.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/__init__.py
@@ -1,1 +1,21 @@
 """Replicated log of the control instances."""
+
+from mustardspur_agreement.log import ReplicatedLog
+from mustardspur_agreement.messages import PeerGreeting
+from mustardspur_agreement.ports import (
+    Committed,
+    CommittedLog,
+    ProposalError,
+    StateMachine,
+)
+from mustardspur_agreement.running import running_log
+
+__all__ = [
+    'Committed',
+    'CommittedLog',
+    'PeerGreeting',
+    'ProposalError',
+    'ReplicatedLog',
+    'StateMachine',
+    'running_log',
+]
--- /dev/null
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/applying.py
@@ -0,0 +1,127 @@
+"""Applying committed entries and taking snapshots."""
+
+import asyncio
+
+from expression import Ok
+
+from mustardspur_agreement.entries import Entry, EntryKind
+from mustardspur_agreement.leadership import answer
+from mustardspur_agreement.membership import voters_at
+from mustardspur_agreement.ports import Committed
+from mustardspur_agreement.replica import Replica
+from mustardspur_agreement.snapshots import Snapshot
+
+# Entries kept behind a snapshot, so that a peer that lags a little is sent
+# entries instead of the whole state.
+_RETAINED_SHARE = 4
+_RETRY_ELECTIONS = 2
+
+
+class Applier:
+    """The task that hands committed entries to the state machine.
+
+    Parameters
+    ----------
+    replica : Replica
+        The copy of the log.
+    """
+
+    __slots__ = ('_replica',)
+
+    def __init__(self, replica: Replica) -> None:
+        """Start where the snapshot ends."""
+        self._replica = replica
+
+    async def run(self) -> None:
+        """Apply entries until cancelled."""
+        replica = self._replica
+        while True:
+            await replica.changed.wait_for(self._has_work)
+            try:
+                await self._mark(replica.commit_index)
+            except OSError as error:
+                replica.context.report('commit_mark_refused', reason=str(error))
+                await asyncio.sleep(replica.election_s * _RETRY_ELECTIONS)
+                continue
+            await self._snapshot_if_due()
+
+    def apply_through(self, index: int) -> None:
+        """Apply entries up to an index that is marked durably."""
+        replica = self._replica
+        first_index = replica.applied_index + 1
+        for entry in replica.entries.between(first_index, index):
+            replica.applied_index = entry.index
+            self._apply(entry)
+        replica.context.metrics.gauge(
+            'agreement.applied_index',
+            replica.applied_index,
+        )
+        replica.changed.notify()
+
+    def _has_work(self) -> bool:
+        return self._replica.commit_index > self._replica.applied_index
+
+    async def _mark(self, index: int) -> None:
+        replica = self._replica
+        # The mark comes first: what has been applied may be sent to a node,
+        # and must be applied again after a restart without a quorum.
+        await replica.journal.blocking(
+            lambda: replica.journal.storage.mark_commit(index)
+        )
+        self.apply_through(index)
+
+    def _apply(self, entry: Entry) -> None:
+        replica = self._replica
+        applied: object = None
+        if entry.kind == EntryKind.DATA:
+            machine = replica.context.machine
+            applied = machine.apply(entry.index, entry.content)
+        leadership = replica.leadership
+        if leadership and leadership.term == entry.term:
+            proposal = leadership.waiting_by_index.pop(entry.index, None)
+            if proposal is not None:
+                answer(
+                    proposal,
+                    Ok(Committed(index=entry.index, answer=applied)),
+                )
+
+    async def _snapshot_if_due(self) -> None:
+        replica = self._replica
+        behind = replica.applied_index - replica.entries.snapshot_index
+        if behind < replica.context.surroundings.snapshot_entries:
+            return
+        async with replica.lock:
+            try:
+                await self._snapshot()
+            except OSError as error:
+                replica.context.report('snapshot_refused', reason=str(error))
+
+    async def _snapshot(self) -> None:
+        replica = self._replica
+        index = replica.applied_index
+        membership = voters_at(
+            replica.entries,
+            index,
+            replica.context.settings,
+        )
+        snapshot = Snapshot(
+            index=index,
+            term=replica.entries.term_at(index) or 0,
+            voters=list(membership.voters_by_id.values()),
+            content=replica.context.machine.snapshot(),
+        )
+        await replica.journal.blocking(
+            lambda: replica.journal.storage.save_snapshot(snapshot)
+        )
+        replica.entries.snapshot = snapshot
+        await self._drop(index)
+        replica.context.report('snapshot_taken', index=index)
+
+    async def _drop(self, index: int) -> None:
+        replica = self._replica
+        limit = replica.context.surroundings.snapshot_entries
+        keep_from = index - limit // _RETAINED_SHARE
+        replica.entries.drop_before(keep_from + 1)
+        await replica.journal.blocking(
+            lambda: replica.journal.storage.drop_through(keep_from),
+        )
--- /dev/null
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/ballot.py
@@ -0,0 +1,77 @@
+"""Term, vote and trust of an instance, and the file that keeps them."""
+
+from typing import Final
+
+import msgpack
+from mustardspur_core.conversion import decode_row, encode_row
+from mustardspur_core.record import Record
+
+from mustardspur_agreement.entries import pack
+from mustardspur_agreement.ports import Disk
+from mustardspur_agreement.records import seal, unseal
+
+_NAMES: Final = ('ballot-1', 'ballot-2')
+TEMPORARY_SUFFIX: Final = '.new'
+
+
+class Ballot(Record):
+    """What an instance must not forget between two elections.
+
+    Parameters
+    ----------
+    term : int
+        Highest term that it has seen.
+    voted_for : str or None
+        Who got its vote in that term.
+    trusted : bool
+        Whether its files hold all that it has acknowledged. An instance
+        that is not trusted neither votes nor counts towards a quorum.
+    """
+
+    __slots__ = ('term', 'voted_for', 'trusted')
+    term: int
+    voted_for: str | None
+    trusted: bool
+
+
+def load_ballot(disk: Disk) -> Ballot:
+    """Read the newest readable copy; an untrusted ballot if there is none.
+
+    There are two copies, since a voter that forgets its vote could vote
+    twice in a term, and damage to one of them must not cause that.
+    """
+    copies = [unseal(disk.read(name) or b'') for name in _NAMES]
+    ballots = [
+        decode_row(Ballot, msgpack.unpackb(payload))
+        for payload in copies
+        if payload is not None
+    ]
+    # Both copies of a term differ if the power was lost between the two
+    # writes; the first one written is the newer.
+    return max(
+        ballots,
+        key=lambda ballot: ballot.term,
+        default=Ballot(term=0, voted_for=None, trusted=False),
+    )
+
+
+def save_ballot(disk: Disk, ballot: Ballot) -> None:
+    """Replace both copies, durably and each as a whole."""
+    for name in _NAMES:
+        replace_file(disk, name, seal(pack(encode_row(ballot))))
+
+
+def replace_file(disk: Disk, name: str, content: bytes) -> None:
+    """Write a file so that a power loss leaves the old or the new one.
+
+    Raises
+    ------
+    OSError
+        If the disk refuses; the old file is still there then.
+    """
+    temporary = f'{name}{TEMPORARY_SUFFIX}'
+    disk.remove(temporary)
+    disk.write(temporary, 0, content)
+    disk.sync(temporary)
+    disk.rename(temporary, name)
+    disk.sync_folder()
--- /dev/null
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/barriers.py
@@ -0,0 +1,127 @@
+"""Read barriers: an index that was current after the question."""
+
+from collections.abc import Callable
+from typing import Final
+
+from expression import Error, Ok, Result
+
+from mustardspur_agreement.leadership import Leadership
+from mustardspur_agreement.links import PeerLink
+from mustardspur_agreement.messages import BarrierAnswer, BarrierRequest
+from mustardspur_agreement.ports import ProposalError
+from mustardspur_agreement.replica import Replica
+
+MAX_HOPS: Final = 3
+_CONFIRM_ELECTIONS: Final = 2
+_CALL_ELECTIONS: Final = 4
+_APPLY_ELECTIONS: Final = 8
+
+
+class Barriers:
+    """Confirms leadership, or asks the leader to.
+
+    Parameters
+    ----------
+    replica : Replica
+        The copy of the log.
+    link_to : callable
+        Returns the link to a peer.
+    upstream : callable
+        Returns the instance that is followed, if any.
+    """
+
+    __slots__ = ('_link_to', '_replica', '_upstream')
+
+    def __init__(
+        self,
+        replica: Replica,
+        link_to: Callable[[str], PeerLink],
+        upstream: Callable[[], str | None],
+    ) -> None:
+        """Start without a question."""
+        self._replica = replica
+        self._link_to = link_to
+        self._upstream = upstream
+
+    async def read(self) -> Result[int, ProposalError]:
+        """Return a current index once it is applied here."""
+        replica = self._replica
+        answer = await self.obtain(MAX_HOPS)
+        if not answer.confirmed:
+            return Error(
+                replica.error('no_quorum', 'no leader confirmed its quorum'),
+            )
+        applied = await replica.changed.wait_until(
+            lambda: replica.applied_index >= answer.index,
+            replica.election_s * _APPLY_ELECTIONS,
+        )
+        if applied:
+            return Ok(answer.index)
+        return Error(
+            replica.error('no_quorum', f'index {answer.index} did not arrive'),
+        )
+
+    async def obtain(self, hops: int) -> BarrierAnswer:
+        """Return the leader's confirmation, through others if needed."""
+        if self._replica.leadership is not None:
+            return await self._confirm(self._replica.leadership)
+        names = self._route() if hops else []
+        while names:
+            answer = await self._link_to(names.pop(0)).call(
+                BarrierRequest(hops=hops - 1),
+                self._replica.election_s * _CALL_ELECTIONS,
+            )
+            if isinstance(answer, BarrierAnswer) and answer.confirmed:
+                return answer
+        return _refusal()
+
+    def _route(self) -> list[str]:
+        own_id = self._replica.own_id
+        names = (self._replica.leader, self._upstream())
+        known = [name for name in names if name and name != own_id]
+        return list(dict.fromkeys(known))
+
+    async def _confirm(self, leadership: Leadership) -> BarrierAnswer:
+        replica = self._replica
+        timeout_s = replica.election_s * _CONFIRM_ELECTIONS
+        # Entries of earlier terms may be committed without the new leader
+        # knowing it, until the first entry of its own term is.
+        await replica.changed.wait_until(
+            lambda: (
+                self._is_over(leadership)
+                or replica.commit_index >= leadership.first_index
+            ),
+            timeout_s,
+        )
+        answer = BarrierAnswer(
+            confirmed=replica.commit_index >= leadership.first_index,
+            term=leadership.term,
+            index=replica.commit_index,
+            last_index=replica.entries.last_index,
+        )
+        leadership.round += 1
+        asked_round = leadership.round
+        replica.changed.notify()
+        confirmed = await replica.changed.wait_until(
+            lambda: (
+                self._is_over(leadership)
+                or self._is_acked(leadership, asked_round)
+            ),
+            timeout_s,
+        )
+        if confirmed and answer.confirmed and not self._is_over(leadership):
+            return answer
+        return _refusal()
+
+    def _is_over(self, leadership: Leadership) -> bool:
+        return self._replica.leadership is not leadership
+
+    def _is_acked(self, leadership: Leadership, asked_round: int) -> bool:
+        acked = leadership.acked_rounds(asked_round)
+        return self._replica.membership.is_quorum(
+            [*acked, self._replica.own_id],
+        )
+
+
+def _refusal() -> BarrierAnswer:
+    return BarrierAnswer(confirmed=False, term=0, index=0, last_index=0)
--- /dev/null
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/context.py
@@ -0,0 +1,50 @@
+"""What one instance's copy of the log works with."""
+
+import logging
+from typing import Any
+
+from mustardspur_core.metrics import Metrics
+from mustardspur_core.record import Record
+from mustardspur_core.settings import Settings
+from mustardspur_core.timeline import Timeline
+
+from mustardspur_agreement.ports import StateMachine, Surroundings
+
+_logger = logging.getLogger(__name__)
+
+
+class Context(Record):
+    """What a copy of the log works with; never changes.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the instance.
+    machine : StateMachine
+        Takes the committed entries.
+    timeline : Timeline
+        Gets the events.
+    metrics : Metrics
+        Gets the counts.
+    surroundings : Surroundings
+        Disk, connections and chance.
+    """
+
+    __slots__ = (
+        'settings',
+        'machine',
+        'timeline',
+        'metrics',
+        'surroundings',
+    )
+    settings: Settings
+    machine: StateMachine
+    timeline: Timeline
+    metrics: Metrics
+    surroundings: Surroundings
+
+    def report(self, event: str, **details: Any) -> None:
+        """Send an event to the time line, the log and the metrics."""
+        self.timeline.record(event, **details)
+        self.metrics.incr(f'agreement.{event}')
+        _logger.info(event, extra=details)
--- /dev/null
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/dialing.py
@@ -0,0 +1,34 @@
+"""Connections to peers over TCP."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from mustardspur_core.wire import FrameStream
+
+
+@asynccontextmanager
+async def dial_peer(
+    address: str,
+    timeout_s: float,
+) -> AsyncIterator[FrameStream]:
+    """Connect to ``ip:port`` for the length of a block.
+
+    Explanation
+    ===========
+
+    Unlike `connect_stream` it drops the connection at the end instead of
+    closing it, since closing waits for a silent peer to take unsent bytes.
+
+    Raises
+    ------
+    OSError
+        If the peer refuses or does not answer within ``timeout_s`` seconds.
+    """
+    host, _, port = address.rpartition(':')
+    async with asyncio.timeout(timeout_s):
+        reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        yield FrameStream(reader, writer)
+    finally:
+        writer.transport.abort()
--- /dev/null
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/following.py
@@ -0,0 +1,144 @@
+"""Following another instance's committed entries."""
+
+import asyncio
+from typing import Final
+
+from mustardspur_core.settings import Peer
+from mustardspur_core.wire import MalformedFrame
+
+from mustardspur_agreement.entries import unpack_entries
+from mustardspur_agreement.links import CONNECTION_ERRORS
+from mustardspur_agreement.messages import (
+    Follow,
+    FollowEntries,
+    PeerGreeting,
+    SnapshotPart,
+)
+from mustardspur_agreement.ports import Channel
+from mustardspur_agreement.receiving import Assembly, take_snapshot
+from mustardspur_agreement.replica import Replica
+from mustardspur_agreement.upstreams import upstreams
+
+# Without a leader's request for this long, an instance follows another.
+_PATIENCE_ELECTIONS: Final = 4
+# How long another than the preferred upstream is kept.
+_DETOUR_SILENCES: Final = 10
+
+
+class Following:
+    """The instance's own stream from an upstream.
+
+    Explanation
+    ===========
+
+    A non-voting instance always follows. A voter follows while no leader
+    sends it entries, since it may have been removed without knowing it.
+
+    Parameters
+    ----------
+    replica : Replica
+        The copy of the log.
+    """
+
+    __slots__ = ('_assembly', '_place', '_replica', 'upstream')
+
+    def __init__(self, replica: Replica) -> None:
+        """Start without an upstream."""
+        self._replica = replica
+        self._assembly = Assembly()
+        self._place = 0
+        self.upstream: str | None = None
+
+    async def run(self) -> None:
+        """Follow whenever it is needed, until cancelled."""
+        replica = self._replica
+        while True:
+            candidates = upstreams(replica.context.settings, replica.leader)
+            if candidates and self._is_needed():
+                peer = candidates[self._place % len(candidates)]
+                await self._follow(peer)
+            await asyncio.sleep(replica.election_s)
+
+    def _is_needed(self) -> bool:
+        replica = self._replica
+        patience_s = _PATIENCE_ELECTIONS * replica.election_s
+        silent_s = _now() - replica.contact.heard_s
+        return replica.leadership is None and silent_s > patience_s
+
+    async def _follow(self, peer: Peer) -> None:
+        settings = self._replica.context.settings
+        self.upstream = peer.id
+        try:
+            async with self._replica.context.surroundings.dial(
+                peer.stream,
+                settings.intervals.election_s,
+            ) as channel:
+                await self._session(channel)
+        except CONNECTION_ERRORS:
+            self._place += 1
+        finally:
+            self.upstream = None
+
+    async def _session(self, channel: Channel) -> None:
+        settings = self._replica.context.settings
+        channel.send_soon(
+            PeerGreeting(instance=settings.id, region=settings.region),
+        )
+        channel.send_soon(Follow(after_index=self._replica.commit_index))
+        silence_s = settings.intervals.silence_s
+        started_s = _now()
+        while self._is_needed():
+            async with asyncio.timeout(silence_s):
+                frame = await channel.receive()
+            await self._take(frame.body)
+            lasted_s = _now() - started_s
+            if self._place and lasted_s > silence_s * _DETOUR_SILENCES:
+                self._place = 0
+                return
+            if self._is_stale(lasted_s):
+                self._place += 1
+                return
+
+    def _is_stale(self, lasted_s: float) -> bool:
+        replica = self._replica
+        silence_s = replica.context.settings.intervals.silence_s
+        age_s = replica.contact.age_s(_now())
+        return lasted_s > silence_s and age_s > silence_s
+
+    async def _take(self, body: object) -> None:
+        replica = self._replica
+        async with replica.lock:
+            if replica.leadership is not None:
+                return
+            if isinstance(body, FollowEntries):
+                await self._take_entries(body)
+            elif isinstance(body, SnapshotPart):
+                snapshot = self._assembly.add(body)
+                if snapshot is not None:
+                    await replica.adopt_term(snapshot.term)
+                    await take_snapshot(replica, snapshot)
+
+    async def _take_entries(self, body: FollowEntries) -> None:
+        replica = self._replica
+        if body.prev_index > replica.commit_index:
+            raise MalformedFrame('order', 'entries are missing in between')
+        batch = unpack_entries(body.packed, compressed=body.compressed)
+        if batch:
+            await replica.adopt_term(batch[-1].term)
+            await replica.replace_from(batch)
+            replica.note_commit(batch[-1].index)
+        self._note_contact(body)
+
+    def _note_contact(self, body: FollowEntries) -> None:
+        replica = self._replica
+        replica.contact.upstream_s = max(
+            replica.contact.upstream_s,
+            _now() - body.age_s,
+        )
+        if body.leader != replica.leader and body.leader != replica.own_id:
+            replica.leader = body.leader
+            replica.changed.notify()
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/journal.py
@@ -0,0 +1,106 @@
+"""The durable part of one instance's copy of the log."""
+
+from collections.abc import Callable
+
+from mustardspur_agreement.ballot import Ballot
+from mustardspur_agreement.context import Context
+from mustardspur_agreement.entries import Entry, EntryKind
+from mustardspur_agreement.entry_list import EntryList
+from mustardspur_agreement.membership import Membership, voters_at
+from mustardspur_agreement.snapshots import Snapshot
+from mustardspur_agreement.storage import Loaded, LogStorage
+
+
+class Journal:
+    """Ballot and entries, in memory and on disk.
+
+    Explanation
+    ===========
+
+    What is in memory is durable already: every method writes first. The
+    caller holds the replica's lock, so that writes do not cross.
+
+    Parameters
+    ----------
+    context : Context
+        What the copy works with.
+    storage : LogStorage
+        Its files.
+    loaded : Loaded
+        What the files held.
+    """
+
+    __slots__ = ('_context', 'ballot', 'entries', 'membership', 'storage')
+
+    def __init__(
+        self,
+        context: Context,
+        storage: LogStorage,
+        loaded: Loaded,
+    ) -> None:
+        """Take over what was loaded."""
+        self._context = context
+        self.storage = storage
+        self.ballot = loaded.ballot
+        self.entries = EntryList(loaded.entries, loaded.snapshot)
+        self.membership = self._current_membership()
+
+    async def blocking(self, function: Callable[[], None]) -> None:
+        """Run a blocking file operation outside the event loop."""
+        await self._context.surroundings.offload(function)
+
+    async def record_ballot(self, ballot: Ballot) -> None:
+        """Replace term, vote and trust."""
+        await self.blocking(lambda: self.storage.save_ballot(ballot))
+        self.ballot = ballot
+
+    async def append(self, entries: list[Entry]) -> None:
+        """Append entries behind the last one."""
+        await self.blocking(lambda: self.storage.append(entries))
+        self.entries.extend(entries)
+        if any(entry.kind == EntryKind.VOTERS for entry in entries):
+            self.membership = self._current_membership()
+            names = sorted(self.membership.voters_by_id)
+            self._context.report('voters_changed', voters=names)
+
+    async def replace_from(
+        self,
+        entries: list[Entry],
+        commit_index: int,
+    ) -> None:
+        """Append entries in place of different ones that are not committed.
+
+        Entries that are there already stay, so that a request that arrives
+        late or twice removes nothing that a later one has appended.
+        """
+        equal = self._equal_entries(entries, commit_index)
+        new_entries = entries[equal:]
+        if new_entries:
+            await self._truncate(new_entries[0].index)
+            await self.append(new_entries)
+
+    async def install(self, snapshot: Snapshot) -> None:
+        """Replace everything by a snapshot."""
+        await self.blocking(lambda: self.storage.install(snapshot))
+        self.entries.reset(snapshot)
+        self.membership = self._current_membership()
+
+    async def _truncate(self, from_index: int) -> None:
+        if from_index <= self.entries.last_index:
+            await self.blocking(lambda: self.storage.truncate(from_index))
+            self.entries.truncate(from_index)
+            self.membership = self._current_membership()
+
+    def _equal_entries(self, entries: list[Entry], commit_index: int) -> int:
+        for place, entry in enumerate(entries):
+            known = self.entries.term_at(entry.index)
+            if entry.index > commit_index and known != entry.term:
+                return place
+        return len(entries)
+
+    def _current_membership(self) -> Membership:
+        return voters_at(
+            self.entries,
+            self.entries.last_index,
+            self._context.settings,
+        )
--- /dev/null
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/leadership.py
@@ -0,0 +1,145 @@
+"""What a leader knows during its term."""
+
+import asyncio
+
+from expression import Result
+from mustardspur_core.record import Record
+from mustardspur_core.settings import Peer
+
+from mustardspur_agreement.ports import Committed, ProposalError
+
+Outcome = Result[Committed, ProposalError]
+
+
+class Proposal(Record):
+    """An entry to be appended, and who waits for it."""
+
+    __slots__ = ('kind', 'content', 'outcome')
+    kind: int
+    content: bytes
+    outcome: asyncio.Future[Outcome]
+
+
+class Progress(Record):
+    """How far a peer is.
+
+    Parameters
+    ----------
+    next_index : int
+        First entry to send.
+    match_index : int
+        Up to where its log is known to be equal and durable.
+    acked_round : int
+        Newest heartbeat round that it answered.
+    acked_s : float
+        When the newest answered request was sent.
+    sent_commit : int
+        Commit index that it was told.
+    trusted : bool
+        Whether its answers count.
+    """
+
+    __slots__ = (
+        'next_index',
+        'match_index',
+        'acked_round',
+        'acked_s',
+        'sent_commit',
+        'trusted',
+    )
+    next_index: int
+    match_index: int
+    acked_round: int
+    acked_s: float
+    sent_commit: int
+    trusted: bool
+
+
+class Leadership:
+    """One term of a leader.
+
+    Parameters
+    ----------
+    term : int
+        The term.
+    first_index : int
+        Index of the no-op entry that starts it.
+    now_s : float
+        When it was elected.
+    """
+
+    __slots__ = (
+        '_now_s',
+        'first_index',
+        'learners_by_id',
+        'progress_by_id',
+        'queue',
+        'round',
+        'term',
+        'waiting_by_index',
+    )
+
+    def __init__(self, term: int, first_index: int, now_s: float) -> None:
+        """Start without knowing how far the peers are."""
+        self.term = term
+        self.first_index = first_index
+        self.progress_by_id: dict[str, Progress] = {}
+        self.learners_by_id: dict[str, Peer] = {}
+        self.queue: list[Proposal] = []
+        self.waiting_by_index: dict[int, Proposal] = {}
+        self.round = 0
+        self._now_s = now_s
+
+    def progress(self, peer_id: str) -> Progress:
+        """Return how far a peer is, assuming nothing for a new one."""
+        known = self.progress_by_id.get(peer_id)
+        if known is None:
+            known = Progress(
+                next_index=self.first_index,
+                match_index=0,
+                acked_round=0,
+                acked_s=self._now_s,
+                sent_commit=0,
+                trusted=False,
+            )
+            self.progress_by_id[peer_id] = known
+        return known
+
+    def match_by_id(self) -> dict[str, int]:
+        """Return what each peer that counts has made durable."""
+        return {
+            name: progress.match_index
+            for name, progress in self.progress_by_id.items()
+            if progress.trusted
+        }
+
+    def acked_since(self, moment_s: float) -> list[str]:
+        """Return the peers that answered a request sent since then."""
+        return [
+            name
+            for name, progress in self.progress_by_id.items()
+            if progress.acked_s >= moment_s
+        ]
+
+    def acked_rounds(self, number: int) -> list[str]:
+        """Return the peers that count and answered a round or a later one."""
+        return [
+            name
+            for name, progress in self.progress_by_id.items()
+            if progress.acked_round >= number
+        ]
+
+    def fail_all(self, queued: Outcome, written: Outcome) -> None:
+        """Answer every proposal, written or not, at the end of the term."""
+        for proposal in self.queue:
+            answer(proposal, queued)
+        for proposal in self.waiting_by_index.values():
+            answer(proposal, written)
+        self.queue.clear()
+        self.waiting_by_index.clear()
+
+
+def answer(proposal: Proposal, outcome: Outcome) -> None:
+    """Answer a proposal unless its proposer has gone."""
+    if not proposal.outcome.done():
+        proposal.outcome.set_result(outcome)
--- /dev/null
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/links.py
@@ -0,0 +1,157 @@
+"""Requests to one peer over a connection that is opened when needed."""
+
+import asyncio
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Final
+
+from mustardspur_core.record import Record
+from mustardspur_core.settings import Settings
+from mustardspur_core.wire import MalformedFrame
+
+from mustardspur_agreement.messages import PeerGreeting
+from mustardspur_agreement.ports import Channel, Dial
+from mustardspur_agreement.signal import Signal
+
+CONNECTION_ERRORS: Final = (OSError, EOFError, MalformedFrame)
+_RETRIES_PER_ELECTION: Final = 5
+
+
+class PeerLink:
+    """The instance's own connection to one peer.
+
+    Explanation
+    ===========
+
+    A request that gets no answer in time closes the connection, since open
+    connections can go silent while new ones work. A connection without
+    requests is closed after the settings' silence.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the instance.
+    dial : Dial
+        Opens connections.
+    address : callable
+        Returns the peer's current address.
+    """
+
+    __slots__ = (
+        '_address',
+        '_channel',
+        '_changed',
+        '_dial',
+        '_pending',
+        '_request_id',
+        '_settings',
+        '_silence',
+        '_unsent',
+    )
+
+    def __init__(
+        self,
+        settings: Settings,
+        dial: Dial,
+        address: Callable[[], str],
+    ) -> None:
+        """Start without a connection."""
+        self._settings = settings
+        self._dial = dial
+        self._address = address
+        self._channel: Channel | None = None
+        self._changed = Signal()
+        self._pending: dict[int, asyncio.Future[Record | None]] = {}
+        self._unsent: list[tuple[int, Record]] = []
+        self._request_id = 0
+        self._silence: asyncio.Timeout | None = None
+
+    async def call(self, body: Record, timeout_s: float) -> Record | None:
+        """Send a request and wait for its answer.
+
+        Returns
+        -------
+        Record or None
+            The answer, None if there was none in time.
+        """
+        self._request_id += 1
+        request_id = self._request_id
+        answer: asyncio.Future[Record | None] = asyncio.Future()
+        self._pending[request_id] = answer
+        try:
+            async with asyncio.timeout(timeout_s):
+                self._post(request_id, body)
+                return await answer
+        except TimeoutError:
+            self._close()
+            return None
+        finally:
+            self._pending.pop(request_id, None)
+
+    async def run(self) -> None:
+        """Dial when there are requests, until cancelled."""
+        while True:
+            await self._changed.wait_for(self._has_unsent)
+            try:
+                await self._connect()
+            except CONNECTION_ERRORS:
+                self._fail_pending()
+                await asyncio.sleep(
+                    self._settings.intervals.election_s / _RETRIES_PER_ELECTION
+                )
+
+    def _has_unsent(self) -> bool:
+        return bool(self._unsent)
+
+    def _post(self, request_id: int, body: Record) -> None:
+        if self._channel is None:
+            self._unsent.append((request_id, body))
+            self._changed.notify()
+        else:
+            self._channel.send_soon(body, request_id)
+
+    async def _connect(self) -> None:
+        timeout_s = self._settings.intervals.election_s
+        async with self._dial(self._address(), timeout_s) as channel:
+            greeting = PeerGreeting(
+                instance=self._settings.id,
+                region=self._settings.region,
+            )
+            channel.send_soon(greeting)
+            for request_id, body in self._unsent:
+                if request_id in self._pending:
+                    channel.send_soon(body, request_id)
+            self._unsent.clear()
+            with self._attached(channel):
+                await self._receive(channel)
+
+    @contextmanager
+    def _attached(self, channel: Channel) -> Iterator[None]:
+        self._channel = channel
+        try:
+            yield
+        finally:
+            self._channel = None
+
+    async def _receive(self, channel: Channel) -> None:
+        silence_s = self._settings.intervals.silence_s
+        while True:
+            self._silence = asyncio.timeout(silence_s)
+            async with self._silence:
+                frame = await channel.receive()
+            answer = self._pending.get(frame.request_id)
+            if answer is not None and not answer.done():
+                answer.set_result(frame.body)
+
+    def _close(self) -> None:
+        # Ends the wait for frames at once. Closing the connection alone does
+        # not, while bytes to a silent peer are unsent.
+        if self._channel is not None and self._silence is not None:
+            self._channel = None
+            self._silence.reschedule(asyncio.get_running_loop().time())
+
+    def _fail_pending(self) -> None:
+        self._unsent.clear()
+        for answer in self._pending.values():
+            if not answer.done():
+                answer.set_result(None)
--- /dev/null
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/membership.py
@@ -0,0 +1,82 @@
+"""The voters, as the log names them."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+import msgpack
+from mustardspur_core.conversion import decode_row, encode_row
+from mustardspur_core.settings import Peer, Settings
+
+from mustardspur_agreement.entries import Entry, EntryKind, pack
+from mustardspur_agreement.entry_list import EntryList
+
+
+def pack_voters(voters: list[Peer]) -> bytes:
+    """Return the content of an entry that replaces the voters."""
+    return pack(encode_row(voters))
+
+
+def unpack_voters(content: bytes) -> list[Peer]:
+    """Return the voters that an entry names."""
+    rows = msgpack.unpackb(content)
+    return [decode_row(Peer, row) for row in rows]
+
+
+class Membership:
+    """Voters by identifier, with quorums over them.
+
+    Parameters
+    ----------
+    voters : list of Peer
+        The voters.
+    """
+
+    __slots__ = ('voters_by_id',)
+
+    def __init__(self, voters: Iterable[Peer]) -> None:
+        """Index the voters."""
+        self.voters_by_id = {peer.id: peer for peer in voters}
+
+    @property
+    def quorum(self) -> int:
+        """Number of voters that is more than half of them."""
+        return len(self.voters_by_id) // 2 + 1
+
+    def is_quorum(self, instances: Iterable[str]) -> bool:
+        """Whether instances include more than half of the voters."""
+        return len(self.voters_by_id.keys() & set(instances)) >= self.quorum
+
+    def quorum_index(self, index_by_id: dict[str, int]) -> int:
+        """Return the highest index that a quorum has."""
+        if not self.voters_by_id:
+            return 0
+        held = [index_by_id.get(name, 0) for name in self.voters_by_id]
+        return sorted(held, reverse=True)[self.quorum - 1]
+
+    def preferred_region(self) -> str:
+        """Return the region with most voters, the first by name if equal."""
+        counts = Counter(peer.region for peer in self.voters_by_id.values())
+        return min(counts, key=lambda region: (-counts[region], region))
+
+
+def bootstrap_voters(settings: Settings) -> list[Peer]:
+    """Return the voters that a new log starts with."""
+    return [peer for peer in settings.peers if peer.voter]
+
+
+def voters_at(
+    entries: EntryList,
+    index: int,
+    settings: Settings,
+) -> Membership:
+    """Return the voters as of an index, committed or not."""
+    for entry in reversed(entries.between(entries.first_index, index)):
+        if _names_voters(entry):
+            return Membership(unpack_voters(entry.content))
+    if entries.snapshot:
+        return Membership(entries.snapshot.voters)
+    return Membership(bootstrap_voters(settings))
+
+
+def _names_voters(entry: Entry) -> bool:
+    return entry.kind == EntryKind.VOTERS
--- /dev/null
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/messages.py
@@ -0,0 +1,253 @@
+"""Messages between control instances for the replicated log, codes 40 to 69."""
+
+from mustardspur_core.record import Record
+from mustardspur_core.wire import message
+
+
+@message(40)
+class PeerGreeting(Record):
+    """First frame from a control instance to another."""
+
+    __slots__ = ('instance', 'region')
+    instance: str
+    region: str
+
+
+@message(41)
+class VoteRequest(Record):
+    """Asks for a vote, or whether one would be given.
+
+    Parameters
+    ----------
+    term : int
+        Term to be elected in.
+    candidate : str
+        Who asks.
+    last_index, last_term : int
+        Last entry of the candidate's log.
+    pre_vote : bool
+        Whether nothing is to be recorded yet.
+    handover : bool
+        Whether the current leader wants this candidate.
+    """
+
+    __slots__ = (
+        'term',
+        'candidate',
+        'last_index',
+        'last_term',
+        'pre_vote',
+        'handover',
+    )
+    term: int
+    candidate: str
+    last_index: int
+    last_term: int
+    pre_vote: bool
+    handover: bool
+
+
+@message(42)
+class VoteAnswer(Record):
+    """Answer to `VoteRequest`."""
+
+    __slots__ = ('term', 'granted')
+    term: int
+    granted: bool
+
+
+@message(43)
+class AppendRequest(Record):
+    """Entries of the leader; without entries a heartbeat.
+
+    Parameters
+    ----------
+    term : int
+        Term of the leader.
+    leader : str
+        Who sends.
+    prev_index, prev_term : int
+        The entry before the first one sent.
+    commit_index : int
+        What the leader has committed.
+    packed : bytes
+        Entries in the form of `pack_entries`.
+    compressed : bool
+        Whether they are compressed.
+    """
+
+    __slots__ = (
+        'term',
+        'leader',
+        'prev_index',
+        'prev_term',
+        'commit_index',
+        'packed',
+        'compressed',
+    )
+    term: int
+    leader: str
+    prev_index: int
+    prev_term: int
+    commit_index: int
+    packed: bytes
+    compressed: bool
+
+
+@message(44)
+class AppendAnswer(Record):
+    """Answer to `AppendRequest` and `SnapshotPart`.
+
+    Parameters
+    ----------
+    term : int
+        Term of the answerer.
+    accepted : bool
+        Whether the entries are durable.
+    index : int
+        If accepted, up to where the logs match; otherwise the highest index
+        that can match.
+    trusted : bool
+        Whether the answer counts towards a quorum.
+    """
+
+    __slots__ = ('term', 'accepted', 'index', 'trusted')
+    term: int
+    accepted: bool
+    index: int
+    trusted: bool
+
+
+@message(45)
+class SnapshotPart(Record):
+    """A part of a snapshot from the leader, or along a follow stream.
+
+    Parameters
+    ----------
+    term : int
+        Term of the sender.
+    leader : str
+        The leader.
+    index : int
+        Index of the snapshot.
+    offset, total : int
+        Place of the part and length of the whole, in bytes as sent.
+    content : bytes
+        The part.
+    compressed : bool
+        Whether the whole is compressed.
+    """
+
+    __slots__ = (
+        'term',
+        'leader',
+        'index',
+        'offset',
+        'total',
+        'content',
+        'compressed',
+    )
+    term: int
+    leader: str
+    index: int
+    offset: int
+    total: int
+    content: bytes
+    compressed: bool
+
+
+@message(46)
+class BarrierRequest(Record):
+    """Asks for an index that is current.
+
+    Parameters
+    ----------
+    hops : int
+        How often the request may still be passed on.
+    """
+
+    __slots__ = ('hops',)
+    hops: int
+
+
+@message(47)
+class BarrierAnswer(Record):
+    """Answer to `BarrierRequest`.
+
+    Parameters
+    ----------
+    confirmed : bool
+        Whether a quorum confirmed the leader after the request.
+    term : int
+        Term of the leader.
+    index : int
+        What was committed.
+    last_index : int
+        End of the leader's log.
+    """
+
+    __slots__ = ('confirmed', 'term', 'index', 'last_index')
+    confirmed: bool
+    term: int
+    index: int
+    last_index: int
+
+
+@message(48)
+class Follow(Record):
+    """Asks for the committed entries behind an index, as a stream."""
+
+    __slots__ = ('after_index',)
+    after_index: int
+
+
+@message(49)
+class FollowEntries(Record):
+    """Committed entries; without entries a heartbeat.
+
+    Parameters
+    ----------
+    term : int
+        Term that the sender knows of.
+    leader : str or None
+        The leader that the sender knows of.
+    prev_index : int
+        Index before the first entry.
+    packed : bytes
+        Entries in the form of `pack_entries`.
+    compressed : bool
+        Whether they are compressed.
+    age_s : float
+        Seconds since the sender or its own upstream heard from a leader.
+    """
+
+    __slots__ = (
+        'term',
+        'leader',
+        'prev_index',
+        'packed',
+        'compressed',
+        'age_s',
+    )
+    term: int
+    leader: str | None
+    prev_index: int
+    packed: bytes
+    compressed: bool
+    age_s: float
+
+
+@message(50)
+class TakeOver(Record):
+    """Tells a caught-up voter to stand for election at once."""
+
+    __slots__ = ('term',)
+    term: int
+
+
+@message(51)
+class TakeOverAnswer(Record):
+    """Answer to `TakeOver`."""
+
+    __slots__ = ('accepted',)
+    accepted: bool
--- /dev/null
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/parts.py
@@ -0,0 +1,82 @@
+"""The parts of the replicated log and their tasks."""
+
+import asyncio
+
+from mustardspur_agreement.applying import Applier
+from mustardspur_agreement.barriers import Barriers
+from mustardspur_agreement.context import Context
+from mustardspur_agreement.election import Elections
+from mustardspur_agreement.following import Following
+from mustardspur_agreement.journal import Journal
+from mustardspur_agreement.oversight import Oversight
+from mustardspur_agreement.peers import Peers
+from mustardspur_agreement.proposals import Proposals
+from mustardspur_agreement.refill import refill
+from mustardspur_agreement.replica import Replica
+from mustardspur_agreement.serving import Service
+from mustardspur_agreement.storage import LogStorage
+from mustardspur_agreement.voters import VoterChanges
+
+
+class Parts:
+    """Builds the parts around one copy of the log.
+
+    Parameters
+    ----------
+    context : Context
+        What the copy works with.
+    """
+
+    __slots__ = (
+        '_applier',
+        '_elections',
+        '_following',
+        '_oversight',
+        '_peers',
+        'barriers',
+        'proposals',
+        'replica',
+        'service',
+        'voters',
+    )
+
+    def __init__(self, context: Context) -> None:
+        """Load the files and apply what is known to be committed."""
+        replica = _load(context)
+        self.replica = replica
+        self._peers = Peers(replica)
+        self._following = Following(replica)
+        self._elections = Elections(replica, self._peers.link_to)
+        self._oversight = Oversight(replica, self._peers.link_to)
+        self.barriers = Barriers(
+            replica,
+            self._peers.link_to,
+            lambda: self._following.upstream,
+        )
+        self.proposals = Proposals(replica, self._elections.pause)
+        self.voters = VoterChanges(replica, self.proposals)
+        self.service = Service(replica, self._elections, self.barriers)
+        self._applier = Applier(replica)
+        self._applier.apply_through(replica.commit_index)
+
+    async def run(self) -> None:
+        """Run the tasks until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._peers.run(group))
+            group.create_task(self._applier.run())
+            group.create_task(self.proposals.run())
+            group.create_task(self._elections.run())
+            group.create_task(self._oversight.run())
+            group.create_task(self._following.run())
+            group.create_task(refill(self.replica, self.barriers))
+
+
+def _load(context: Context) -> Replica:
+    storage = LogStorage(context.surroundings.disk)
+    loaded = storage.load()
+    if loaded.torn:
+        context.report('torn_tail_cut')
+    if loaded.damage:
+        context.report('log_damaged', reason=loaded.damage)
+    journal = Journal(context, storage, loaded)
+    return Replica(context, journal, loaded.commit_index)
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/ports.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/ports.py
@@ -1,9 +1,13 @@
 """Interfaces between the replicated log and the rest of an instance."""
 
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
+from random import Random
 from typing import Protocol
 
 from expression import Result
 from mustardspur_core.record import Record
+from mustardspur_core.wire import Frame
 
 
 class ProposalError(Record):
@@ -71,3 +75,90 @@
 
     def restore(self, index: int, snapshot: bytes) -> None:
         """Replace the whole state by a snapshot taken at an index."""
+
+
+class Channel(Protocol):
+    """A connection to another instance, as `FrameStream` provides it."""
+
+    def send_soon(self, body: Record, request_id: int = 0) -> None:
+        """Queue a message without waiting."""
+
+    async def send(self, body: Record, request_id: int = 0) -> None:
+        """Send a message and wait until the buffer is below its limit."""
+
+    async def receive(self) -> Frame:
+        """Wait for the next frame."""
+
+    def close(self) -> None:
+        """Close the connection without waiting."""
+
+
+class Dial(Protocol):
+    """Opens a connection to ``ip:port`` for the length of a block."""
+
+    def __call__(
+        self,
+        address: str,
+        timeout_s: float,
+    ) -> AbstractAsyncContextManager[Channel]:
+        """Connect, or raise OSError."""
+
+
+class Disk(Protocol):
+    """Files of one folder; contents last only once they are synced."""
+
+    def names(self) -> list[str]:
+        """Return the names of all files."""
+
+    def read(self, name: str) -> bytes | None:
+        """Return the contents of a file, None if there is none."""
+
+    def write(self, name: str, offset: int, content: bytes) -> None:
+        """Write at an offset, creating the file if needed."""
+
+    def cut(self, name: str, length: int) -> None:
+        """Shorten a file to a length."""
+
+    def sync(self, name: str) -> None:
+        """Make the contents of a file durable."""
+
+    def rename(self, name: str, new_name: str) -> None:
+        """Replace one file by another, atomically."""
+
+    def remove(self, name: str) -> None:
+        """Remove a file, if there is one."""
+
+    def sync_folder(self) -> None:
+        """Make creations, renames and removals durable."""
+
+
+class Offload(Protocol):
+    """Runs a blocking function without blocking the event loop."""
+
+    async def __call__(self, function: Callable[[], None]) -> None:
+        """Return once the function has returned; its errors are raised."""
+
+
+class Surroundings(Record):
+    """What the replicated log uses of the outside; tests replace it.
+
+    Parameters
+    ----------
+    dial : Dial
+        Opens connections to peers.
+    disk : Disk
+        The folder for the log's files.
+    offload : Offload
+        Runs blocking file operations, one at a time and in order.
+    random : Random
+        Source of the randomized election timeouts.
+    snapshot_entries : int
+        Entries between two snapshots.
+    """
+
+    __slots__ = ('dial', 'disk', 'offload', 'random', 'snapshot_entries')
+    dial: Dial
+    disk: Disk
+    offload: Offload
+    random: Random
+    snapshot_entries: int
--- /dev/null
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/proposals.py
@@ -0,0 +1,126 @@
+"""Writing proposals to the leader's own log, in batches."""
+
+import asyncio
+from collections.abc import Callable
+
+from expression import Error
+
+from mustardspur_agreement.entries import MAX_BATCH_BYTES, Entry, EntryKind
+from mustardspur_agreement.leadership import (
+    Leadership,
+    Outcome,
+    Proposal,
+    answer,
+)
+from mustardspur_agreement.replica import Replica
+from mustardspur_agreement.replication import advance_commit
+from mustardspur_agreement.segments import UncertainWriteError
+
+
+class Proposals:
+    """The queue of entries to be appended by the leader.
+
+    Explanation
+    ===========
+
+    Whatever is queued while a sync runs is written with the next one. An
+    entry is sent to others only after it is durable here, so that an entry
+    refused by the disk is certain not to be committed.
+
+    Parameters
+    ----------
+    replica : Replica
+        The copy of the log.
+    pause_elections : callable
+        Keeps the instance from leading again at once.
+    """
+
+    __slots__ = ('_pause_elections', '_replica')
+
+    def __init__(
+        self,
+        replica: Replica,
+        pause_elections: Callable[[], None],
+    ) -> None:
+        """Start with an empty queue."""
+        self._replica = replica
+        self._pause_elections = pause_elections
+
+    async def propose(self, kind: EntryKind, content: bytes) -> Outcome:
+        """Queue an entry and wait until it is applied or refused."""
+        leadership = self._replica.leadership
+        if leadership is None:
+            return Error(self._replica.error('not_leader', 'not the leader'))
+        proposal = Proposal(
+            kind=kind,
+            content=content,
+            outcome=asyncio.get_running_loop().create_future(),
+        )
+        leadership.queue.append(proposal)
+        self._replica.changed.notify()
+        return await proposal.outcome
+
+    async def run(self) -> None:
+        """Write batches until cancelled."""
+        while True:
+            await self._replica.changed.wait_for(self._has_work)
+            async with self._replica.lock:
+                leadership = self._replica.leadership
+                if leadership is not None:
+                    await self._write(leadership)
+
+    def _has_work(self) -> bool:
+        leadership = self._replica.leadership
+        return leadership is not None and bool(leadership.queue)
+
+    async def _write(self, leadership: Leadership) -> None:
+        batch = _take(leadership.queue)
+        first_index = self._replica.entries.last_index + 1
+        entries = [
+            Entry(
+                index=first_index + place,
+                term=leadership.term,
+                kind=proposal.kind,
+                content=proposal.content,
+            )
+            for place, proposal in enumerate(batch)
+        ]
+        try:
+            await self._replica.append(entries)
+        except OSError as error:
+            self._refuse(batch, error)
+            return
+        self._await_commit(leadership, first_index, batch)
+
+    def _await_commit(
+        self,
+        leadership: Leadership,
+        first_index: int,
+        batch: list[Proposal],
+    ) -> None:
+        leadership.waiting_by_index.update(enumerate(batch, first_index))
+        if self._replica.leadership is leadership:
+            advance_commit(self._replica, leadership)
+        else:
+            lost = self._replica.error('unknown', 'leadership was lost')
+            leadership.fail_all(Error(lost), Error(lost))
+
+    def _refuse(self, batch: list[Proposal], error: OSError) -> None:
+        uncertain = isinstance(error, UncertainWriteError)
+        kind = 'unknown' if uncertain else 'disk'
+        refusal = self._replica.error(kind, str(error))
+        for proposal in batch:
+            answer(proposal, Error(refusal))
+        self._pause_elections()
+        self._replica.context.report('proposal_refused', reason=str(error))
+        self._replica.step_down(f'the disk refused an entry: {error}')
+
+
+def _take(queue: list[Proposal]) -> list[Proposal]:
+    """Take the first proposals, at least one, that fit a batch."""
+    batch: list[Proposal] = []
+    total_bytes = 0
+    while queue and (not batch or total_bytes <= MAX_BATCH_BYTES):
+        batch.append(queue.pop(0))
+        total_bytes += len(batch[-1].content)
+    return batch
--- /dev/null
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/records.py
@@ -0,0 +1,129 @@
+"""Checksummed records in a file, and what a damaged file still holds.
+
+A record is a header, a payload and an end mark. The header has the payload's
+length, a checksum of the length and a checksum of the payload, so that a
+damaged length is not taken for a write that a power loss cut short. The end
+mark has two bytes other than zero, so that damage to one byte never looks
+like the zeros that such a write leaves.
+"""
+
+import struct
+from enum import StrEnum
+from typing import Final
+
+import xxhash
+from mustardspur_core.record import Record
+
+_HEADER: Final = struct.Struct('>IIQ')
+HEADER_BYTES: Final = _HEADER.size
+_LENGTH_BYTES: Final = 4
+_END_MARK: Final = b'\xa5\xa5'
+OVERHEAD_BYTES: Final = HEADER_BYTES + len(_END_MARK)
+
+
+class FileState(StrEnum):
+    """What a scan found at the end of the readable records."""
+
+    WHOLE = 'whole'
+    TORN = 'torn'
+    DAMAGED = 'damaged'
+
+
+class Scan(Record):
+    """Readable records of a file.
+
+    Parameters
+    ----------
+    payloads : list of bytes
+        Payloads of the readable records, from the start.
+    offsets : list of int
+        Where each of them starts.
+    length : int
+        Bytes up to the end of the last of them.
+    state : FileState
+        What follows there.
+    """
+
+    __slots__ = ('payloads', 'offsets', 'length', 'state')
+    payloads: list[bytes]
+    offsets: list[int]
+    length: int
+    state: FileState
+
+
+def seal(payload: bytes) -> bytes:
+    """Return a record with its header."""
+    length = len(payload).to_bytes(_LENGTH_BYTES, 'big')
+    header = _HEADER.pack(
+        len(payload),
+        xxhash.xxh32_intdigest(length),
+        xxhash.xxh64_intdigest(payload),
+    )
+    return header + payload + _END_MARK
+
+
+def scan(content: bytes) -> Scan:
+    """Read records until the end or the first that is not readable.
+
+    Explanation
+    ===========
+
+    A write that was cut short leaves a prefix of what was written, followed
+    by the end of the file or by zeros. Anything else that fails its checksum
+    is damage to bytes that were once durable.
+    """
+    found = Scan(payloads=[], offsets=[], length=0, state=FileState.WHOLE)
+    while found.length < len(content):
+        payload = _read(content, found.length)
+        if payload is None:
+            found.state = _state_of_rest(content, found.length)
+            return found
+        found.payloads.append(payload)
+        found.offsets.append(found.length)
+        found.length += OVERHEAD_BYTES + len(payload)
+    return found
+
+
+def unseal(content: bytes) -> bytes | None:
+    """Return the payload of a file that is one record, None if damaged."""
+    found = scan(content)
+    if found.state is FileState.WHOLE and len(found.payloads) == 1:
+        return found.payloads[0]
+    return None
+
+
+def _read(content: bytes, offset: int) -> bytes | None:
+    length = _payload_length(content, offset)
+    start = offset + HEADER_BYTES
+    if length is None:
+        return None
+    payload = content[start : start + length]
+    end_mark = content[start + length : offset + OVERHEAD_BYTES + length]
+    checksum = _HEADER.unpack_from(content, offset)[2]
+    if xxhash.xxh64_intdigest(payload) != checksum or end_mark != _END_MARK:
+        return None
+    return payload
+
+
+def _payload_length(content: bytes, offset: int) -> int | None:
+    if offset + HEADER_BYTES > len(content):
+        return None
+    length, length_checksum, _ = _HEADER.unpack_from(content, offset)
+    encoded = content[offset : offset + _LENGTH_BYTES]
+    if xxhash.xxh32_intdigest(encoded) != length_checksum:
+        return None
+    return int(length)
+
+
+def _state_of_rest(content: bytes, offset: int) -> FileState:
+    written = len(content.rstrip(b'\0'))
+    header_end = offset + HEADER_BYTES
+    if written < header_end or len(content) < header_end:
+        return FileState.TORN
+    length = _payload_length(content, offset)
+    if length is None:
+        return FileState.DAMAGED
+    end = offset + OVERHEAD_BYTES + length
+    if len(content) < end or written < end - 1:
+        return FileState.TORN
+    return FileState.DAMAGED
--- /dev/null
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/replica.py
@@ -0,0 +1,174 @@
+"""State of one instance's copy of the log, shared by its tasks."""
+
+import asyncio
+
+from expression import Error
+from mustardspur_core.settings import Peer
+
+from mustardspur_agreement.ballot import Ballot
+from mustardspur_agreement.contact import Contact
+from mustardspur_agreement.context import Context
+from mustardspur_agreement.entries import Entry
+from mustardspur_agreement.journal import Journal
+from mustardspur_agreement.leadership import Leadership
+from mustardspur_agreement.membership import Membership
+from mustardspur_agreement.ports import ProposalError
+from mustardspur_agreement.signal import Signal
+from mustardspur_agreement.snapshots import Snapshot
+
+
+class Replica:
+    """One instance's copy of the log.
+
+    Explanation
+    ===========
+
+    Methods that change ballot or entries need `lock`, which their caller
+    holds. Every change of state notifies `changed`.
+
+    Parameters
+    ----------
+    context : Context
+        What it works with.
+    journal : Journal
+        Its durable part.
+    commit_index : int
+        Highest index known to be committed.
+    """
+
+    __slots__ = (
+        'applied_index',
+        'changed',
+        'commit_index',
+        'contact',
+        'context',
+        'entries',
+        'journal',
+        'leader',
+        'leadership',
+        'lock',
+    )
+
+    def __init__(
+        self,
+        context: Context,
+        journal: Journal,
+        commit_index: int,
+    ) -> None:
+        """Restore the state machine from the snapshot."""
+        self.context = context
+        self.journal = journal
+        self.entries = journal.entries
+        self.commit_index = commit_index
+        self.applied_index = self.entries.snapshot_index
+        self.leader: str | None = None
+        self.leadership: Leadership | None = None
+        self.contact = Contact()
+        self.lock = asyncio.Lock()
+        self.changed = Signal()
+        snapshot = self.entries.snapshot
+        if snapshot is not None:
+            context.machine.restore(snapshot.index, snapshot.content)
+
+    @property
+    def own_id(self) -> str:
+        """Identifier of this instance."""
+        return self.context.settings.id
+
+    @property
+    def election_s(self) -> float:
+        """Shortest election timeout."""
+        return self.context.settings.intervals.election_s
+
+    @property
+    def ballot(self) -> Ballot:
+        """Term, vote and trust."""
+        return self.journal.ballot
+
+    @property
+    def membership(self) -> Membership:
+        """The voters, as of the last entry."""
+        return self.journal.membership
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this instance is one of the voters."""
+        return self.own_id in self.membership.voters_by_id
+
+    async def record_ballot(self, ballot: Ballot) -> None:
+        """Make term, vote and trust durable; a higher term ends leadership.
+
+        Raises
+        ------
+        OSError
+            If the disk refuses.
+        """
+        if ballot.term > self.ballot.term:
+            self.step_down('a higher term was seen')
+            self.leader = None
+        await self.journal.record_ballot(ballot)
+        self.changed.notify()
+
+    async def adopt_term(self, term: int) -> None:
+        """Move to a higher term without a vote in it."""
+        if term > self.ballot.term:
+            trusted = self.ballot.trusted
+            await self.record_ballot(
+                Ballot(term=term, voted_for=None, trusted=trusted),
+            )
+
+    async def append(self, entries: list[Entry]) -> None:
+        """Append entries durably."""
+        await self.journal.append(entries)
+        self.changed.notify()
+
+    async def replace_from(self, entries: list[Entry]) -> None:
+        """Append entries durably, in place of different ones."""
+        await self.journal.replace_from(entries, self.commit_index)
+        self.changed.notify()
+
+    async def install(self, snapshot: Snapshot) -> None:
+        """Replace log and applied state by a snapshot."""
+        await self.journal.install(snapshot)
+        self.context.machine.restore(snapshot.index, snapshot.content)
+        self.commit_index = snapshot.index
+        self.applied_index = snapshot.index
+        self.context.report('snapshot_installed', index=snapshot.index)
+        self.changed.notify()
+
+    def note_commit(self, index: int) -> None:
+        """Raise the commit index."""
+        if index > self.commit_index:
+            self.commit_index = index
+            self.changed.notify()
+
+    def step_down(self, reason: str) -> None:
+        """End leadership, if it leads; proposals are answered."""
+        leadership = self.leadership
+        if leadership is None:
+            return
+        self.leadership = None
+        self.leader = None
+        leadership.fail_all(
+            Error(self.error('not_leader', reason)),
+            Error(self.error('unknown', reason)),
+        )
+        self.context.report(
+            'leader_stepped_down',
+            term=leadership.term,
+            reason=reason,
+        )
+        self.changed.notify()
+
+    def error(self, kind: str, detail: str) -> ProposalError:
+        """Return an error that names the leader, if known."""
+        return ProposalError(kind=kind, detail=detail, leader=self.leader)
+
+
+def find_peer(replica: Replica, peer_id: str) -> Peer | None:
+    """Return where a peer is, as the log or else the settings say."""
+    known = {peer.id: peer for peer in replica.context.settings.peers}
+    if replica.leadership is not None:
+        known.update(replica.leadership.learners_by_id)
+    known.update(replica.membership.voters_by_id)
+    return known.get(peer_id)
--- /dev/null
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/replication.py
@@ -0,0 +1,251 @@
+"""Sending the leader's log to one peer."""
+
+import asyncio
+from functools import partial
+from typing import Final
+
+from mustardspur_core.record import Record
+from mustardspur_core.units import BYTES_PER_MIB
+
+from mustardspur_agreement.entries import batch_of, compress, pack_entries
+from mustardspur_agreement.leadership import Leadership, Progress
+from mustardspur_agreement.links import PeerLink
+from mustardspur_agreement.messages import (
+    AppendAnswer,
+    AppendRequest,
+    SnapshotPart,
+)
+from mustardspur_agreement.replica import Replica, find_peer
+from mustardspur_agreement.snapshots import Snapshot, pack_snapshot
+
+PART_BYTES: Final = BYTES_PER_MIB
+HEARTBEATS_PER_ELECTION: Final = 4
+# Longer than the shortest election timeout, since an answer waits for a sync.
+CALL_TIMEOUT_ELECTIONS: Final = 2
+
+
+class Replication:
+    """The leader's requests to one peer.
+
+    Parameters
+    ----------
+    replica : Replica
+        The copy of the log.
+    link : PeerLink
+        The connection to the peer.
+    peer_id : str
+        The peer.
+    """
+
+    __slots__ = ('_link', '_peer_id', '_replica')
+
+    def __init__(
+        self,
+        replica: Replica,
+        link: PeerLink,
+        peer_id: str,
+    ) -> None:
+        """Start idle."""
+        self._replica = replica
+        self._link = link
+        self._peer_id = peer_id
+
+    async def run(self) -> None:
+        """Keep the peer up to date while this instance leads."""
+        changed = self._replica.changed
+        heartbeat_s = self._replica.election_s / HEARTBEATS_PER_ELECTION
+        while True:
+            await changed.wait_for(self._has_duty)
+            leadership = self._replica.leadership
+            if leadership is None:
+                continue
+            progress = leadership.progress(self._peer_id)
+            asked_round = leadership.round
+            if await self._exchange(leadership, progress):
+                await changed.wait_until(
+                    partial(
+                        self._has_news,
+                        leadership,
+                        progress,
+                        asked_round,
+                    ),
+                    heartbeat_s,
+                )
+            else:
+                await asyncio.sleep(heartbeat_s)
+
+    def _has_duty(self) -> bool:
+        leadership = self._replica.leadership
+        if leadership is None or self._peer_id == self._replica.own_id:
+            return False
+        voters = self._replica.membership.voters_by_id
+        return self._peer_id in voters or (
+            self._peer_id in leadership.learners_by_id
+        )
+
+    def _has_news(
+        self,
+        leadership: Leadership,
+        progress: Progress,
+        asked_round: int,
+    ) -> bool:
+        replica = self._replica
+        return (
+            replica.leadership is not leadership
+            or replica.entries.last_index >= progress.next_index
+            or replica.commit_index > progress.sent_commit
+            or leadership.round > asked_round
+        )
+
+    async def _exchange(
+        self,
+        leadership: Leadership,
+        progress: Progress,
+    ) -> bool:
+        entries = self._replica.entries
+        if entries.term_at(progress.next_index - 1) is None:
+            if entries.snapshot is not None:
+                return await self._send_snapshot(
+                    leadership,
+                    progress,
+                    entries.snapshot,
+                )
+        request = self._append_request(leadership, progress)
+        reply = await self._call(leadership, progress, request)
+        if reply is None:
+            return False
+        progress.sent_commit = request.commit_index
+        if not reply.accepted:
+            # A lower index than before: the peer has lost durable entries.
+            progress.match_index = min(progress.match_index, reply.index)
+            moved = reply.index + 1 < progress.next_index
+            progress.next_index = min(reply.index + 1, progress.next_index)
+            return moved
+        self._advance(leadership, progress, reply.index)
+        return True
+
+    def _append_request(
+        self,
+        leadership: Leadership,
+        progress: Progress,
+    ) -> AppendRequest:
+        entries = self._replica.entries
+        prev_index = progress.next_index - 1
+        batch = batch_of(entries.between(prev_index + 1, entries.last_index))
+        compressed = bool(batch) and self._crosses_regions()
+        return AppendRequest(
+            term=leadership.term,
+            leader=self._replica.own_id,
+            prev_index=prev_index,
+            prev_term=entries.term_at(prev_index) or 0,
+            commit_index=self._replica.commit_index,
+            packed=pack_entries(batch, compressed=compressed),
+            compressed=compressed,
+        )
+
+    async def _call(
+        self,
+        leadership: Leadership,
+        progress: Progress,
+        request: Record,
+    ) -> AppendAnswer | None:
+        asked_round = leadership.round
+        asked_s = asyncio.get_running_loop().time()
+        reply = await self._link.call(
+            request,
+            self._replica.election_s * CALL_TIMEOUT_ELECTIONS,
+        )
+        if not isinstance(reply, AppendAnswer):
+            return None
+        if reply.term > leadership.term:
+            await self._heed(reply.term)
+            return None
+        progress.acked_s = asked_s
+        progress.trusted = reply.trusted
+        if reply.trusted:
+            progress.acked_round = max(progress.acked_round, asked_round)
+        self._replica.changed.notify()
+        return reply
+
+    async def _heed(self, term: int) -> None:
+        replica = self._replica
+        async with replica.lock:
+            try:
+                await replica.adopt_term(term)
+            except OSError as error:
+                replica.context.report('term_not_recorded', reason=str(error))
+
+    def _advance(
+        self,
+        leadership: Leadership,
+        progress: Progress,
+        index: int,
+    ) -> None:
+        progress.match_index = max(progress.match_index, index)
+        progress.next_index = max(progress.next_index, index + 1)
+        if self._replica.leadership is leadership:
+            advance_commit(self._replica, leadership)
+        self._replica.changed.notify()
+
+    async def _send_snapshot(
+        self,
+        leadership: Leadership,
+        progress: Progress,
+        snapshot: Snapshot,
+    ) -> bool:
+        compressed = self._crosses_regions()
+        parts = snapshot_parts(
+            snapshot,
+            compressed=compressed,
+            term=leadership.term,
+            leader=self._replica.own_id,
+        )
+        while parts:
+            reply = await self._call(leadership, progress, parts.pop(0))
+            if reply is None or not reply.accepted:
+                return False
+        self._advance(leadership, progress, snapshot.index)
+        return True
+
+    def _crosses_regions(self) -> bool:
+        peer = find_peer(self._replica, self._peer_id)
+        region = self._replica.context.settings.region
+        return peer is not None and peer.region != region
+
+
+def advance_commit(replica: Replica, leadership: Leadership) -> None:
+    """Commit what a quorum has, if it ends with an entry of this term.
+
+    An entry of an earlier term can be on a quorum and still be replaced by
+    a later leader, so only entries of the own term are counted.
+    """
+    index_by_id = leadership.match_by_id()
+    index_by_id[replica.own_id] = replica.entries.last_index
+    index = replica.membership.quorum_index(index_by_id)
+    if replica.entries.term_at(index) == leadership.term:
+        replica.note_commit(index)
+
+
+def snapshot_parts(
+    snapshot: Snapshot,
+    *,
+    compressed: bool,
+    term: int,
+    leader: str,
+) -> list[SnapshotPart]:
+    """Split a snapshot into messages that fit a frame."""
+    packed = pack_snapshot(snapshot)
+    if compressed:
+        packed = compress(packed)
+    return [
+        SnapshotPart(
+            term=term,
+            leader=leader,
+            index=snapshot.index,
+            offset=offset,
+            total=len(packed),
+            content=packed[offset : offset + PART_BYTES],
+            compressed=compressed,
+        )
+        for offset in range(0, len(packed), PART_BYTES)
+    ]
--- /dev/null
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/running.py
@@ -0,0 +1,64 @@
+"""The replicated log in the data folder and over TCP."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import asynccontextmanager
+from pathlib import Path
+from random import Random
+from typing import Final
+
+from mustardspur_core.metrics import Metrics
+from mustardspur_core.settings import Settings
+from mustardspur_core.timeline import Timeline
+
+from mustardspur_agreement.context import Context
+from mustardspur_agreement.dialing import dial_peer
+from mustardspur_agreement.disk import FolderDisk
+from mustardspur_agreement.log import ReplicatedLog
+from mustardspur_agreement.offload import ThreadOffload
+from mustardspur_agreement.ports import StateMachine, Surroundings
+
+SNAPSHOT_ENTRIES: Final = 4096
+_FOLDER: Final = 'agreement'
+
+
+@asynccontextmanager
+async def running_log(
+    settings: Settings,
+    machine: StateMachine,
+    timeline: Timeline,
+    metrics: Metrics,
+) -> AsyncIterator[ReplicatedLog]:
+    """Open the log in the data folder and run it for the length of a block.
+
+    Raises
+    ------
+    ValueError
+        If the settings have no data folder.
+    """
+    if settings.data_dir is None:
+        raise ValueError('a control instance needs data_dir')
+    with ThreadPoolExecutor(max_workers=1) as executor:
+        surroundings = Surroundings(
+            dial=dial_peer,
+            disk=FolderDisk(Path(settings.data_dir) / _FOLDER),
+            offload=ThreadOffload(executor),
+            random=Random(),
+            snapshot_entries=SNAPSHOT_ENTRIES,
+        )
+        log = ReplicatedLog(
+            Context(
+                settings=settings,
+                machine=machine,
+                timeline=timeline,
+                metrics=metrics,
+                surroundings=surroundings,
+            )
+        )
+        task = asyncio.create_task(log.run())
+        try:
+            yield log
+        finally:
+            task.cancel()
+            await asyncio.wait([task])
--- /dev/null
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/storage.py
@@ -0,0 +1,202 @@
+"""All files of the replicated log of one instance."""
+
+from mustardspur_core.record import Record, replaced
+
+from mustardspur_agreement.ballot import (
+    TEMPORARY_SUFFIX,
+    Ballot,
+    load_ballot,
+    save_ballot,
+)
+from mustardspur_agreement.commit_marks import CommitMarks
+from mustardspur_agreement.entries import Entry
+from mustardspur_agreement.ports import Disk
+from mustardspur_agreement.records import FileState
+from mustardspur_agreement.segments import SegmentLog
+from mustardspur_agreement.snapshots import (
+    Snapshot,
+    has_snapshot,
+    load_snapshot,
+    remove_snapshot,
+    save_snapshot,
+)
+
+
+class Loaded(Record):
+    """What an instance starts with.
+
+    Parameters
+    ----------
+    ballot : Ballot
+        Term and vote; untrusted if the files are new or damaged.
+    snapshot : Snapshot or None
+        The newest snapshot.
+    entries : list of Entry
+        Entries of the log, some of which the snapshot may include.
+    commit_index : int
+        Highest index known to be committed.
+    damage : str
+        What was wrong with the files, empty if nothing was.
+    torn : bool
+        Whether a write that was cut short has been removed.
+    """
+
+    __slots__ = (
+        'ballot',
+        'snapshot',
+        'entries',
+        'commit_index',
+        'damage',
+        'torn',
+    )
+    ballot: Ballot
+    snapshot: Snapshot | None
+    entries: list[Entry]
+    commit_index: int
+    damage: str
+    torn: bool
+
+
+class LogStorage:
+    """Blocking access to the files; every method returns once synced.
+
+    Parameters
+    ----------
+    disk : Disk
+        The folder.
+    """
+
+    __slots__ = ('_disk', '_marks', '_segments')
+
+    def __init__(self, disk: Disk) -> None:
+        """Start without reading anything."""
+        self._disk = disk
+        self._segments = SegmentLog(disk)
+        self._marks = CommitMarks(disk)
+
+    def load(self) -> Loaded:
+        """Read and repair the files.
+
+        Explanation
+        ===========
+
+        A torn tail is cut. On any other damage the instance is first
+        recorded as untrusted, and only then the files are repaired, so that
+        a power loss in between cannot hide the damage.
+        """
+        loaded = self._read()
+        if loaded.damage:
+            self._distrust(loaded)
+        if loaded.damage or loaded.torn:
+            self._segments.clean()
+        if not loaded.entries:
+            self._segments.truncate(0)
+        return loaded
+
+    def save_ballot(self, ballot: Ballot) -> None:
+        """Replace term, vote and trust."""
+        save_ballot(self._disk, ballot)
+
+    def append(self, entries: list[Entry]) -> None:
+        """Append entries behind the last one."""
+        self._segments.append(entries)
+
+    def truncate(self, from_index: int) -> None:
+        """Remove an entry and all after it."""
+        self._segments.truncate(from_index)
+
+    def mark_commit(self, index: int) -> None:
+        """Record that the entries up to an index are committed."""
+        self._marks.save(index)
+
+    def save_snapshot(self, snapshot: Snapshot) -> None:
+        """Replace the snapshot; the entries stay."""
+        save_snapshot(self._disk, snapshot)
+        self._segments.start_segment()
+
+    def drop_through(self, index: int) -> None:
+        """Remove files whose entries all are at or before an index."""
+        self._segments.drop_through(index)
+
+    def install(self, snapshot: Snapshot) -> None:
+        """Replace the snapshot and remove all entries."""
+        save_snapshot(self._disk, snapshot)
+        self._segments.truncate(0)
+
+    def _read(self) -> Loaded:
+        # A power loss during the very first write leaves only its start.
+        fresh = all(
+            name.endswith(TEMPORARY_SUFFIX) for name in self._disk.names()
+        )
+        loaded = Loaded(
+            ballot=load_ballot(self._disk),
+            snapshot=load_snapshot(self._disk),
+            entries=self._segments.load(),
+            commit_index=self._marks.load(),
+            damage='',
+            torn=self._segments.state is FileState.TORN,
+        )
+        loaded.damage = self._damage(loaded, fresh=fresh)
+        _reconcile(loaded)
+        return loaded
+
+    def _damage(self, loaded: Loaded, *, fresh: bool) -> str:
+        if self._segments.state is FileState.DAMAGED:
+            return 'an entry in the middle of the log fails its checksum'
+        if loaded.snapshot is None and has_snapshot(self._disk):
+            return 'the snapshot fails its checksum'
+        if loaded.ballot.term == 0 and not fresh:
+            return 'the ballot is missing or fails its checksum'
+        if loaded.commit_index > _last_index(loaded):
+            return 'entries that were committed are missing'
+        return ''
+
+    def _distrust(self, loaded: Loaded) -> None:
+        # Term 0 is left to instances that never had any files.
+        loaded.ballot = replaced(
+            loaded.ballot,
+            term=max(loaded.ballot.term, 1),
+            trusted=False,
+        )
+        save_ballot(self._disk, loaded.ballot)
+        self._marks.reset(loaded.commit_index)
+        if loaded.snapshot is None:
+            remove_snapshot(self._disk)
+
+
+def _reconcile(loaded: Loaded) -> None:
+    """Drop entries that do not join the snapshot, and bound the mark.
+
+    The snapshot is newer than the entries where the power was lost between
+    its installation and the removal of the entries that it replaces.
+    """
+    index = loaded.snapshot.index if loaded.snapshot else 0
+    if loaded.entries and not _joined(loaded.entries, loaded.snapshot):
+        loaded.entries = []
+    loaded.commit_index = max(
+        index,
+        min(loaded.commit_index, _last_index(loaded)),
+    )
+    last_term = loaded.entries[-1].term if loaded.entries else 0
+    loaded.ballot.term = max(
+        loaded.ballot.term,
+        last_term,
+        loaded.snapshot.term if loaded.snapshot else 0,
+    )
+
+
+def _last_index(loaded: Loaded) -> int:
+    if loaded.entries:
+        return loaded.entries[-1].index
+    return loaded.snapshot.index if loaded.snapshot else 0
+
+
+def _joined(entries: list[Entry], snapshot: Snapshot | None) -> bool:
+    first_index = entries[0].index
+    if snapshot is None:
+        return first_index == 1
+    if not first_index <= snapshot.index + 1 <= entries[-1].index + 1:
+        return False
+    if first_index == snapshot.index + 1:
+        return True
+    return entries[snapshot.index - first_index].term == snapshot.term
--- /dev/null
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/upstreams.py
@@ -0,0 +1,45 @@
+"""The order in which an instance tries others to follow."""
+
+from mustardspur_core.settings import Peer, Settings
+
+
+def upstreams(settings: Settings, leader: str | None) -> list[Peer]:
+    """Return the instances that may be followed, best first.
+
+    Explanation
+    ===========
+
+    In its own region an instance prefers a voter, then the lowest
+    identifier below its own, which is the region's gateway. The gateway
+    finds neither and follows an instance of the leader's region, so that a
+    change crosses each link between regions about once.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the instance that follows.
+    leader : str or None
+        Identifier of the leader, if known.
+    """
+    leader_region = next(
+        (peer.region for peer in settings.peers if peer.id == leader),
+        None,
+    )
+    near = [peer for peer in settings.peers if _is_near(peer, settings)]
+    far = [peer for peer in settings.peers if peer.region != settings.region]
+    near.sort(key=lambda peer: (not peer.voter, peer.id))
+    far.sort(
+        key=lambda peer: (
+            peer.region != leader_region,
+            not peer.voter,
+            peer.id,
+        ),
+    )
+    return near + far
+
+
+def _is_near(peer: Peer, settings: Settings) -> bool:
+    if peer.region != settings.region or peer.id == settings.id:
+        return False
+    # Only lower identifiers, so that two instances never follow each other.
+    return peer.voter or peer.id < settings.id
--- /dev/null
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/voters.py
@@ -0,0 +1,148 @@
+"""Changes of the voters, one at a time."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from expression import Error, Ok, Result
+from mustardspur_core.record import replaced
+from mustardspur_core.settings import Peer
+
+from mustardspur_agreement.entries import EntryKind
+from mustardspur_agreement.leadership import Leadership, Outcome
+from mustardspur_agreement.membership import pack_voters
+from mustardspur_agreement.ports import ProposalError
+from mustardspur_agreement.proposals import Proposals
+from mustardspur_agreement.replica import Replica
+
+_CATCH_UP_ELECTIONS = 60
+
+
+class VoterChanges:
+    """Adds and removes voters on the leader.
+
+    Parameters
+    ----------
+    replica : Replica
+        The copy of the log.
+    proposals : Proposals
+        Commits the entry that names the voters.
+    """
+
+    __slots__ = ('_busy', '_proposals', '_replica')
+
+    def __init__(self, replica: Replica, proposals: Proposals) -> None:
+        """Start without a change."""
+        self._replica = replica
+        self._proposals = proposals
+        self._busy = False
+
+    async def add(self, peer: Peer) -> Outcome:
+        """Let a peer catch up as a non-voting member, then make it a voter.
+
+        Parameters
+        ----------
+        peer : Peer
+            The new voter; the log keeps its addresses.
+
+        Returns
+        -------
+        Result
+            The committed entry; an error of kind ``busy`` while another
+            change runs, ``no_quorum`` if the peer does not catch up.
+        """
+        async with self._turn() as leadership:
+            if leadership.is_error():
+                return Error(leadership.error)
+            caught_up = await self._catch_up(leadership.ok, peer)
+            if caught_up.is_error():
+                return Error(caught_up.error)
+            voters = dict(self._replica.membership.voters_by_id)
+            voters[peer.id] = replaced(peer, voter=True)
+            return await self._commit(list(voters.values()))
+
+    async def remove(self, peer_id: str) -> Outcome:
+        """Remove a voter; a removed leader steps down afterwards."""
+        async with self._turn() as leadership:
+            if leadership.is_error():
+                return Error(leadership.error)
+            voters = dict(self._replica.membership.voters_by_id)
+            voters.pop(peer_id, None)
+            if not voters:
+                return Error(self._error('busy', 'the last voter stays'))
+            return await self._commit(list(voters.values()))
+
+    @asynccontextmanager
+    async def _turn(
+        self,
+    ) -> AsyncIterator[Result[Leadership, ProposalError]]:
+        leadership = self._replica.leadership
+        if leadership is None:
+            yield Error(self._error('not_leader', 'not the leader'))
+        elif self._busy:
+            yield Error(self._error('busy', 'another change of voters runs'))
+        else:
+            self._busy = True
+            try:
+                yield await self._ready(leadership)
+            finally:
+                self._busy = False
+
+    async def _ready(
+        self,
+        leadership: Leadership,
+    ) -> Result[Leadership, ProposalError]:
+        # Changes of two leaders can lead to quorums without a common voter
+        # unless a new leader commits an entry of its term first, and with it
+        # any change that its predecessor left behind.
+        replica = self._replica
+        await replica.changed.wait_for(
+            lambda: (
+                replica.leadership is not leadership
+                or replica.commit_index >= leadership.first_index
+            ),
+        )
+        if replica.leadership is leadership:
+            return Ok(leadership)
+        return Error(self._error('not_leader', 'leadership was lost'))
+
+    async def _catch_up(
+        self,
+        leadership: Leadership,
+        peer: Peer,
+    ) -> Result[None, ProposalError]:
+        replica = self._replica
+        leadership.learners_by_id[peer.id] = peer
+        replica.changed.notify()
+        caught_up = await replica.changed.wait_until(
+            lambda: (
+                replica.leadership is not leadership
+                or _is_caught_up(leadership, replica, peer.id)
+            ),
+            replica.election_s * _CATCH_UP_ELECTIONS,
+        )
+        if replica.leadership is not leadership:
+            return Error(self._error('not_leader', 'leadership was lost'))
+        leadership.learners_by_id.pop(peer.id)
+        if caught_up:
+            return Ok(None)
+        return Error(self._error('no_quorum', f'{peer.id} did not catch up'))
+
+    async def _commit(self, voters: list[Peer]) -> Outcome:
+        return await self._proposals.propose(
+            EntryKind.VOTERS,
+            pack_voters(voters),
+        )
+
+    def _error(self, kind: str, detail: str) -> ProposalError:
+        return self._replica.error(kind, detail)
+
+
+def _is_caught_up(
+    leadership: Leadership,
+    replica: Replica,
+    peer_id: str,
+) -> bool:
+    progress = leadership.progress(peer_id)
+    return progress.trusted and (
+        progress.match_index >= replica.entries.last_index
+    )
--- /dev/null
+++ b/tests/agreement/cluster.py
@@ -0,0 +1,295 @@
+"""Replicated logs on fake disks and a fake network, in virtual time."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from contextlib import suppress
+from random import Random
+from typing import Any
+
+import msgpack
+from mustardspur_agreement.context import Context
+from mustardspur_agreement.log import ReplicatedLog
+from mustardspur_agreement.messages import PeerGreeting
+from mustardspur_agreement.ports import Surroundings
+from mustardspur_core.metrics import NullMetrics
+from mustardspur_core.settings import Peer, Settings, parse_settings
+from mustardspur_core.timeline import Timeline
+
+from tests.agreement.fake_disk import FakeDisk, PowerLossError
+from tests.agreement.fake_network import FakeChannel, FakeNetwork
+from tests.agreement.virtual_time import VirtualTimeLoop
+
+
+Details = dict[str, Any]
+
+
+class ListMachine:
+    """Keeps every entry; implements `StateMachine`."""
+
+    def __init__(self, history: 'History') -> None:
+        """Start empty."""
+        self.entries: dict[int, bytes] = {}
+        self._history = history
+
+    def apply(self, index: int, entry: bytes) -> object:
+        """Keep an entry."""
+        assert index > max(self.entries, default=0)
+        self.entries[index] = entry
+        self._history.note_applied(index, entry)
+        return len(self.entries)
+
+    def snapshot(self) -> bytes:
+        """Return all entries."""
+        packed: bytes = msgpack.packb(list(self.entries.items()))
+        return packed
+
+    def restore(self, index: int, snapshot: bytes) -> None:
+        """Take over all entries."""
+        self.entries = dict(msgpack.unpackb(snapshot))
+
+
+class History(Timeline):
+    """Everything that must stay true, checked as it happens."""
+
+    def __init__(self) -> None:
+        """Start without events."""
+        super().__init__('test', 'test', None)
+        self.entry_by_index: dict[int, bytes] = {}
+        self.events: list[tuple[str, Details]] = []
+        self.leader_by_term: dict[int, str] = {}
+
+    def note_applied(self, index: int, entry: bytes) -> None:
+        """Check that no two instances apply different entries."""
+        assert self.entry_by_index.setdefault(index, entry) == entry
+
+    def record(self, event: str, **details: Any) -> None:
+        """Keep an event."""
+        self.events.append((event, details))
+
+    def count(self, event: str) -> int:
+        """Return how often an event was recorded."""
+        return [name for name, _ in self.events].count(event)
+
+
+def peer_row(name: str, *, voter: bool, region: str) -> Details:
+    """Return the settings of one peer; its number is its port."""
+    port = 7000 + int(name[1:])
+    address = f'127.0.0.1:{port}'
+    return {
+        'id': name,
+        'stream': address,
+        'http': address,
+        'data_centre': f'{region}-{name}',
+        'region': region,
+        'voter': voter,
+    }
+
+
+def settings_of(name: str, rows: list[Details], **more: Any) -> Settings:
+    """Return the settings of one control instance."""
+    row = next(row for row in rows if row['id'] == name)
+    document = {
+        'role': 'control',
+        'id': name,
+        'data_centre': row['data_centre'],
+        'region': row['region'],
+        'data_dir': 'unused',
+        'listen': {'stream': row['stream'], 'http': row['http']},
+        'peers': rows,
+    }
+    return parse_settings({**document, **more}, 'test').ok
+
+
+class Instance:
+    """One control instance that can lose power and start again."""
+
+    def __init__(self, settings: Settings, cluster: 'Cluster') -> None:
+        """Start switched off, with an empty disk."""
+        self.settings = settings
+        self.disk = FakeDisk()
+        self.log: ReplicatedLog | None = None
+        self.machine = ListMachine(cluster.history)
+        self._cluster = cluster
+        self._tasks: list[asyncio.Task[None]] = []
+        self._applied_index = 0
+
+    @property
+    def election_s(self) -> float:
+        """Shortest election timeout."""
+        return self.settings.intervals.election_s
+
+    @property
+    def running(self) -> ReplicatedLog:
+        """The log of a running instance."""
+        assert self.log is not None
+        return self.log
+
+    async def start(self) -> None:
+        """Load the disk and run."""
+        cluster = self._cluster
+        self.machine = ListMachine(cluster.history)
+        self.log = ReplicatedLog(self._context())
+        assert self.log.applied_index >= self._applied_index
+        self._spawn(self.log.run())
+        cluster.network.listen(
+            self.settings.listen.stream or '',
+            self.settings.id,
+            self._accept,
+        )
+
+    async def stop(self) -> None:
+        """Lose power at once."""
+        self._cluster.network.stop(self.settings.listen.stream or '')
+        if self.log is not None:
+            self._applied_index = self.log.applied_index
+        self.log = None
+        self.disk.operations_left = 0
+        for task in self._tasks:
+            task.cancel()
+        with suppress(asyncio.CancelledError):
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks.clear()
+        self.disk.lose_power(self._cluster.random)
+
+    def expect_loss(self) -> None:
+        """Allow the applied index to go back, after damage to the disk."""
+        self._applied_index = 0
+
+    def _context(self) -> Context:
+        cluster = self._cluster
+        return Context(
+            settings=self.settings,
+            machine=self.machine,
+            timeline=cluster.history,
+            metrics=NullMetrics(),
+            surroundings=Surroundings(
+                dial=cluster.network.dial_from(self.settings.id),
+                disk=self.disk,
+                offload=self._offload,
+                random=cluster.random,
+                snapshot_entries=cluster.snapshot_entries,
+            ),
+        )
+
+    async def _offload(self, function: Callable[[], None]) -> None:
+        await asyncio.sleep(0.001)
+        function()
+        await asyncio.sleep(0.001)
+
+    async def _accept(self, channel: FakeChannel) -> None:
+        self._spawn(self._serve(channel))
+
+    async def _serve(self, channel: FakeChannel) -> None:
+        with suppress(EOFError):
+            frame = await channel.receive()
+            assert isinstance(frame.body, PeerGreeting)
+            await self.running.serve(channel, frame.body)
+
+    def _spawn(self, coroutine: Any) -> None:
+        self._tasks.append(asyncio.ensure_future(self._guard(coroutine)))
+
+    async def _guard(self, coroutine: Any) -> None:
+        try:
+            await coroutine
+        except* PowerLossError:
+            self.log = None
+            self._cluster.network.stop(self.settings.listen.stream or '')
+        except* AssertionError as error:
+            self._cluster.failures.append(error)
+
+
+class Cluster:
+    """Some instances and what connects them."""
+
+    def __init__(
+        self,
+        voters: Mapping[str, str],
+        others: Mapping[str, str] | None = None,
+        snapshot_entries: int = 1000,
+        seed: int = 1,
+    ) -> None:
+        """Switch off instances, given by name with their regions."""
+        self.loop = VirtualTimeLoop()
+        self.random = Random(seed)
+        self.network = FakeNetwork(self.random)
+        self.history = History()
+        self.failures: list[BaseException] = []
+        self.snapshot_entries = snapshot_entries
+        rows = [
+            peer_row(name, voter=name in voters, region=region)
+            for name, region in {**voters, **(others or {})}.items()
+        ]
+        self.instances = {
+            row['id']: Instance(settings_of(row['id'], rows), self)
+            for row in rows
+        }
+
+    def run(self, awaitable: Any) -> Any:
+        """Run something to its end in virtual time."""
+        answer = self.loop.run_until_complete(awaitable)
+        assert not self.failures, self.failures
+        return answer
+
+    def start(self, *names: str) -> None:
+        """Start some instances, or all."""
+        for name in names or self.instances:
+            self.run(self.instances[name].start())
+
+    def stop(self, *names: str) -> None:
+        """Cut the power of some instances, or all."""
+        for name in names or self.instances:
+            self.run(self.instances[name].stop())
+
+    def isolate(self, name: str) -> None:
+        """Lose all messages between one instance and the others."""
+        for other in self.instances:
+            if other != name:
+                self.network.block(name, other)
+
+    def advance(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        self.run(asyncio.sleep(seconds))
+        for instance in self.live():
+            log = instance.running
+            if log.is_leader:
+                name = instance.settings.id
+                known = self.history.leader_by_term.setdefault(log.term, name)
+                assert known == name
+
+    def live(self) -> list[Instance]:
+        """Return the running instances."""
+        return [one for one in self.instances.values() if one.log is not None]
+
+    def leader(self) -> Instance:
+        """Return the leader of the highest term, waiting for one."""
+        for _ in range(200):
+            leaders = [one for one in self.live() if one.running.is_leader]
+            if leaders:
+                return max(leaders, key=lambda one: one.running.term)
+            self.advance(0.1)
+        raise AssertionError('no leader within 20 s')
+
+    def propose(self, entry: bytes, name: str | None = None) -> Any:
+        """Propose at an instance or the leader and return the result."""
+        instance = self.instances[name] if name else self.leader()
+        return self.run(instance.running.propose(entry))
+
+    def barrier(self, name: str) -> Any:
+        """Run a read barrier at an instance and return the result."""
+        return self.run(self.instances[name].running.read_barrier())
+
+    def settle(self, seconds: float = 10) -> None:
+        """Let time pass and check that all running instances agree."""
+        self.advance(seconds)
+        states = [one.machine.entries for one in self.live()]
+        assert all(state == states[0] for state in states)
+
+    def peer(self, name: str) -> Peer:
+        """Return the settings of one peer."""
+        peers = self.instances[name].settings.peers
+        return next(peer for peer in peers if peer.id == name)
+
+    def close(self) -> None:
+        """Stop everything."""
+        self.stop()
+        self.loop.close()
--- /dev/null
+++ b/tests/agreement/fake_disk.py
@@ -0,0 +1,104 @@
+"""A disk in memory that can fill up, lose power and lose unsynced writes."""
+
+from random import Random
+
+
+class PowerLossError(Exception):
+    """The power is gone; nothing more reaches the disk."""
+
+
+class _Contents:
+    def __init__(self) -> None:
+        self.content = b''
+        self.synced = b''
+
+
+class FakeDisk:
+    """Implements `Disk`; contents and names last only once synced."""
+
+    def __init__(self) -> None:
+        """Start empty, with power and space."""
+        self.files: dict[str, _Contents] = {}
+        self._synced_files: dict[str, _Contents] = {}
+        self.full = False
+        self.operations_left: int | None = None
+
+    def names(self) -> list[str]:
+        """Return the names of all files."""
+        return sorted(self.files)
+
+    def read(self, name: str) -> bytes | None:
+        """Return the contents of a stored."""
+        return self.files[name].content if name in self.files else None
+
+    def write(self, name: str, offset: int, content: bytes) -> None:
+        """Write, or half of it on a full disk."""
+        self._spend()
+        stored = self.files.setdefault(name, _Contents())
+        room = len(content)
+        if self.full:
+            room = max(len(stored.content) - offset, len(content) // 2)
+        written = content[:room]
+        end = offset + len(written)
+        start = stored.content[:offset].ljust(offset, b'\0')
+        stored.content = start + written + stored.content[end:]
+        if len(written) < len(content):
+            raise OSError('no space left on device')
+
+    def cut(self, name: str, length: int) -> None:
+        """Shorten a stored."""
+        self._spend()
+        if name not in self.files:
+            raise FileNotFoundError(name)
+        self.files[name].content = self.files[name].content[:length]
+
+    def sync(self, name: str) -> None:
+        """Keep the contents."""
+        self._spend()
+        self.files[name].synced = self.files[name].content
+
+    def rename(self, name: str, new_name: str) -> None:
+        """Replace a stored."""
+        self._spend()
+        self.files[new_name] = self.files.pop(name)
+
+    def remove(self, name: str) -> None:
+        """Remove a stored."""
+        self._spend()
+        self.files.pop(name, None)
+
+    def sync_folder(self) -> None:
+        """Keep the names."""
+        self._spend()
+        self._synced_files = dict(self.files)
+
+    def lose_power(self, random: Random) -> None:
+        """Keep what was synced and a random share of what was not."""
+        self.operations_left = None
+        if random.getrandbits(1):
+            self.files = dict(self._synced_files)
+        self._synced_files = dict(self.files)
+        for stored in self.files.values():
+            stored.content = _after_power_loss(stored, random)
+            stored.synced = stored.content
+
+    def flip(self, name: str, offset: int) -> None:
+        """Damage one byte."""
+        content = bytearray(self.files[name].content)
+        content[offset] ^= 0x10
+        self.files[name].content = bytes(content)
+
+    def _spend(self) -> None:
+        if self.operations_left is not None:
+            if self.operations_left <= 0:
+                raise PowerLossError
+            self.operations_left -= 1
+
+
+def _after_power_loss(stored: _Contents, random: Random) -> bytes:
+    if not stored.content.startswith(stored.synced):
+        return random.choice([stored.content, stored.synced])
+    extra = stored.content[len(stored.synced) :]
+    kept = extra[: random.randint(0, len(extra))]
+    zeros = random.choice([0, len(extra) - len(kept)])
+    return stored.synced + kept + bytes(zeros)
