--- a/demo/promises.py
+++ b/demo/promises.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from demo.scenario import BAD_VERSION, DemoRun
+from demo.traffic import STATUS_OK
 from demo.timelines import convergence_s, read_events
 
 CONVERGENCE_TARGET_S: Final = 14.0
@@ -31,7 +32,8 @@
 
 @promise('every caller got the answer to their own request')
 def _own_answers(run: DemoRun) -> str:
-    return f'{run.caller.wrong} answers crossed' if run.caller.wrong else ''
+    crossed = run.caller.wrong
+    return f'{crossed} answers crossed' if crossed else ''
 
 
 @promise('no call was lost but those that the bad version failed')
@@ -39,11 +41,13 @@
     harmed = sum(
         1
         for _, version, status in run.caller.versions
-        if version == BAD_VERSION and status != 200
+        if version == BAD_VERSION and status != STATUS_OK
     )
     lost = run.caller.lost - harmed
+    if not lost:
+        return ''
     answers = dict(run.caller.answers)
-    return f'{lost} calls: {answers}' if lost else ''
+    return f'{lost} calls: {answers}'
 
 
 @promise('every prescription ran at most once')
@@ -99,9 +103,11 @@
         if event['event'] != 'config_in_force':
             continue
         key = (event['process'], event['service'])
-        if event['index'] < newest.get(key, 0):
-            return f'{key}: {event["index"]} after {newest[key]}'
-        newest[key] = event['index']
+        index = event['index']
+        held = newest.get(key, 0)
+        if index < held:
+            return f'{key}: {index} after {held}'
+        newest[key] = index
     return '' if newest else 'no configuration came into force'
 
 
--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -103,8 +103,7 @@
 
     async def kill_leader(self) -> str:
         """Kill the leader and start it again."""
-        status = await self.operator.run('status')
-        leader = str(status['instances'][0]['leader'])
+        leader = str(await self._leader())
         await self.group.kill(leader)
         settings = self.mesh.folder / 'settings' / f'{leader}.json'
         await asyncio.sleep(SETTLE_S)
@@ -117,9 +116,12 @@
                 await asyncio.sleep(POLL_S)
 
     async def _has_leader(self) -> bool:
-        status = await self.operator.run('status', codes=(0, 6))
-        instances = status['instances'] if status else []
-        return any(instance.get('leader') for instance in instances)
+        return await self._leader() is not None
+
+    async def _leader(self) -> str | None:
+        statuses = await self.operator.run('status', codes=(0, 6))
+        leaders = (status.get('leader') for status in statuses.values())
+        return next(filter(None, leaders), None)
 
 
 async def run_demo(mesh: Mesh) -> DemoRun:
--- a/packages/mustardspur_control/src/mustardspur_control/operator_sources.py
+++ b/packages/mustardspur_control/src/mustardspur_control/operator_sources.py
@@ -1,13 +1,19 @@
 """What the operators' interface reads of the other parts of an instance."""
 
+import time
 from typing import Any
 
+from mustardspur_agreement.ports import CommittedLog
 from mustardspur_core.settings import Settings
 from mustardspur_core.state import Target
 
 from mustardspur_control.applied import NodeApplied
 from mustardspur_control.hub import Hub
-from mustardspur_control.operators_api.ports import NodeInForce
+from mustardspur_control.operators_api.ports import (
+    NodeInForce,
+    OperatorsContext,
+)
+from mustardspur_control.store import Store
 
 
 class HubNodes:
@@ -73,3 +79,29 @@
             'registry_settled': self._hub.registry.settled,
             'cut_offs': sorted(self._hub.cut_offs.by_move),
         }
+
+
+class _NoReports:
+    __slots__ = ()
+
+    def report(self, move: str) -> dict[str, Any]:
+        return {}
+
+
+def operators_context(
+    settings: Settings,
+    hub: Hub,
+    store: Store,
+    log: CommittedLog,
+) -> OperatorsContext:
+    """Return what the operators' interface uses of an instance."""
+    return OperatorsContext(
+        log=log,
+        store=store,
+        nodes=HubNodes(hub),
+        targets=RegistryTargets(hub),
+        moves=_NoReports(),
+        status=HubStatus(settings, hub),
+        http_addresses={peer.id: peer.http for peer in settings.peers},
+        clock=time.time,
+    )
--- a/packages/mustardspur_control/src/mustardspur_control/operators_api/reads.py
+++ b/packages/mustardspur_control/src/mustardspur_control/operators_api/reads.py
@@ -7,9 +7,12 @@
 from mustardspur_core.findings import Finding
 
 from mustardspur_control.operators_api.marks import read_mark
+from mustardspur_control.operators_api.ports import OperatorsContext
 from mustardspur_control.operators_api.responses import (
     findings_response,
     marked,
+    not_leader,
+    unavailable_response,
 )
 from mustardspur_control.operators_api.routing import CONTEXT, operation
 from mustardspur_control.operators_api.views import (
@@ -47,6 +50,8 @@
     """List the services with what they follow."""
     context = request.app[CONTEXT]
     mark = await read_mark(context)
+    if _is_for_leader(context):
+        return unavailable_response(context, not_leader(context))
     views = [service_view(context, name) for name in context.store.services()]
     return marked({'services': views}, mark)
 
@@ -56,6 +61,8 @@
     """Return what is accepted for a service and in force on its nodes."""
     context = request.app[CONTEXT]
     mark = await read_mark(context)
+    if _is_for_leader(context):
+        return unavailable_response(context, not_leader(context))
     service = request.match_info['service']
     if service not in context.store.services():
         return _unknown('$.service', 'a service with a profile', service)
@@ -76,6 +83,8 @@
     """Return a move with its decisions and where it is in force."""
     context = request.app[CONTEXT]
     mark = await read_mark(context)
+    if _is_for_leader(context):
+        return unavailable_response(context, not_leader(context))
     name = request.match_info['id']
     record = context.store.moves.get(name)
     if record is None:
@@ -98,6 +107,12 @@
     return web.json_response(status_view(request.app[CONTEXT]))
 
 
+def _is_for_leader(context: OperatorsContext) -> bool:
+    # The reports of all nodes come together at the leader only. Without a
+    # known leader an instance answers from the reports that it has.
+    return not context.log.is_leader and context.log.leader is not None
+
+
 def _unknown(path: str, expected: str, found: str) -> web.Response:
     finding = Finding(
         source='request',
--- a/packages/mustardspur_control/src/mustardspur_control/operators_api/responses.py
+++ b/packages/mustardspur_control/src/mustardspur_control/operators_api/responses.py
@@ -34,7 +34,7 @@
     context: OperatorsContext,
     error: ProposalError,
 ) -> web.Response:
-    """Return why an edit is not committed, and where the leader is.
+    """Return why a request is not answered here, and where the leader is.
 
     Explanation
     ===========
@@ -52,6 +52,15 @@
     )
 
 
+def not_leader(context: OperatorsContext) -> ProposalError:
+    """Return the error of a request that only the leader can answer."""
+    return ProposalError(
+        kind='not_leader',
+        detail='this control instance is not the leader',
+        leader=context.log.leader,
+    )
+
+
 def _accepted(answer: EditAnswer) -> web.Response:
     return web.json_response(
         {
--- a/packages/mustardspur_control/src/mustardspur_control/operators_api/submitting.py
+++ b/packages/mustardspur_control/src/mustardspur_control/operators_api/submitting.py
@@ -14,6 +14,7 @@
 from mustardspur_control.operators_api.responses import (
     answer_response,
     findings_response,
+    not_leader,
     unavailable_response,
 )
 from mustardspur_control.store import EditIdReused, edit_findings
@@ -34,7 +35,7 @@
     answer is looked up first, in a state that a read barrier confirmed.
     """
     if not context.log.is_leader:
-        return unavailable_response(context, _not_leader(context))
+        return unavailable_response(context, not_leader(context))
     findings = edit_findings(edit)
     if findings:
         return await _refuse(context, edit, findings)
@@ -78,11 +79,3 @@
     if first is None:
         return findings_response(findings)
     return answer_response(first)
-
-
-def _not_leader(context: OperatorsContext) -> ProposalError:
-    return ProposalError(
-        kind='not_leader',
-        detail='this control instance is not the leader',
-        leader=context.log.leader,
-    )
