Merge time lines of processes whose clocks differ

Cause: clocks of instances can be minutes apart, so the wall clock of two time line files does not tell which event came first.

Change: `mustardspur timeline` takes messages between processes as causes (proposal before its index, acceptance before in force before report, first cut-off before others, election before notice, run before restart), bounds each process's clock offset with them, and orders all events so that a cause comes before its effect.

--- a/packages/mustardspur_client/src/mustardspur_client/verbs/__init__.py
+++ b/packages/mustardspur_client/src/mustardspur_client/verbs/__init__.py
@@ -5,12 +5,21 @@
     moves,
     profiles,
     services,
+    timelines,
     waiting,
     watching,
 )
 from mustardspur_client.verbs.registry import Verb, verb, verbs
 
 # Importing these modules registers their verbs.
-VERB_MODULES = (profiles, services, waiting, moves, watching, instances)
+VERB_MODULES = (
+    profiles,
+    services,
+    waiting,
+    moves,
+    watching,
+    instances,
+    timelines,
+)
 
 __all__ = ['VERB_MODULES', 'Verb', 'verb', 'verbs']
--- /dev/null
+++ b/tests/client/test_transport.py
@@ -0,0 +1,76 @@
+"""Guards against a failed exchange that is taken for an answer."""
+
+import socket
+from collections.abc import Awaitable, Callable
+from types import MappingProxyType
+
+import pytest
+from aiohttp import ClientSession, web
+from mustardspur_client.transport import HttpTransport, Request, SendError
+
+from tests.client.sessions import StartServer
+
+Handle = Callable[[web.Request], Awaitable[web.StreamResponse]]
+REQUEST = Request(method='PUT', path='/', body={'edit_id': 'e1'})
+
+
+async def _closes(request: web.Request) -> web.StreamResponse:
+    assert request.transport is not None
+    request.transport.close()
+    return web.Response()
+
+
+async def _is_no_json(request: web.Request) -> web.StreamResponse:
+    return web.Response(text='<html>')
+
+
+async def _is_no_object(request: web.Request) -> web.StreamResponse:
+    return web.json_response([1])
+
+
+async def _is_cut(request: web.Request) -> web.StreamResponse:
+    response = web.StreamResponse(headers={'content-length': '100'})
+    await response.prepare(request)
+    await response.write(b'{"index"')
+    assert request.transport is not None
+    request.transport.close()
+    return response
+
+
+BAD_SERVERS = MappingProxyType(
+    {
+        'closes': _closes,
+        'no JSON': _is_no_json,
+        'no object': _is_no_object,
+        'cut answer': _is_cut,
+    }
+)
+
+
+@pytest.mark.parametrize('name', BAD_SERVERS)
+async def test_request_that_may_have_arrived(
+    aiohttp_server: StartServer,
+    name: str,
+) -> None:
+    """Guards against 'not committed' after the edit was sent."""
+    app = web.Application()
+    app.router.add_route('PUT', '/', BAD_SERVERS[name])
+    server = await aiohttp_server(app)
+    async with ClientSession() as session:
+        with pytest.raises(SendError) as raised:
+            await HttpTransport(session).send(
+                f'{server.host}:{server.port}',
+                REQUEST,
+            )
+    assert raised.value.sent
+
+
+async def test_refused_connection_was_not_sent() -> None:
+    """Guards against 'uncertain' where nothing can have been sent."""
+    with socket.socket() as listener:
+        listener.bind(('127.0.0.1', 0))
+        port = listener.getsockname()[1]
+        async with ClientSession() as session:
+            with pytest.raises(SendError) as raised:
+                await HttpTransport(session).send(f'127.0.0.1:{port}', REQUEST)
+    assert not raised.value.sent
