Keep the node's own queueing out of the adaptive limit

Cause: at saturation the event loop adds up to 10 ms to every call, which the limit took for a queue at the target and cut to two calls.

Change: 20 ms of slack; a level with one target skips the random choice.

--- a/packages/mustardspur_node/src/mustardspur_node/calls/balancing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/balancing.py
@@ -89,6 +89,9 @@
         call_class: LimitedClass,
         now: float,
     ) -> Endpoint | None:
+        if len(level) == 1:
+            one = level[0]
+            return one if one.has_room(call_class, now) else None
         one = self._draw(level, now)
         other = self._draw(level, now)
         if one is other:
--- a/packages/mustardspur_node/src/mustardspur_node/calls/limits.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/limits.py
@@ -7,9 +7,10 @@
 _SLOWDOWN: Final = 0.9
 _REFUSAL_BACKOFF: Final = 0.8
 # A latency of twice the floor plus the slack shows that calls queue at the
-# target; the slack keeps timer noise on very short calls from counting.
+# target. The slack keeps the node's own event loop from counting as a queue:
+# at saturation it adds up to 10 ms, and 5 ms cut the limit of idle targets.
 _QUEUEING_FACTOR: Final = 2.0
-_QUEUEING_SLACK_MS: Final = 5.0
+_QUEUEING_SLACK_MS: Final = 20.0
 # The floor rises slowly, so that a target that became slower for good gets
 # a new floor after some thousand calls.
 _FLOOR_RISE: Final = 1.001
