--- /dev/null
+++ b/benchmarks/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmark of the decisions on moves, in virtual time."""
--- /dev/null
+++ b/benchmarks/moves/nodes.py
@@ -0,0 +1,79 @@
+"""The nodes of a move: one a data centre, with the daemon's own guard."""
+
+from collections.abc import Callable
+
+from mustardspur_core.messages import CutOff, Outcomes
+from mustardspur_core.state import ServiceConfig
+from mustardspur_moves import Guard
+from mustardspur_node.views import ServiceView
+
+from benchmarks.moves.layout import NEW_VERSION, cells_of
+from benchmarks.moves.traffic import Calls
+from benchmarks.moves.users import UserLoad
+
+Send = Callable[[Outcomes | CutOff], None]
+
+
+class FakeNode:
+    """A node with its guard and the view that it has in force.
+
+    Parameters
+    ----------
+    user : UserLoad
+        Whose targets it calls.
+    centre : str
+        Its data centre.
+    send : callable
+        Takes its messages for the control instance.
+    clock : callable
+        Wall clock in seconds.
+    """
+
+    def __init__(
+        self,
+        user: UserLoad,
+        centre: str,
+        send: Send,
+        clock: Callable[[], float],
+    ) -> None:
+        """Start without a view."""
+        self.centre = centre
+        self.view: ServiceView | None = None
+        self._targets = {
+            cell.target.id: cell.target
+            for cell in cells_of(user)
+            if cell.is_new
+        }
+        self.guard = Guard(f'node-{centre}', send, _ignore, clock)
+
+    def update(self, config: ServiceConfig | None) -> None:
+        """Put a configuration in force."""
+        if config:
+            self.view = ServiceView(
+                config=config,
+                targets_by_version={NEW_VERSION: list(self._targets.values())},
+                cut_off_moves=list(self.guard.cut_offs),
+            )
+
+    @property
+    def share(self) -> float:
+        """Share of the new version that its calls follow."""
+        if self.view is None:
+            return 0
+        move = self.view.config.moves[-1]
+        return 0 if move.id in self.guard.cut_offs else move.share
+
+    def count(self, calls: Calls) -> None:
+        """Take over the outcomes of a second."""
+        if self.view:
+            self.guard.record_tally(
+                self.view,
+                calls.cell.route_name,
+                calls.cell.target,
+                calls.tally,
+                calls.cell.caller_name,
+            )
+
+
+def _ignore(cut_off: CutOff) -> None:
+    """The node's share follows the guard's cut-offs."""
--- a/packages/mustardspur_core/src/mustardspur_core/messages.py
+++ b/packages/mustardspur_core/src/mustardspur_core/messages.py
@@ -167,6 +167,8 @@
     ----------
     target : str
         Identifier of the target, for telling a sick target from a version.
+    caller : str
+        Organisation of the caller, empty where it is not known.
     calls, failures, refusals : int
         Counts since the last report.
     latency_counts : dict of int
@@ -179,6 +181,7 @@
         'route',
         'data_centre',
         'target',
+        'caller',
         'calls',
         'failures',
         'refusals',
@@ -188,6 +191,7 @@
     route: str
     data_centre: str
     target: str
+    caller: str
     calls: int
     failures: int
     refusals: int
--- a/packages/mustardspur_node/src/mustardspur_node/views.py
+++ b/packages/mustardspur_node/src/mustardspur_node/views.py
@@ -50,5 +50,9 @@
         target: Target,
         outcome: str,
         latency_ms: float,
+        caller: str = '',
     ) -> None:
-        """Count an attempt; `outcome` is ``ok``, ``failure``, ``refusal``."""
+        """Count an attempt; `outcome` is ``ok``, ``failure``, ``refusal``.
+
+        `caller` is the organisation that calls, empty where it is unknown.
+        """
