Drive moves in the daemon and complete the demo

Cause: moves had decisions but nobody ran them; background tasks could end by an exception without anybody noticing.

Change: the node runs the guard on the outcomes of its calls, the leader runs the move driver on the hub's evidence, and the operators' interface shows its notes. A failing background task now ends its block. The demo uses a first share of 10%, since 2% of its 125 calls a second cannot be judged in 16 s.

--- a/demo/operator.py
+++ b/demo/operator.py
@@ -9,6 +9,8 @@
 from demo.processes import BINARIES
 
 OK: Final = 0
+# At the demo's 125 calls a second a smaller share would need minutes.
+FIRST_SHARE: Final = 0.1
 COMMAND_TIMEOUT_S: Final = 40.0
 
 
@@ -63,6 +65,7 @@
         document['target_sets']['stable']['version'] = version
         document['move'] |= {
             'within_s': within_s,
+            'first_share': FIRST_SHARE,
             'weighing': 'convergence_time',
         }
         path = self._folder / f'{PROFILE}-{version}.json'
--- a/packages/mustardspur_control/src/mustardspur_control/instance.py
+++ b/packages/mustardspur_control/src/mustardspur_control/instance.py
@@ -10,6 +10,7 @@
 from mustardspur_core.timeline import Timeline
 
 from mustardspur_control.control_stream import ControlStreams
+from mustardspur_control.driving import running_driver
 from mustardspur_control.expiry import expiring
 from mustardspur_control.hub import Hub
 from mustardspur_control.operator_sources import operators_context
@@ -57,10 +58,13 @@
         streams.add(RelayHello, relay.serve)
         await stack.enter_async_context(expiring(settings, registry))
         await stack.enter_async_context(relay.running())
+        moves = await stack.enter_async_context(
+            running_driver(log, store, hub),
+        )
         await stack.enter_async_context(serving_streams(settings, streams))
         await stack.enter_async_context(
             serving_operators(
-                settings, operators_context(settings, hub, store, log)
+                settings, operators_context(settings, hub, store, log, moves)
             ),
         )
         yield hub
--- a/packages/mustardspur_control/src/mustardspur_control/move_driver.py
+++ b/packages/mustardspur_control/src/mustardspur_control/move_driver.py
@@ -88,7 +88,7 @@
         log: CommittedLog,
         source: ConfigSource,
         forces: ForceSource,
-        on_cut_off: Callable[[CutOff], None],
+        on_cut_off: Callable[[CutOff], object],
         clock: Callable[[], float] = time.time,
         decide_move: Decide = decide,
     ) -> None:
--- a/packages/mustardspur_control/src/mustardspur_control/operator_sources.py
+++ b/packages/mustardspur_control/src/mustardspur_control/operator_sources.py
@@ -10,6 +10,7 @@
 from mustardspur_control.applied import NodeApplied
 from mustardspur_control.hub import Hub
 from mustardspur_control.operators_api.ports import (
+    MoveReports,
     NodeInForce,
     OperatorsContext,
 )
@@ -81,18 +82,12 @@
         }
 
 
-class _NoReports:
-    __slots__ = ()
-
-    def report(self, move: str) -> dict[str, Any]:
-        return {}
-
-
 def operators_context(
     settings: Settings,
     hub: Hub,
     store: Store,
     log: CommittedLog,
+    moves: MoveReports,
 ) -> OperatorsContext:
     """Return what the operators' interface uses of an instance."""
     return OperatorsContext(
@@ -100,7 +95,7 @@
         store=store,
         nodes=HubNodes(hub),
         targets=RegistryTargets(hub),
-        moves=_NoReports(),
+        moves=moves,
         status=HubStatus(settings, hub),
         http_addresses={peer.id: peer.http for peer in settings.peers},
         clock=time.time,
--- a/packages/mustardspur_core/src/mustardspur_core/tasks.py
+++ b/packages/mustardspur_core/src/mustardspur_core/tasks.py
@@ -5,32 +5,37 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
-
 Endless = Coroutine[Any, Any, None]
-Tasks = list[asyncio.Task[None]]
 
 
 @asynccontextmanager
-async def background(*coroutines: Endless) -> AsyncIterator[Tasks]:
-    """Run coroutines beside a block; they are cancelled at its end."""
-    tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
-    try:
-        yield tasks
-    finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+async def background(*coroutines: Endless) -> AsyncIterator[None]:
+    """Run coroutines beside a block; they are cancelled at its end.
+
+    Raises
+    ------
+    ExceptionGroup
+        If a coroutine fails. The block is cancelled, so that no process
+        goes on without one of its tasks.
+    """
+    async with asyncio.TaskGroup() as group:
+        tasks = [group.create_task(coroutine) for coroutine in coroutines]
+        try:
+            yield
+        finally:
+            _cancel(tasks)
 
 
 async def run_until_first_end(*coroutines: Endless) -> None:
     """Run coroutines together until one ends, and raise its exception."""
-    async with background(*coroutines) as tasks:
+    tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
+    async with _cancelled_at_end(tasks):
         done, _ = await asyncio.wait(
             tasks,
             return_when=asyncio.FIRST_COMPLETED,
         )
-        for task in done:
-            task.result()
+    for task in done:
+        task.result()
 
 
 async def every(interval_s: float, action: Callable[[], None]) -> None:
@@ -38,3 +43,19 @@
     while True:
         await asyncio.sleep(interval_s)
         action()
+
+
+@asynccontextmanager
+async def _cancelled_at_end(
+    tasks: list[asyncio.Task[None]],
+) -> AsyncIterator[None]:
+    try:
+        yield
+    finally:
+        _cancel(tasks)
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _cancel(tasks: list[asyncio.Task[None]]) -> None:
+    for task in tasks:
+        task.cancel()
--- a/packages/mustardspur_node/src/mustardspur_node/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/instance.py
@@ -6,7 +6,6 @@
 
 from mustardspur_core.metrics import Metrics
 from mustardspur_core.settings import Settings
-from mustardspur_core.state import Target
 from mustardspur_core.timeline import Timeline
 
 from mustardspur_node.announcements import (
@@ -21,21 +20,7 @@
 )
 from mustardspur_node.control_link import ControlLink
 from mustardspur_node.held import HeldConfig
-from mustardspur_node.views import ServiceView
-
-
-class _NoOutcomes:
-    __slots__ = ()
-
-    def record_outcome(
-        self,
-        view: ServiceView,
-        route: str,
-        target: Target,
-        outcome: str,
-        latency_ms: float,
-    ) -> None:
-        """Drop an outcome."""
+from mustardspur_node.move_guard import running_guard
 
 
 @asynccontextmanager
@@ -63,15 +48,10 @@
     held = HeldConfig(settings, timeline, metrics)
     announcements = Announcements(settings)
     link = ControlLink(settings, held, announcements, timeline, metrics)
-    forwarder = CallForwarder(
-        settings,
-        held,
-        _NoOutcomes(),
-        metrics,
-        timeline,
-    )
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(link.running())
+        guard = await stack.enter_async_context(running_guard(settings, link))
+        forwarder = CallForwarder(settings, held, guard, metrics, timeline)
         await stack.enter_async_context(
             run_forwarder(
                 forwarder,
--- a/tests/control/relay/test_relay.py
+++ b/tests/control/relay/test_relay.py
@@ -160,6 +160,7 @@
         route='all',
         data_centre='vukovar-a',
         target='t1',
+        caller='',
         calls=3,
         failures=1,
         refusals=0,
--- a/tests/node/stand_ins/views.py
+++ b/tests/node/stand_ins/views.py
@@ -102,6 +102,7 @@
         target: Target,
         outcome: str,
         latency_ms: float,
+        caller: str = '',
     ) -> None:
         """Keep route, version and outcome."""
         self.rows.append((route, target.version, outcome))
