--- a/tests/agreement/cluster.py
+++ b/tests/agreement/cluster.py
@@ -17,7 +17,7 @@
 
 from tests.agreement.fake_disk import FakeDisk, PowerLossError
 from tests.agreement.fake_network import FakeChannel, FakeNetwork
-from tests.agreement.virtual_time import VirtualTimeLoop
+from tests.support.virtual_time import VirtualLoop
 
 
 Details = dict[str, Any]
@@ -209,7 +209,7 @@
         seed: int = 1,
     ) -> None:
         """Switch off instances, given by name with their regions."""
-        self.loop = VirtualTimeLoop()
+        self.loop = VirtualLoop()
         self.random = Random(seed)
         self.network = FakeNetwork(self.random)
         self.history = History()
