--- a/tests/control/builders.py
+++ b/tests/control/builders.py
@@ -121,8 +121,11 @@
     ]
 
 
+MOVE_ENTRIES = (put('1.0', 0), follow(), put('1.1', 1))
+
+
 def store_with_move() -> Store:
     """Return a store with the move 1.0 -> 1.1 started at index 3."""
     store = Store()
-    apply_all(store, put('1.0', 0), follow(), put('1.1', 1))
+    apply_all(store, *MOVE_ENTRIES)
     return store
