--- /dev/null
+++ b/tests/client/test_command_line.py
@@ -0,0 +1,110 @@
+"""Guards against options and files that are misunderstood."""
+
+import io
+from pathlib import Path
+
+import pytest
+from mustardspur_client.arguments import CONTROL_VARIABLE
+from mustardspur_client.exit_codes import ExitCode
+from mustardspur_client.main import run
+from mustardspur_client.numbers import last_numbers
+from mustardspur_client.verbs import verbs
+
+from tests.client.sessions import Session, StartServer, start_session
+from tests.control.builders import PROFILE, document
+from tests.control.operators_api.fakes import FakeLog, failure
+
+
+async def _run(*line: str) -> tuple[int, str]:
+    output = io.StringIO()
+    code = await run(line, output, output)
+    return code, output.getvalue()
+
+
+@pytest.mark.parametrize('name', [*verbs(), ''])
+async def test_help(name: str, capsys: pytest.CaptureFixture[str]) -> None:
+    """Guards against a verb without help or without the exit codes."""
+    line = [name, '--help'] if name else ['--help']
+    with pytest.raises(SystemExit) as raised:
+        await _run(*line)
+    shown = ' '.join(capsys.readouterr().out.split())
+    assert raised.value.code == 0
+    assert 'Exit codes: 0 ok, 2 usage, 3 findings' in shown
+    for made in verbs().values():
+        if made.name == name or not name:
+            assert made.summary.rstrip('.') in shown
+
+
+@pytest.mark.parametrize(
+    'address',
+    ['example.org:80', '127.0.0.1', '127.0.0.1:0', '127.0.0.1:x', ':80'],
+)
+async def test_bad_address(
+    address: str,
+    capsys: pytest.CaptureFixture[str],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a name where only an IP number is meant."""
+    with pytest.raises(SystemExit) as raised:
+        await _run('list', '--control', address)
+    assert raised.value.code == ExitCode.USAGE
+    assert 'argument --control' in capsys.readouterr().err
+    monkeypatch.setenv(CONTROL_VARIABLE, f'127.0.0.1:1,{address}')
+    code, shown = await _run('list')
+    assert code == ExitCode.USAGE
+    assert CONTROL_VARIABLE in shown
+
+
+async def test_no_address(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a verb that asks nobody and says nothing."""
+    monkeypatch.delenv(CONTROL_VARIABLE, raising=False)
+    code, shown = await _run('list')
+    assert code == ExitCode.USAGE
+    assert CONTROL_VARIABLE in shown
+
+
+@pytest.mark.parametrize('content', ['', 'no JSON', '[]', '{"m": {"p": "x"}}'])
+def test_unusable_numbers(tmp_path: Path, content: str) -> None:
+    """Guards against a state file that stops every verb."""
+    numbers = last_numbers(tmp_path, ['m'])
+    numbers.path.write_text(content, 'utf-8')
+    assert numbers.get('p') is None
+    numbers.put('p', 4)
+    assert numbers.get('p') == 4
+    assert last_numbers(tmp_path, ['other']).get('p') is None
+
+
+@pytest.fixture
+async def session(aiohttp_server: StartServer, tmp_path: Path) -> Session:
+    """Return a session with a running control instance and a profile."""
+    made = await start_session(aiohttp_server, tmp_path)
+    await made.run('put', made.write('p.json', document()), '--new')
+    return made
+
+
+async def test_stale_read_says_so(session: Session) -> None:
+    """Guards against an old state that is shown as the current one."""
+    assert isinstance(session.context.log, FakeLog)
+    session.context.log.failure = failure('no_quorum', None)
+    assert await session.run('get', PROFILE) == ExitCode.OK
+    assert 'possibly stale, read at index 1' in session.transcript[-1]
+
+
+async def test_lost_answer_is_asked_for_again(session: Session) -> None:
+    """Guards against an edit that is made twice, or given up too early."""
+    assert isinstance(session.context.log, FakeLog)
+    session.context.log.lost_answers = 1
+    path = session.write('p.json', document('1.1'))
+    assert await session.run('put', path) == ExitCode.OK
+    assert 'accepted at index 2' in session.transcript[-1]
+    assert session.context.store.profiles[PROFILE].number == 2
+
+
+async def test_edit_without_quorum(session: Session) -> None:
+    """Guards against an edit that seems accepted, or seems uncertain."""
+    assert isinstance(session.context.log, FakeLog)
+    session.context.log.failure = failure('no_quorum', None)
+    path = session.write('p.json', document('1.1'))
+    code = await session.run('put', path, '--timeout', '0')
+    assert code == ExitCode.UNAVAILABLE
+    assert 'test no_quorum' in session.transcript[-1]
--- a/tests/control/operators_api/fakes.py
+++ b/tests/control/operators_api/fakes.py
@@ -91,9 +91,9 @@
         return {'id': 'c1', 'connected_nodes': len(self.nodes)}
 
 
-def failure(kind: str) -> ProposalError:
+def failure(kind: str, leader: str | None = 'c2') -> ProposalError:
     """Return an error of the log."""
-    return ProposalError(kind=kind, detail=f'test {kind}', leader='c2')
+    return ProposalError(kind=kind, detail=f'test {kind}', leader=leader)
 
 
 def context_of(store: Store, sources: FakeSources) -> OperatorsContext:
--- /dev/null
+++ b/tests/control/test_timelines.py
@@ -0,0 +1,51 @@
+"""Guards against time lines that no reader can put in order."""
+
+import json
+from collections import deque
+from pathlib import Path
+from typing import Any
+
+from mustardspur_control.local_log import LocalLog
+from mustardspur_control.store import Store
+from mustardspur_control.timelines import ChangeRecorder, TimedLog
+from mustardspur_core.timeline import Timeline
+from mustardspur_core.wire import encode_frame
+
+from tests.control.builders import MOVE_ENTRIES, SERVICE
+
+
+async def _events(path: Path) -> list[dict[str, Any]]:
+    store = Store()
+    timeline = Timeline('c1', 'split-a', path)
+    log = TimedLog(LocalLog('c1', store), timeline)
+    ChangeRecorder(store, timeline)
+    left = deque(MOVE_ENTRIES)
+    while left:
+        proposal = await log.propose(encode_frame(left.popleft()))
+        assert proposal.ok.index == log.commit_index
+    timeline.close()
+    return [json.loads(line) for line in path.read_text().splitlines()]
+
+
+async def test_proposal_is_recorded_before_its_index(tmp_path: Path) -> None:
+    """Guards against an index without the proposal that it comes from."""
+    events = await _events(tmp_path / 'c1.jsonl')
+    assert [event['event'] for event in events] == [
+        'entry_proposed',
+        'entry_committed',
+        'entry_proposed',
+        'config_accepted',
+        'entry_committed',
+        'entry_proposed',
+        'config_accepted',
+        'entry_committed',
+    ]
+    assert events[-3]['entry'] == events[-1]['entry']
+    assert [event['index'] for event in events[-2:]] == [3, 3]
+
+
+async def test_change_names_its_moves(tmp_path: Path) -> None:
+    """Guards against a step of a move that the time line does not show."""
+    events = await _events(tmp_path / 'c1.jsonl')
+    assert events[-2]['service'] == SERVICE
+    assert events[-2]['moves'] == ['lens-bench:stable:3 running 0.0']
