--- a/packages/mustardspur_agreement/src/mustardspur_agreement/running.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/running.py
@@ -1,6 +1,5 @@
 """The replicated log in the data folder and over TCP."""
 
-import asyncio
 from collections.abc import AsyncIterator
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import asynccontextmanager
@@ -10,6 +9,7 @@
 
 from mustardspur_core.metrics import Metrics
 from mustardspur_core.settings import Settings
+from mustardspur_core.tasks import background
 from mustardspur_core.timeline import Timeline
 
 from mustardspur_agreement.context import Context
@@ -56,9 +56,5 @@
                 surroundings=surroundings,
             )
         )
-        task = asyncio.create_task(log.run())
-        try:
+        async with background(log.run()):
             yield log
-        finally:
-            task.cancel()
-            await asyncio.wait([task])
--- a/packages/mustardspur_core/src/mustardspur_core/tasks.py
+++ b/packages/mustardspur_core/src/mustardspur_core/tasks.py
@@ -14,16 +14,18 @@
 
     Raises
     ------
-    ExceptionGroup
-        If a coroutine fails. The block is cancelled, so that no process
-        goes on without one of its tasks.
+    Exception
+        The first one, if a coroutine or the block fails. With a coroutine
+        that fails the block is cancelled, so that no process goes on
+        without one of its tasks.
     """
-    async with asyncio.TaskGroup() as group:
-        tasks = [group.create_task(coroutine) for coroutine in coroutines]
-        try:
+    try:
+        async with asyncio.TaskGroup() as group:
+            tasks = [group.create_task(coroutine) for coroutine in coroutines]
             yield
-        finally:
             _cancel(tasks)
+    except BaseExceptionGroup as failures:
+        raise failures.exceptions[0] from failures
 
 
 async def run_until_first_end(*coroutines: Endless) -> None:
--- /dev/null
+++ b/tests/core/test_tasks.py
@@ -0,0 +1,56 @@
+"""Guards against background tasks that end without anybody noticing."""
+
+import asyncio
+
+import pytest
+from mustardspur_core.tasks import background, run_until_first_end
+
+
+class _BrokenError(Exception):
+    """Stands for any failure of a task."""
+
+
+async def _break() -> None:
+    raise _BrokenError
+
+
+async def _wait_for_ever(ended: list[str]) -> None:
+    try:
+        await asyncio.Event().wait()
+    except asyncio.CancelledError:
+        ended.append('waiting')
+        raise
+
+
+async def test_failing_task_ends_the_block() -> None:
+    """Guards against a process that goes on without one of its tasks."""
+    ended: list[str] = []
+    with pytest.raises(_BrokenError):
+        async with background(_break(), _wait_for_ever(ended)):
+            await asyncio.Event().wait()
+    assert ended == ['waiting']
+
+
+async def test_failing_block_keeps_its_exception() -> None:
+    """Guards against an error that hides in an exception group."""
+    ended: list[str] = []
+    with pytest.raises(_BrokenError):
+        async with background(_wait_for_ever(ended)):
+            await asyncio.sleep(0)
+            await _break()
+    assert ended == ['waiting']
+
+
+async def test_end_of_block_cancels_tasks() -> None:
+    """Guards against tasks that outlive their owner."""
+    ended: list[str] = []
+    async with background(_wait_for_ever(ended)):
+        await asyncio.sleep(0)
+    assert ended == ['waiting']
+
+
+async def test_first_end_raises_and_cancels() -> None:
+    """Guards against half of a stream that goes on alone."""
+    ended: list[str] = []
+    with pytest.raises(_BrokenError):
+        await run_until_first_end(_break(), _wait_for_ever(ended))
--- /dev/null
+++ b/tests/daemon/processes.py
@@ -0,0 +1,100 @@
+"""Real processes of the daemon for tests, on free loopback ports."""
+
+import asyncio
+import json
+import socket
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any, Final
+
+from aiohttp import ClientError, ClientSession
+
+# Only bounds a test that hangs; no verdict depends on how long a start takes.
+HANG_LIMIT_S: Final = 60.0
+POLL_S: Final = 0.05
+BINARY: Final = Path(sys.executable).parent / 'mustardspurd'
+
+
+def free_address() -> str:
+    """Return an address of this machine that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        port = probe.getsockname()[1]
+    return f'127.0.0.1:{port}'
+
+
+def control_document(folder: Path) -> dict[str, Any]:
+    """Return settings of a control instance that is the only voter."""
+    stream, http = free_address(), free_address()
+    peer = {
+        'id': 'c1',
+        'stream': stream,
+        'http': http,
+        'data_centre': 'split-a',
+        'region': 'dalmacija',
+        'voter': True,
+    }
+    return {
+        'role': 'control',
+        'id': 'c1',
+        'data_centre': 'split-a',
+        'region': 'dalmacija',
+        'data_dir': str(folder / 'c1'),
+        'listen': {'stream': stream, 'http': http},
+        'peers': [peer],
+        'timeline': str(folder / 'c1.jsonl'),
+    }
+
+
+def node_document(folder: Path, control: str) -> dict[str, Any]:
+    """Return settings of a node of the service ``forms``."""
+    return {
+        'role': 'node',
+        'id': 'n1',
+        'data_centre': 'split-a',
+        'region': 'dalmacija',
+        'listen': {'http': free_address()},
+        'control': [control],
+        'service': 'forms',
+        'timeline': str(folder / 'n1.jsonl'),
+    }
+
+
+@asynccontextmanager
+async def running_daemon(
+    folder: Path,
+    document: dict[str, Any],
+) -> AsyncIterator[asyncio.subprocess.Process]:
+    """Run the daemon for the length of a block."""
+    name = document['id']
+    path = folder / f'{name}.json'
+    path.write_text(json.dumps(document), encoding='utf-8')
+    process = await asyncio.create_subprocess_exec(
+        str(BINARY),
+        '--settings',
+        str(path),
+        stderr=asyncio.subprocess.PIPE,
+    )
+    try:
+        yield process
+    finally:
+        if process.returncode is None:
+            process.terminate()
+        await process.communicate()
+
+
+async def answer_of(url: str) -> Any:
+    """Return the JSON of a URL once the process answers."""
+    async with asyncio.timeout(HANG_LIMIT_S), ClientSession() as session:
+        while True:
+            try:
+                return await _read(session, url)
+            except (ClientError, TimeoutError):
+                await asyncio.sleep(POLL_S)
+
+
+async def _read(session: ClientSession, url: str) -> Any:
+    async with session.get(url) as response:
+        return await response.json()
