Show the time line, control bytes and a leaving target in the demo

Change: a node answers /mustardspur/v1/status with what it holds and what it spent on control; the demo prints the time line of both moves, writes its picture, and checks that a leaving target gets no new work after 3 s.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -4,12 +4,14 @@
 import json
 import os
 import shutil
+import subprocess
 import sys
 import time
 from pathlib import Path
 from typing import Any, Final
 
 from demo.mesh import Mesh
+from demo.processes import BINARIES
 from demo.promises import check_promises
 from demo.scenario import DemoRun, run_demo
 from demo.timelines import convergence_s
@@ -33,6 +35,7 @@
     measures = _measures(run, broken, time.monotonic() - started_s)
     text = json.dumps(measures, indent=2)
     (BUILD / 'demo.json').write_text(f'{text}\n', encoding='utf-8')
+    _show_timeline(mesh, run)
     _show(measures, broken)
     return 1 if any(broken.values()) else 0
 
@@ -47,6 +50,7 @@
         'calls': run.caller.calls,
         'calls_lost': run.caller.lost,
         'answers': dict(run.caller.answers),
+        'control_bytes': run.control_bytes,
         'changes': len(times),
         'convergence_max_s': max(times, default=None),
         'convergence_median_s': times[len(times) // 2] if times else None,
@@ -59,6 +63,24 @@
     }
 
 
+def _show_timeline(mesh: Mesh, run: DemoRun) -> None:
+    files = sorted(map(str, (mesh.folder / 'timeline').glob('*.jsonl')))
+    picture = str(BUILD / 'demo-timeline.svg')
+    for move in (run.good_move, run.bad_move):
+        subprocess.run(
+            [
+                str(BINARIES / 'mustardspur'),
+                'timeline',
+                '--move',
+                move['id'],
+                '--picture',
+                picture,
+                *files,
+            ],
+            check=True,
+        )
+
+
 def _show(measures: dict[str, Any], broken: dict[str, str]) -> None:
     console = Console()
     table = Table('measure', 'value')
--- a/demo/promises.py
+++ b/demo/promises.py
@@ -10,6 +10,7 @@
 CONVERGENCE_TARGET_S: Final = 14.0
 BAD_SHARE_LIMIT: Final = 0.1
 FAULT_TO_NO_TRAFFIC_S: Final = 5.0
+LEAVING_S: Final = 3.0
 
 Promise = Callable[[DemoRun], str]
 _promises_by_text: dict[str, Promise] = {}
@@ -96,6 +97,16 @@
     return ''
 
 
+@promise('a target that was leaving got no new work after 3 s')
+def _no_new_work(run: DemoRun) -> str:
+    late = [
+        at_s - run.drain_told_s
+        for at_s, target in run.caller.served
+        if target == run.drained and at_s > run.drain_told_s + LEAVING_S
+    ]
+    return f'{len(late)} calls, the last after {max(late)} s' if late else ''
+
+
 @promise('no proxy went back to an older configuration')
 def _never_back(run: DemoRun) -> str:
     newest: dict[tuple[str, str], int] = {}
--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -9,7 +9,7 @@
 from demo.mesh import PROFILE, SERVICE, Mesh, Server
 from demo.operator import Operator
 from demo.processes import ProcessGroup, process_group
-from demo.traffic import Caller, calling
+from demo.traffic import Caller, calling, control_bytes
 from mustardspur_core.record import Record
 
 FIRST_VERSION: Final = '1.4.0'
@@ -37,6 +37,7 @@
         'killed',
         'exit_codes',
         'runs',
+        'control_bytes',
     )
     folder: Path
     caller: Caller
@@ -47,6 +48,7 @@
     killed: list[str]
     exit_codes: dict[str, int]
     runs: dict[str, int]
+    control_bytes: int
 
 
 class Stage:
@@ -152,15 +154,18 @@
     await asyncio.sleep(SETTLE_S)
     killing = asyncio.create_task(stage.kill_leader())
     good_move = await stage.play_move(GOOD_VERSION)
-    await stage.stop_version(FIRST_VERSION)
     drained = _first_target(stage.mesh.servers[0], GOOD_VERSION)
     drain_told_s = time.time()
-    await stage.group.stop(drained)
+    leaving = asyncio.gather(
+        stage.stop_version(FIRST_VERSION),
+        stage.group.stop(drained),
+    )
     bad_move = await stage.play_move(
         BAD_VERSION,
         fault_share=BAD_FAULT_SHARE,
     )
     await asyncio.sleep(DRAIN_S)
+    await leaving
     return DemoRun(
         folder=stage.mesh.folder,
         caller=caller,
@@ -171,6 +176,7 @@
         killed=[await killing],
         exit_codes={},
         runs={},
+        control_bytes=await control_bytes(stage.mesh),
     )
 
 
--- a/demo/target.py
+++ b/demo/target.py
@@ -115,6 +115,7 @@
             self.in_flight -= 1
 
     async def _run(self, request: web.Request) -> web.StreamResponse:
+        started_s = time.time()
         body = await request.read()
         await asyncio.sleep(self.settings.work_s)
         request_id = request.headers.get('x-request-id', '')
@@ -124,6 +125,8 @@
         answer = {
             'request': request.query.get('call', ''),
             'version': self.settings.version,
+            'target': self.settings.id,
+            'started_s': started_s,
             'length': len(body),
         }
         return web.json_response(
--- a/demo/traffic.py
+++ b/demo/traffic.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from aiohttp import ClientError, ClientResponse, ClientSession, ClientTimeout
-from demo.mesh import Mesh
+from demo.mesh import Mesh, Server
 
 CALL_TIMEOUT_S: Final = 3.0
 CALL_INTERVAL_S: Final = 0.008
@@ -32,6 +32,7 @@
         'calls',
         'not_run',
         'posted',
+        'served',
         'versions',
         'wrong',
     )
@@ -44,6 +45,7 @@
         self.answers: Counter[str] = Counter()
         self.versions: list[tuple[float, str, int]] = []
         self.posted: set[str] = set()
+        self.served: list[tuple[float, str]] = []
         self.not_run: set[str] = set()
         self.wrong = 0
 
@@ -98,6 +100,26 @@
             self.wrong += 1
         version = str(body['version'])
         self.versions.append((time.time(), version, response.status))
+        self.served.append((float(str(body['started_s'])), str(body['target'])))
+
+
+async def control_bytes(mesh: Mesh) -> int:
+    """Return what all nodes together sent and received for control."""
+    async with ClientSession() as session:
+        statuses = await asyncio.gather(
+            *(_status(session, server) for server in mesh.servers),
+        )
+    return sum(
+        status['control_bytes_sent'] + status['control_bytes_received']
+        for status in statuses
+    )
+
+
+async def _status(session: ClientSession, server: Server) -> dict[str, int]:
+    url = f'http://{server.node_address}/mustardspur/v1/status'
+    async with session.get(url) as response:
+        status: dict[str, int] = await response.json()
+    return status
 
 
 @asynccontextmanager
--- a/packages/mustardspur_node/src/mustardspur_node/control_link.py
+++ b/packages/mustardspur_node/src/mustardspur_node/control_link.py
@@ -71,10 +71,20 @@
         self._backoff = Backoff()
         self._first_configs = FirstConfigs(settings, held)
         self._session: LinkSession | None = None
+        self._traffic = (0, 0)
         self._incarnation = time.time_ns()
         self._cut_offs: dict[str, CutOff] = {}
         announcements.on_change(self._announce)
 
+    @property
+    def traffic_bytes(self) -> tuple[int, int]:
+        """Bytes sent and received on all streams since the start."""
+        sent, received = self._traffic
+        if self._session is None:
+            return sent, received
+        stream = self._session.stream
+        return sent + stream.sent_bytes, received + stream.received_bytes
+
     @property
     def control(self) -> str | None:
         """Identifier of the connected control instance, if any."""
@@ -143,6 +153,7 @@
             was_connected = self.control is not None
             self._note_loss(address, error)
         finally:
+            self._traffic = self.traffic_bytes
             self._session = None
         if was_connected:
             self._backoff.reset()
@@ -151,7 +162,7 @@
 
     async def _serve(self, address: str) -> None:
         async with self._connect(address, CONNECT_TIMEOUT_S) as stream:
-            hello = self._hello()
+            hello = _hello(self._settings, self._held, self._incarnation)
             session = LinkSession(
                 address,
                 stream,
@@ -181,17 +192,6 @@
             sequence += 1
             await session.stream.send(Heartbeat(sequence=sequence))
 
-    def _hello(self) -> Hello:
-        return Hello(
-            node=self._settings.id,
-            data_centre=self._settings.data_centre,
-            region=self._settings.region,
-            incarnation=self._incarnation,
-            services=self._held.services,
-            held=self._held.indexes,
-            target_revisions=self._held.revisions,
-        )
-
     def _announce(self) -> None:
         if self._session is not None:
             targets = self._announcements.targets
@@ -204,3 +204,15 @@
             'control instance lost',
             extra={'address': address, 'reason': repr(error)},
         )
+
+
+def _hello(settings: Settings, held: HeldConfig, incarnation: int) -> Hello:
+    return Hello(
+        node=settings.id,
+        data_centre=settings.data_centre,
+        region=settings.region,
+        incarnation=incarnation,
+        services=held.services,
+        held=held.indexes,
+        target_revisions=held.revisions,
+    )
--- a/packages/mustardspur_node/src/mustardspur_node/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/instance.py
@@ -21,6 +21,7 @@
 from mustardspur_node.control_link import ControlLink
 from mustardspur_node.held import HeldConfig
 from mustardspur_node.move_guard import running_guard
+from mustardspur_node.status import STATUS_PATH, NodeStatus
 
 
 @asynccontextmanager
@@ -52,12 +53,16 @@
         await stack.enter_async_context(link.running())
         guard = await stack.enter_async_context(running_guard(settings, link))
         forwarder = CallForwarder(settings, held, guard, metrics, timeline)
+        status = NodeStatus(held, link, announcements, forwarder)
         await stack.enter_async_context(
             run_forwarder(
                 forwarder,
                 settings.listen.http,
                 settings.intervals.drain_s,
-                {ANNOUNCEMENTS_PATH: partial(post_target, announcements)},
+                {
+                    ANNOUNCEMENTS_PATH: partial(post_target, announcements),
+                    STATUS_PATH: status.handle,
+                },
             ),
         )
         tune_collector()
