Test the replicated log under faults

Cause: only the fault-free path was tested.

Change: tables of harmed files, votes and faults of instances, and a stateful test of a cluster under power losses, partitions, disordered messages, full disks and changes of voters. A change of voters can be refused as busy.

--- a/packages/mustardspur_agreement/src/mustardspur_agreement/ports.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/ports.py
@@ -17,7 +17,8 @@
     ----------
     kind : str
         ``not_leader``, ``no_quorum``, ``disk`` or ``unknown``; only with
-        ``unknown`` the entry may still be committed.
+        ``unknown`` the entry may still be committed. A change of voters can
+        also be ``busy``.
     detail : str
         Description for the operator.
     leader : str or None
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/storage.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/storage.py
@@ -147,6 +147,8 @@
             return 'the snapshot fails its checksum'
         if loaded.ballot.term == 0 and not fresh:
             return 'the ballot is missing or fails its checksum'
+        if _first_index(loaded) > _snapshot_index(loaded) + 1:
+            return 'entries behind the snapshot are missing'
         if loaded.commit_index > _last_index(loaded):
             return 'entries that were committed are missing'
         return ''
@@ -170,7 +172,7 @@
     The snapshot is newer than the entries where the power was lost between
     its installation and the removal of the entries that it replaces.
     """
-    index = loaded.snapshot.index if loaded.snapshot else 0
+    index = _snapshot_index(loaded)
     if loaded.entries and not _joined(loaded.entries, loaded.snapshot):
         loaded.entries = []
     loaded.commit_index = max(
@@ -185,10 +187,18 @@
     )
 
 
+def _snapshot_index(loaded: Loaded) -> int:
+    return loaded.snapshot.index if loaded.snapshot else 0
+
+
+def _first_index(loaded: Loaded) -> int:
+    return loaded.entries[0].index if loaded.entries else 0
+
+
 def _last_index(loaded: Loaded) -> int:
     if loaded.entries:
         return loaded.entries[-1].index
-    return loaded.snapshot.index if loaded.snapshot else 0
+    return _snapshot_index(loaded)
 
 
 def _joined(entries: list[Entry], snapshot: Snapshot | None) -> bool:
--- a/tests/agreement/cluster.py
+++ b/tests/agreement/cluster.py
@@ -1,8 +1,9 @@
 """Replicated logs on fake disks and a fake network, in virtual time."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -21,6 +22,7 @@
 
 
 Details = dict[str, Any]
+Work = Callable[[], Awaitable[None]]
 
 
 class ListMachine:
@@ -103,7 +105,7 @@
 class Instance:
     """One control instance that can lose power and start again."""
 
-    def __init__(self, settings: Settings, cluster: 'Cluster') -> None:
+    def __init__(self, settings: Settings, cluster: 'Instances') -> None:
         """Start switched off, with an empty disk."""
         self.settings = settings
         self.disk = FakeDisk()
@@ -130,7 +132,7 @@
         self.machine = ListMachine(cluster.history)
         self.log = ReplicatedLog(self._context())
         assert self.log.applied_index >= self._applied_index
-        self._spawn(self.log.run())
+        self._spawn(self.log.run)
         cluster.network.listen(
             self.settings.listen.stream or '',
             self.settings.id,
@@ -177,7 +179,7 @@
         await asyncio.sleep(0.001)
 
     async def _accept(self, channel: FakeChannel) -> None:
-        self._spawn(self._serve(channel))
+        self._spawn(partial(self._serve, channel))
 
     async def _serve(self, channel: FakeChannel) -> None:
         with suppress(EOFError):
@@ -185,12 +187,12 @@
             assert isinstance(frame.body, PeerGreeting)
             await self.running.serve(channel, frame.body)
 
-    def _spawn(self, coroutine: Any) -> None:
-        self._tasks.append(asyncio.ensure_future(self._guard(coroutine)))
+    def _spawn(self, work: Work) -> None:
+        self._tasks.append(asyncio.ensure_future(self._guard(work)))
 
-    async def _guard(self, coroutine: Any) -> None:
+    async def _guard(self, work: Work) -> None:
         try:
-            await coroutine
+            await work()
         except* PowerLossError:
             self.log = None
             self._cluster.network.stop(self.settings.listen.stream or '')
@@ -198,8 +200,8 @@
             self._cluster.failures.append(error)
 
 
-class Cluster:
-    """Some instances and what connects them."""
+class Instances:
+    """Instances that start, stop and lose power."""
 
     def __init__(
         self,
@@ -230,36 +232,47 @@
         assert not self.failures, self.failures
         return answer
 
+    def run_together(self, *awaitables: Any) -> Any:
+        """Run several things at once and return their results in order."""
+        return self.run(_gathered(awaitables))
+
+    async def guard(self, coroutine: Any) -> None:
+        """Keep a failed check of a task for the end of the step."""
+        try:
+            await coroutine
+        except AssertionError as error:
+            self.failures.append(error)
+
     def start(self, *names: str) -> None:
         """Start some instances, or all."""
         for name in names or self.instances:
             self.run(self.instances[name].start())
 
+    def start_stopped(self) -> None:
+        """Start the instances that are stopped or have lost power."""
+        for name, instance in self.instances.items():
+            if instance.log is None:
+                self.stop(name)
+                self.start(name)
+
     def stop(self, *names: str) -> None:
         """Cut the power of some instances, or all."""
         for name in names or self.instances:
             self.run(self.instances[name].stop())
 
-    def isolate(self, name: str) -> None:
-        """Lose all messages between one instance and the others."""
-        for other in self.instances:
-            if other != name:
-                self.network.block(name, other)
-
-    def advance(self, seconds: float) -> None:
-        """Let virtual time pass."""
-        self.run(asyncio.sleep(seconds))
-        for instance in self.live():
-            log = instance.running
-            if log.is_leader:
-                name = instance.settings.id
-                known = self.history.leader_by_term.setdefault(log.term, name)
-                assert known == name
-
     def live(self) -> list[Instance]:
         """Return the running instances."""
         return [one for one in self.instances.values() if one.log is not None]
 
+    def close(self) -> None:
+        """Stop everything."""
+        self.stop()
+        self.loop.close()
+
+
+class Cluster(Instances):
+    """Instances with the usual steps of a test."""
+
     def leader(self) -> Instance:
         """Return the leader of the highest term, waiting for one."""
         for _ in range(200):
@@ -278,18 +291,44 @@
         """Run a read barrier at an instance and return the result."""
         return self.run(self.instances[name].running.read_barrier())
 
+    def peer(self, name: str) -> Peer:
+        """Return the settings of one peer."""
+        peers = self.instances[name].settings.peers
+        return next(peer for peer in peers if peer.id == name)
+
+    def isolate(self, name: str) -> None:
+        """Lose all messages between one instance and the others."""
+        for other in self.instances:
+            if other != name:
+                self.network.block(name, other)
+
+    def advance(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        self.run(asyncio.sleep(seconds))
+        for instance in self.live():
+            log = instance.running
+            if log.is_leader:
+                name = instance.settings.id
+                known = self.history.leader_by_term.setdefault(log.term, name)
+                assert known == name
+
     def settle(self, seconds: float = 10) -> None:
         """Let time pass and check that all running instances agree."""
         self.advance(seconds)
         states = [one.machine.entries for one in self.live()]
         assert all(state == states[0] for state in states)
 
-    def peer(self, name: str) -> Peer:
-        """Return the settings of one peer."""
-        peers = self.instances[name].settings.peers
-        return next(peer for peer in peers if peer.id == name)
+    def recover(self) -> None:
+        """End all faults and let everything run again."""
+        self.network.heal()
+        self.network.disorder = 0
+        for instance in self.instances.values():
+            instance.disk.full = False
+            if instance.log is not None:
+                instance.disk.operations_left = None
+        self.start_stopped()
+        self.advance(30)
 
-    def close(self) -> None:
-        """Stop everything."""
-        self.stop()
-        self.loop.close()
+
+async def _gathered(awaitables: tuple[Any, ...]) -> Any:
+    return await asyncio.gather(*awaitables)
--- /dev/null
+++ b/tests/agreement/test_elections.py
@@ -0,0 +1,173 @@
+"""Guards against two leaders in a term and against needless elections."""
+
+from typing import Any
+
+import pytest
+from mustardspur_agreement.leadership import Leadership
+from mustardspur_agreement.messages import VoteRequest
+from mustardspur_agreement.replication import advance_commit
+from mustardspur_agreement.voting import answer_vote
+
+from tests.agreement.cluster import Instance
+from tests.agreement.conftest import MakeCluster
+from tests.agreement.test_cluster import VOTERS
+from tests.agreement.test_storage import entry
+
+
+def _request(candidate: str, **changes: Any) -> VoteRequest:
+    fields = {
+        'term': 9,
+        'candidate': candidate,
+        'last_index': 99,
+        'last_term': 8,
+        'pre_vote': False,
+        'handover': False,
+    }
+    return VoteRequest(**{**fields, **changes})
+
+
+def _replica(instance: Instance) -> Any:
+    return instance.running._parts.replica
+
+
+def test_vote_outlives_a_restart(make_cluster: MakeCluster) -> None:
+    """Guards against a second vote in a term after a restart."""
+    cluster = make_cluster(VOTERS)
+    cluster.start('c1', 'c2')
+    cluster.propose(b'entry')
+    cluster.stop('c2')
+    cluster.advance(2)
+    voter = cluster.instances['c1']
+    first = answer_vote(_replica(voter), _request('c2'))
+    assert cluster.run(first).granted
+    cluster.stop('c1')
+    cluster.start('c1')
+    for candidate, granted in (('c3', False), ('c2', True)):
+        again = answer_vote(_replica(voter), _request(candidate))
+        assert cluster.run(again).granted is granted
+
+
+@pytest.mark.parametrize(
+    ('changes', 'granted'),
+    [
+        ({}, True),
+        ({'pre_vote': True}, True),
+        ({'last_index': 1}, True),
+        ({'last_term': 0}, False),
+        ({'last_term': 1, 'last_index': 1}, False),
+        ({'term': 0}, False),
+    ],
+)
+def test_votes_go_to_complete_logs(
+    make_cluster: MakeCluster,
+    changes: dict[str, Any],
+    granted: bool,
+) -> None:
+    """Guards against a leader that lacks a committed entry."""
+    cluster = make_cluster({'c1': 'erie'})
+    cluster.start()
+    cluster.propose(b'entry')
+    replica = _replica(cluster.instances['c1'])
+    replica.step_down('test')
+    vote = answer_vote(replica, _request('c2', **changes))
+    assert cluster.run(vote).granted is granted
+
+
+def test_heard_leader_prevents_votes(make_cluster: MakeCluster) -> None:
+    """Guards against a disturbance by an instance that lost contact."""
+    cluster = make_cluster(VOTERS)
+    cluster.start()
+    cluster.propose(b'entry')
+    cluster.advance(1)
+    for instance in cluster.live():
+        vote = answer_vote(_replica(instance), _request('c9'))
+        assert not cluster.run(vote).granted
+
+
+def test_entry_of_earlier_term_is_not_counted(
+    make_cluster: MakeCluster,
+) -> None:
+    """Guards against committing what a later leader may still replace."""
+    cluster = make_cluster(VOTERS)
+    cluster.start('c1')
+    replica = _replica(cluster.instances['c1'])
+    cluster.run(replica.append([entry(1, term=1), entry(2, term=2)]))
+    leadership = Leadership(3, 3, 0)
+    progress = leadership.progress('c2')
+    progress.trusted = True
+    progress.match_index = 2
+    advance_commit(replica, leadership)
+    assert replica.commit_index == 0
+    cluster.run(replica.append([entry(3, term=3)]))
+    progress.match_index = 3
+    advance_commit(replica, leadership)
+    assert replica.commit_index == 3
+
+
+def test_returning_instance_does_not_disrupt(
+    make_cluster: MakeCluster,
+) -> None:
+    """Guards against a higher term of an instance that was cut off."""
+    cluster = make_cluster(VOTERS)
+    cluster.start()
+    cluster.propose(b'entry')
+    leader = cluster.leader()
+    term = leader.running.term
+    away = next(one for one in cluster.live() if one is not leader)
+    cluster.isolate(away.settings.id)
+    cluster.advance(30)
+    assert cluster.barrier(away.settings.id).error.kind == 'no_quorum'
+    cluster.propose(b'missed')
+    cluster.network.heal()
+    cluster.settle()
+    assert cluster.leader() is leader
+    assert leader.running.term == term
+
+
+def test_cut_off_leader_steps_down(make_cluster: MakeCluster) -> None:
+    """Guards against stale answers and hanging edits of a cut off leader."""
+    cluster = make_cluster(VOTERS)
+    cluster.start()
+    cluster.propose(b'entry')
+    old = cluster.leader()
+    cluster.isolate(old.settings.id)
+    refused = cluster.propose(b'lost?', old.settings.id)
+    assert refused.error.kind == 'unknown'
+    assert cluster.barrier(old.settings.id).is_error()
+    assert cluster.propose(b'other').is_ok()
+    assert not old.running.is_leader
+    cluster.network.heal()
+    cluster.settle()
+
+
+def test_not_leader_names_the_leader(make_cluster: MakeCluster) -> None:
+    """Guards against clients that cannot find the leader."""
+    cluster = make_cluster(VOTERS, {'c4': 'michigan'})
+    cluster.start()
+    cluster.propose(b'entry')
+    cluster.advance(5)
+    leader = cluster.leader().settings.id
+    for name in cluster.instances.keys() - {leader}:
+        refused = cluster.propose(b'entry', name).error
+        assert (refused.kind, refused.leader) == ('not_leader', leader)
+
+
+def test_region_with_most_voters_leads(
+    make_cluster: MakeCluster,
+) -> None:
+    """Guards against a leader for which most appends cross a paid link."""
+    cluster = make_cluster(VOTERS)
+    cluster.start('c1', 'c3')
+    cluster.propose(b'entry')
+    cluster.advance(5)
+    cluster.start('c2')
+    cluster.advance(2)
+    cluster.stop('c1')
+    cluster.propose(b'entry')
+    if cluster.leader().settings.id == 'c2':
+        cluster.isolate('c2')
+        cluster.advance(5)
+        cluster.network.heal()
+    cluster.start('c1')
+    cluster.advance(30)
+    assert cluster.leader().settings.region == 'erie'
--- /dev/null
+++ b/tests/agreement/test_faults.py
@@ -0,0 +1,218 @@
+"""Guards against faults of disks and instances changing what is agreed."""
+
+from collections.abc import Callable
+
+import pytest
+from mustardspur_core.units import MS_PER_S
+
+from tests.agreement.cluster import Cluster
+from tests.agreement.conftest import MakeCluster
+from tests.agreement.test_cluster import VOTERS
+
+MANY = 60
+
+
+def _fill(cluster: Cluster, number: int = 10) -> None:
+    for place in range(number):
+        assert cluster.propose(b'%d' % place).is_ok()
+
+
+def _damage(cluster: Cluster, name: str) -> None:
+    disk = cluster.instances[name].disk
+    segment = next(one for one in disk.names() if one.startswith('log-'))
+    disk.flip(segment, len(disk.files[segment].content) // 2)
+    cluster.instances[name].expect_loss()
+
+
+def test_damaged_voter_waits_for_its_refill(make_cluster: MakeCluster) -> None:
+    """Guards against a vote of an instance that lost what it acknowledged."""
+    cluster = make_cluster(VOTERS)
+    cluster.start('c1', 'c2')
+    _fill(cluster)
+    cluster.stop()
+    _damage(cluster, 'c1')
+    # c3 is empty: with the vote of c1 it could lead without the entries.
+    cluster.start('c1', 'c3')
+    cluster.advance(20)
+    assert cluster.history.count('log_damaged') == 1
+    assert not any(one.running.is_leader for one in cluster.live())
+    cluster.start('c2')
+    cluster.settle(20)
+    damaged = cluster.instances['c1']
+    assert len(damaged.machine.entries) == 10 or not damaged.running.is_trusted
+
+
+def test_damaged_voter_is_refilled(make_cluster: MakeCluster) -> None:
+    """Guards against a damaged voter that never votes again."""
+    cluster = make_cluster(VOTERS)
+    cluster.start()
+    _fill(cluster)
+    cluster.advance(5)
+    name = next(
+        one.settings.id for one in cluster.live() if not one.running.is_leader
+    )
+    cluster.stop(name)
+    _damage(cluster, name)
+    cluster.start(name)
+    assert not cluster.instances[name].running.is_trusted
+    cluster.settle()
+    assert cluster.instances[name].running.is_trusted
+    assert len(cluster.instances[name].machine.entries) == 10
+
+
+def test_full_disk_refuses_and_steps_down(make_cluster: MakeCluster) -> None:
+    """Guards against an edit that is lost or a leader that is stuck."""
+    cluster = make_cluster(VOTERS)
+    cluster.start()
+    _fill(cluster)
+    full = cluster.leader()
+    full.disk.full = True
+    refused = cluster.propose(b'refused', full.settings.id)
+    assert refused.error.kind == 'disk'
+    assert not full.running.is_leader
+    assert cluster.propose(b'accepted').is_ok()
+    assert cluster.leader() is not full
+    full.disk.full = False
+    cluster.settle()
+    assert b'refused' not in full.machine.entries.values()
+
+
+def test_lagging_voter_gets_a_snapshot(make_cluster: MakeCluster) -> None:
+    """Guards against a voter that waits for entries that are gone."""
+    cluster = make_cluster(VOTERS, snapshot_entries=10)
+    cluster.start()
+    _fill(cluster)
+    leader = cluster.leader()
+    lagging = next(one for one in cluster.live() if one is not leader)
+    cluster.stop(lagging.settings.id)
+    _fill(cluster, MANY)
+    cluster.start(lagging.settings.id)
+    cluster.settle()
+    assert cluster.history.count('snapshot_installed') >= 1
+    assert len(lagging.machine.entries) == MANY + 10
+    cluster.stop()
+    cluster.start()
+    cluster.settle()
+
+
+def _remove_then_add(cluster: Cluster, lost: str, spare: str) -> None:
+    log = cluster.leader().running
+    assert cluster.run(log.remove_voter(lost)).is_ok()
+    assert cluster.run(log.add_voter(cluster.peer(spare))).is_ok()
+
+
+def _add_then_remove(cluster: Cluster, lost: str, spare: str) -> None:
+    log = cluster.leader().running
+    assert cluster.run(log.add_voter(cluster.peer(spare))).is_ok()
+    assert cluster.run(log.remove_voter(lost)).is_ok()
+
+
+@pytest.mark.parametrize('replace', [_remove_then_add, _add_then_remove])
+@pytest.mark.parametrize('snapshot_entries', [10, 1000])
+def test_two_voters_are_replaced_one_after_the_other(
+    make_cluster: MakeCluster,
+    replace: Callable[[Cluster, str, str], None],
+    snapshot_entries: int,
+) -> None:
+    """Guards against losing the quorum when a second instance is lost."""
+    cluster = make_cluster(
+        VOTERS,
+        {'c4': 'erie', 'c5': 'michigan'},
+        snapshot_entries=snapshot_entries,
+    )
+    cluster.start()
+    _fill(cluster, 30)
+    for spare in ('c4', 'c5'):
+        leader = cluster.leader().settings.id
+        lost = next(
+            name
+            for name in ('c3', 'c2', 'c1')
+            if name != leader and cluster.instances[name].log is not None
+        )
+        cluster.stop(lost)
+        replace(cluster, lost, spare)
+        assert cluster.propose(b'after').is_ok()
+    voters = cluster.leader().running.voters
+    assert len(voters) == 3
+    assert {'c4', 'c5'} < set(voters)
+    cluster.stop(*(one.settings.id for one in cluster.live()))
+    cluster.start('c4', 'c5')
+    assert cluster.propose(b'by the new ones').is_ok()
+    cluster.settle()
+
+
+def test_one_change_of_voters_at_a_time(make_cluster: MakeCluster) -> None:
+    """Guards against two changes whose quorums have no common voter."""
+    cluster = make_cluster(VOTERS, {'c4': 'erie', 'c5': 'erie'})
+    cluster.start()
+    _fill(cluster)
+    log = cluster.leader().running
+    first, second = cluster.run_together(
+        log.add_voter(cluster.peer('c4')),
+        log.add_voter(cluster.peer('c5')),
+    )
+    assert first.is_ok()
+    assert second.error.kind == 'busy'
+
+
+def test_removed_leader_steps_down(make_cluster: MakeCluster) -> None:
+    """Guards against a leader that is no voter any more."""
+    cluster = make_cluster(VOTERS)
+    cluster.start()
+    _fill(cluster)
+    removed = cluster.leader()
+    outcome = removed.running.remove_voter(removed.settings.id)
+    assert cluster.run(outcome).is_ok()
+    cluster.advance(5)
+    assert cluster.leader() is not removed
+    term = cluster.leader().running.term
+    cluster.propose(b'after')
+    cluster.settle(30)
+    assert cluster.leader().running.term == term
+    assert removed.running.voters == cluster.leader().running.voters
+
+
+def test_voter_removed_while_away_learns_it(make_cluster: MakeCluster) -> None:
+    """Guards against a removed voter that stays behind for ever."""
+    cluster = make_cluster(VOTERS)
+    cluster.start()
+    _fill(cluster)
+    leader = cluster.leader()
+    away = next(one for one in cluster.live() if one is not leader)
+    cluster.stop(away.settings.id)
+    outcome = leader.running.remove_voter(away.settings.id)
+    assert cluster.run(outcome).is_ok()
+    cluster.start(away.settings.id)
+    cluster.propose(b'after')
+    cluster.settle(30)
+    assert away.running.voters == leader.running.voters
+
+
+def test_proposals_share_syncs(make_cluster: MakeCluster) -> None:
+    """Guards against one sync an entry under load."""
+    cluster = make_cluster({'c1': 'erie'})
+    cluster.start()
+    _fill(cluster, 1)
+    log = cluster.leader().running
+    started_ms = cluster.loop.time() * MS_PER_S
+    cluster.run_together(*(log.propose(b'entry') for _ in range(MANY)))
+    lasted_ms = cluster.loop.time() * MS_PER_S - started_ms
+    # One write of entries and one commit mark at 2 ms each, both perhaps
+    # behind a write that was under way.
+    assert lasted_ms < 10
+
+
+def test_empty_disk_does_not_vote_for_a_written_log(
+    make_cluster: MakeCluster,
+) -> None:
+    """Guards against a wiped voter helping a leader that lacks entries."""
+    cluster = make_cluster(VOTERS)
+    cluster.start('c1', 'c2')
+    _fill(cluster)
+    cluster.stop()
+    cluster.start('c1', 'c3')
+    cluster.advance(20)
+    assert not any(one.running.is_leader for one in cluster.live())
+    cluster.start('c2')
+    cluster.settle(20)
+    assert all(one.running.is_trusted for one in cluster.live())
--- /dev/null
+++ b/tests/agreement/test_following.py
@@ -0,0 +1,88 @@
+"""Guards against followers that miss entries or cross links needlessly."""
+
+from types import MappingProxyType
+
+import pytest
+from mustardspur_agreement.upstreams import upstreams
+
+from tests.agreement.cluster import peer_row, settings_of
+from tests.agreement.conftest import MakeCluster
+from tests.agreement.test_cluster import VOTERS
+
+OTHERS = MappingProxyType(
+    {'c4': 'michigan', 'c5': 'dalmacija', 'c6': 'dalmacija'},
+)
+
+
+@pytest.mark.parametrize(
+    ('name', 'leader', 'best'),
+    [
+        ('c4', 'c1', ['c3', 'c1', 'c2']),
+        ('c5', 'c1', ['c1', 'c2', 'c3', 'c4']),
+        ('c5', 'c3', ['c3', 'c4', 'c1', 'c2']),
+        ('c5', None, ['c1', 'c2', 'c3', 'c4']),
+        ('c6', 'c1', ['c5', 'c1', 'c2', 'c3']),
+    ],
+)
+def test_nearest_upstream_comes_first(
+    name: str,
+    leader: str | None,
+    best: list[str],
+) -> None:
+    """Guards against more than one instance of a region crossing a link."""
+    rows = [
+        peer_row(peer, voter=peer in VOTERS, region=region)
+        for peer, region in {**VOTERS, **OTHERS}.items()
+    ]
+    order = [peer.id for peer in upstreams(settings_of(name, rows), leader)]
+    assert order[: len(best)] == best
+
+
+@pytest.mark.parametrize('snapshot_entries', [10, 1000])
+def test_follower_resumes(
+    make_cluster: MakeCluster,
+    snapshot_entries: int,
+) -> None:
+    """Guards against a restarted follower that misses or repeats entries."""
+    cluster = make_cluster(VOTERS, OTHERS, snapshot_entries=snapshot_entries)
+    cluster.start()
+    for number in range(15):
+        cluster.propose(b'%d' % number)
+    cluster.settle()
+    cluster.stop('c5')
+    for number in range(60):
+        cluster.propose(b'%d' % number)
+    cluster.start('c5')
+    cluster.settle()
+    assert len(cluster.instances['c5'].machine.entries) == 75
+    installed = cluster.history.count('snapshot_installed')
+    assert bool(installed) is (snapshot_entries == 10)
+
+
+def test_follower_serves_its_state_without_a_quorum(
+    make_cluster: MakeCluster,
+) -> None:
+    """Guards against an applied index that goes back with a restart."""
+    cluster = make_cluster(VOTERS, OTHERS)
+    cluster.start()
+    cluster.propose(b'entry')
+    cluster.settle()
+    cluster.stop()
+    cluster.start('c5')
+    assert list(cluster.instances['c5'].machine.entries.values()) == [b'entry']
+    assert cluster.barrier('c5').is_error()
+
+
+def test_follower_leaves_a_stale_upstream(make_cluster: MakeCluster) -> None:
+    """Guards against following an instance that is cut off itself."""
+    cluster = make_cluster(VOTERS, OTHERS)
+    cluster.start()
+    cluster.propose(b'entry')
+    cluster.settle()
+    for other in ('c1', 'c2', 'c3', 'c4'):
+        cluster.network.block('c5', other)
+    cluster.propose(b'missed by c5')
+    cluster.advance(20)
+    assert len(cluster.instances['c6'].machine.entries) == 2
+    assert cluster.barrier('c6').is_ok()
+    assert cluster.barrier('c5').is_error()
--- /dev/null
+++ b/tests/agreement/test_stateful.py
@@ -0,0 +1,156 @@
+"""Guards against rare orders of faults breaking what the log promises."""
+
+import asyncio
+from typing import Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+from mustardspur_agreement import ReplicatedLog
+
+from tests.agreement.cluster import Cluster
+
+VOTERS = ('c1', 'c2', 'c3')
+NAMES = (*VOTERS, 'c4', 'c5')
+HEAL_S = 30
+
+names = st.sampled_from(NAMES)
+pauses = st.sampled_from([0, 0.002, 0.02, 0.3, 1, 4])
+
+
+class Faults(RuleBasedStateMachine):
+    """Three voters, a follower and a spare instance under faults.
+
+    The cluster checks at every step that a term has one leader, that no two
+    instances apply different entries at an index, and that no applied index
+    goes back.
+    """
+
+    def __init__(self) -> None:
+        """Start all instances and elect a leader."""
+        super().__init__()
+        self.cluster = Cluster(
+            dict.fromkeys(VOTERS, 'erie'),
+            {'c4': 'erie', 'c5': 'michigan'},
+            snapshot_entries=8,
+        )
+        self.cluster.start()
+        self.cluster.propose(b'first')
+        self.cluster.advance(2)
+
+    @rule(seconds=pauses)
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self.cluster.advance(seconds)
+
+    @rule(name=names)
+    def lose_power(self, name: str) -> None:
+        """Stop an instance at once."""
+        self.cluster.stop(name)
+
+    @rule(name=names, operations=st.integers(0, 8))
+    def lose_power_within_writes(self, name: str, operations: int) -> None:
+        """Stop an instance between two operations of its disk."""
+        instance = self.cluster.instances[name]
+        if instance.log is not None:
+            instance.disk.operations_left = operations
+
+    @rule(seconds=pauses)
+    def start(self, seconds: float) -> None:
+        """Start the instances that are stopped."""
+        self.cluster.start_stopped()
+        self.cluster.advance(seconds)
+
+    @rule(name=names, seconds=pauses)
+    def isolate(self, name: str, seconds: float) -> None:
+        """Lose all messages from and to an instance."""
+        self.cluster.isolate(name)
+        self.cluster.advance(seconds)
+
+    @rule(disorder=st.sampled_from([0, 0.1, 0.5]))
+    def heal(self, disorder: float) -> None:
+        """Deliver messages; late, twice and out of order a share of them."""
+        self.cluster.network.heal()
+        self.cluster.network.disorder = disorder
+
+    @rule(name=names, full=st.booleans())
+    def fill_disk(self, name: str, full: bool) -> None:
+        """Fill a disk or make room again."""
+        self.cluster.instances[name].disk.full = full
+
+
+class Agreement(Faults):
+    """Proposals, reads and changes of voters; the rules check the answers."""
+
+    def __init__(self) -> None:
+        """Start without proposals."""
+        super().__init__()
+        self._accepted: dict[int, bytes] = {}
+        self._refused: set[bytes] = set()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._proposals = 0
+
+    @rule(number=st.integers(1, 4), seconds=pauses)
+    def propose(self, number: int, seconds: float) -> None:
+        """Propose entries at every instance that takes itself for leader."""
+        for log in self._leaders():
+            for _ in range(number):
+                self._proposals += 1
+                self._spawn(self._propose(log, b'%d' % self._proposals))
+        self.cluster.advance(seconds)
+
+    @rule(seconds=pauses)
+    def read(self, seconds: float) -> None:
+        """Run a read barrier at each instance."""
+        for instance in self.cluster.live():
+            self._spawn(self._read(instance.running))
+        self.cluster.advance(seconds)
+
+    @rule(name=names, add=st.booleans())
+    def change_voters(self, name: str, add: bool) -> None:
+        """Add or remove a voter at each instance that leads."""
+        for log in self._leaders():
+            if add:
+                self._spawn(log.add_voter(self.cluster.peer(name)))
+            elif len(log.voters) > 2:
+                self._spawn(log.remove_voter(name))
+        self.cluster.advance(1)
+
+    def teardown(self) -> None:
+        """Check that all recover and that nothing accepted is missing."""
+        self.cluster.recover()
+        assert self.cluster.propose(b'last').is_ok()
+        self.cluster.settle(HEAL_S)
+        for instance in self.cluster.live():
+            entries = instance.machine.entries
+            assert self._accepted.items() <= entries.items()
+            assert not self._refused.intersection(entries.values())
+        for task in self._tasks:
+            task.cancel()
+        self.cluster.close()
+
+    async def _propose(self, log: ReplicatedLog, entry: bytes) -> None:
+        outcome = await log.propose(entry)
+        if outcome.is_ok():
+            self._accepted[outcome.ok.index] = entry
+        elif outcome.error.kind != 'unknown':
+            self._refused.add(entry)
+
+    async def _read(self, log: ReplicatedLog) -> None:
+        visible = max(self.cluster.history.entry_by_index, default=0)
+        outcome = await log.read_barrier()
+        if outcome.is_ok():
+            assert outcome.ok >= visible
+            assert log.applied_index >= outcome.ok
+
+    def _leaders(self) -> list[ReplicatedLog]:
+        logs = [instance.running for instance in self.cluster.live()]
+        return [log for log in logs if log.is_leader]
+
+    def _spawn(self, coroutine: Any) -> None:
+        guarded = self.cluster.guard(coroutine)
+        self._tasks.append(self.cluster.loop.create_task(guarded))
+
+
+TestAgreement = Agreement.TestCase
+TestAgreement.settings = settings(max_examples=40, stateful_step_count=30)
