--- a/packages/mustardspur_node/src/mustardspur_node/calls/idempotency.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/idempotency.py
@@ -30,12 +30,22 @@
         self.headers = CIMultiDict(response.headers)
         self.body = response.body
 
-    def response(self) -> web.Response:
-        """Return a new response with the same parts."""
+    def response(self, request_id: str | None) -> web.Response:
+        """Return a new response for a caller.
+
+        Parameters
+        ----------
+        request_id : str or None
+            Identifier of this caller's request, which replaces that of the
+            first one; its caller would take the answer for a crossed one.
+        """
+        headers = self.headers.copy()
+        if request_id is not None and names.REQUEST_ID in headers:
+            headers[names.REQUEST_ID] = request_id
         return web.Response(
             status=self.status,
             reason=self.reason,
-            headers=self.headers,
+            headers=headers,
             body=self.body,
         )
 
@@ -117,7 +127,7 @@
         answered = await asyncio.shield(record.answered)
         if isinstance(answered, CallFault):
             raise answered
-        return answered.response()
+        return answered.response(request.headers.get(names.REQUEST_ID))
 
     def expire(self) -> None:
         """Forget answers that were kept long enough."""
--- /dev/null
+++ b/tests/node/calls/test_limits.py
@@ -0,0 +1,156 @@
+"""Guards queues, limits and budgets under overload."""
+
+import asyncio
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from mustardspur_node.calls.balancing import Balancer
+from mustardspur_node.calls.budgets import (
+    MAX_CHAIN_RETRIES,
+    ChainBudget,
+    RetryBudget,
+)
+from mustardspur_node.calls.endpoints import Endpoint
+from mustardspur_node.calls.limits import AdaptiveLimit
+from mustardspur_node.calls.queues import (
+    CallQueue,
+    DeadlineTooClose,
+    QueueFull,
+)
+
+from tests.node.stand_ins.endpoints import make_class, make_endpoint
+
+QUICK = make_class()
+BULK = make_class(1)
+SLOTS = 9
+
+
+def _full_endpoint() -> Endpoint:
+    endpoint = make_endpoint('one', slots=SLOTS)
+    for _ in range(SLOTS):
+        endpoint.enter(QUICK)
+    return endpoint
+
+
+async def test_quick_calls_leave_the_queue_first() -> None:
+    """Guards against bulk calls that starve the quick class."""
+    endpoint = _full_endpoint()
+    balancer = Balancer('1', [[endpoint]], random.random)
+    queue = CallQueue()
+    served: list[int] = []
+    latest_at = asyncio.get_running_loop().time() + 60
+
+    async def factory(priority: int) -> None:
+        call_class = BULK if priority else QUICK
+        await queue.wait(balancer, call_class, [], latest_at)
+        served.append(priority)
+
+    waiting = [asyncio.create_task(factory(kind)) for kind in (1, 1, 0, 1, 0)]
+    await asyncio.sleep(0)
+    assert queue.must_wait(0) and queue.length == 5
+    for _ in waiting:
+        endpoint.leave(QUICK)
+        endpoint.leave(QUICK)
+        queue.dispatch()
+    await asyncio.gather(*waiting)
+    assert served == [0, 0, 1, 1, 1]
+    assert not queue.length
+
+
+async def test_queue_is_bounded_and_dropped_by_deadline() -> None:
+    """Guards against calls that wait although nobody wants their answer."""
+    balancer = Balancer('1', [[_full_endpoint()]], random.random)
+    queue = CallQueue()
+    now = asyncio.get_running_loop().time()
+    small = make_class(0, queue_limit=1)
+    with pytest.raises(DeadlineTooClose):
+        await queue.wait(balancer, small, [], now - 1)
+    first = asyncio.create_task(queue.wait(balancer, small, [], now + 60))
+    await asyncio.sleep(0)
+    with pytest.raises(QueueFull):
+        await queue.wait(balancer, small, [], now + 60)
+    first.cancel()
+    await asyncio.gather(first, return_exceptions=True)
+    assert not queue.length
+
+
+async def test_cancelled_call_gives_its_place_back() -> None:
+    """Guards against places lost to callers that left the queue."""
+    endpoint = _full_endpoint()
+    balancer = Balancer('1', [[endpoint]], random.random)
+    queue = CallQueue()
+    latest_at = asyncio.get_running_loop().time() + 60
+    call = asyncio.create_task(queue.wait(balancer, QUICK, [], latest_at))
+    await asyncio.sleep(0)
+    endpoint.leave(QUICK)
+    queue.dispatch()
+    assert endpoint.in_flight == SLOTS
+    call.cancel()
+    await asyncio.gather(call, return_exceptions=True)
+    assert endpoint.in_flight == SLOTS - 1
+
+
+def test_limit_follows_the_target() -> None:
+    """Guards against a limit that ignores a queue, or never recovers."""
+    limit = AdaptiveLimit(SLOTS)
+    limit.on_success('stock', 10, SLOTS, 0)
+    for second in range(1, 30):
+        limit.on_success('stock', 100, SLOTS, second)
+    assert limit.current == 2
+    for second in range(30, 200):
+        limit.on_success('stock', 10, SLOTS, second)
+    assert limit.current == SLOTS
+    # A slow route is no sign of a queue at a quick one.
+    limit.on_success('batches', 100, SLOTS, 200)
+    assert limit.current == SLOTS
+
+
+def test_retries_of_a_node_stay_below_their_ratio() -> None:
+    """Guards against retries that double the load when every call fails."""
+    budget = RetryBudget(0.1)
+    spent = 0
+    for _ in range(1000):
+        budget.deposit()
+        spent += budget.withdraw()
+    assert 100 <= spent <= 110
+    assert not RetryBudget(0).withdraw()
+
+
+@given(st.integers(1, 9), st.randoms(use_true_random=False))
+def test_chain_adds_a_bounded_number_of_runs(
+    depth: int,
+    chances: random.Random,
+) -> None:
+    """Guards against retries at each level that multiply."""
+    assert _leaf_runs(depth, None, chances) <= 1 + MAX_CHAIN_RETRIES
+
+
+def _leaf_runs(
+    levels: int,
+    header: str | None,
+    chances: random.Random,
+) -> int:
+    """Return the runs of a leaf that always fails."""
+    if not levels:
+        return 1
+    budget = ChainBudget(header)
+    runs = 0
+    again = True
+    while again:
+        passed = budget.pass_down()
+        below = _leaf_runs(levels - 1, str(passed), chances)
+        runs += below
+        # What was not spent comes back, unless the answer is lost.
+        unspent = max(passed - (below - 1), 0)
+        budget.give_back(unspent * chances.randint(0, 1))
+        again = budget.withdraw()
+    return runs
+
+
+@pytest.mark.parametrize('header', ['x', '-1', '1.5', '99', '', '\u0663'])
+def test_malformed_chain_budget_gives_nothing(header: str) -> None:
+    """Guards against a caller that grants itself retries."""
+    assert ChainBudget(header).left == 0
+    assert ChainBudget('9').left == MAX_CHAIN_RETRIES
