Shorten lists in the tables of moves and control instances

Change: lists in these tables are shown as their length, in a move's report with their last entry; JSON output has them whole. The watch line says that it counts the nodes with the newest step.

--- a/packages/mustardspur_client/src/mustardspur_client/verbs/instances.py
+++ b/packages/mustardspur_client/src/mustardspur_client/verbs/instances.py
@@ -73,4 +73,5 @@
 
 
 def _row(body: dict[str, Any], columns: tuple[str, ...]) -> list[object]:
-    return [body.get(column, '') for column in columns]
+    cells = [body.get(column, '') for column in columns]
+    return [len(cell) if isinstance(cell, list) else cell for cell in cells]
--- a/packages/mustardspur_client/src/mustardspur_client/verbs/move_tables.py
+++ b/packages/mustardspur_client/src/mustardspur_client/verbs/move_tables.py
@@ -44,8 +44,16 @@
     output.line(f'index {index} is in force on {count} of {total} nodes')
     for node in move['not_in_force_on']:
         output.line(f'  {detail_line(node)}')
-    if move['report']:
-        output.line(json.dumps(move['report']))
+    for name, reported in move['report'].items():
+        output.line(f'{name}: {_reported_text(reported)}')
+
+
+def _reported_text(reported: Any) -> str:
+    # Lists, such as that of all decisions to wait, are long; the JSON output
+    # has them whole.
+    if isinstance(reported, list) and reported:
+        return f'{len(reported)}, the last one {json.dumps(reported[-1])}'
+    return json.dumps(reported)
 
 
 def _decision_row(made: dict[str, Any]) -> list[object]:
--- a/packages/mustardspur_client/src/mustardspur_client/verbs/watching.py
+++ b/packages/mustardspur_client/src/mustardspur_client/verbs/watching.py
@@ -85,6 +85,6 @@
     return (
         f'step {state["step"]}: {state["state"]}, '
         f'share {share_text(state["share"])}, '
-        f'in force on {state["in_force"]} of {state["nodes"]} nodes '
+        f'step in force on {state["in_force"]} of {state["nodes"]} nodes '
         f'({state["reason"]})'
     )
