Add a demo with a herd of killed processes and the capacity benchmark

Change: make demo-faults kills the leader, another control instance and a server with its targets six seconds into the first move and starts them again; the same promises are checked. make bench-capacity measures slopes of each role over at least four sizes on real processes.

--- /dev/null
+++ b/benchmarks/capacity/processes.py
@@ -0,0 +1,81 @@
+"""Real daemons under measurement, and what the kernel counts of them."""
+
+import asyncio
+import json
+import os
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any, Final
+
+from aiohttp import ClientError, ClientSession
+from mustardspur_core.record import Record
+from mustardspur_core.units import BYTES_PER_MIB
+
+BINARY: Final = Path(sys.executable).parent / 'mustardspurd'
+START_LIMIT_S: Final = 30.0
+POLL_S: Final = 0.05
+# Fields of /proc/PID/stat after the name: user and system time in ticks.
+_USER_TICKS_FIELD: Final = 11
+_SYSTEM_TICKS_FIELD: Final = 12
+_RESIDENT_PAGES_FIELD: Final = 1
+
+
+class Usage(Record):
+    """Processor time and memory of a process."""
+
+    __slots__ = ('cpu_s', 'resident_mib')
+    cpu_s: float
+    resident_mib: float
+
+
+def usage_of(process_id: int) -> Usage:
+    """Read what a process has used so far."""
+    folder = Path(f'/proc/{process_id}')
+    fields = (folder / 'stat').read_text().rpartition(')')[2].split()
+    ticks = int(fields[_USER_TICKS_FIELD]) + int(fields[_SYSTEM_TICKS_FIELD])
+    pages = int(
+        (folder / 'statm').read_text().split()[_RESIDENT_PAGES_FIELD],
+    )
+    resident = pages * os.sysconf('SC_PAGE_SIZE')
+    return Usage(
+        cpu_s=ticks / os.sysconf('SC_CLK_TCK'),
+        resident_mib=resident / BYTES_PER_MIB,
+    )
+
+
+@asynccontextmanager
+async def daemon(
+    folder: Path,
+    document: dict[str, Any],
+) -> AsyncIterator[int]:
+    """Run a daemon that answers, and give its process identifier."""
+    path = folder / 'settings.json'
+    path.write_text(json.dumps(document), encoding='utf-8')
+    process = await asyncio.create_subprocess_exec(
+        str(BINARY),
+        '--settings',
+        str(path),
+        stderr=asyncio.subprocess.DEVNULL,
+    )
+    try:
+        await _until_answering(document['listen']['http'])
+        yield process.pid
+    finally:
+        process.terminate()
+        await process.wait()
+
+
+async def _until_answering(address: str) -> None:
+    async with asyncio.timeout(START_LIMIT_S), ClientSession() as session:
+        while not await _answers(session, f'http://{address}/v1/status'):
+            await asyncio.sleep(POLL_S)
+
+
+async def _answers(session: ClientSession, url: str) -> bool:
+    try:
+        async with session.get(url):
+            return True
+    except (ClientError, TimeoutError):
+        return False
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -1,5 +1,6 @@
 """Runs the demo: ``python -m demo``."""
 
+import argparse
 import asyncio
 import json
 import os
@@ -13,7 +14,7 @@
 from demo.mesh import Mesh
 from demo.processes import BINARIES
 from demo.promises import check_promises
-from demo.scenario import DemoRun, run_demo
+from demo.scenario import DemoRun, Stage, run_demo
 from demo.timelines import convergence_s
 from rich.console import Console
 from rich.table import Table
@@ -30,7 +31,8 @@
     shutil.rmtree(folder, ignore_errors=True)
     started_s = time.monotonic()
     mesh = Mesh(folder.resolve(), FIRST_NETWORK + os.getpid() % NETWORKS)
-    run = asyncio.run(run_demo(mesh))
+    kill = Stage.kill_herd if _options().faults else Stage.kill_leader
+    run = asyncio.run(run_demo(mesh, kill))
     broken = check_promises(run)
     measures = _measures(run, broken, time.monotonic() - started_s)
     text = json.dumps(measures, indent=2)
@@ -40,6 +42,16 @@
     return 1 if any(broken.values()) else 0
 
 
+def _options() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog='demo', description=__doc__)
+    parser.add_argument(
+        '--faults',
+        action='store_true',
+        help='kill two control instances and a server in the first move',
+    )
+    return parser.parse_args()
+
+
 def _measures(
     run: DemoRun,
     broken: dict[str, str],
@@ -50,6 +62,7 @@
         'calls': run.caller.calls,
         'calls_lost': run.caller.lost,
         'answers': dict(run.caller.answers),
+        'no_answer': dict(run.caller.unanswered),
         'control_bytes': run.control_bytes,
         'changes': len(times),
         'convergence_max_s': max(times, default=None),
--- a/demo/promises.py
+++ b/demo/promises.py
@@ -37,20 +37,32 @@
     return f'{crossed} answers crossed' if crossed else ''
 
 
-@promise('no call was lost but those that the bad version failed')
+@promise('no call was lost but by the bad version or a killed server')
 def _lost_calls(run: DemoRun) -> str:
     harmed = sum(
         1
         for _, version, status in run.caller.versions
         if version == BAD_VERSION and status != STATUS_OK
     )
-    lost = run.caller.lost - harmed
+    unknown = run.caller.answers['unknown'] if run.servers_killed else 0
+    lost = run.caller.lost - harmed - unknown
     if not lost:
         return ''
     answers = dict(run.caller.answers)
     return f'{lost} calls: {answers}'
 
 
+@promise('only nodes that were killed left a caller without an answer')
+def _all_answered(run: DemoRun) -> str:
+    silent = {
+        server.id: run.caller.unanswered[server.node_address]
+        for server in run.servers
+        if run.caller.unanswered[server.node_address]
+        and server.id not in run.killed
+    }
+    return f'no answer from {silent}' if silent else ''
+
+
 @promise('every prescription ran at most once')
 def _at_most_once(run: DemoRun) -> str:
     twice = [name for name, count in run.runs.items() if count > 1]
--- a/demo/traffic.py
+++ b/demo/traffic.py
@@ -32,6 +32,7 @@
         'calls',
         'not_run',
         'posted',
+        'unanswered',
         'served',
         'versions',
         'wrong',
@@ -45,6 +46,7 @@
         self.answers: Counter[str] = Counter()
         self.versions: list[tuple[float, str, int]] = []
         self.posted: set[str] = set()
+        self.unanswered: Counter[str] = Counter()
         self.served: list[tuple[float, str]] = []
         self.not_run: set[str] = set()
         self.wrong = 0
@@ -81,7 +83,7 @@
             ) as response:
                 self._count(name, response, await response.json())
         except (ClientError, TimeoutError):
-            self.answers['no answer'] += 1
+            self.unanswered[node] += 1
 
     def _count(
         self,
