Let operators show and change the voters

Cause: the replicated log could replace a voter, but operators had no way to ask for it.

Change: GET /v1/voters, PUT and DELETE /v1/voters/{id}, and the verbs voters, add-voter and remove-voter.

Conclusion: tested against fakes; the replacement over real processes is in the tests of the log.

--- a/packages/mustardspur_client/src/mustardspur_client/verbs/__init__.py
+++ b/packages/mustardspur_client/src/mustardspur_client/verbs/__init__.py
@@ -6,6 +6,7 @@
     profiles,
     services,
     timelines,
+    voters,
     waiting,
     watching,
 )
@@ -20,6 +21,7 @@
     watching,
     instances,
     timelines,
+    voters,
 )
 
 __all__ = ['VERB_MODULES', 'Verb', 'verb', 'verbs']
--- a/packages/mustardspur_control/src/mustardspur_control/instance.py
+++ b/packages/mustardspur_control/src/mustardspur_control/instance.py
@@ -64,7 +64,8 @@
         await stack.enter_async_context(serving_streams(settings, streams))
         await stack.enter_async_context(
             serving_operators(
-                settings, operators_context(settings, hub, store, log, moves)
+                settings,
+                operators_context(settings, hub, store, log, moves, replicated),
             ),
         )
         yield hub
--- a/packages/mustardspur_control/src/mustardspur_control/operator_sources.py
+++ b/packages/mustardspur_control/src/mustardspur_control/operator_sources.py
@@ -13,6 +13,7 @@
     MoveReports,
     NodeInForce,
     OperatorsContext,
+    VoterMembership,
 )
 from mustardspur_control.store import Store
 
@@ -88,10 +89,12 @@
     store: Store,
     log: CommittedLog,
     moves: MoveReports,
+    membership: VoterMembership,
 ) -> OperatorsContext:
     """Return what the operators' interface uses of an instance."""
     return OperatorsContext(
         log=log,
+        membership=membership,
         store=store,
         nodes=HubNodes(hub),
         targets=RegistryTargets(hub),
--- a/packages/mustardspur_control/src/mustardspur_control/operators_api/app.py
+++ b/packages/mustardspur_control/src/mustardspur_control/operators_api/app.py
@@ -6,13 +6,13 @@
 from aiohttp import web
 from aiohttp.typedefs import Handler
 
-from mustardspur_control.operators_api import edits, reads
+from mustardspur_control.operators_api import edits, reads, voters
 from mustardspur_control.operators_api.bodies import MAX_BODY_BYTES
 from mustardspur_control.operators_api.ports import OperatorsContext
 from mustardspur_control.operators_api.routing import CONTEXT, operations
 
 # Importing these modules registers their operations.
-OPERATION_MODULES = (edits, reads)
+OPERATION_MODULES = (edits, reads, voters)
 
 _log = logging.getLogger(__name__)
 
--- a/packages/mustardspur_control/src/mustardspur_control/operators_api/ports.py
+++ b/packages/mustardspur_control/src/mustardspur_control/operators_api/ports.py
@@ -3,8 +3,14 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
-from mustardspur_agreement.ports import CommittedLog
+from expression import Result
+from mustardspur_agreement.ports import (
+    Committed,
+    CommittedLog,
+    ProposalError,
+)
 from mustardspur_core.record import Record
+from mustardspur_core.settings import Peer
 from mustardspur_core.state import Target
 
 from mustardspur_control.store import Store
@@ -59,6 +65,27 @@
         """Return JSON values: identifier, connected nodes, counters."""
 
 
+class VoterMembership(Protocol):
+    """The voters of the replicated log."""
+
+    @property
+    def voters(self) -> list[str]:
+        """Identifiers of the voters, sorted."""
+
+    @property
+    def is_trusted(self) -> bool:
+        """Whether this instance may vote; False from damage to refill."""
+
+    async def add_voter(self, peer: Peer) -> Result[Committed, ProposalError]:
+        """Let an instance catch up and make it a voter; leader only."""
+
+    async def remove_voter(
+        self,
+        peer_id: str,
+    ) -> Result[Committed, ProposalError]:
+        """Remove a voter; leader only."""
+
+
 class OperatorsContext(Record):
     """Everything that the handlers of the operators' interface use.
 
@@ -66,6 +93,8 @@
     ----------
     log : CommittedLog
         The replicated log.
+    membership : VoterMembership
+        Its voters.
     store : Store
         The applied state.
     nodes, targets, moves, status : protocols
@@ -78,6 +107,7 @@
 
     __slots__ = (
         'log',
+        'membership',
         'store',
         'nodes',
         'targets',
@@ -87,6 +117,7 @@
         'clock',
     )
     log: CommittedLog
+    membership: VoterMembership
     store: Store
     nodes: NodesInForce
     targets: TargetsSource
--- a/tests/control/operators_api/fakes.py
+++ b/tests/control/operators_api/fakes.py
@@ -4,11 +4,12 @@
 from collections.abc import Callable
 from typing import Any
 
-from expression import Error, Result
+from expression import Error, Ok, Result
 from mustardspur_agreement.ports import Committed, ProposalError
 from mustardspur_control.local_log import LocalLog
 from mustardspur_control.operators_api import NodeInForce, OperatorsContext
 from mustardspur_control.store import Store
+from mustardspur_core.settings import Peer
 from mustardspur_core.state import Target
 
 from tests.control.builders import NOW_S
@@ -60,6 +61,40 @@
         return await super().read_barrier()
 
 
+class FakeVoters:
+    """Voters that change at once."""
+
+    __slots__ = ('_voters', 'failure', 'is_trusted')
+
+    def __init__(self) -> None:
+        """Start with three."""
+        self._voters = {'c1', 'c2', 'c3'}
+        self.failure: ProposalError | None = None
+        self.is_trusted = True
+
+    @property
+    def voters(self) -> list[str]:
+        """Identifiers of the voters, sorted."""
+        return sorted(self._voters)
+
+    async def add_voter(self, peer: Peer) -> Result[Committed, ProposalError]:
+        """Add a voter, or fail."""
+        if self.failure is not None:
+            return Error(self.failure)
+        self._voters.add(peer.id)
+        return Ok(Committed(index=1, answer=None))
+
+    async def remove_voter(
+        self,
+        peer_id: str,
+    ) -> Result[Committed, ProposalError]:
+        """Remove a voter, or fail."""
+        if self.failure is not None:
+            return Error(self.failure)
+        self._voters.discard(peer_id)
+        return Ok(Committed(index=1, answer=None))
+
+
 class FakeSources:
     """Nodes, targets, reports, status and clock that a test sets."""
 
@@ -100,6 +135,7 @@
     """Return a context over fakes, with `FakeLog` as its log."""
     return OperatorsContext(
         log=FakeLog(store),
+        membership=FakeVoters(),
         store=store,
         nodes=sources,
         targets=sources,
