Keep streams and leases through stalls of the process

Cause: with 1,400 nodes on a busy machine, processes that got no processor for seconds ended all their streams, and with them the leases, when they ran again: their timers fired before the frames that had arrived were read.

--- a/packages/mustardspur_control/src/mustardspur_control/leases.py
+++ b/packages/mustardspur_control/src/mustardspur_control/leases.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from mustardspur_core.running_clock import RunningClock
 from mustardspur_core.settings import Settings
 
 # A node notices a lost control instance within silence_s, and reconnects and
@@ -32,10 +33,10 @@
         clock: Callable[[], float],
     ) -> None:
         """Start without leases."""
-        self._clock = clock
+        self._clock = RunningClock(clock)
         self._settings = settings
         self._ends: dict[str, float] = {}
-        self._started = clock()
+        self._started = self._clock()
         self._newest = self._started
 
     @property
--- a/packages/mustardspur_control/src/mustardspur_control/node_stream.py
+++ b/packages/mustardspur_control/src/mustardspur_control/node_stream.py
@@ -16,7 +16,7 @@
 )
 from mustardspur_core.record import Record
 from mustardspur_core.tasks import run_until_first_end
-from mustardspur_core.wire import FrameStream, MalformedFrame
+from mustardspur_core.wire import FrameStream, MalformedFrame, end_on_silence
 
 from mustardspur_control.hub import Hub
 from mustardspur_control.sessions import NodeSession
@@ -59,16 +59,18 @@
         await stream.send(busy)
         return
     session = NodeSession(hello, stream)
-    with hub.connected(session):
+    session.handshake.enter_context(hub.admission.handshake())
+    with session.handshake, hub.connected(session):
         await run_until_first_end(
             _send(hub, session),
             _receive(hub, session),
+            end_on_silence(stream, hub.settings.intervals.silence_s),
         )
 
 
 async def _send(hub: Hub, session: NodeSession) -> None:
-    with hub.admission.handshake():
-        await _welcome(hub, session)
+    await _welcome(hub, session)
+    session.handshake.close()
     sequence = 0
     while True:
         if await _changed(hub, session):
@@ -109,8 +111,7 @@
 
 async def _receive(hub: Hub, session: NodeSession) -> None:
     while True:
-        async with asyncio.timeout(hub.settings.intervals.silence_s):
-            frame = await session.stream.receive()
+        frame = await session.stream.receive()
         handle = _handles_by_type.get(type(frame.body))
         if handle is None:
             raise MalformedFrame('type', f'{type(frame.body)} from a node')
--- a/packages/mustardspur_control/src/mustardspur_control/relay/peer_link.py
+++ b/packages/mustardspur_control/src/mustardspur_control/relay/peer_link.py
@@ -10,7 +10,7 @@
 from mustardspur_core.record import Record
 from mustardspur_core.settings import Peer, Settings
 from mustardspur_core.tasks import run_until_first_end
-from mustardspur_core.wire import FrameStream, MalformedFrame
+from mustardspur_core.wire import FrameStream, MalformedFrame, end_on_silence
 
 from mustardspur_control.relay.messages import RelayHello
 from mustardspur_control.relay.shares import Share
@@ -84,11 +84,13 @@
         is_wanted: Callable[[], bool],
         is_upstream: Callable[['PeerLink'], bool],
     ) -> None:
+        silence_s = self._settings.intervals.silence_s
         try:
             async with self._connect(peer.stream, CONNECT_TIMEOUT_S) as stream:
                 await run_until_first_end(
                     self._send(stream, is_wanted, is_upstream),
                     self._receive(stream, peer),
+                    end_on_silence(stream, silence_s),
                 )
         except _LINK_ERRORS as error:
             _LOG.info(
@@ -136,6 +138,5 @@
 
     async def _receive(self, stream: FrameStream, peer: Peer) -> None:
         while True:
-            async with asyncio.timeout(self._settings.intervals.silence_s):
-                await stream.receive()
+            await stream.receive()
             self.live = peer
--- a/packages/mustardspur_control/src/mustardspur_control/relay/peer_stream.py
+++ b/packages/mustardspur_control/src/mustardspur_control/relay/peer_stream.py
@@ -7,7 +7,7 @@
 from mustardspur_core.messages import CutOff, Heartbeat, Outcomes
 from mustardspur_core.record import Record
 from mustardspur_core.tasks import run_until_first_end
-from mustardspur_core.wire import FrameStream, MalformedFrame
+from mustardspur_core.wire import FrameStream, MalformedFrame, end_on_silence
 
 from mustardspur_control.hub import Hub
 from mustardspur_control.relay.applied_rows import take_reports
@@ -60,7 +60,11 @@
 
     async def serve(self, stream: FrameStream) -> None:
         """Serve the stream until its end."""
-        await run_until_first_end(self._beat(stream), self._receive(stream))
+        await run_until_first_end(
+            self._beat(stream),
+            self._receive(stream),
+            end_on_silence(stream, self.hub.settings.intervals.silence_s),
+        )
 
     async def _beat(self, stream: FrameStream) -> None:
         while True:
@@ -69,8 +73,7 @@
 
     async def _receive(self, stream: FrameStream) -> None:
         while True:
-            async with asyncio.timeout(self.hub.settings.intervals.silence_s):
-                frame = await stream.receive()
+            frame = await stream.receive()
             if self.is_near:
                 self.hub.registry.keep_peer(self.hello.control)
             handle = _handles_by_type.get(type(frame.body))
--- a/packages/mustardspur_control/src/mustardspur_control/sessions.py
+++ b/packages/mustardspur_control/src/mustardspur_control/sessions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import defaultdict
+from contextlib import ExitStack
 
 from mustardspur_core.messages import Hello
 from mustardspur_core.wire import FrameStream
@@ -29,6 +30,7 @@
         'confirmed',
         'cut_offs',
         'dirty',
+        'handshake',
         'hello',
         'indexes',
         'revisions',
@@ -48,6 +50,7 @@
         self.dirty = set(hello.services)
         self.cut_offs: set[str] = set()
         self.wake = asyncio.Event()
+        self.handshake = ExitStack()
 
     @property
     def node(self) -> str:
--- a/packages/mustardspur_core/src/mustardspur_core/wire/__init__.py
+++ b/packages/mustardspur_core/src/mustardspur_core/wire/__init__.py
@@ -8,6 +8,7 @@
     encode_frame,
     message,
 )
+from mustardspur_core.wire.silence import end_on_silence
 from mustardspur_core.wire.streams import (
     MAX_FRAME_BYTES,
     FrameStream,
@@ -23,5 +24,6 @@
     'connect_stream',
     'decode_frame',
     'encode_frame',
+    'end_on_silence',
     'message',
 ]
--- a/packages/mustardspur_core/src/mustardspur_core/wire/streams.py
+++ b/packages/mustardspur_core/src/mustardspur_core/wire/streams.py
@@ -29,7 +29,13 @@
         Sink of the bytes.
     """
 
-    __slots__ = ('_reader', '_writer', 'received_bytes', 'sent_bytes')
+    __slots__ = (
+        '_reader',
+        '_writer',
+        'peer_address',
+        'received_bytes',
+        'sent_bytes',
+    )
 
     def __init__(
         self,
@@ -39,21 +45,21 @@
         """Wrap a connected pair."""
         self._reader = reader
         self._writer = writer
+        # uvloop forgets the address once the connection is closed.
+        self.peer_address = _peer_address(writer)
         self.received_bytes = 0
         self.sent_bytes = 0
 
-    @property
-    def peer_address(self) -> str:
-        """IP number and port of the other end."""
-        peername = self._writer.get_extra_info('peername')
-        return f'{peername[0]}:{peername[1]}' if peername else 'unknown'
-
     def send_soon(self, body: Record, request_id: int = 0) -> None:
         """Queue a message without waiting for the peer to take it."""
         self.send_encoded(encode_frame(body, request_id))
 
     def send_encoded(self, encoded: bytes) -> None:
         """Queue an encoded frame, for one frame that goes to many peers."""
+        if self._writer.is_closing():
+            # The receiving side reports the end; uvloop raises RuntimeError
+            # on a write to a closed transport.
+            return
         prefix = len(encoded).to_bytes(LENGTH_BYTES, 'big')
         self._writer.write(prefix + encoded)
         self.sent_bytes += LENGTH_BYTES + len(encoded)
@@ -109,6 +115,11 @@
             raise MalformedFrame('truncated', detail) from error
 
 
+def _peer_address(writer: asyncio.StreamWriter) -> str:
+    peername = writer.get_extra_info('peername')
+    return f'{peername[0]}:{peername[1]}' if peername else 'unknown'
+
+
 @asynccontextmanager
 async def connect_stream(
     address: str,
--- a/packages/mustardspur_node/src/mustardspur_node/announcements.py
+++ b/packages/mustardspur_node/src/mustardspur_node/announcements.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 from mustardspur_core.conversion import encode_mapping
 from mustardspur_core.findings import Finding, Findings
+from mustardspur_core.running_clock import RunningClock
 from mustardspur_core.schemas import load_schema, schema_findings
 from mustardspur_core.settings import Settings
 from mustardspur_core.state import Target
@@ -37,7 +38,7 @@
     ) -> None:
         """Start without targets."""
         self._settings = settings
-        self._clock = clock
+        self._clock = RunningClock(clock)
         self._targets: dict[str, Target] = {}
         self._ends: dict[str, float] = {}
         self._callbacks: list[Callable[[], None]] = []
--- a/packages/mustardspur_node/src/mustardspur_node/control_link.py
+++ b/packages/mustardspur_node/src/mustardspur_node/control_link.py
@@ -19,7 +19,11 @@
 from mustardspur_core.settings import Settings
 from mustardspur_core.tasks import background, every, run_until_first_end
 from mustardspur_core.timeline import Timeline
-from mustardspur_core.wire import MalformedFrame, connect_stream
+from mustardspur_core.wire import (
+    MalformedFrame,
+    connect_stream,
+    end_on_silence,
+)
 
 from mustardspur_node.announcements import Announcements
 from mustardspur_node.backoff import Backoff
@@ -167,12 +171,12 @@
             await run_until_first_end(
                 self._beat(session),
                 self._receive(session),
+                end_on_silence(stream, self._settings.intervals.silence_s),
             )
 
     async def _receive(self, session: LinkSession) -> None:
         while True:
-            async with asyncio.timeout(self._settings.intervals.silence_s):
-                await session.receive()
+            await session.receive()
 
     async def _beat(self, session: LinkSession) -> None:
         sequence = 0
--- /dev/null
+++ b/tests/core/wire/test_streams.py
@@ -0,0 +1,67 @@
+"""Guards streams against closed transports, silence and stalls."""
+
+import asyncio
+import socket
+
+import pytest
+from mustardspur_core.event_loop import run_in_loop
+from mustardspur_core.messages import Heartbeat
+from mustardspur_core.tasks import run_until_first_end
+from mustardspur_core.wire import FrameStream, end_on_silence
+
+from tests.support.virtual_time import VirtualLoop, in_virtual_time
+
+BEAT = Heartbeat(sequence=1)
+
+
+async def pair() -> tuple[FrameStream, FrameStream]:
+    """Return both ends of a stream."""
+    ends = socket.socketpair()
+    near = await asyncio.open_connection(sock=ends[0])
+    far = await asyncio.open_connection(sock=ends[1])
+    return FrameStream(*near), FrameStream(*far)
+
+
+async def _send_after_close() -> int:
+    near, far = await pair()
+    near.close()
+    with pytest.raises(asyncio.IncompleteReadError):
+        await far.receive()
+    near.send_soon(BEAT)
+    assert near.peer_address == 'unknown'
+    return near.sent_bytes
+
+
+def test_send_after_close_is_dropped() -> None:
+    """Guards against uvloop's RuntimeError in whoever sends."""
+    assert run_in_loop(_send_after_close()) == 0
+
+
+async def _receive(stream: FrameStream) -> None:
+    while True:
+        await stream.receive()
+
+
+@in_virtual_time
+async def test_silence_ends_a_stream_in_time() -> None:
+    """Guards against a stream that is silent for longer than allowed."""
+    near, far = await pair()
+    loop = asyncio.get_running_loop()
+    loop.call_at(2.4, far.send_soon, BEAT)
+    with pytest.raises(TimeoutError):
+        await run_until_first_end(_receive(near), end_on_silence(near, 3))
+    assert 4.9 <= loop.time() <= 5.4
+
+
+@in_virtual_time
+async def test_stall_ends_no_stream() -> None:
+    """Guards against losing every stream when the process stood still."""
+    near, far = await pair()
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, VirtualLoop)
+    far.send_soon(BEAT)
+    loop.call_at(1, loop.stall, 60)
+    loop.call_at(62, far.send_soon, BEAT)
+    with pytest.raises(TimeoutError):
+        await run_until_first_end(_receive(near), end_on_silence(near, 3))
+    assert loop.time() > 64
--- a/tests/support/virtual_time.py
+++ b/tests/support/virtual_time.py
@@ -37,6 +37,10 @@
         """Return the virtual time in seconds."""
         return self._clock.now_s
 
+    def stall(self, length_s: float) -> None:
+        """Let time pass without running anything."""
+        self._clock.now_s += length_s
+
 
 def in_virtual_time(test: AsyncTest) -> Test:
     """Run an asynchronous test on a virtual clock."""
