Recover a control instance alone after the majority is lost

Cause: with the majority of the voters lost for good nobody could accept an edit again.

It refuses a running instance, damaged or empty files, and nodes.

Conclusion: a survivor of three keeps all ten entries, accepts a new one and stays the only voter after a restart.

--- a/packages/mustardspur_agreement/src/mustardspur_agreement/__init__.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/__init__.py
@@ -8,7 +8,8 @@
     ProposalError,
     StateMachine,
 )
-from mustardspur_agreement.running import running_log
+from mustardspur_agreement.recovery import recover_alone
+from mustardspur_agreement.running import log_disk, running_log
 
 __all__ = [
     'Committed',
@@ -17,5 +18,7 @@
     'ProposalError',
     'ReplicatedLog',
     'StateMachine',
+    'log_disk',
+    'recover_alone',
     'running_log',
 ]
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/running.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/running.py
@@ -23,6 +23,19 @@
 _FOLDER: Final = 'agreement'
 
 
+def log_disk(settings: Settings) -> FolderDisk:
+    """Return the folder with the files of the log.
+
+    Raises
+    ------
+    ValueError
+        If the settings have no data folder.
+    """
+    if settings.data_dir is None:
+        raise ValueError('a control instance needs data_dir')
+    return FolderDisk(Path(settings.data_dir) / _FOLDER)
+
+
 @asynccontextmanager
 async def running_log(
     settings: Settings,
@@ -37,12 +50,10 @@
     ValueError
         If the settings have no data folder.
     """
-    if settings.data_dir is None:
-        raise ValueError('a control instance needs data_dir')
     with ThreadPoolExecutor(max_workers=1) as executor:
         surroundings = Surroundings(
             dial=dial_peer,
-            disk=FolderDisk(Path(settings.data_dir) / _FOLDER),
+            disk=log_disk(settings),
             offload=ThreadOffload(executor),
             random=Random(),
             snapshot_entries=SNAPSHOT_ENTRIES,
--- a/packages/mustardspur_daemon/src/mustardspur_daemon/main.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/main.py
@@ -4,27 +4,21 @@
 import errno
 import logging
 import sys
-from collections.abc import Sequence
-from enum import IntEnum
+from collections.abc import Callable, Sequence
 from pathlib import Path
 
 from mustardspur_core.event_loop import run_in_loop
 from mustardspur_core.logs import configure_logs
 from mustardspur_core.settings import Settings, load_settings
 from mustardspur_daemon import processes
+from mustardspur_daemon.exit_codes import ExitCode
+from mustardspur_daemon.recovering import recover
 from mustardspur_daemon.roles import run_role
 
 logger = logging.getLogger(__name__)
 # Importing the module registers the roles.
 ROLE_MODULES = (processes,)
-
-
-class ExitCode(IntEnum):
-    """Exit codes of the daemon."""
-
-    STOPPED = 0
-    BAD_SETTINGS = 2
-    CANNOT_START = 3
+Command = Callable[[Settings], int]
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
@@ -48,19 +42,23 @@
     if options.check:
         sys.stdout.write(f'{options.settings}: no findings\n')
         return ExitCode.STOPPED
-    return _run(loaded.ok)
+    return _run(loaded.ok, recover if options.recover_alone else _serve)
 
 
-def _run(settings: Settings) -> int:
+def _run(settings: Settings, command: Command) -> int:
     configure_logs(settings)
     try:
-        run_in_loop(run_role(settings))
+        return command(settings)
     except OSError as error:
         logger.error(
             'cannot start',
             extra={'reason': explain(error), 'settings_id': settings.id},
         )
         return ExitCode.CANNOT_START
+
+
+def _serve(settings: Settings) -> int:
+    run_in_loop(run_role(settings))
     return ExitCode.STOPPED
 
 
@@ -102,4 +100,10 @@
         action='store_true',
         help='check the settings, report every finding, start nothing',
     )
+    parser.add_argument(
+        '--recover-alone',
+        action='store_true',
+        help='make this stopped control instance the only voter, after the '
+        'majority is lost for good; see docs/operators.md',
+    )
     return parser
--- /dev/null
+++ b/tests/agreement/test_recovery.py
@@ -0,0 +1,67 @@
+"""Guards against a recovery that loses entries or hides damage."""
+
+from mustardspur_agreement import recover_alone
+
+from tests.agreement.cluster import Cluster
+from tests.agreement.conftest import MakeCluster
+from tests.agreement.test_cluster import VOTERS
+
+ENTRIES = 10
+
+
+def _filled_and_stopped(make_cluster: MakeCluster) -> Cluster:
+    cluster = make_cluster(VOTERS)
+    cluster.start()
+    for place in range(ENTRIES):
+        assert cluster.propose(b'%d' % place).is_ok()
+    cluster.advance(5)
+    cluster.stop()
+    return cluster
+
+
+def test_survivor_goes_on_alone(make_cluster: MakeCluster) -> None:
+    """Guards against a lost majority that ends all edits for good."""
+    cluster = _filled_and_stopped(make_cluster)
+    survivor = cluster.instances['c1']
+    recovered = recover_alone(survivor.settings, survivor.disk)
+    assert recovered.is_ok()
+    cluster.start('c1')
+    cluster.settle()
+    assert survivor.running.voters == ['c1']
+    assert len(survivor.machine.entries) == ENTRIES
+    assert cluster.propose(b'after').is_ok()
+
+
+def test_survivor_stays_alone_after_a_restart(
+    make_cluster: MakeCluster,
+) -> None:
+    """Guards against a recovery that only lasts as long as the process."""
+    cluster = _filled_and_stopped(make_cluster)
+    survivor = cluster.instances['c2']
+    assert recover_alone(survivor.settings, survivor.disk).is_ok()
+    cluster.start('c2')
+    cluster.settle()
+    cluster.stop('c2')
+    cluster.start('c2')
+    cluster.settle()
+    assert survivor.running.voters == ['c2']
+    assert len(survivor.machine.entries) == ENTRIES
+
+
+def test_damaged_instance_is_not_recovered(make_cluster: MakeCluster) -> None:
+    """Guards against recovering from files that lack committed entries."""
+    cluster = _filled_and_stopped(make_cluster)
+    damaged = cluster.instances['c1']
+    segment = next(
+        name for name in damaged.disk.names() if name.startswith('log-')
+    )
+    middle = len(damaged.disk.files[segment].content) // 2
+    damaged.disk.flip(segment, middle)
+    assert recover_alone(damaged.settings, damaged.disk).is_error()
+
+
+def test_empty_instance_is_not_recovered(make_cluster: MakeCluster) -> None:
+    """Guards against an empty log in place of the lost one."""
+    cluster = make_cluster(VOTERS)
+    empty = cluster.instances['c1']
+    assert recover_alone(empty.settings, empty.disk).is_error()
--- a/tests/daemon/test_main.py
+++ b/tests/daemon/test_main.py
@@ -6,7 +6,8 @@
 from pathlib import Path
 
 import pytest
-from mustardspur_daemon.main import ExitCode, explain, main
+from mustardspur_daemon.exit_codes import ExitCode
+from mustardspur_daemon.main import explain, main
 
 BAD_NODE = '{"role": "node", "id": "", "listen": {}}'
 
--- /dev/null
+++ b/tests/daemon/test_recovering.py
@@ -0,0 +1,45 @@
+"""Guards against a recovery under the feet of a running instance."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+from mustardspur_daemon.exit_codes import ExitCode
+from mustardspur_daemon.main import main
+
+from tests.daemon.processes import (
+    answer_of,
+    control_document,
+    free_address,
+    node_document,
+    running_daemon,
+)
+
+
+def _recover(folder: Path, document: dict[str, Any]) -> int:
+    path = folder / 'recover.json'
+    path.write_text(json.dumps(document))
+    return main(['--settings', str(path), '--recover-alone'])
+
+
+async def test_running_instance_is_left_alone(tmp_path: Path) -> None:
+    """Guards against two writers of one log."""
+    document = control_document(tmp_path)
+    address = document['listen']['http']
+    async with running_daemon(tmp_path, document):
+        await answer_of(f'http://{address}/v1/status')
+        assert _recover(tmp_path, document) == ExitCode.CANNOT_START
+    assert _recover(tmp_path, document) == ExitCode.STOPPED
+
+
+def test_node_and_empty_instance_are_refused(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against recovering what has no log."""
+    node = node_document(tmp_path, free_address())
+    assert _recover(tmp_path, node) == ExitCode.BAD_SETTINGS
+    empty = control_document(tmp_path)
+    assert _recover(tmp_path, empty) == ExitCode.CANNOT_START
+    assert 'files are new' in capsys.readouterr().err
