Answer proposals that a quorum refuses, count only trusted voters as contact

Cause: with one voter cut off and one untrusted, the leader counted the untrusted one as contact, kept leading and never answered proposals. The same happened with full disks on a quorum. Found by two new tests, which hung.

Change: answers of an untrusted instance are no contact. A proposal that is not applied within 20 election timeouts is answered as unknown. New members' tasks are started by one task only, which removed a warning at shutdown about a task that never started.

--- a/packages/mustardspur_agreement/src/mustardspur_agreement/election.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/election.py
@@ -40,15 +40,8 @@
         if self._alone():
             await self._stand()
         while True:
-            started_s = _now()
-            waited_s = self._timeout_s()
-            await self._replica.changed.wait_until(
-                self._is_summoned,
-                waited_s,
-            )
-            heard_s = max(started_s, self._replica.contact.heard_s)
-            silent = _now() - heard_s >= waited_s - self._replica.election_s
-            if self._summoned or (silent and not hears_leader(self._replica)):
+            await self._silence(self._timeout_s())
+            if self._summoned or not hears_leader(self._replica):
                 await self._stand()
 
     def pause(self) -> None:
@@ -63,6 +56,15 @@
         self._replica.changed.notify()
         return TakeOverAnswer(accepted=accepted)
 
+    async def _silence(self, timeout_s: float) -> None:
+        """Wait until no leader was heard for this long, or one calls."""
+        started_s = _now()
+        left_s = timeout_s
+        while left_s > 0 and not self._summoned:
+            await self._replica.changed.wait_until(self._is_summoned, left_s)
+            heard_s = max(started_s, self._replica.contact.heard_s)
+            left_s = heard_s + timeout_s - _now()
+
     def _is_summoned(self) -> bool:
         return self._summoned
 
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/leadership.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/leadership.py
@@ -32,7 +32,7 @@
     acked_round : int
         Newest heartbeat round that it answered.
     acked_s : float
-        When the newest answered request was sent.
+        When the newest request was sent whose answer counts.
     sent_commit : int
         Commit index that it was told.
     trusted : bool
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/peers.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/peers.py
@@ -16,43 +16,42 @@
         The copy of the log.
     """
 
-    __slots__ = ('_group', '_links_by_id', '_replica')
+    __slots__ = ('_links_by_id', '_replica', '_started')
 
     def __init__(self, replica: Replica) -> None:
         """Start without links."""
         self._replica = replica
         self._links_by_id: dict[str, PeerLink] = {}
-        self._group: asyncio.TaskGroup | None = None
+        self._started: set[str] = set()
 
     def link_to(self, peer_id: str) -> PeerLink:
-        """Return the link to a peer, starting its tasks if it is new."""
+        """Return the link to a peer; `run` starts its tasks if it is new."""
         known = self._links_by_id.get(peer_id)
-        if known is not None:
-            return known
-        replica = self._replica
-        link = PeerLink(
-            replica.context.settings,
-            replica.context.surroundings.dial,
-            lambda: self._address(peer_id),
-        )
-        self._links_by_id[peer_id] = link
-        if self._group is not None:
-            self._group.create_task(link.run())
-            self._group.create_task(
-                Replication(replica, link, peer_id).run(),
+        if known is None:
+            known = PeerLink(
+                self._replica.context.settings,
+                self._replica.context.surroundings.dial,
+                lambda: self._address(peer_id),
             )
-        return link
+            self._links_by_id[peer_id] = known
+            self._replica.changed.notify()
+        return known
 
     async def run(self, group: asyncio.TaskGroup) -> None:
         """Start tasks for the members and for members that join."""
-        self._group = group
         while True:
-            for name in self._members():
-                self.link_to(name)
-            await self._replica.changed.wait_for(self._has_new_members)
+            for name in self._unstarted():
+                self._started.add(name)
+                link = self.link_to(name)
+                group.create_task(link.run())
+                group.create_task(Replication(self._replica, link, name).run())
+            await self._replica.changed.wait_for(self._has_unstarted)
+
+    def _has_unstarted(self) -> bool:
+        return bool(self._unstarted())
 
-    def _has_new_members(self) -> bool:
-        return bool(self._members() - self._links_by_id.keys())
+    def _unstarted(self) -> set[str]:
+        return (self._members() | self._links_by_id.keys()) - self._started
 
     def _members(self) -> set[str]:
         replica = self._replica
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/proposals.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/proposals.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Final
 
 from expression import Error
 
@@ -16,6 +17,9 @@
 from mustardspur_agreement.replication import advance_commit
 from mustardspur_agreement.segments import UncertainWriteError
 
+# A quorum can be in contact and still refuse entries, with full disks.
+_TIMEOUT_ELECTIONS: Final = 20
+
 
 class Proposals:
     """The queue of entries to be appended by the leader.
@@ -58,7 +62,7 @@
         )
         leadership.queue.append(proposal)
         self._replica.changed.notify()
-        return await proposal.outcome
+        return await self._outcome(proposal)
 
     async def run(self) -> None:
         """Write batches until cancelled."""
@@ -69,6 +73,16 @@
                 if leadership is not None:
                     await self._write(leadership)
 
+    async def _outcome(self, proposal: Proposal) -> Outcome:
+        timeout_s = self._replica.election_s * _TIMEOUT_ELECTIONS
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await proposal.outcome
+        except TimeoutError:
+            return Error(
+                self._replica.error('unknown', 'no quorum answered in time'),
+            )
+
     def _has_work(self) -> bool:
         leadership = self._replica.leadership
         return leadership is not None and bool(leadership.queue)
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/replication.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/replication.py
@@ -160,9 +160,9 @@
         if reply.term > leadership.term:
             await self._heed(reply.term)
             return None
-        progress.acked_s = asked_s
         progress.trusted = reply.trusted
         if reply.trusted:
+            progress.acked_s = asked_s
             progress.acked_round = max(progress.acked_round, asked_round)
         self._replica.changed.notify()
         return reply
--- a/tests/agreement/test_elections.py
+++ b/tests/agreement/test_elections.py
@@ -73,6 +73,20 @@
     assert cluster.run(vote).granted is granted
 
 
+@pytest.mark.parametrize(('last_index', 'granted'), [(0, True), (1, False)])
+def test_empty_instance_votes_for_empty_logs(
+    make_cluster: MakeCluster,
+    last_index: int,
+    granted: bool,
+) -> None:
+    """Guards against a wiped voter electing one that lacks its entries."""
+    cluster = make_cluster(VOTERS)
+    cluster.start('c3')
+    request = _request('c1', last_index=last_index, last_term=last_index)
+    vote = answer_vote(_replica(cluster.instances['c3']), request)
+    assert cluster.run(vote).granted is granted
+
+
 def test_heard_leader_prevents_votes(make_cluster: MakeCluster) -> None:
     """Guards against a disturbance by an instance that lost contact."""
     cluster = make_cluster(VOTERS)
--- a/tests/agreement/test_faults.py
+++ b/tests/agreement/test_faults.py
@@ -216,3 +216,37 @@
     cluster.start('c2')
     cluster.settle(20)
     assert all(one.running.is_trusted for one in cluster.live())
+
+
+def test_damaged_voter_does_not_count(make_cluster: MakeCluster) -> None:
+    """Guards against a quorum that includes an instance without entries."""
+    cluster = make_cluster(VOTERS)
+    cluster.start()
+    _fill(cluster)
+    cluster.advance(5)
+    leader = cluster.leader().settings.id
+    damaged, away = (name for name in VOTERS if name != leader)
+    cluster.stop(damaged)
+    _damage(cluster, damaged)
+    cluster.advance(1)
+    cluster.network.block(leader, away)
+    cluster.network.block(damaged, away)
+    cluster.start(damaged)
+    assert cluster.propose(b'not on a quorum', leader).error.kind == 'unknown'
+    cluster.advance(20)
+    assert not cluster.instances[damaged].running.is_trusted
+
+
+def test_full_disks_of_a_quorum_end_a_proposal(
+    make_cluster: MakeCluster,
+) -> None:
+    """Guards against an edit that is never answered."""
+    cluster = make_cluster(VOTERS)
+    cluster.start()
+    _fill(cluster)
+    cluster.advance(5)
+    leader = cluster.leader()
+    for instance in cluster.live():
+        instance.disk.full = instance is not leader
+    outcome = cluster.propose(b'waits', leader.settings.id)
+    assert outcome.error.kind == 'unknown'
