--- a/packages/mustardspur_control/src/mustardspur_control/move_driver.py
+++ b/packages/mustardspur_control/src/mustardspur_control/move_driver.py
@@ -111,7 +111,8 @@
         if move is None:
             return
         window_s = tuning_of(_policy(self._source, move)).window_s
-        slot = Slot(step=move.step, window=int(self._clock() // window_s))
+        step = min(outcomes.step, move.step)
+        slot = Slot(step=step, window=int(self._clock() // window_s))
         evidence = self._evidence.setdefault(move.id, Evidence())
         evidence.add_rows(slot, outcomes.rows)
 
--- a/packages/mustardspur_core/src/mustardspur_core/messages.py
+++ b/packages/mustardspur_core/src/mustardspur_core/messages.py
@@ -200,10 +200,19 @@
 
 @message(9)
 class Outcomes(Record):
-    """Evidence of a node about a move, counted since its last report."""
+    """Evidence of a node about a move, counted since its last report.
 
-    __slots__ = ('move', 'rows')
+    Parameters
+    ----------
+    move : str
+        Identifier of the move.
+    step : int
+        Step of the move that was in force for the calls.
+    """
+
+    __slots__ = ('move', 'step', 'rows')
     move: str
+    step: int
     rows: list[OutcomeRow]
 
 
--- a/packages/mustardspur_moves/src/mustardspur_moves/collector.py
+++ b/packages/mustardspur_moves/src/mustardspur_moves/collector.py
@@ -16,27 +16,29 @@
     and interval on, whatever the number of its nodes.
     """
 
-    __slots__ = ('_cells_by_move',)
+    __slots__ = ('_cells_by_step',)
 
     def __init__(self) -> None:
         """Start empty."""
-        self._cells_by_move: dict[str, Cells] = {}
+        self._cells_by_step: dict[tuple[str, int], Cells] = {}
 
     def add(self, outcomes: Outcomes) -> None:
         """Add a report."""
-        cells = self._cells_by_move.setdefault(outcomes.move, {})
+        step_key = (outcomes.move, outcomes.step)
+        cells = self._cells_by_step.setdefault(step_key, {})
         for row in outcomes.rows:
             total = cells.setdefault(key_of(row), Tally.empty())
             total.add(tally_of(row))
 
     def drain(self) -> list[Outcomes]:
-        """Return one report per move and start again."""
+        """Return one report per move and step and start again."""
         drained = [
             Outcomes(
                 move=move,
+                step=step,
                 rows=[row_of(key, tally) for key, tally in cells.items()],
             )
-            for move, cells in self._cells_by_move.items()
+            for (move, step), cells in self._cells_by_step.items()
         ]
-        self._cells_by_move = {}
+        self._cells_by_step = {}
         return drained
--- a/packages/mustardspur_moves/src/mustardspur_moves/evidence.py
+++ b/packages/mustardspur_moves/src/mustardspur_moves/evidence.py
@@ -88,7 +88,7 @@
             self.add(slot, key_of(row), tally_of(row))
 
     def add(self, slot: Slot, key: CellKey, tally: Tally) -> None:
-        """Add counts of one cell; `tally` itself is not kept."""
+        """Add counts of one cell; `tally` must not change after that."""
         self._count_calls(slot, key.version, tally.calls)
         first = self.first_windows.get(key.target, slot.window)
         self.first_windows[key.target] = min(first, slot.window)
@@ -200,5 +200,6 @@
 def _add_to(cells: Cells, key: CellKey, tally: Tally) -> None:
     kept = cells.get(key)
     if kept is None:
-        kept = cells.setdefault(key, Tally.empty())
-    kept.add(tally)
+        cells[key] = tally
+    else:
+        cells[key] = kept.plus(tally)
--- a/packages/mustardspur_moves/src/mustardspur_moves/facts.py
+++ b/packages/mustardspur_moves/src/mustardspur_moves/facts.py
@@ -12,7 +12,7 @@
 from mustardspur_moves.verdict import Verdict, judge
 
 # Evidence ratio from which the share does not rise.
-SUSPICIOUS_RATIO: Final = 10
+SUSPICIOUS_RATIO: Final = 3
 # Calls at the current share before it rises.
 CALLS_AT_SHARE: Final = 10
 # Reports older than this many report intervals do not support a raise.
--- a/packages/mustardspur_moves/src/mustardspur_moves/guard.py
+++ b/packages/mustardspur_moves/src/mustardspur_moves/guard.py
@@ -26,6 +26,8 @@
 KEPT_WINDOWS: Final = 60
 # Factor on the threshold: each of many nodes judges the same version.
 CAUTION: Final = 20.0
+# From this evidence ratio a node does not wait for its next report.
+PROMPT_RATIO: Final = 1.0
 # New failures after which the node does not wait for its next tick.
 CHECKED_FAILURES: Final = 4
 _OPEN_STATES: Final = frozenset((MoveState.RUNNING, MoveState.PAUSED))
@@ -55,6 +57,7 @@
         'failures',
         'reported_s',
         'new_targets',
+        'evidence_ratio',
     )
 
     def __init__(self, move: Move, policy: MovePolicy, now_s: float) -> None:
@@ -66,12 +69,19 @@
         self.failures = 0
         self.reported_s = now_s
         self.new_targets = 0
+        self.evidence_ratio: float = 0
 
     @property
     def versions(self) -> tuple[str, str]:
         """Old and new version."""
         return self.move.from_version, self.move.to_version
 
+    def report_is_due(self, now_s: float) -> bool:
+        """Return whether the interval is over or the calls look bad."""
+        if self.evidence_ratio >= PROMPT_RATIO:
+            return True
+        return now_s >= self.reported_s + tuning_of(self.policy).report_s
+
     def cell(self, target: Target, route: str, caller: str) -> Tally:
         """Return the counts since the last check that a call belongs to."""
         key = CellKey(
@@ -160,7 +170,8 @@
         """
         for watched in list(self._watched.values()):
             self._check(watched)
-            self._report(watched)
+            if watched.report_is_due(self._clock()):
+                self._report(watched)
 
     def note_cut_off(self, cut_off: CutOff) -> None:
         """Take over a cut-off; it holds for as long as the node runs."""
@@ -220,6 +231,10 @@
         if watched is None:
             watched = _Watched(move, config.profile.move, self._clock())
             self._watched[move.id] = watched
+        if watched.move.step != move.step:
+            # Calls at another share are other evidence.
+            self._check(watched)
+            self._report(watched)
         watched.move = move
         watched.policy = config.profile.move
         return watched
@@ -250,6 +265,7 @@
             window_s=WINDOW_S,
             caution=CAUTION,
         )
+        watched.evidence_ratio = verdict.evidence_ratio
         watched.evidence.compact(window - KEPT_WINDOWS)
         if verdict.bad:
             cut_off = CutOff(
@@ -262,14 +278,14 @@
             self._send(cut_off)
 
     def _report(self, watched: _Watched) -> None:
-        now_s = self._clock()
-        due_s = watched.reported_s + tuning_of(watched.policy).report_s
-        if now_s < due_s or not watched.unreported:
+        if not watched.unreported:
             return
         rows = [row_of(key, tally) for key, tally in watched.unreported.items()]
         watched.unreported = {}
-        watched.reported_s = now_s
-        self._send(Outcomes(move=watched.move.id, rows=rows))
+        watched.reported_s = self._clock()
+        self._send(
+            Outcomes(move=watched.move.id, step=watched.move.step, rows=rows)
+        )
 
 
 class _OpenMoves(Record):
--- a/packages/mustardspur_moves/src/mustardspur_moves/schedule.py
+++ b/packages/mustardspur_moves/src/mustardspur_moves/schedule.py
@@ -1,5 +1,6 @@
 """Plan of a move's shares, from the stated time backwards."""
 
+import math
 from typing import Final
 
 from mustardspur_core.profile.model import MovePolicy
@@ -11,12 +12,13 @@
 RESERVED_SHARE: Final = 0.35
 # Factor between two shares.
 GROWTH: Final = 2.0
-# Last share at which both versions can be compared.
+# Share at which a second of calls tells most of a difference.
+EVEN_SHARE: Final = 0.5
+# Last share at which both versions can be compared; it shows faults that
+# appear only under nearly full load.
 LAST_COMPARED_SHARE: Final = 0.9
 FULL_SHARE: Final = 1.0
-# Each stage takes this part of the one before it, so that most time is spent
-# at small shares.
-SHORTENING: Final = 0.8
+MIN_WEIGHT: Final = 0.01
 # Time before the stated one that the last step needs to come into force.
 LARGEST_MARGIN_S: Final = 10.0
 MARGIN_SHARE: Final = 0.05
@@ -47,6 +49,14 @@
 class Schedule:
     """The stages of one move.
 
+    Explanation
+    ===========
+
+    The information on a difference of two versions grows with
+    ``share * (1 - share)`` a second, the harm of a bad one with the share.
+    A stage lasts in proportion to the root of the former, which leaves the
+    small shares early and dwells where both versions get enough calls.
+
     Parameters
     ----------
     policy : MovePolicy
@@ -65,9 +75,9 @@
         margin_s = min(LARGEST_MARGIN_S, MARGIN_SHARE * length_s)
         self.last_raise_s = by_s - margin_s
         shares = _shares(policy.first_share)
-        weights = [SHORTENING**place for place in range(len(shares))]
+        weights = [math.sqrt(share * (1 - share)) for share in shares]
         planned_s = (1 - RESERVED_SHARE) * length_s
-        unit_s = planned_s / max(sum(weights[:-1]), 1)
+        unit_s = planned_s / max(sum(weights), MIN_WEIGHT)
         self.stages = [
             Stage(
                 share=share,
@@ -96,14 +106,11 @@
 
 
 def _shares(first_share: float) -> list[float]:
-    shares = []
-    share = first_share
-    while share < LAST_COMPARED_SHARE:
-        shares.append(round(share, 4))
-        share *= GROWTH
-    if shares and shares[-1] * GROWTH > LAST_COMPARED_SHARE:
-        shares.append(LAST_COMPARED_SHARE)
-    return [*shares, FULL_SHARE]
+    shares = [first_share]
+    while shares[-1] * GROWTH < EVEN_SHARE:
+        shares.append(round(shares[-1] * GROWTH, 4))
+    later = (EVEN_SHARE, LAST_COMPARED_SHARE, FULL_SHARE)
+    return shares + [share for share in later if share > shares[-1]]
 
 
 def _needed_calls(place: int) -> int:
--- a/packages/mustardspur_moves/src/mustardspur_moves/sequential.py
+++ b/packages/mustardspur_moves/src/mustardspur_moves/sequential.py
@@ -23,8 +23,12 @@
 SLOT_CAP: Final = 8.0
 STATISTIC_CAP: Final = 1e15
 
-LogRatios = tuple[float, ...]
-NO_WEIGHT: Final[LogRatios] = (0,) * len(BAD_RATIOS)
+LogRatios = list[float]
+
+
+def no_ratios() -> LogRatios:
+    """Return the log ratios of no trial at all."""
+    return [0 for _ in BAD_RATIOS]
 
 
 def log_ratios(trial: Trial) -> LogRatios:
@@ -37,19 +41,19 @@
 
     Returns
     -------
-    tuple of float
+    list of float
         One value for each of `BAD_RATIOS`; 0 where one version got no call.
     """
     if trial.new_calls in {0, trial.calls}:
-        return NO_WEIGHT
+        return no_ratios()
     share = trial.new_calls / trial.calls
     good = good_ratio(trial)
     good_total = 1 - share + good * share
-    return tuple(
+    return [
         trial.new_events * math.log(bad / good)
         - trial.events * math.log((1 - share + bad * share) / good_total)
         for bad in BAD_RATIOS
-    )
+    ]
 
 
 def good_ratio(trial: Trial) -> float:
@@ -59,9 +63,10 @@
     return GOOD_LOADED_RATIO if trial.new_is_loaded else GOOD_SLOW_RATIO
 
 
-def added(first: LogRatios, second: LogRatios) -> LogRatios:
-    """Return the sums of the log ratios of independent trials."""
-    return tuple(one + two for one, two in zip(first, second, strict=True))
+def add_ratios(total: LogRatios, ratios: LogRatios) -> None:
+    """Add the log ratios of an independent trial to a sum, in place."""
+    for place, ratio in enumerate(ratios):
+        total[place] += ratio
 
 
 def advanced(
@@ -79,10 +84,10 @@
     before a late fault do not delay its detection. Under a good version its
     expectation stays at most the sum of the weights.
     """
-    return tuple(
+    return [
         min(
             (before + start_weight) * math.exp(min(ratio, SLOT_CAP)),
             STATISTIC_CAP,
         )
         for before, ratio in zip(statistic, slot_ratios, strict=True)
-    )
+    ]
--- a/packages/mustardspur_moves/src/mustardspur_moves/tally.py
+++ b/packages/mustardspur_moves/src/mustardspur_moves/tally.py
@@ -49,6 +49,17 @@
         self.refusals += other.refusals
         add_counts(self.latency_counts, other.latency_counts)
 
+    def plus(self, other: 'Tally') -> 'Tally':
+        """Return the sum with another tally."""
+        latency_counts = dict(self.latency_counts)
+        add_counts(latency_counts, other.latency_counts)
+        return Tally(
+            calls=self.calls + other.calls,
+            failures=self.failures + other.failures,
+            refusals=self.refusals + other.refusals,
+            latency_counts=latency_counts,
+        )
+
     def count(self, outcome: str, latency_ms: float) -> None:
         """Count one call; `outcome` is ``ok``, ``failure``, ``refusal``."""
         self.calls += 1
--- a/packages/mustardspur_moves/src/mustardspur_moves/tuning.py
+++ b/packages/mustardspur_moves/src/mustardspur_moves/tuning.py
@@ -33,9 +33,9 @@
 _OCCASIONAL: Final = 1e-3
 
 _SPARES_BYTES: Final = Tuning(
-    report_s=5,
-    window_s=5,
-    decide_s=5,
+    report_s=10,
+    window_s=2,
+    decide_s=2,
     false_alarm=_RARE,
 )
 _DETECTS_QUICKLY: Final = Tuning(
--- a/packages/mustardspur_moves/src/mustardspur_moves/verdict.py
+++ b/packages/mustardspur_moves/src/mustardspur_moves/verdict.py
@@ -8,43 +8,21 @@
 
 from mustardspur_moves.evidence import Evidence
 from mustardspur_moves.histogram import add_counts, bucket_of_top, count_from
-from mustardspur_moves.sequential import (
-    NO_WEIGHT,
-    LogRatios,
-    added,
-    advanced,
-    log_ratios,
-)
-from mustardspur_moves.slots import Slot
-from mustardspur_moves.strata import (
-    EVERYWHERE,
-    FAILURES,
-    SLOW,
-    SLOW_SHARE,
-    Comparison,
-    Scope,
-    slow_buckets_of,
-    trials_of,
-)
+from mustardspur_moves.progress import JudgedMove, Key
+from mustardspur_moves.sequential import LogRatios
+from mustardspur_moves.strata import EVERYWHERE, FAILURES, SLOW, SLOW_SHARE
 from mustardspur_moves.tally import Tally
 from mustardspur_moves.tuning import tuning_of
 
-# For this long after its first call a new target may be slow or refuse.
-COLD_START_S: Final = 15.0
-# Longest part of the move's time that a cold start may take.
-COLD_START_SHARE: Final = 0.1
 # Evidence that has to remain without the worst target.
 REMAINING_EVIDENCE: Final = 20.0
-# The old version is under its full load while the new one has less than this.
-REFERENCE_SHARE: Final = 0.35
 
 # Weights in the mixture over kinds and scopes.
 FAILURES_WEIGHT: Final = 0.5
 OTHER_KIND_WEIGHT: Final = 0.25
 EVERYWHERE_WEIGHT: Final = 0.5
 
-_Key = tuple[str, Scope]
-_FIRST_KEY: Final[_Key] = (FAILURES, EVERYWHERE)
+_FIRST_KEY: Final[Key] = (FAILURES, EVERYWHERE)
 
 
 class Verdict(Record):
@@ -80,16 +58,6 @@
     sick_target: str
 
 
-class _Running:
-    """Statistics after a slot, and the old version's loaded latencies."""
-
-    __slots__ = ('statistics', 'reference')
-
-    def __init__(self) -> None:
-        self.statistics: dict[_Key, LogRatios] = {}
-        self.reference: dict[str, dict[int, int]] = {}
-
-
 def judge(
     move: Move,
     policy: MovePolicy,
@@ -122,101 +90,28 @@
         where the new version has more than one.
     """
     tuning = tuning_of(policy)
-    judged = _Judged(move, evidence, window_s or tuning.window_s)
-    ratio, (kind, scope) = _weigh(judged.statistics(''))
-    sick_target = ''
-    if ratio >= REMAINING_EVIDENCE:
-        worst, seen = _worst_target(move, evidence, kind)
-        if max(seen, new_targets) > 1:
-            rest = _weigh(judged.statistics(worst))[0]
-            if rest < REMAINING_EVIDENCE:
-                ratio, sick_target = rest, worst
-    return Verdict(
-        bad=ratio * tuning.false_alarm >= caution,
+    judged = JudgedMove(move, evidence, window_s or tuning.window_s)
+    ratio, key = _weigh(judged.statistics(''))
+    verdict = Verdict(
+        bad=False,
         evidence_ratio=ratio,
         threshold=caution / tuning.false_alarm,
-        kind=kind,
-        scope=' '.join(scope).strip(),
-        sick_target=sick_target,
+        kind=key[0],
+        scope=' '.join(key[1]).strip(),
+        sick_target='',
     )
+    if ratio >= verdict.threshold:
+        worst, seen = _worst_target(move, evidence, verdict.kind)
+        if max(seen, new_targets) > 1:
+            rest = _weigh(judged.statistics(worst))[0]
+            if rest < REMAINING_EVIDENCE:
+                verdict.evidence_ratio = rest
+                verdict.sick_target = worst
+    verdict.bad = verdict.evidence_ratio >= verdict.threshold
+    return verdict
 
 
-class _Judged:
-    """The comparison of a move's two versions over all slots."""
-
-    __slots__ = ('_move', '_evidence', '_start_weight', '_warm_windows')
-
-    def __init__(self, move: Move, evidence: Evidence, window_s: float) -> None:
-        self._move = move
-        self._evidence = evidence
-        length_s = max(move.by_s - move.started_s, window_s)
-        self._start_weight = window_s / length_s
-        cold_s = min(COLD_START_S, COLD_START_SHARE * length_s)
-        self._warm_windows = {
-            target: first + round(cold_s / window_s)
-            for target, first in evidence.first_windows.items()
-        }
-
-    def statistics(self, without_target: str) -> dict[_Key, LogRatios]:
-        """Return the statistics after the last slot."""
-        comparison = Comparison(
-            from_version=self._move.from_version,
-            to_version=self._move.to_version,
-            warm_windows=self._warm_windows,
-            without_target=without_target,
-        )
-        scores = self._evidence.scores
-        base = scores.base(without_target)
-        running = base if isinstance(base, _Running) else _Running()
-        for slot in self._evidence.slots():
-            known = scores.get(without_target, slot)
-            if not isinstance(known, _Running):
-                known = self._after(slot, running, comparison)
-                scores.keep(without_target, slot, known)
-            running = known
-        return running.statistics
-
-    def _after(
-        self, slot: Slot, before: _Running, comparison: Comparison
-    ) -> _Running:
-        cells = self._evidence.cells_by_slot[slot]
-        after = _Running()
-        after.reference = self._reference(slot, before)
-        slow = slow_buckets_of(cells, comparison, before.reference)
-        sums: dict[_Key, LogRatios] = {}
-        for trial in trials_of(cells, slot.window, comparison, slow):
-            ratios = log_ratios(trial)
-            for scope in trial.scopes:
-                key = trial.kind, scope
-                sums[key] = added(sums.get(key, NO_WEIGHT), ratios)
-        for key in before.statistics.keys() | sums.keys():
-            after.statistics[key] = advanced(
-                before.statistics.get(key, NO_WEIGHT),
-                sums.get(key, NO_WEIGHT),
-                self._start_weight,
-            )
-        return after
-
-    def _reference(
-        self, slot: Slot, before: _Running
-    ) -> dict[str, dict[int, int]]:
-        old, new = (
-            self._evidence.calls_in(slot, version)
-            for version in (self._move.from_version, self._move.to_version)
-        )
-        if new > REFERENCE_SHARE * (old + new):
-            return before.reference
-        reference = {
-            route: dict(counts) for route, counts in before.reference.items()
-        }
-        for key, tally in self._evidence.cells_by_slot[slot].items():
-            if key.version == self._move.from_version:
-                counts = reference.setdefault(key.route, {})
-                add_counts(counts, tally.latency_counts)
-        return reference
-
-
-def _weigh(statistics: dict[_Key, LogRatios]) -> tuple[float, _Key]:
+def _weigh(statistics: dict[Key, LogRatios]) -> tuple[float, Key]:
     """Mix the statistics of all kinds and scopes; name the largest."""
     scopes = max(len({scope for _, scope in statistics}) - 1, 1)
     parts = {
@@ -227,7 +122,7 @@
     return sum(parts.values()), largest
 
 
-def _weight(key: _Key, scopes: int) -> float:
+def _weight(key: Key, scopes: int) -> float:
     kind, scope = key
     kind_weight = FAILURES_WEIGHT if kind == FAILURES else OTHER_KIND_WEIGHT
     if scope == EVERYWHERE:
