--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,8 @@
 
 .DEFAULT_GOAL := help
 
-.PHONY: help setup format lint types tests test demo demo-faults bench-capacity clean
+.PHONY: help setup format lint types tests test demo demo-faults clean
+.PHONY: bench-calls bench-capacity bench-distribution bench-moves
 
 help: ## List the commands
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 24
@@ -44,5 +45,8 @@
 bench-capacity: $(STAMP) ## Measure the slopes behind docs/CAPACITY.md
 	$(BIN)/python -m benchmarks.capacity
 
+bench-moves: $(STAMP) ## Measure the decisions on moves in virtual time
+	$(BIN)/python -m benchmarks.moves
+
 clean: ## Remove the virtual environment and build output
 	rm -rf $(VENV) build .mypy_cache .pytest_cache .ruff_cache
