Test that refused edits do not reach the log

Cause: scratch copies that proposed edits with findings, or at a follower, passed all tests.

Change: the contract test compares the index around a refused edit, and the fake log fails when a follower proposes.

Conclusion: both scratch copies fail now.

--- a/tests/control/operators_api/fakes.py
+++ b/tests/control/operators_api/fakes.py
@@ -45,6 +45,7 @@
 
     async def propose(self, entry: bytes) -> Result[Committed, ProposalError]:
         """Commit an entry, fail, or commit it and lose the answer."""
+        assert self.is_leader, 'an edit was proposed at a follower'
         if self.failure is not None:
             return Error(self.failure)
         committed = await super().propose(entry)
--- a/tests/control/operators_api/test_contract.py
+++ b/tests/control/operators_api/test_contract.py
@@ -134,10 +134,12 @@
     first = await session.call('PUT', PROFILE_PATH, edit)
     session.sources.now_s += 86_400
     assert await session.call('PUT', PROFILE_PATH, edit) == first
+    index = session.context.store.index
     new_edit = edit | {'edit_id': 'e4', 'expected_number': 3}
     status, body = await session.call('PUT', PROFILE_PATH, new_edit)
     assert status == 422
     assert body['findings'][0]['path'] == '$.move.by'
+    assert session.context.store.index == index
 
 
 def _without(name: str) -> dict[str, Any]:
