Merge evidence in one place

Cause: relays merged outcomes without the caller and the step of the move, so that evidence of one organisation or of an earlier share was mixed with others.

Change: relays use OutcomeCollector of mustardspur_moves and pass Outcomes on; OutcomeBuffer and OutcomeSummary are gone.

Conclusion: the test of reports on their way to the leader passes with the step kept.

--- a/packages/mustardspur_control/src/mustardspur_control/relay/messages.py
+++ b/packages/mustardspur_control/src/mustardspur_control/relay/messages.py
@@ -1,6 +1,5 @@
 """Messages between control instances; type codes 70 to 79."""
 
-from mustardspur_core.messages import OutcomeRow, TargetUpdate
 from mustardspur_core.record import Record
 from mustardspur_core.state import Target
 from mustardspur_core.wire import message
@@ -102,12 +101,3 @@
 
     __slots__ = ('rows',)
     rows: list[AppliedRow]
-
-
-@message(74)
-class OutcomeSummary(Record):
-    """Merged evidence about a move, on its way to the leader."""
-
-    __slots__ = ('move', 'rows')
-    move: str
-    rows: list[OutcomeRow]
--- a/packages/mustardspur_control/src/mustardspur_control/relay/peer_stream.py
+++ b/packages/mustardspur_control/src/mustardspur_control/relay/peer_stream.py
@@ -13,7 +13,6 @@
 from mustardspur_control.relay.applied_rows import take_reports
 from mustardspur_control.relay.messages import (
     AppliedSummary,
-    OutcomeSummary,
     RegistryShare,
     RegistrySummary,
     RelayHello,
@@ -122,12 +121,9 @@
     take_reports(peer.hub.applied, summary)
 
 
-@_handles(OutcomeSummary)
-def _take_outcomes(peer: PeerStream, summary: OutcomeSummary) -> None:
-    peer.hub.report_outcomes(
-        peer.hello.control,
-        Outcomes(move=summary.move, rows=summary.rows),
-    )
+@_handles(Outcomes)
+def _take_outcomes(peer: PeerStream, outcomes: Outcomes) -> None:
+    peer.hub.report_outcomes(peer.hello.control, outcomes)
 
 
 @_handles(CutOff)
--- a/packages/mustardspur_control/src/mustardspur_control/relay/relay.py
+++ b/packages/mustardspur_control/src/mustardspur_control/relay/relay.py
@@ -8,10 +8,10 @@
 from mustardspur_core.settings import Peer, Settings
 from mustardspur_core.tasks import background
 from mustardspur_core.wire import FrameStream, connect_stream
+from mustardspur_moves import OutcomeCollector
 
 from mustardspur_control.hub import Hub
 from mustardspur_control.relay.messages import RegistrySummary, RelayHello
-from mustardspur_control.relay.outcomes import OutcomeBuffer
 from mustardspur_control.relay.peer_link import Connect, PeerLink
 from mustardspur_control.relay.peer_stream import PeerStream
 from mustardspur_control.relay.shares import (
@@ -61,7 +61,7 @@
         self._settings = settings
         self._hub = hub
         self._leader = leader
-        self._outcomes = OutcomeBuffer()
+        self._outcomes = OutcomeCollector()
         self._passed_on: list[OtherSummaries] = []
         others = [peer for peer in settings.peers if peer.id != settings.id]
         self._near = {
@@ -160,7 +160,7 @@
 
     def _add_outcomes(self, sender: str, outcomes: Outcomes) -> None:
         if self._leader() != self._settings.id:
-            self._outcomes.add(outcomes.move, outcomes.rows)
+            self._outcomes.add(outcomes)
             self._wake(outcomes)
 
     def _wake(self, change: object) -> None:
--- a/packages/mustardspur_control/src/mustardspur_control/relay/shares.py
+++ b/packages/mustardspur_control/src/mustardspur_control/relay/shares.py
@@ -4,12 +4,12 @@
 from typing import Protocol
 
 from mustardspur_core.record import Record
+from mustardspur_moves import OutcomeCollector
 
 from mustardspur_control.applied import NodeApplied
 from mustardspur_control.hub import Hub
 from mustardspur_control.relay.applied_rows import group_reports
 from mustardspur_control.relay.messages import RegistryShare, RegistrySummary
-from mustardspur_control.relay.outcomes import OutcomeBuffer
 from mustardspur_control.relay.summaries import RegionSummaries, summarize
 
 
@@ -191,7 +191,7 @@
 
     __slots__ = ('_buffer',)
 
-    def __init__(self, buffer: OutcomeBuffer) -> None:
+    def __init__(self, buffer: OutcomeCollector) -> None:
         """Share the buffer with the other peers."""
         self._buffer = buffer
 
@@ -201,4 +201,4 @@
     def news(self, is_upstream: bool) -> Iterator[Record]:
         """Yield what was merged since the last time."""
         if is_upstream:
-            yield from self._buffer.take()
+            yield from self._buffer.drain()
--- a/tests/control/relay/test_relay.py
+++ b/tests/control/relay/test_relay.py
@@ -173,8 +173,8 @@
         leaf = controls['c4'].hub
         report = Applied(service='forms', index=7, pending_index=7, reason='')
         leaf.report_applied('n1', report)
-        leaf.report_outcomes('n1', Outcomes(move='m', rows=[row]))
-        leaf.report_outcomes('n2', Outcomes(move='m', rows=[row]))
+        leaf.report_outcomes('n1', Outcomes(move='m', step=1, rows=[row]))
+        leaf.report_outcomes('n2', Outcomes(move='m', step=1, rows=[row]))
         await asyncio.sleep(2)
         known = controls['c1'].hub.applied.rows('forms')
         assert known == [NodeApplied(control='c4', node='n1', report=report)]
@@ -184,4 +184,4 @@
             failures=2,
             latency_counts={'4': 6},
         )
-        assert merged == [Outcomes(move='m', rows=[twice])]
+        assert merged == [Outcomes(move='m', step=1, rows=[twice])]
