--- a/packages/mustardspur_control/src/mustardspur_control/relay/messages.py
+++ b/packages/mustardspur_control/src/mustardspur_control/relay/messages.py
@@ -1,5 +1,6 @@
 """Messages between control instances; type codes 70 to 79."""
 
+from mustardspur_core.messages import TargetUpdate
 from mustardspur_core.record import Record
 from mustardspur_core.state import Target
 from mustardspur_core.wire import message
