Test appends, reads and changes of voters one guard at a time

Cause: in trials that remove one guard from a scratch copy, no table test failed for the match of the entry before, for late appends, for requests of older terms, for a barrier before the new leader's first entry or before the local apply, for gaps in a follow stream and for two rules of voter changes.

Change: a test for each.

--- a/packages/mustardspur_agreement/src/mustardspur_agreement/following.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/following.py
@@ -59,6 +59,26 @@
                 await self._follow(peer)
             await asyncio.sleep(replica.election_s)
 
+    async def take(self, body: object) -> None:
+        """Make a frame of the upstream durable.
+
+        Raises
+        ------
+        MalformedFrame
+            If entries are missing in between.
+        """
+        replica = self._replica
+        async with replica.lock:
+            if replica.leadership is not None:
+                return
+            if isinstance(body, FollowEntries):
+                await self._take_entries(body)
+            elif isinstance(body, SnapshotPart):
+                snapshot = self._assembly.add(body)
+                if snapshot is not None:
+                    await replica.adopt_term(snapshot.term)
+                    await take_snapshot(replica, snapshot)
+
     def _is_needed(self) -> bool:
         replica = self._replica
         patience_s = _PATIENCE_ELECTIONS * replica.election_s
@@ -90,7 +110,7 @@
         while self._is_needed():
             async with asyncio.timeout(silence_s):
                 frame = await channel.receive()
-            await self._take(frame.body)
+            await self.take(frame.body)
             lasted_s = _now() - started_s
             if self._place and lasted_s > silence_s * _DETOUR_SILENCES:
                 self._place = 0
@@ -105,19 +125,6 @@
         age_s = replica.contact.age_s(_now())
         return lasted_s > silence_s and age_s > silence_s
 
-    async def _take(self, body: object) -> None:
-        replica = self._replica
-        async with replica.lock:
-            if replica.leadership is not None:
-                return
-            if isinstance(body, FollowEntries):
-                await self._take_entries(body)
-            elif isinstance(body, SnapshotPart):
-                snapshot = self._assembly.add(body)
-                if snapshot is not None:
-                    await replica.adopt_term(snapshot.term)
-                    await take_snapshot(replica, snapshot)
-
     async def _take_entries(self, body: FollowEntries) -> None:
         replica = self._replica
         if body.prev_index > replica.commit_index:
--- /dev/null
+++ b/tests/agreement/test_appending.py
@@ -0,0 +1,98 @@
+"""Guards against appends that lose or mix entries, and stale reads."""
+
+from typing import Any
+
+import pytest
+from mustardspur_agreement.entries import Entry, pack_entries
+from mustardspur_agreement.following import Following
+from mustardspur_agreement.messages import AppendRequest, FollowEntries
+from mustardspur_agreement.receiving import Receiver
+from mustardspur_core.wire import MalformedFrame
+
+from tests.agreement.conftest import MakeCluster
+from tests.agreement.test_cluster import VOTERS
+from tests.agreement.test_storage import entry
+
+
+def _request(*entries: Entry, **changes: Any) -> AppendRequest:
+    fields: dict[str, Any] = {
+        'term': 3,
+        'leader': 'c2',
+        'prev_index': entries[0].index - 1,
+        'prev_term': 3,
+        'commit_index': 0,
+        'packed': pack_entries(list(entries), compressed=False),
+        'compressed': False,
+    }
+    return AppendRequest(**{**fields, **changes})
+
+
+@pytest.mark.parametrize(
+    ('sent', 'accepted', 'terms'),
+    [
+        (_request(entry(4)), True, [3, 3, 3, 3]),
+        (_request(entry(2)), True, [3, 3, 3]),
+        (_request(entry(3, term=4), term=4), True, [3, 3, 4]),
+        (_request(entry(2, term=4), term=4), True, [3, 4]),
+        (_request(entry(4), prev_term=2), False, [3, 3, 3]),
+        (_request(entry(5)), False, [3, 3, 3]),
+        (_request(entry(3, term=2), term=2), False, [3, 3, 3]),
+    ],
+)
+def test_append(
+    make_cluster: MakeCluster,
+    sent: AppendRequest,
+    accepted: bool,
+    terms: list[int],
+) -> None:
+    """Guards against a late, misplaced or outdated append taking effect."""
+    cluster = make_cluster(VOTERS)
+    cluster.start('c1')
+    replica: Any = cluster.instances['c1'].running._parts.replica
+    receiver = Receiver(replica)
+    before = _request(entry(1), entry(2), entry(3), prev_term=0)
+    assert cluster.run(receiver.answer_append(before)).accepted
+    reply = cluster.run(receiver.answer_append(sent))
+    assert reply.accepted is accepted
+    held = replica.entries.between(1, 9)
+    assert [one.term for one in held] == terms
+
+
+def test_barrier_waits_for_the_apply(make_cluster: MakeCluster) -> None:
+    """Guards against an instance that reads before its state is current."""
+    cluster = make_cluster(VOTERS, {'c4': 'michigan'})
+    cluster.start()
+    cluster.propose(b'entry')
+    cluster.advance(5)
+    for name, instance in cluster.instances.items():
+        index = cluster.propose(b'entry').ok.index
+        assert cluster.barrier(name).ok >= index
+        assert index in instance.machine.entries
+
+
+def test_barrier_at_a_new_leader_is_current(make_cluster: MakeCluster) -> None:
+    """Guards against a new leader that does not know what is committed."""
+    cluster = make_cluster(VOTERS)
+    cluster.start()
+    cluster.propose(b'entry')
+    cluster.advance(5)
+    index = cluster.propose(b'known only to the old leader').ok.index
+    leader = cluster.replace_leader()
+    assert cluster.barrier(leader.settings.id).ok >= index
+
+
+def test_gap_in_a_follow_stream_is_refused(make_cluster: MakeCluster) -> None:
+    """Guards against frames that arrive out of order leaving a hole."""
+    cluster = make_cluster(VOTERS)
+    cluster.start('c1')
+    following = Following(cluster.instances['c1'].running._parts.replica)
+    frame = FollowEntries(
+        term=3,
+        leader='c2',
+        prev_index=4,
+        packed=pack_entries([entry(5)], compressed=False),
+        compressed=False,
+        age_s=0,
+    )
+    with pytest.raises(MalformedFrame):
+        cluster.run(following.take(frame))
--- a/tests/agreement/test_faults.py
+++ b/tests/agreement/test_faults.py
@@ -250,3 +250,29 @@
         instance.disk.full = instance is not leader
     outcome = cluster.propose(b'waits', leader.settings.id)
     assert outcome.error.kind == 'unknown'
+
+
+def test_unreachable_voter_is_not_added(make_cluster: MakeCluster) -> None:
+    """Guards against a quorum that needs an instance without entries."""
+    cluster = make_cluster(VOTERS, {'c4': 'erie'})
+    cluster.start(*VOTERS)
+    _fill(cluster)
+    log = cluster.leader().running
+    outcome = cluster.run(log.add_voter(cluster.peer('c4')))
+    assert outcome.error.kind == 'no_quorum'
+    assert log.voters == sorted(VOTERS)
+
+
+def test_new_leader_commits_before_a_change(make_cluster: MakeCluster) -> None:
+    """Guards against changes of two leaders without a common quorum."""
+    cluster = make_cluster(VOTERS)
+    cluster.start()
+    _fill(cluster)
+    cluster.advance(5)
+    leader = cluster.replace_leader()
+    cluster.isolate(leader.settings.id)
+    outcome = leader.running.remove_voter(
+        next(name for name in VOTERS if name != leader.settings.id),
+    )
+    assert cluster.run(outcome).error.kind == 'not_leader'
+    assert leader.running.voters == sorted(VOTERS)
