Measure the path of a call; complete connects of cancelled calls

A call that is cancelled in the middle of a connect leaves uvloop with a transport whose descriptor is closed; the next socket gets the same number and the process ends.

Change: connects are completed in a task of their own. The limit is cut when most recent calls are slow; one call in eight is reserved. A call leaves the queue only with 1.5 times the usual latency of its route. Latencies are taken from the monotonic clock, since uvloop's has a resolution of 1 ms. The benchmark runs targets, nodes, a plain proxy and load in processes of their own.

--- /dev/null
+++ b/benchmarks/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmark of the path of a call through nodes."""
--- /dev/null
+++ b/benchmarks/calls/roles/__init__.py
@@ -0,0 +1,1 @@
+"""Processes of the benchmark: targets, nodes, a plain proxy, load."""
--- /dev/null
+++ b/benchmarks/calls/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios of the benchmark, each a coroutine that returns its figures."""
--- a/packages/mustardspur_node/src/mustardspur_node/calls/accounts.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/accounts.py
@@ -107,6 +107,7 @@
             self._failure(attempt, latency_ms)
             return
         route = attempt.call.route
+        route.observe(latency_ms)
         endpoint.on_success(route.name, latency_ms, self._loop.time())
         self._report(attempt, 'ok', latency_ms)
 
@@ -127,6 +128,8 @@
         call = attempt.call
         late = self._loop.time() >= call.deadline_at
         latency_ms = attempt.latency_ms
+        if late and latency_ms > call.route.usual_ms:
+            call.route.observe(latency_ms)
         fair_ms = call.route.timeout_s * MS_PER_S * _FAIR_SHARE
         if late and attempt.sent and latency_ms >= fair_ms:
             self._failure(attempt, latency_ms)
--- a/packages/mustardspur_node/src/mustardspur_node/calls/attempts.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/attempts.py
@@ -1,13 +1,14 @@
 """One attempt of a call at one target."""
 
 import asyncio
+import time
 from http import HTTPStatus
 from typing import Final
 
 from aiohttp import ClientConnectionError, ClientError, ClientResponse
 from aiohttp.connector import Connection
 from aiohttp.http import HttpProcessingError
-from mustardspur_core.units import MS_PER_S
+from mustardspur_core.units import NS_PER_MS
 
 from mustardspur_node.calls import names
 from mustardspur_node.calls.calls import Call
@@ -99,6 +100,7 @@
     __slots__ = (
         '_connection',
         '_loop',
+        '_started_ns',
         'call',
         'endpoint',
         'passed',
@@ -117,11 +119,13 @@
         self.sent = False
         self.superseded = False
         self.started_at = self._loop.time()
+        # The loop's clock has a resolution of 1 ms only.
+        self._started_ns = time.monotonic_ns()
 
     @property
     def latency_ms(self) -> float:
         """Time since the start of the attempt."""
-        return (self._loop.time() - self.started_at) * MS_PER_S
+        return (time.monotonic_ns() - self._started_ns) / NS_PER_MS
 
     async def exchange(self) -> Reply:
         """Send the call and return the checked answer.
--- a/packages/mustardspur_node/src/mustardspur_node/calls/channels.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/channels.py
@@ -5,6 +5,7 @@
 from typing import Any, Final
 
 from aiohttp import ClientRequest, ClientResponse, ClientTimeout, TCPConnector
+from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 from multidict import CIMultiDict
 from yarl import URL
@@ -46,13 +47,40 @@
 )
 
 
+class _Connector(TCPConnector):
+    """Connector whose new connections are completed when a call is cancelled.
+
+    Explanation
+    ===========
+
+    A cancellation in the middle of a connect leaves uvloop with a transport
+    whose descriptor is closed. The next socket gets the same number, its
+    connect fails, and the process can end. The connect is therefore
+    completed in a task of its own and its connection closed.
+    """
+
+    async def _create_connection(
+        self,
+        req: ClientRequest,
+        traces: Any,
+        timeout: ClientTimeout,
+    ) -> ResponseHandler:
+        creation = super()._create_connection(req, traces, timeout)
+        task = asyncio.get_running_loop().create_task(creation)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            task.add_done_callback(_close_unused)
+            raise
+
+
 class _Pool:
     """Connections that were opened since the last renewal."""
 
     __slots__ = ('connector', 'users')
 
     def __init__(self, limit: int) -> None:
-        self.connector = TCPConnector(
+        self.connector = _Connector(
             limit=limit,
             keepalive_timeout=IDLE_TIMEOUT_S,
             use_dns_cache=False,
@@ -192,5 +220,10 @@
         connection.close()
 
 
+def _close_unused(task: asyncio.Task[ResponseHandler]) -> None:
+    if not task.cancelled() and task.exception() is None:
+        task.result().close()
+
+
 async def _close(pool: _Pool) -> None:
     await pool.connector.close()
--- a/packages/mustardspur_node/src/mustardspur_node/calls/limits.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/limits.py
@@ -14,7 +14,12 @@
 # The floor rises slowly, so that a target that became slower for good gets
 # a new floor after some thousand calls.
 _FLOOR_RISE: Final = 1.001
-_RESERVED_SHARE: Final = 0.2
+# One slow call can be the machine's fault; a queue makes most of them slow.
+_SLOW_SHARE: Final = 0.5
+_SMOOTHING: Final = 0.1
+# A target with fewer slots has none to spare; there the order of the queue
+# alone puts the quick class first.
+_SLOTS_PER_RESERVED: Final = 8
 # Two calls at least, so that a slot stays free of calls of lower priority.
 _LOWEST_LIMIT: Final = 2.0
 
@@ -34,19 +39,26 @@
         Calls that the target runs at a time; more would only queue there.
     """
 
-    __slots__ = ('_ceiling', '_floor_ms_by_route', '_next_cut_at', 'current')
+    __slots__ = (
+        '_ceiling',
+        '_floor_ms_by_route',
+        '_next_cut_at',
+        '_slow_share',
+        'current',
+    )
 
     def __init__(self, slots: int) -> None:
         """Start at the target's slots."""
         self._ceiling = float(max(slots, 1))
         self._floor_ms_by_route: dict[str, float] = {}
         self._next_cut_at: float = 0
+        self._slow_share: float = 0
         self.current = self._ceiling
 
     @property
-    def reserve(self) -> float:
-        """The part that calls of lower priority leave free."""
-        return max(1.0, self.current * _RESERVED_SHARE)
+    def reserve(self) -> int:
+        """The calls that those of lower priority leave free."""
+        return int(self.current / _SLOTS_PER_RESERVED)
 
     def on_success(
         self,
@@ -61,9 +73,12 @@
         self._floor_ms_by_route[route] = floor_ms
         if in_flight * 2 < self.current:
             return
-        if latency_ms > floor_ms * _QUEUEING_FACTOR + _QUEUEING_SLACK_MS:
+        bound_ms = floor_ms * _QUEUEING_FACTOR + _QUEUEING_SLACK_MS
+        slow = latency_ms > bound_ms
+        self._slow_share += (slow - self._slow_share) * _SMOOTHING
+        if self._slow_share > _SLOW_SHARE:
             self._cut(_SLOWDOWN, latency_ms, now)
-        elif self.current < self._ceiling:
+        elif not slow and self.current < self._ceiling:
             self.current = min(self.current + 1 / self.current, self._ceiling)
 
     def on_refusal(self, latency_ms: float, now: float) -> None:
--- a/packages/mustardspur_node/src/mustardspur_node/calls/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/placing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from http import HTTPStatus
+from typing import Final
 
 from mustardspur_core.units import MS_PER_S
 
@@ -10,6 +11,9 @@
 from mustardspur_node.calls.endpoints import Endpoint
 from mustardspur_node.calls.queues import DeadlineTooClose, QueueFull
 
+# A call that leaves the queue with less than this would end in vain.
+_MARGIN: Final = 1.5
+
 
 async def place(call: Call, uniform: Random) -> Endpoint:
     """Return a target with room, on which the call is counted.
@@ -42,7 +46,7 @@
             balancer,
             route.call_class,
             call.tried,
-            call.deadline_at - _needed_s(balancer.endpoints),
+            call.deadline_at - _needed_s(call),
         )
     except QueueFull as error:
         raise call_fault(
@@ -58,6 +62,6 @@
         ) from error
 
 
-def _needed_s(endpoints: list[Endpoint]) -> float:
-    fastest_ms = min(one.seen.latency_ms for one in endpoints)
-    return fastest_ms / MS_PER_S + HOP_ALLOWANCE_S
+def _needed_s(call: Call) -> float:
+    """Return the time that an attempt needs, most of the time."""
+    return call.route.usual_ms * _MARGIN / MS_PER_S + HOP_ALLOWANCE_S
--- a/packages/mustardspur_node/src/mustardspur_node/calls/routing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/routing.py
@@ -3,6 +3,7 @@
 from bisect import bisect
 from collections.abc import Callable, Mapping
 from itertools import accumulate
+from typing import Final
 
 from aiohttp import web
 from mustardspur_core.profile.model import Route
@@ -15,6 +16,8 @@
 from mustardspur_node.calls.ejection import Ejector
 from mustardspur_node.views import ServiceView
 
+_SMOOTHING: Final = 0.1
+
 
 class VersionPool:
     """The targets of one version with the policies on them."""
@@ -86,6 +89,7 @@
         'idempotent',
         'name',
         'timeout_s',
+        'usual_ms',
         'view',
     )
 
@@ -113,6 +117,7 @@
         self.hedge_after_s = policy.hedge_after_ms / MS_PER_S
         self.idempotent = route.idempotent
         self.timeout_s = route.timeout_ms / MS_PER_S
+        self.usual_ms: float = 0
 
     def matches(self, request: web.BaseRequest, path: str) -> bool:
         """Return whether a request takes this route."""
@@ -125,6 +130,10 @@
             headers.get(name) == expected for name, expected in self._headers
         )
 
+    def observe(self, latency_ms: float) -> None:
+        """Move the usual latency of the route towards a latency."""
+        self.usual_ms += (latency_ms - self.usual_ms) * _SMOOTHING
+
     def choose(self, uniform: Random) -> VersionPool:
         """Return the version that a call goes to."""
         if len(self._splits) == 1:
