Test late bytes on idle connections and undocumented refusals

Cause: removing the check of idle connections and that of the refusal header in a scratch copy broke no test.

--- a/tests/node/calls/test_answer_faults.py
+++ b/tests/node/calls/test_answer_faults.py
@@ -112,10 +112,10 @@
     return len(body) < 70000 and not body.endswith(b'0\r\n\r\n')
 
 
-@pytest.mark.parametrize(
-    'extra',
-    [b'x', b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother', GOOD],
-)
+EXTRA = (b'x', b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother', GOOD)
+
+
+@pytest.mark.parametrize('extra', EXTRA)
 async def test_connection_with_extra_bytes_is_not_used_again(
     extra: bytes,
 ) -> None:
@@ -128,3 +128,17 @@
             answers = await mesh.repeat(3, 'GET', '/stock')
     assert set(answers) == {(200, None, b'good')}
     assert target.connections == 2
+
+
+@pytest.mark.parametrize('extra', EXTRA)
+async def test_late_bytes_on_an_idle_connection_end_it(extra: bytes) -> None:
+    """Guards against a late answer being taken for the next call's."""
+    async with run_scripted() as (address, target):
+        async with run_mesh(make_view([make_target(address)])) as mesh:
+            await mesh.call('POST', '/prescriptions')
+            target.send_unasked(extra)
+            # Other traffic gives the node time to receive the bytes.
+            await mesh.repeat(3, 'GET', '/mustardspur/v1/ready')
+            after = await mesh.call('POST', '/prescriptions')
+    assert after == (200, None, b'good')
+    assert target.connections == 2
--- a/tests/node/calls/test_contract_callers.py
+++ b/tests/node/calls/test_contract_callers.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from tests.node.stand_ins.mesh import run_mesh, run_target
+from tests.node.stand_ins.scripted import KEEP, run_scripted
 from tests.node.stand_ins.views import make_route, make_target, make_view
 
 
@@ -132,6 +133,16 @@
     assert mesh.outcomes.rows[0] == ('prescriptions', '1', 'refusal')
 
 
+async def test_undocumented_refusal_is_an_answer() -> None:
+    """Guards against a call that ran being taken for a refused one."""
+    plain = b'HTTP/1.1 503 Busy\r\ncontent-length: 4\r\n\r\nbusy'
+    async with run_scripted((plain, KEEP)) as (address, target):
+        async with run_mesh(make_view([make_target(address)])) as mesh:
+            answer = await mesh.call('POST', '/prescriptions')
+    assert answer == (503, None, b'busy')
+    assert target.requests == 1
+
+
 async def test_deadline_after_sending_is_unknown() -> None:
     """Guards against a call that may have run being called not run."""
     target = EndlessTarget()
--- a/tests/node/calls/test_sessions.py
+++ b/tests/node/calls/test_sessions.py
@@ -9,13 +9,12 @@
 from tests.node.stand_ins.mesh import run_mesh, run_target
 from tests.node.stand_ins.sessions import (
     FORMS_ROUTES,
-    LENS_ROUTES,
     SessionTarget,
     Step,
     routes,
     transcript,
 )
-from tests.node.stand_ins.views import make_target, make_view
+from tests.node.stand_ins.views import LENS_ROUTES, make_target, make_view
 
 LENS: tuple[Step, ...] = (
     ('GET', '/stock/+1.25', {}),
--- a/tests/node/stand_ins/scripted.py
+++ b/tests/node/stand_ins/scripted.py
@@ -34,6 +34,11 @@
         self._steps = list(steps)
         self.requests = 0
         self.connections = 0
+        self._writers: list[asyncio.StreamWriter] = []
+
+    def send_unasked(self, sent: bytes) -> None:
+        """Send bytes on the newest connection without a request."""
+        self._writers[-1].write(sent)
 
     async def serve(
         self,
@@ -42,6 +47,7 @@
     ) -> None:
         """Serve one connection until its end."""
         self.connections += 1
+        self._writers.append(writer)
         after = KEEP
         while after == KEEP:
             head = await _read_request(reader)
--- a/tests/node/stand_ins/sessions.py
+++ b/tests/node/stand_ins/sessions.py
@@ -9,13 +9,6 @@
 from tests.node.stand_ins.mesh import Mesh
 from tests.node.stand_ins.views import make_route
 
-# Route name, prefix, methods, class, retry policy, idempotent.
-LENS_ROUTES: Final = (
-    ('stock', '/stock', ['GET'], 'quick', 'fetch', True),
-    ('prescriptions', '/prescriptions', ['POST'], 'bulk', 'once', False),
-    ('batches', '/batches', ['GET'], 'bulk', 'fetch', True),
-    ('boxes', '/boxes', ['POST'], 'bulk', 'once', False),
-)
 FORMS_ROUTES: Final = (
     ('drafts', '/drafts', ['GET'], 'bulk', 'fetch', True),
     ('filings', '/filings', ['POST'], 'bulk', 'once', False),
--- a/tests/node/stand_ins/views.py
+++ b/tests/node/stand_ins/views.py
@@ -1,16 +1,18 @@
 """Views, settings and sinks for the path of a call."""
 
-from typing import Any
+from typing import Any, Final
 
 from mustardspur_core.profile import parse_profile
 from mustardspur_core.settings import Settings, parse_settings
 from mustardspur_core.state import Move, ServiceConfig, Target
 from mustardspur_node.views import ServiceView
 
-LENS_ROUTES = (
+# Route name, prefix, methods, class, retry policy, idempotent.
+LENS_ROUTES: Final = (
     ('stock', '/stock', ['GET'], 'quick', 'fetch', True),
-    ('batches', '/batches', ['GET'], 'bulk', 'fetch', True),
     ('prescriptions', '/prescriptions', ['POST'], 'bulk', 'once', False),
+    ('batches', '/batches', ['GET'], 'bulk', 'fetch', True),
+    ('boxes', '/boxes', ['POST'], 'bulk', 'once', False),
 )
 
 
