--- a/Makefile
+++ b/Makefile
@@ -48,5 +48,8 @@
 bench-moves: $(STAMP) ## Measure the decisions on moves in virtual time
 	$(BIN)/python -m benchmarks.moves
 
+bench-calls: $(STAMP) ## Measure the path of a call, with baselines in the same run
+	timeout 300 $(BIN)/python -m benchmarks.calls
+
 clean: ## Remove the virtual environment and build output
 	rm -rf $(VENV) build .mypy_cache .pytest_cache .ruff_cache
