--- a/packages/mustardspur_core/src/mustardspur_core/wire/streams.py
+++ b/packages/mustardspur_core/src/mustardspur_core/wire/streams.py
@@ -29,7 +29,13 @@
         Sink of the bytes.
     """
 
-    __slots__ = ('_reader', '_writer', 'received_bytes', 'sent_bytes')
+    __slots__ = (
+        '_reader',
+        '_writer',
+        'peer_address',
+        'received_bytes',
+        'sent_bytes',
+    )
 
     def __init__(
         self,
@@ -39,21 +45,21 @@
         """Wrap a connected pair."""
         self._reader = reader
         self._writer = writer
+        # uvloop forgets the address once the connection is closed.
+        self.peer_address = _peer_address(writer)
         self.received_bytes = 0
         self.sent_bytes = 0
 
-    @property
-    def peer_address(self) -> str:
-        """IP number and port of the other end."""
-        peername = self._writer.get_extra_info('peername')
-        return f'{peername[0]}:{peername[1]}' if peername else 'unknown'
-
     def send_soon(self, body: Record, request_id: int = 0) -> None:
         """Queue a message without waiting for the peer to take it."""
         self.send_encoded(encode_frame(body, request_id))
 
     def send_encoded(self, encoded: bytes) -> None:
         """Queue an encoded frame, for one frame that goes to many peers."""
+        if self._writer.is_closing():
+            # The receiving side reports the end; uvloop raises RuntimeError
+            # on a write to a closed transport.
+            return
         prefix = len(encoded).to_bytes(LENGTH_BYTES, 'big')
         self._writer.write(prefix + encoded)
         self.sent_bytes += LENGTH_BYTES + len(encoded)
@@ -79,18 +85,18 @@
         Raises
         ------
         asyncio.IncompleteReadError
-            If the peer closed the connection.
+            If the peer closed the connection between two frames.
         MalformedFrame
-            If the frame is too long or cannot be decoded.
+            If the frame is too long, truncated or cannot be decoded.
         """
-        prefix = await self._reader.readexactly(LENGTH_BYTES)
+        prefix = await self._read(LENGTH_BYTES)
         length = int.from_bytes(prefix, 'big')
         if length > MAX_FRAME_BYTES:
             raise MalformedFrame(
                 'length',
                 f'{length} bytes, at most {MAX_FRAME_BYTES}',
             )
-        encoded = await self._reader.readexactly(length)
+        encoded = await self._read(length)
         self.received_bytes += LENGTH_BYTES + length
         return decode_frame(encoded)
 
@@ -98,6 +104,21 @@
         """Close the connection without waiting."""
         self._writer.close()
 
+    async def _read(self, length: int) -> bytes:
+        try:
+            return await self._reader.readexactly(length)
+        except asyncio.IncompleteReadError as error:
+            if not error.partial and length == LENGTH_BYTES:
+                raise
+            found = len(error.partial)
+            detail = f'{found} of {length} bytes'
+            raise MalformedFrame('truncated', detail) from error
+
+
+def _peer_address(writer: asyncio.StreamWriter) -> str:
+    peername = writer.get_extra_info('peername')
+    return f'{peername[0]}:{peername[1]}' if peername else 'unknown'
+
 
 @asynccontextmanager
 async def connect_stream(
