--- a/benchmarks/calls/roles/node.py
+++ b/benchmarks/calls/roles/node.py
@@ -50,6 +50,7 @@
         target: Target,
         outcome: str,
         latency_ms: float,
+        caller: str = '',
     ) -> None:
         """Drop the evidence."""
 
