--- a/tests/client/test_control.py
+++ b/tests/client/test_control.py
@@ -17,6 +17,7 @@
 _Case = tuple[_Replies, int, str]
 EDIT = MappingProxyType({'edit_id': 'e1', 'operator': 'ana'})
 TIMEOUT_S = 2.0
+MAX_SENT = 20
 
 
 class FakeTransport:
@@ -38,6 +39,7 @@
     async def send(self, address: str, request: Request) -> ControlAnswer:
         """Return or raise the next reply of an address."""
         self.sent.append((address, request.body))
+        assert len(self.sent) <= MAX_SENT, 'addresses are tried without end'
         replies = self._replies[address]
         reply = replies[0] if len(replies) == 1 else replies.popleft()
         if isinstance(reply, SendError):
@@ -108,6 +110,14 @@
             ExitCode.OK,
             'abab',
         ),
+        'two name each other without end': (
+            {
+                'a': [_not_now('not_leader', 'b')],
+                'b': [_not_now('not_leader', 'a')],
+            },
+            ExitCode.UNAVAILABLE,
+            'abababab',
+        ),
         'election': (
             {'a': [_not_now('not_leader'), _ok()], 'b': [_DOWN]},
             ExitCode.OK,
