Test what wait reports, and shorten the tables of cases

Cause: scratch copies in which wait took no known node, or an index that was never accepted, for in force passed all tests. The tables of orders, edits and retries spelled each entry out.

Change: a table for wait; cases name their entries and replies by words. The cases and what they assert are the same.

Conclusion: both scratch copies fail now.

--- a/tests/client/test_command_line.py
+++ b/tests/client/test_command_line.py
@@ -9,9 +9,10 @@
 from mustardspur_client.main import run
 from mustardspur_client.numbers import last_numbers
 from mustardspur_client.verbs import verbs
+from mustardspur_control.operators_api import NodeInForce
 
 from tests.client.sessions import Session, StartServer, start_session
-from tests.control.builders import PROFILE, document
+from tests.control.builders import PROFILE, SERVICE, document
 from tests.control.operators_api.fakes import FakeLog, failure
 
 
@@ -108,3 +109,37 @@
     code = await session.run('put', path, '--timeout', '0')
     assert code == ExitCode.UNAVAILABLE
     assert 'test no_quorum' in session.transcript[-1]
+
+
+# Index in force on the only node, or None without a node; the index that is
+# waited for, where 2 is the accepted one; the exit code and what is told.
+WAITS = (
+    (2, '2', ExitCode.OK, 'on all 1 nodes'),
+    (1, '2', ExitCode.TIMED_OUT, '1 nodes wait'),
+    (None, '2', ExitCode.TIMED_OUT, 'no node of the service is known'),
+    (9, '3', ExitCode.TIMED_OUT, 'the newest accepted index is 2'),
+)
+
+
+@pytest.mark.parametrize(('in_force', 'index', 'code', 'told'), WAITS)
+async def test_wait(
+    session: Session,
+    in_force: int | None,
+    index: str,
+    code: int,
+    told: str,
+) -> None:
+    """Guards against 'in force' where that is not known."""
+    await session.run('follow', SERVICE, PROFILE)
+    if in_force is not None:
+        session.sources.nodes = [
+            NodeInForce(
+                node='n1',
+                data_centre='split-a',
+                index=in_force,
+                pending_index=in_force,
+                reason='',
+            ),
+        ]
+    assert await session.run('wait', SERVICE, index, '--within', '0') == code
+    assert told in session.transcript[-1]
--- a/tests/client/test_control.py
+++ b/tests/client/test_control.py
@@ -1,5 +1,6 @@
 """Guards against edits that are lost, doubled or sent to the wrong place."""
 
+import re
 from collections import deque
 from collections.abc import Mapping
 from types import MappingProxyType
@@ -13,8 +14,6 @@
 from mustardspur_client.transport import Request, SendError
 
 Reply = ControlAnswer | SendError
-_Replies = dict[str, list[Reply]]
-_Case = tuple[_Replies, int, str]
 EDIT = MappingProxyType({'edit_id': 'e1', 'operator': 'ana'})
 TIMEOUT_S = 2.0
 MAX_SENT = 20
@@ -65,95 +64,58 @@
         self.now_s += seconds
 
 
-def _ok() -> ControlAnswer:
-    return ControlAnswer(status=200, body={'index': 7})
-
-
 def _not_now(kind: str, leader: str | None = None) -> ControlAnswer:
     body = {'kind': kind, 'reason': f'test {kind}', 'leader': leader}
     return ControlAnswer(status=503, body=body)
 
 
-def _refusal(status: int) -> ControlAnswer:
-    return ControlAnswer(status=status, body={})
-
-
-_DOWN = SendError(False, 'connection refused')
-_LOST = SendError(True, 'no answer')
-_BROKEN = _refusal(500)
-
-# Replies of two given instances, a and b, and of c, which only a leader's
-# address leads to; then the exit code and the addresses asked in order.
-CASES: Mapping[str, _Case] = MappingProxyType(
+REPLIES: Mapping[str, Reply] = MappingProxyType(
     {
-        'first answers': ({'a': [_ok()]}, ExitCode.OK, 'a'),
-        'first is down': ({'a': [_DOWN], 'b': [_ok()]}, ExitCode.OK, 'ab'),
-        'follower names the leader': (
-            {'a': [_not_now('not_leader', 'c')], 'c': [_ok()]},
-            ExitCode.OK,
-            'ac',
-        ),
-        'leader named is down': (
-            {
-                'a': [_not_now('not_leader', 'c')],
-                'c': [_DOWN],
-                'b': [_ok()],
-            },
-            ExitCode.OK,
-            'acb',
-        ),
-        'two name each other': (
-            {
-                'a': [_not_now('not_leader', 'b')],
-                'b': [_not_now('not_leader', 'a'), _ok()],
-            },
-            ExitCode.OK,
-            'abab',
-        ),
-        'two name each other without end': (
-            {
-                'a': [_not_now('not_leader', 'b')],
-                'b': [_not_now('not_leader', 'a')],
-            },
-            ExitCode.UNAVAILABLE,
-            'abababab',
-        ),
-        'election': (
-            {'a': [_not_now('not_leader'), _ok()], 'b': [_DOWN]},
-            ExitCode.OK,
-            'aba',
-        ),
-        'lost answer': (
-            {'a': [_LOST, _ok()], 'b': [_not_now('not_leader', 'a')]},
-            ExitCode.OK,
-            'aba',
-        ),
-        'uncertain commit': (
-            {'a': [_not_now('unknown'), _ok()], 'b': [_DOWN]},
-            ExitCode.OK,
-            'aba',
-        ),
-        'lost, then no quorum': (
-            {'a': [_LOST, _not_now('no_quorum')], 'b': [_DOWN]},
-            ExitCode.UNCERTAIN,
-            'abababab',
-        ),
-        'internal error': (
-            {'a': [_BROKEN], 'b': [_DOWN]},
-            ExitCode.UNCERTAIN,
-            'abababab',
-        ),
-        'never sent': (
-            {'a': [_DOWN], 'b': [_not_now('no_quorum')]},
-            ExitCode.UNAVAILABLE,
-            'abababab',
-        ),
-        'conflict is final': ({'a': [_refusal(409)]}, ExitCode.CONFLICT, 'a'),
-        'findings are final': ({'a': [_refusal(422)]}, ExitCode.FINDINGS, 'a'),
-        'too large is final': ({'a': [_refusal(413)]}, ExitCode.FINDINGS, 'a'),
-        'unknown is final': ({'a': [_refusal(404)]}, ExitCode.NOT_FOUND, 'a'),
+        'ok': ControlAnswer(status=200, body={'index': 7}),
+        'down': SendError(False, 'connection refused'),
+        'lost': SendError(True, 'no answer'),
+        'no_leader': _not_now('not_leader'),
+        'a_leads': _not_now('not_leader', 'a'),
+        'b_leads': _not_now('not_leader', 'b'),
+        'c_leads': _not_now('not_leader', 'c'),
+        'no_quorum': _not_now('no_quorum'),
+        'unknown': _not_now('unknown'),
+        '404': ControlAnswer(status=404, body={}),
+        '409': ControlAnswer(status=409, body={}),
+        '413': ControlAnswer(status=413, body={}),
+        '422': ControlAnswer(status=422, body={}),
+        '500': ControlAnswer(status=500, body={}),
     }
 )
+# Replies of the given instances a and b, and of c, which only a leader's
+# address leads to; then the exit code and the addresses asked in order.
+CASES = (
+    ('a=ok', ExitCode.OK, 'a'),
+    ('a=down b=ok', ExitCode.OK, 'ab'),
+    ('a=c_leads c=ok', ExitCode.OK, 'ac'),
+    ('a=c_leads c=down b=ok', ExitCode.OK, 'acb'),
+    ('a=b_leads b=a_leads,ok', ExitCode.OK, 'abab'),
+    ('a=b_leads b=a_leads', ExitCode.UNAVAILABLE, 'abababab'),
+    ('a=no_leader,ok b=down', ExitCode.OK, 'aba'),
+    ('a=lost,ok b=a_leads', ExitCode.OK, 'aba'),
+    ('a=unknown,ok b=down', ExitCode.OK, 'aba'),
+    ('a=lost,no_quorum b=down', ExitCode.UNCERTAIN, 'abababab'),
+    ('a=500 b=down', ExitCode.UNCERTAIN, 'abababab'),
+    ('a=down b=no_quorum', ExitCode.UNAVAILABLE, 'abababab'),
+    ('a=409', ExitCode.CONFLICT, 'a'),
+    ('a=422', ExitCode.FINDINGS, 'a'),
+    ('a=413', ExitCode.FINDINGS, 'a'),
+    ('a=404', ExitCode.NOT_FOUND, 'a'),
+)
+
+
+def _transport(replies: str) -> FakeTransport:
+    return FakeTransport(
+        {
+            address: [REPLIES[name] for name in names.split(',')]
+            for address, names in re.findall(r'(\w)=(\S+)', replies)
+        }
+    )
 
 
 async def _edit(client: ControlClient) -> int:
@@ -167,11 +129,10 @@
     return ExitCode.OK
 
 
-@pytest.mark.parametrize('name', CASES)
-async def test_edit(name: str) -> None:
+@pytest.mark.parametrize(('replies', 'code', 'asked'), CASES)
+async def test_edit(replies: str, code: int, asked: str) -> None:
     """Guards against a wrong address, a new identifier, a wrong verdict."""
-    replies, code, asked = CASES[name]
-    transport = FakeTransport(replies)
+    transport = _transport(replies)
     clock = FakeClock()
     client = ControlClient(
         ['a', 'b'],
@@ -189,7 +150,7 @@
     clock = FakeClock()
     client = ControlClient(
         ['a'],
-        FakeTransport({'a': [_LOST]}),
+        _transport('a=lost'),
         Patience(timeout_s=0, clock=clock.read, pause=clock.pause),
     )
     with pytest.raises(Problem) as raised:
--- a/tests/control/store/test_edits.py
+++ b/tests/control/store/test_edits.py
@@ -35,101 +35,56 @@
     return put(version, number, edit_id=f'{OTHER}-{version}', profile=made)
 
 
-# Entries after a running move 1.0 -> 1.1 that started at index 3, and the
-# newest move, its state, its versions and the number of recorded moves.
-MOVE_CASES: Mapping[str, _Case] = MappingProxyType(
+ENTRIES: Mapping[str, Record] = MappingProxyType(
     {
-        'none': ([], 'running', '1.0>1.1', 1),
-        'same version': ([put('1.1', 2)], 'running', '1.0>1.1', 1),
-        'edit during a move': ([put('1.2', 2)], 'running', '1.0>1.2', 2),
-        'edit back': ([put('1.0', 2)], 'taken_back', '1.0>1.1', 1),
-        'edit back, then on': (
-            [put('1.0', 2), put('1.1', 3)],
-            'running',
-            '1.0>1.1',
-            2,
-        ),
-        'edit while paused': (
-            [order('pause'), put('1.2', 2)],
-            'running',
-            '1.0>1.2',
-            2,
-        ),
-        'after done': (
-            [step(0, state='done', share=1.0), put('1.2', 2)],
-            'running',
-            '1.1>1.2',
-            2,
-        ),
-        'back after done': (
-            [step(0, state='done', share=1.0), put('1.0', 2)],
-            'running',
-            '1.1>1.0',
-            2,
-        ),
-        'same version after a rollback': (
-            [step(0, state='taken_back'), put('1.1', 2)],
-            'taken_back',
-            '1.0>1.1',
-            1,
-        ),
-        'new version after a rollback': (
-            [step(0, state='taken_back'), put('1.2', 2)],
-            'running',
-            '1.0>1.2',
-            2,
-        ),
-        'old version after a rollback': (
-            [step(0, state='taken_back'), put('1.0', 2)],
-            'taken_back',
-            '1.0>1.1',
-            1,
-        ),
-        'other profile, same aim': (
-            [_other('1.1'), follow(OTHER)],
-            'running',
-            '1.0>1.1',
-            1,
-        ),
-        'other profile, other aim': (
-            [_other('1.3'), follow(OTHER)],
-            'running',
-            '1.0>1.3',
-            2,
-        ),
-        'other profile, old version': (
-            [_other('1.0'), follow(OTHER)],
-            'taken_back',
-            '1.0>1.1',
-            1,
-        ),
-        'edit of a profile that is not followed': (
-            [_other('1.3'), _other('1.4', 1)],
-            'running',
-            '1.0>1.1',
-            1,
-        ),
-        'following again after a rollback': (
-            [step(0, state='taken_back'), follow(edit_id='again')],
-            'taken_back',
-            '1.0>1.1',
-            1,
-        ),
-        'following another after a rollback': (
-            [step(0, state='taken_back'), _other('1.1'), follow(OTHER)],
-            'running',
-            '1.0>1.1',
-            2,
-        ),
+        'same': put('1.1', 2),
+        'third': put('1.2', 2),
+        'back': put('1.0', 2),
+        'on_again': put('1.1', 3),
+        'pause': order('pause'),
+        'done': step(0, state='done', share=1.0),
+        'rollback': step(0, state='taken_back'),
+        'other_1.0': _other('1.0'),
+        'other_1.1': _other('1.1'),
+        'other_1.3': _other('1.3'),
+        'other_1.4': _other('1.4', 1),
+        'follow_other': follow(OTHER),
+        'follow_again': follow(edit_id='again'),
     }
 )
+# Entries after a running move 1.0 -> 1.1 that started at index 3; then the
+# state and the versions of the newest move and the number of all moves.
+MOVE_CASES = (
+    ('', 'running', '1.0>1.1', 1),
+    ('same', 'running', '1.0>1.1', 1),
+    ('third', 'running', '1.0>1.2', 2),
+    ('back', 'taken_back', '1.0>1.1', 1),
+    ('back on_again', 'running', '1.0>1.1', 2),
+    ('pause third', 'running', '1.0>1.2', 2),
+    ('done third', 'running', '1.1>1.2', 2),
+    ('done back', 'running', '1.1>1.0', 2),
+    ('rollback same', 'taken_back', '1.0>1.1', 1),
+    ('rollback third', 'running', '1.0>1.2', 2),
+    ('rollback back', 'taken_back', '1.0>1.1', 1),
+    ('other_1.1 follow_other', 'running', '1.0>1.1', 1),
+    ('other_1.3 follow_other', 'running', '1.0>1.3', 2),
+    ('other_1.0 follow_other', 'taken_back', '1.0>1.1', 1),
+    ('other_1.3 other_1.4', 'running', '1.0>1.1', 1),
+    ('rollback follow_again', 'taken_back', '1.0>1.1', 1),
+    ('rollback other_1.1 follow_other', 'running', '1.0>1.1', 2),
+)
 
 
-@pytest.mark.parametrize('name', MOVE_CASES)
-def test_edit_near_a_move(name: str) -> None:
+@pytest.mark.parametrize(('names', 'state', 'versions', 'count'), MOVE_CASES)
+def test_edit_near_a_move(
+    names: str,
+    state: str,
+    versions: str,
+    count: int,
+) -> None:
     """Guards against a service left on neither the old nor a named version."""
-    entries, state, versions, count = MOVE_CASES[name]
     store = store_with_move()
+    entries = [ENTRIES[name] for name in names.split()]
     answers = apply_all(store, *entries)
     config = store.config(SERVICE)
     assert {answer.status for answer in answers} <= {'accepted'}
--- a/tests/control/store/test_orders.py
+++ b/tests/control/store/test_orders.py
@@ -22,118 +22,77 @@
     store_with_move,
 )
 
-PAUSE, RESUME = order('pause'), order('resume')
-TAKE_BACK, FORCE = order('take_back'), order('force')
+TAKE_BACK = order('take_back')
 DONE = step(0, state='done', share=1.0)
-STEPPED = step(0)
-_Case = tuple[list[Record], str, str, float]
-
-# Entries after the start of the move; the last answer's status, and the
-# move's state and share at the end.
-CASES: Mapping[str, _Case] = MappingProxyType(
+LATE_S = NOW_S + WITHIN_S
+ENTRIES: Mapping[str, Record] = MappingProxyType(
     {
-        'step': ([STEPPED], 'accepted', 'running', 0.1),
-        'pause': ([STEPPED, PAUSE], 'accepted', 'paused', 0.1),
-        'resume': ([STEPPED, PAUSE, RESUME], 'accepted', 'running', 0.1),
-        'force': ([STEPPED, FORCE], 'accepted', 'running', 1),
-        'force while paused': ([PAUSE, FORCE], 'accepted', 'running', 1),
-        'take back': ([STEPPED, TAKE_BACK], 'accepted', 'taken_back', 0),
-        'take back while paused': (
-            [PAUSE, TAKE_BACK],
-            'accepted',
-            'taken_back',
-            0,
-        ),
-        'take back when done': ([DONE, TAKE_BACK], 'accepted', 'taken_back', 0),
-        'pause twice': (
-            [PAUSE, order('pause', edit_id='again')],
-            'conflict',
-            'paused',
-            0,
-        ),
-        'resume while running': ([RESUME], 'conflict', 'running', 0),
-        'pause when done': ([DONE, PAUSE], 'conflict', 'done', 1),
-        'force when done': ([DONE, FORCE], 'conflict', 'done', 1),
-        'force when taken back': (
-            [TAKE_BACK, FORCE],
-            'conflict',
-            'taken_back',
-            0,
-        ),
-        'take back a replaced move': (
-            [DONE, put('1.2', 2), TAKE_BACK],
-            'conflict',
-            'done',
-            1,
-        ),
-        'unknown move': ([order('pause', 'a:b:1')], 'unknown', 'running', 0),
-        'unknown order': ([order('stop')], 'invalid', 'running', 0),
-        'step out of turn': ([step(1)], 'conflict', 'running', 0),
-        'same step twice': (
-            [STEPPED, step(0, share=0.5)],
-            'conflict',
-            'running',
-            0.1,
-        ),
-        'step decided before a pause': (
-            [PAUSE, STEPPED],
-            'conflict',
-            'paused',
-            0,
-        ),
-        'step after the end': ([DONE, step(1)], 'conflict', 'done', 1),
-        'share not a number': (
-            [step(0, share=float('nan'))],
-            'invalid',
-            'running',
-            0,
-        ),
-        'share above one': ([step(0, share=1.5)], 'invalid', 'running', 0),
-        'done with less than all': (
-            [step(0, state='done', share=0.9)],
-            'invalid',
-            'running',
-            0,
-        ),
-        'unknown state': ([step(0, state='lost')], 'invalid', 'running', 0),
-        'rollback with a share': (
-            [step(0, state='taken_back', share=0.4)],
-            'accepted',
-            'taken_back',
-            0,
-        ),
-        'raise while paused': ([PAUSE, step(1)], 'invalid', 'paused', 0),
-        'rollback while paused': (
-            [PAUSE, step(1, state='taken_back', share=float(0))],
-            'accepted',
-            'taken_back',
-            0,
-        ),
-        'end of a paused move at its time': (
-            [
-                PAUSE,
-                step(1, state='done', share=1.0, at_s=NOW_S + WITHIN_S),
-            ],
-            'accepted',
-            'done',
-            1,
-        ),
-        'step of an unknown move': (
-            [step(0, move='a:b:1')],
-            'unknown',
-            'running',
-            0,
-        ),
+        'step': step(0),
+        'pause': order('pause'),
+        'pause_again': order('pause', edit_id='again'),
+        'resume': order('resume'),
+        'take_back': TAKE_BACK,
+        'force': order('force'),
+        'done': DONE,
+        'edit': put('1.2', 2),
+        'order_unknown_move': order('pause', 'a:b:1'),
+        'order_unknown': order('stop'),
+        'step_early': step(1),
+        'step_again': step(0, share=0.5),
+        'step_nan': step(0, share=float('nan')),
+        'step_above_one': step(0, share=1.5),
+        'step_done_early': step(0, state='done', share=0.9),
+        'step_unknown_state': step(0, state='lost'),
+        'step_unknown_move': step(0, move='a:b:1'),
+        'rollback': step(0, state='taken_back', share=0.4),
+        'rollback_1': step(1, state='taken_back', share=float(0)),
+        'done_late': step(1, state='done', share=1.0, at_s=LATE_S),
     }
 )
+# Entries after the start of the move; the last answer's status, and the
+# move's state and share at the end.
+CASES = (
+    ('step', 'accepted', 'running', 0.1),
+    ('step pause', 'accepted', 'paused', 0.1),
+    ('step pause resume', 'accepted', 'running', 0.1),
+    ('step force', 'accepted', 'running', 1),
+    ('pause force', 'accepted', 'running', 1),
+    ('step take_back', 'accepted', 'taken_back', 0),
+    ('pause take_back', 'accepted', 'taken_back', 0),
+    ('done take_back', 'accepted', 'taken_back', 0),
+    ('pause pause_again', 'conflict', 'paused', 0),
+    ('resume', 'conflict', 'running', 0),
+    ('done pause', 'conflict', 'done', 1),
+    ('done force', 'conflict', 'done', 1),
+    ('take_back force', 'conflict', 'taken_back', 0),
+    ('done edit take_back', 'conflict', 'done', 1),
+    ('order_unknown_move', 'unknown', 'running', 0),
+    ('order_unknown', 'invalid', 'running', 0),
+    ('step_early', 'conflict', 'running', 0),
+    ('step step_again', 'conflict', 'running', 0.1),
+    ('pause step', 'conflict', 'paused', 0),
+    ('done step_early', 'conflict', 'done', 1),
+    ('step_nan', 'invalid', 'running', 0),
+    ('step_above_one', 'invalid', 'running', 0),
+    ('step_done_early', 'invalid', 'running', 0),
+    ('step_unknown_state', 'invalid', 'running', 0),
+    ('rollback', 'accepted', 'taken_back', 0),
+    ('pause step_early', 'invalid', 'paused', 0),
+    ('pause rollback_1', 'accepted', 'taken_back', 0),
+    ('pause done_late', 'accepted', 'done', 1),
+    ('step_unknown_move', 'unknown', 'running', 0),
+)
+
+
+def _entries(names: str) -> list[Record]:
+    return [ENTRIES[name] for name in names.split()]
 
 
-@pytest.mark.parametrize('name', CASES)
-def test_move(name: str) -> None:
+@pytest.mark.parametrize(('names', 'status', 'state', 'share'), CASES)
+def test_move(names: str, status: str, state: str, share: float) -> None:
     """Guards against a move in a state that nobody ordered or decided."""
-    entries, status, state, share = CASES[name]
     store = store_with_move()
-    answers = apply_all(store, *entries)
+    answers = apply_all(store, *_entries(names))
     record = store.moves[MOVE]
     assert answers[-1].status == status
     assert (record.move.state, record.move.share) == (state, share)
@@ -142,12 +101,12 @@
     assert last.step == record.move.step
 
 
-@pytest.mark.parametrize('name', CASES)
-def test_index_follows_accepted_entries(name: str) -> None:
+@pytest.mark.parametrize('names', [case[0] for case in CASES])
+def test_index_follows_accepted_entries(names: str) -> None:
     """Guards against a change that no node is sent, or one without cause."""
     store = store_with_move()
     start = store.index
-    answers = apply_all(store, *CASES[name][0])
+    answers = apply_all(store, *_entries(names))
     config = store.config(SERVICE)
     changed = [
         answer.index for answer in answers if answer.status == 'accepted'
@@ -159,7 +118,7 @@
 def test_decisions_have_reason_and_figures() -> None:
     """Guards against a move that cannot be explained afterwards."""
     store = store_with_move()
-    apply_all(store, STEPPED, PAUSE)
+    apply_all(store, *_entries('step pause'))
     started, stepped, paused = store.moves[MOVE].decisions
     assert (started.by, started.index) == ('ana', 3)
     assert (stepped.by, stepped.figures) == ('leader', {'calls': 500})
@@ -169,7 +128,7 @@
 def test_answer_tells_why_an_order_came_too_late() -> None:
     """Guards against an operator who does not learn who was first."""
     store = store_with_move()
-    answer = apply_all(store, TAKE_BACK, FORCE)[-1]
+    answer = apply_all(store, *_entries('take_back force'))[-1]
     assert answer.edited_by == 'bor'
     assert answer.changes == [
         'cannot force: move is taken_back (taken back by bor)',
