--- a/tests/client/timeline/test_merging.py
+++ b/tests/client/timeline/test_merging.py
@@ -155,6 +155,7 @@
     first.record(1, 'leader_elected', term=1)
     first.sequence = 0
     first.booted_s = START_S
+    first.ahead_s = -300
     first.record(50, 'leader_elected', term=2)
     timeline = _merged(first)
     assert list(timeline.clocks) == ['p#1', 'p#2']
