--- a/tests/daemon/test_processes.py
+++ b/tests/daemon/test_processes.py
@@ -1,6 +1,7 @@
 """Guards against processes that use what the platform does not allow."""
 
 import signal
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -19,8 +20,12 @@
 
 
 def _descriptors(process_id: int) -> list[str]:
-    folder = Path(f'/proc/{process_id}/fd')
-    return [str(link.readlink()) for link in folder.iterdir()]
+    names: list[str] = []
+    for link in Path(f'/proc/{process_id}/fd').iterdir():
+        # The process may close a descriptor while they are listed.
+        with suppress(FileNotFoundError):
+            names.append(str(link.readlink()))
+    return names
 
 
 def _children(process_id: int) -> list[str]:
