--- a/benchmarks/capacity/control_side.py
+++ b/benchmarks/capacity/control_side.py
@@ -19,6 +19,8 @@
 NODE_SIZES: Final = (60, 120, 240, 480)
 EDIT_SIZES: Final = (100, 200, 400, 800)
 IDLE_S: Final = 4.0
+# After its start an instance waits for nodes that may still come back.
+REGISTRY_SETTLES_S: Final = 12.0
 CHANGES: Final = 40
 CHANGE_GAP_S: Final = 0.05
 ROLE: Final = 'control instance'
@@ -35,6 +37,8 @@
         for service in sorted(services):
             await editor.follow(service, PROFILE)
         async with light_nodes(control.stream) as nodes:
+            await nodes.grow(NODE_SIZES[0])
+            await asyncio.sleep(REGISTRY_SETTLES_S)
             number = 1
             for size in NODE_SIZES:
                 await nodes.grow(size)
