--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -1,17 +1,20 @@
 """Runs the demo: ``python -m demo``."""
 
+import argparse
 import asyncio
 import json
 import os
 import shutil
+import subprocess
 import sys
 import time
 from pathlib import Path
 from typing import Any, Final
 
 from demo.mesh import Mesh
+from demo.processes import BINARIES
 from demo.promises import check_promises
-from demo.scenario import DemoRun, run_demo
+from demo.scenario import DemoRun, Stage, run_demo
 from demo.timelines import convergence_s
 from rich.console import Console
 from rich.table import Table
@@ -28,15 +31,27 @@
     shutil.rmtree(folder, ignore_errors=True)
     started_s = time.monotonic()
     mesh = Mesh(folder.resolve(), FIRST_NETWORK + os.getpid() % NETWORKS)
-    run = asyncio.run(run_demo(mesh))
+    kill = Stage.kill_herd if _options().faults else Stage.kill_leader
+    run = asyncio.run(run_demo(mesh, kill))
     broken = check_promises(run)
     measures = _measures(run, broken, time.monotonic() - started_s)
     text = json.dumps(measures, indent=2)
     (BUILD / 'demo.json').write_text(f'{text}\n', encoding='utf-8')
+    _show_timeline(mesh, run)
     _show(measures, broken)
     return 1 if any(broken.values()) else 0
 
 
+def _options() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog='demo', description=__doc__)
+    parser.add_argument(
+        '--faults',
+        action='store_true',
+        help='kill two control instances and a server in the first move',
+    )
+    return parser.parse_args()
+
+
 def _measures(
     run: DemoRun,
     broken: dict[str, str],
@@ -47,6 +62,8 @@
         'calls': run.caller.calls,
         'calls_lost': run.caller.lost,
         'answers': dict(run.caller.answers),
+        'no_answer': dict(run.caller.unanswered),
+        'control_bytes': run.control_bytes,
         'changes': len(times),
         'convergence_max_s': max(times, default=None),
         'convergence_median_s': times[len(times) // 2] if times else None,
@@ -59,6 +76,24 @@
     }
 
 
+def _show_timeline(mesh: Mesh, run: DemoRun) -> None:
+    files = sorted(map(str, (mesh.folder / 'timeline').glob('*.jsonl')))
+    picture = str(BUILD / 'demo-timeline.svg')
+    for move in (run.good_move, run.bad_move):
+        subprocess.run(
+            [
+                str(BINARIES / 'mustardspur'),
+                'timeline',
+                '--move',
+                move['id'],
+                '--picture',
+                picture,
+                *files,
+            ],
+            check=True,
+        )
+
+
 def _show(measures: dict[str, Any], broken: dict[str, str]) -> None:
     console = Console()
     table = Table('measure', 'value')
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/running.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/running.py
@@ -1,6 +1,5 @@
 """The replicated log in the data folder and over TCP."""
 
-import asyncio
 from collections.abc import AsyncIterator
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import asynccontextmanager
@@ -10,6 +9,7 @@
 
 from mustardspur_core.metrics import Metrics
 from mustardspur_core.settings import Settings
+from mustardspur_core.tasks import background
 from mustardspur_core.timeline import Timeline
 
 from mustardspur_agreement.context import Context
@@ -23,6 +23,19 @@
 _FOLDER: Final = 'agreement'
 
 
+def log_disk(settings: Settings) -> FolderDisk:
+    """Return the folder with the files of the log.
+
+    Raises
+    ------
+    ValueError
+        If the settings have no data folder.
+    """
+    if settings.data_dir is None:
+        raise ValueError('a control instance needs data_dir')
+    return FolderDisk(Path(settings.data_dir) / _FOLDER)
+
+
 @asynccontextmanager
 async def running_log(
     settings: Settings,
@@ -37,12 +50,10 @@
     ValueError
         If the settings have no data folder.
     """
-    if settings.data_dir is None:
-        raise ValueError('a control instance needs data_dir')
     with ThreadPoolExecutor(max_workers=1) as executor:
         surroundings = Surroundings(
             dial=dial_peer,
-            disk=FolderDisk(Path(settings.data_dir) / _FOLDER),
+            disk=log_disk(settings),
             offload=ThreadOffload(executor),
             random=Random(),
             snapshot_entries=SNAPSHOT_ENTRIES,
@@ -56,9 +67,5 @@
                 surroundings=surroundings,
             )
         )
-        task = asyncio.create_task(log.run())
-        try:
+        async with background(log.run()):
             yield log
-        finally:
-            task.cancel()
-            await asyncio.wait([task])
