Send a region's summary only where it changed

Cause: a sample that arrived from another region marked the service as changed in the own summary, which went out again to every region.

Change: rows that the peer already has are left out, samples are merged per service, and a change touches only the lists that have or get the target. Streams to other regions send at most every 0.5 s.

--- a/packages/mustardspur_control/src/mustardspur_control/known_targets.py
+++ b/packages/mustardspur_control/src/mustardspur_control/known_targets.py
@@ -18,13 +18,20 @@
     Claims : which of several targets counts.
     """
 
-    __slots__ = ('_callbacks', '_claims', '_held_by', '_lists')
+    __slots__ = (
+        '_callbacks',
+        '_claims',
+        '_held_by',
+        '_lists',
+        '_service_by_id',
+    )
 
     def __init__(self) -> None:
         """Start without targets."""
         self._claims = Claims()
         self._held_by: dict[str, TargetsById] = {}
         self._lists: dict[str, TargetList] = {}
+        self._service_by_id: dict[str, str] = {}
         self._callbacks: list[Callable[[str], None]] = []
 
     @property
@@ -72,17 +79,20 @@
     def _choose(self, touched: list[Target]) -> None:
         ids = {target.id for target in touched}
         ids |= self._claims.sharing(*(target.address for target in touched))
-        names = {target.service for target in touched}
         changed: set[str] = set()
         for target_id in ids:
-            changed |= self._put_chosen(target_id, names)
+            changed |= self._put_chosen(target_id)
         self.notify(changed)
 
-    def _put_chosen(self, target_id: str, names: set[str]) -> set[str]:
+    def _put_chosen(self, target_id: str) -> set[str]:
         chosen = self._claims.chosen(target_id)
-        places = names | {chosen.service} if chosen else names
+        # Only the list that has the target and the one that gets it change.
+        places = {self._service_by_id.pop(target_id, None)}
+        if chosen is not None:
+            self._service_by_id[target_id] = chosen.service
+            places.add(chosen.service)
         return {
             name
-            for name in places
+            for name in filter(None, places)
             if self.list_of(name).put_if_due(target_id, chosen)
         }
--- a/packages/mustardspur_control/src/mustardspur_control/registry.py
+++ b/packages/mustardspur_control/src/mustardspur_control/registry.py
@@ -95,10 +95,15 @@
         """Keep the targets of a connected control instance."""
         self._leases.keep(peer)
 
-    def merge_sample(self, region: str, targets: list[Target]) -> None:
-        """Take a few targets of each service of another region."""
+    def merge_sample(
+        self,
+        region: str,
+        service: str,
+        targets: list[Target],
+    ) -> None:
+        """Take a few targets of a service of another region."""
         sample = {target.id: target for target in targets}
-        self.known.hold(f'region {region}', sample)
+        self.known.hold(f'region {region} {service}', sample)
 
     def lose_peer(self, peer: str) -> None:
         """Drop a control instance's targets unless it is back in time."""
--- a/packages/mustardspur_control/src/mustardspur_control/relay/peer_link.py
+++ b/packages/mustardspur_control/src/mustardspur_control/relay/peer_link.py
@@ -17,8 +17,11 @@
 
 _LOG: Final = logging.getLogger(__name__)
 CONNECT_TIMEOUT_S: Final = 1.0
-# Changes within this time of the last frames travel together.
-MIN_SEND_GAP_S: Final = 0.1
+# Changes within this time of the last frames travel together. Counts of
+# targets cross the paid links less often than reports and targets go around
+# in a region; a leaving target is still gone everywhere within 3 s.
+NEAR_SEND_GAP_S: Final = 0.1
+FAR_SEND_GAP_S: Final = 0.5
 RETRY_S: Final = 0.5
 _LINK_ERRORS: Final = (OSError, EOFError, TimeoutError, MalformedFrame)
 Connect = Callable[[str, float], AbstractAsyncContextManager[FrameStream]]
@@ -114,12 +117,14 @@
                 region=self._settings.region,
             ),
         )
+        is_near = self.peers[0].region == self._settings.region
+        gap_s = NEAR_SEND_GAP_S if is_near else FAR_SEND_GAP_S
         while is_wanted():
             await stream.drain()
             self.wake.clear()
             for message in self._news(is_upstream(self)):
                 stream.send_soon(message)
-            await asyncio.sleep(MIN_SEND_GAP_S)
+            await asyncio.sleep(gap_s)
             await self._wait(stream)
 
     def _news(self, is_upstream: bool) -> list[Record]:
--- a/packages/mustardspur_control/src/mustardspur_control/relay/shares.py
+++ b/packages/mustardspur_control/src/mustardspur_control/relay/shares.py
@@ -8,7 +8,11 @@
 from mustardspur_control.applied import NodeApplied
 from mustardspur_control.hub import Hub
 from mustardspur_control.relay.applied_rows import group_reports
-from mustardspur_control.relay.messages import RegistryShare, RegistrySummary
+from mustardspur_control.relay.messages import (
+    RegistryShare,
+    RegistrySummary,
+    SummaryRow,
+)
 from mustardspur_control.relay.outcomes import OutcomeBuffer
 from mustardspur_control.relay.summaries import RegionSummaries, summarize
 
@@ -57,11 +61,12 @@
 class OwnSummary:
     """Summary of the own region, for peers of other regions."""
 
-    __slots__ = ('_dirty', '_hub', '_is_first')
+    __slots__ = ('_dirty', '_hub', '_is_first', '_sent')
 
     def __init__(self, hub: Hub) -> None:
         """Follow the changes of the registry."""
         self._hub = hub
+        self._sent: dict[str, list[SummaryRow]] = {}
         self._dirty: set[str] = set()
         self._is_first = True
         hub.registry.known.on_change(self._dirty.add)
@@ -78,23 +83,34 @@
             return
         if self._is_first:
             self._dirty.update(registry.known.services)
-        if not self._dirty and not self._is_first:
-            return
+            self._sent.clear()
         region = self._hub.settings.region
-        services = sorted(self._dirty)
-        yield RegistrySummary(
-            region=region,
-            services=services,
-            rows=[
-                row
-                for service in services
-                for row in summarize(registry, region, service)
-            ],
-            full=self._is_first,
-        )
-        self._dirty.clear()
+        changed = self._changed_rows()
+        if changed or self._is_first:
+            yield RegistrySummary(
+                region=region,
+                services=list(changed),
+                rows=[row for rows in changed.values() for row in rows],
+                full=self._is_first,
+            )
         self._is_first = False
 
+    def _changed_rows(self) -> dict[str, list[SummaryRow]]:
+        # Most changes of a list come from samples of other regions, which
+        # are no part of this region's summary.
+        changed = {}
+        for service in sorted(self._dirty):
+            rows = summarize(
+                self._hub.registry,
+                self._hub.settings.region,
+                service,
+            )
+            if rows != self._sent.get(service, []):
+                changed[service] = rows
+        self._dirty.clear()
+        self._sent.update(changed)
+        return changed
+
 
 class OtherSummaries:
     """Summaries of other regions, for peers of the own region."""
--- a/packages/mustardspur_control/src/mustardspur_control/relay/summaries.py
+++ b/packages/mustardspur_control/src/mustardspur_control/relay/summaries.py
@@ -1,7 +1,6 @@
 """Summaries of the targets of regions."""
 
 from collections import defaultdict
-from itertools import chain
 from typing import Final
 
 from mustardspur_core.state import Target, TargetState
@@ -33,17 +32,20 @@
 
     def take(self, summary: RegistrySummary) -> None:
         """Take a region's summary and pass its samples to the registry."""
-        rows_by_service = self._rows[summary.region]
+        newest: _RowsByService = defaultdict(list)
+        for row in summary.rows:
+            newest[row.service].append(row)
+        named = set(summary.services)
         if summary.full:
-            rows_by_service.clear()
-        for service in summary.services:
-            rows_by_service[service] = [
-                row for row in summary.rows if row.service == service
-            ]
-        sample: list[Target] = []
-        for row in chain.from_iterable(rows_by_service.values()):
-            sample.extend(row.sample)
-        self._registry.merge_sample(summary.region, sample)
+            named |= self._rows[summary.region].keys()
+        for service in named:
+            rows = newest[service]
+            self._rows[summary.region][service] = rows
+            self._registry.merge_sample(
+                summary.region,
+                service,
+                _samples(rows),
+            )
 
     def rows_of(self, region: str) -> _RowsByService:
         """Return the rows of a region by service."""
@@ -70,3 +72,7 @@
         )
         for version, targets in sorted(ready.items())
     ]
+
+
+def _samples(rows: list[SummaryRow]) -> list[Target]:
+    return [target for row in rows for target in row.sample]
