--- /dev/null
+++ b/packages/mustardspur_client/src/mustardspur_client/verbs/__init__.py
@@ -0,0 +1,27 @@
+"""Verbs of the command line."""
+
+from mustardspur_client.verbs import (
+    instances,
+    moves,
+    profiles,
+    services,
+    timelines,
+    voters,
+    waiting,
+    watching,
+)
+from mustardspur_client.verbs.registry import Verb, verb, verbs
+
+# Importing these modules registers their verbs.
+VERB_MODULES = (
+    profiles,
+    services,
+    waiting,
+    moves,
+    watching,
+    instances,
+    timelines,
+    voters,
+)
+
+__all__ = ['VERB_MODULES', 'Verb', 'verb', 'verbs']
