--- a/tests/node/calls/test_request_faults.py
+++ b/tests/node/calls/test_request_faults.py
@@ -75,6 +75,14 @@
     assert not calls
 
 
+async def test_request_without_host_is_refused() -> None:
+    """Guards against a call whose host each parser fills in by itself."""
+    async with run_mesh(make_view([make_target('127.0.0.1:1')])) as mesh:
+        received = await mesh.raw(b'GET /stock HTTP/1.1\r\n\r\n')
+    assert b' 400 ' in received
+    assert b'x-mustardspur-outcome: not-run' in received
+
+
 @pytest.mark.parametrize(
     ('lines', 'body'),
     [
