--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 .DEFAULT_GOAL := help
 
-.PHONY: help setup format lint types tests test demo demo-faults clean
+.PHONY: help setup format lint types tests test demo demo-faults demo-repair clean
 .PHONY: bench-calls bench-capacity bench-distribution bench-moves
 
 help: ## List the commands
@@ -45,6 +45,9 @@
 demo-faults: $(STAMP) ## The demo with a herd of killed processes in the middle of a move
 	$(BIN)/python -m demo --faults
 
+demo-repair: $(STAMP) ## Replace a lost voter over real processes, and lose a second one
+	$(BIN)/python -m demo.repair
+
 bench-capacity: $(STAMP) ## Measure the slopes behind docs/CAPACITY.md
 	$(BIN)/python -m benchmarks.capacity
 
