--- a/demo/repair.py
+++ b/demo/repair.py
@@ -50,19 +50,23 @@
 
 
 def _broken(mesh: Mesh, answers: list[dict[str, Any]]) -> list[str]:
+    checks = _checks(mesh, answers)
+    broken = [text for text, is_held in checks.items() if not is_held]
+    for text in checks:
+        verdict = 'BROKEN' if text in broken else 'held'
+        sys.stdout.write(f'{verdict}: {text}\n')
+    return broken
+
+
+def _checks(mesh: Mesh, answers: list[dict[str, Any]]) -> dict[str, bool]:
     names = [control.id for control in mesh.controls]
     added, removed, edited, listed = answers
-    checks = {
+    return {
         f'four voters after add-voter: {added}': added['voters'] == names,
         f'{names[0]} is gone: {removed}': removed['voters'] == names[1:],
         f'the edit is number 2: {edited}': edited['number'] == 2,
         f'the profile is there: {listed}': len(listed['profiles']) == 1,
     }
-    broken = [text for text, is_held in checks.items() if not is_held]
-    for text in checks:
-        verdict = 'BROKEN' if text in broken else 'held'
-        sys.stdout.write(f'{verdict}: {text}\n')
-    return broken
 
 
 def main() -> int:
