Add the benchmark of the distribution

Cause: convergence, control bytes, reconnects and catch-up have to be measured against the number of nodes and against a simple baseline.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 .DEFAULT_GOAL := help
 
-.PHONY: help setup format lint types tests test demo clean
+.PHONY: help setup format lint types tests test demo bench-distribution clean
 
 help: ## List the commands
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 24
@@ -38,5 +38,8 @@
 demo: $(STAMP) ## Start a small mesh of real processes and show a good and a bad move
 	$(BIN)/python -m demo
 
+bench-distribution: $(STAMP) ## Measure the distribution of configuration and targets
+	$(BIN)/python -m benchmarks.distribution
+
 clean: ## Remove the virtual environment and build output
 	rm -rf $(VENV) build .mypy_cache .pytest_cache .ruff_cache
--- /dev/null
+++ b/benchmarks/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Distribution of configuration and targets at the design size."""
--- /dev/null
+++ b/benchmarks/distribution/run.py
@@ -0,0 +1,86 @@
+"""The order of the measurements."""
+
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Final
+
+from mustardspur_core.record import Record
+from rich.console import Console
+
+from benchmarks.distribution.measures import (
+    Figures,
+    measure_changes,
+    measure_restart,
+    measure_return,
+    measure_steady,
+    measure_targets,
+)
+from benchmarks.distribution.mesh import Mesh
+from benchmarks.distribution.topology import NODE_SIZES
+
+# The sizes that the baseline runs at, for time's sake.
+BASELINE_SIZES: Final = (700, 2800)
+
+_STARTED_S: Final = time.monotonic()
+_CONSOLE: Final = Console()
+
+
+class Run(Record):
+    """Figures of a run, by number of nodes and for the last size."""
+
+    __slots__ = ('changes', 'targets', 'steady', 'restart', 'returned')
+    changes: dict[int, Figures]
+    targets: dict[int, Figures]
+    steady: dict[int, Figures]
+    restart: Figures
+    returned: Figures
+
+
+def empty_run() -> Run:
+    """Return a run before its first measurement."""
+    return Run(changes={}, targets={}, steady={}, restart={}, returned={})
+
+
+def run_design() -> Run:
+    """Measure the design at every size."""
+    return _run(NODE_SIZES, full_push=False)
+
+
+def run_full_push() -> Run:
+    """Measure the baseline."""
+    return _run(BASELINE_SIZES, full_push=True)
+
+
+def _run(sizes: tuple[int, ...], *, full_push: bool) -> Run:
+    run = empty_run()
+    with _mesh(full_push) as mesh:
+        for size in sizes:
+            mesh.grow(size)
+            progress(f'{size} nodes are connected')
+            run.changes[size] = measure_changes(mesh)
+            progress('changes')
+            run.targets[size] = measure_targets(mesh)
+            progress('targets')
+            run.steady[size] = measure_steady(mesh)
+            progress('steady')
+        run.returned = measure_return(mesh)
+        progress('return')
+        run.restart = measure_restart(mesh)
+        progress('restart')
+    return run
+
+
+def progress(step: str) -> None:
+    """Print when a step has ended."""
+    passed_s = round(time.monotonic() - _STARTED_S, 1)
+    _CONSOLE.print(f'{passed_s} s: {step}')
+
+
+@contextmanager
+def _mesh(full_push: bool) -> Iterator[Mesh]:
+    mesh = Mesh(full_push)
+    try:
+        yield mesh
+    finally:
+        mesh.end()
