--- a/packages/mustardspur_control/src/mustardspur_control/operator_sources.py
+++ b/packages/mustardspur_control/src/mustardspur_control/operator_sources.py
@@ -1,13 +1,21 @@
 """What the operators' interface reads of the other parts of an instance."""
 
+import time
 from typing import Any
 
+from mustardspur_agreement.ports import CommittedLog
 from mustardspur_core.settings import Settings
 from mustardspur_core.state import Target
 
 from mustardspur_control.applied import NodeApplied
 from mustardspur_control.hub import Hub
-from mustardspur_control.operators_api.ports import NodeInForce
+from mustardspur_control.operators_api.ports import (
+    MoveReports,
+    NodeInForce,
+    OperatorsContext,
+    VoterMembership,
+)
+from mustardspur_control.store import Store
 
 
 class HubNodes:
@@ -73,3 +81,25 @@
             'registry_settled': self._hub.registry.settled,
             'cut_offs': sorted(self._hub.cut_offs.by_move),
         }
+
+
+def operators_context(
+    settings: Settings,
+    hub: Hub,
+    store: Store,
+    log: CommittedLog,
+    moves: MoveReports,
+    membership: VoterMembership,
+) -> OperatorsContext:
+    """Return what the operators' interface uses of an instance."""
+    return OperatorsContext(
+        log=log,
+        membership=membership,
+        store=store,
+        nodes=HubNodes(hub),
+        targets=RegistryTargets(hub),
+        moves=moves,
+        status=HubStatus(settings, hub),
+        http_addresses={peer.id: peer.http for peer in settings.peers},
+        clock=time.time,
+    )
--- a/packages/mustardspur_core/src/mustardspur_core/messages.py
+++ b/packages/mustardspur_core/src/mustardspur_core/messages.py
@@ -167,6 +167,8 @@
     ----------
     target : str
         Identifier of the target, for telling a sick target from a version.
+    caller : str
+        Organisation of the caller, empty where it is not known.
     calls, failures, refusals : int
         Counts since the last report.
     latency_counts : dict of int
@@ -179,6 +181,7 @@
         'route',
         'data_centre',
         'target',
+        'caller',
         'calls',
         'failures',
         'refusals',
@@ -188,6 +191,7 @@
     route: str
     data_centre: str
     target: str
+    caller: str
     calls: int
     failures: int
     refusals: int
@@ -196,10 +200,19 @@
 
 @message(9)
 class Outcomes(Record):
-    """Evidence of a node about a move, counted since its last report."""
+    """Evidence of a node about a move, counted since its last report.
 
-    __slots__ = ('move', 'rows')
+    Parameters
+    ----------
+    move : str
+        Identifier of the move.
+    step : int
+        Step of the move that was in force for the calls.
+    """
+
+    __slots__ = ('move', 'step', 'rows')
     move: str
+    step: int
     rows: list[OutcomeRow]
 
 
--- a/packages/mustardspur_core/src/mustardspur_core/tasks.py
+++ b/packages/mustardspur_core/src/mustardspur_core/tasks.py
@@ -1,56 +1,43 @@
 """Background tasks that end with a block."""
 
 import asyncio
-import logging
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
-from typing import Any, Final
+from typing import Any
 
-from mustardspur_core.wire.codec import MalformedFrame
-
-_LOG: Final = logging.getLogger(__name__)
-# How the loss of a peer shows; whoever runs the tasks deals with it.
-EXPECTED_ERRORS: Final = (OSError, EOFError, TimeoutError, MalformedFrame)
 Endless = Coroutine[Any, Any, None]
-Tasks = list[asyncio.Task[None]]
 
 
 @asynccontextmanager
-async def background(*coroutines: Endless) -> AsyncIterator[Tasks]:
+async def background(*coroutines: Endless) -> AsyncIterator[None]:
     """Run coroutines beside a block; they are cancelled at its end.
 
-    Explanation
-    ===========
-
-    A coroutine that fails is logged at once, since the block may go on for
-    as long as the process and nobody would miss it.
+    Raises
+    ------
+    Exception
+        The first one, if a coroutine or the block fails. With a coroutine
+        that fails the block is cancelled, so that no process goes on
+        without one of its tasks.
     """
-    tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
-    for started in tasks:
-        started.add_done_callback(_log_failure)
     try:
-        yield tasks
-    finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-
-def _log_failure(task: asyncio.Task[None]) -> None:
-    error = None if task.cancelled() else task.exception()
-    if error is not None and not isinstance(error, EXPECTED_ERRORS):
-        _LOG.error('background task failed', exc_info=error)
+        async with asyncio.TaskGroup() as group:
+            tasks = [group.create_task(coroutine) for coroutine in coroutines]
+            yield
+            _cancel(tasks)
+    except BaseExceptionGroup as failures:
+        raise failures.exceptions[0] from failures
 
 
 async def run_until_first_end(*coroutines: Endless) -> None:
     """Run coroutines together until one ends, and raise its exception."""
-    async with background(*coroutines) as tasks:
+    tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
+    async with _cancelled_at_end(tasks):
         done, _ = await asyncio.wait(
             tasks,
             return_when=asyncio.FIRST_COMPLETED,
         )
-        for task in done:
-            task.result()
+    for task in done:
+        task.result()
 
 
 async def every(interval_s: float, action: Callable[[], None]) -> None:
@@ -58,3 +45,19 @@
     while True:
         await asyncio.sleep(interval_s)
         action()
+
+
+@asynccontextmanager
+async def _cancelled_at_end(
+    tasks: list[asyncio.Task[None]],
+) -> AsyncIterator[None]:
+    try:
+        yield
+    finally:
+        _cancel(tasks)
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _cancel(tasks: list[asyncio.Task[None]]) -> None:
+    for task in tasks:
+        task.cancel()
