--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,9 @@
 demo: $(STAMP) ## Start a small mesh of real processes and show a good and a bad move
 	$(BIN)/python -m demo
 
+bench-distribution: $(STAMP) ## Measure the distribution of configuration and targets
+	$(BIN)/python -m benchmarks.distribution
+
 bench-moves: $(STAMP) ## Measure the decisions on moves in virtual time
 	$(BIN)/python -m benchmarks.moves
 
