--- a/benchmarks/moves/nodes.py
+++ b/benchmarks/moves/nodes.py
@@ -55,13 +55,13 @@
                 cut_off_moves=list(self.guard.cut_offs),
             )
 
-    @property
-    def share(self) -> float:
-        """Share of the new version that its calls follow."""
+    def share(self, cuts_off: bool) -> float:
+        """Return the share of the new version that its calls follow."""
         if self.view is None:
             return 0
         move = self.view.config.moves[-1]
-        return 0 if move.id in self.guard.cut_offs else move.share
+        is_cut_off = cuts_off and move.id in self.guard.cut_offs
+        return 0 if is_cut_off else move.share
 
     def count(self, calls: Calls) -> None:
         """Take over the outcomes of a second."""
--- a/benchmarks/moves/strategies.py
+++ b/benchmarks/moves/strategies.py
@@ -27,12 +27,15 @@
         For the leader.
     seen : callable
         What is seen of the outcomes.
+    cuts_off : bool
+        Whether nodes cut off on their own evidence.
     """
 
-    __slots__ = ('name', 'decide', 'seen')
+    __slots__ = ('name', 'decide', 'seen', 'cuts_off')
     name: str
     decide: Decide
     seen: Callable[[Tally], Tally]
+    cuts_off: bool
 
 
 def _everything(tally: Tally) -> Tally:
@@ -81,10 +84,12 @@
     )
 
 
-OURS: Final = Strategy(name='mixture', decide=decide, seen=_everything)
+OURS: Final = Strategy(
+    name='mixture', decide=decide, seen=_everything, cuts_off=True
+)
 ERRORS_ONLY: Final = Strategy(
-    name='errors only', decide=decide, seen=_errors_only
+    name='errors only', decide=decide, seen=_errors_only, cuts_off=True
 )
 FIXED: Final = Strategy(
-    name='fixed steps', decide=_decide_fixed, seen=_everything
+    name='fixed steps', decide=_decide_fixed, seen=_everything, cuts_off=False
 )
--- a/packages/mustardspur_moves/src/mustardspur_moves/facts.py
+++ b/packages/mustardspur_moves/src/mustardspur_moves/facts.py
@@ -12,7 +12,9 @@
 from mustardspur_moves.verdict import Verdict, judge
 
 # Evidence ratio from which the share does not rise.
-SUSPICIOUS_RATIO: Final = 3
+SUSPICIOUS_RATIO: Final = 1
+# Evidence ratio from which a move is not finished at its stated time.
+DOUBTFUL_RATIO: Final = 10
 # Calls at the current share before it rises.
 CALLS_AT_SHARE: Final = 10
 # Reports older than this many report intervals do not support a raise.
@@ -52,7 +54,8 @@
         """Whether the evidence is enough for the full share."""
         if self.new_calls < self.schedule.last.needed_calls:
             return False
-        return not (self.is_suspicious or self.reports_are_stale)
+        is_doubtful = self.verdict.evidence_ratio >= DOUBTFUL_RATIO
+        return not (is_doubtful or self.reports_are_stale)
 
     @property
     def is_suspicious(self) -> bool:
--- a/packages/mustardspur_moves/src/mustardspur_moves/progress.py
+++ b/packages/mustardspur_moves/src/mustardspur_moves/progress.py
@@ -24,9 +24,9 @@
 )
 
 # For this long after its first call a new target may be slow or refuse.
-COLD_START_S: Final = 15.0
+COLD_START_S: Final = 20.0
 # Longest part of the move's time that a cold start may take.
-COLD_START_SHARE: Final = 0.1
+COLD_START_SHARE: Final = 0.12
 # Weight of a fault that shows from the first event on; the rest is spread
 # over the move's time.
 FIRST_WEIGHT: Final = 0.5
--- a/packages/mustardspur_moves/src/mustardspur_moves/rules.py
+++ b/packages/mustardspur_moves/src/mustardspur_moves/rules.py
@@ -96,6 +96,8 @@
     missing = _missing_evidence(facts, stage)
     if missing:
         return wait(facts, missing)
+    if stage.needed_calls == 0:
+        return raise_share(facts, stage.share, 'the first share')
     return raise_share(facts, stage.share, 'no sign of a fault at this share')
 
 
