--- a/tests/node/calls/test_contract_callers.py
+++ b/tests/node/calls/test_contract_callers.py
@@ -6,8 +6,14 @@
 import pytest
 from aiohttp import web
 
-from tests.node.stand_ins.mesh import run_mesh, run_target
-from tests.node.stand_ins.views import make_route, make_target, make_view
+from tests.node.stand_ins.mesh import HANG_S, run_mesh, run_target
+from tests.node.stand_ins.scripted import KEEP, run_scripted
+from tests.node.stand_ins.views import (
+    LENS_ROUTES,
+    make_route,
+    make_target,
+    make_view,
+)
 
 
 async def _echo(request: web.BaseRequest) -> web.Response:
@@ -132,6 +138,31 @@
     assert mesh.outcomes.rows[0] == ('prescriptions', '1', 'refusal')
 
 
+async def test_undocumented_refusal_is_an_answer() -> None:
+    """Guards against a call that ran being taken for a refused one."""
+    plain = b'HTTP/1.1 503 Busy\r\ncontent-length: 4\r\n\r\nbusy'
+    async with run_scripted((plain, KEEP)) as (address, target):
+        async with run_mesh(make_view([make_target(address)])) as mesh:
+            answer = await mesh.call('POST', '/prescriptions')
+    assert answer == (503, None, b'busy')
+    assert target.requests == 1
+
+
+async def test_failing_target_gets_few_retries() -> None:
+    """Guards against retries that double the load of a failing target."""
+    runs: list[str] = []
+
+    async def factory(request: web.BaseRequest) -> web.Response:
+        runs.append(request.path)
+        return web.Response(status=500)
+
+    async with run_target(factory) as address:
+        async with run_mesh(make_view([make_target(address)])) as mesh:
+            await mesh.repeat(100, 'GET', '/stock')
+    # A tenth of the calls, and the few tokens that a node starts with.
+    assert 110 <= len(runs) <= 116
+
+
 async def test_deadline_after_sending_is_unknown() -> None:
     """Guards against a call that may have run being called not run."""
     target = EndlessTarget()
@@ -149,12 +180,16 @@
 async def test_caller_that_leaves_ends_the_work() -> None:
     """Guards against a target working for a caller that is gone."""
     target = EndlessTarget()
+    route = make_route(*LENS_ROUTES[0], timeout_ms=HANG_S * 10_000)
     async with run_target(target.serve) as address:
-        async with run_mesh(make_view([make_target(address)])) as mesh:
+        view = make_view([make_target(address)], routes=[route])
+        async with run_mesh(view, drain_s=0) as mesh:
             call = asyncio.create_task(mesh.call('GET', '/stock'))
             await target.started.wait()
             call.cancel()
-            await target.closed.wait()
+            # Only a node that keeps the call reaches the bound.
+            async with asyncio.timeout(HANG_S):
+                await target.closed.wait()
 
 
 async def test_unreachable_target_is_not_run_and_replaced() -> None:
--- a/tests/node/calls/test_draining.py
+++ b/tests/node/calls/test_draining.py
@@ -39,6 +39,7 @@
             drain = asyncio.create_task(mesh.forwarder.drain(20))
             await asyncio.sleep(0)
             refused = await mesh.call('GET', '/stock')
+            assert not drain.done()
             target.go_on.set()
             assert await call == (200, None, b'first second')
             assert await drain == 0
