Leave a silent peer without waiting for its bytes

Cause: connect_stream waited until the write buffer was flushed; to a peer that is silently gone that takes the kernel about a quarter of an hour, so a node could not replace a silent stream that had unsent bytes. Found by reading.

Change: the connection is aborted if it does not close within 0.5 s. The client runs in uvloop like the daemon, a cut-off names the leader that decided it, and nodes of other control instances are shown with their data centre.

Conclusion: the new test hangs to its limit without the change and passes with it.

--- a/packages/mustardspur_client/src/mustardspur_client/main.py
+++ b/packages/mustardspur_client/src/mustardspur_client/main.py
@@ -1,13 +1,13 @@
 """Entry point of the command line."""
 
 import argparse
-import asyncio
 import sys
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from typing import IO
 
 import aiohttp
+from mustardspur_core.event_loop import run_in_loop
 
 from mustardspur_client.arguments import (
     CONTROL_VARIABLE,
@@ -27,7 +27,7 @@
 def main() -> int:
     """Run the command line of the process and return its exit code."""
     try:
-        return asyncio.run(run(sys.argv[1:], sys.stdout, sys.stderr))
+        return run_in_loop(run(sys.argv[1:], sys.stdout, sys.stderr))
     except KeyboardInterrupt:
         return ExitCode.TIMED_OUT
 
--- a/packages/mustardspur_control/src/mustardspur_control/move_driver.py
+++ b/packages/mustardspur_control/src/mustardspur_control/move_driver.py
@@ -236,7 +236,7 @@
             CutOff(
                 move=move.id,
                 version=move.to_version,
-                origin='leader',
+                origin=self._log.leader or 'leader',
                 reason=decision.reason,
             )
         )
--- a/packages/mustardspur_control/src/mustardspur_control/operator_sources.py
+++ b/packages/mustardspur_control/src/mustardspur_control/operator_sources.py
@@ -29,13 +29,21 @@
 
     def in_force(self, service: str) -> list[NodeInForce]:
         """Return one entry for each node that needs a service."""
-        return [self._entry(row) for row in self._hub.applied.rows(service)]
+        # A node of another control instance is known by its targets.
+        places_by_node = {
+            target.node: target.data_centre
+            for target in self._hub.registry.targets(service)
+        }
+        return [
+            self._entry(row, places_by_node.get(row.node, ''))
+            for row in self._hub.applied.rows(service)
+        ]
 
-    def _entry(self, row: NodeApplied) -> NodeInForce:
+    def _entry(self, row: NodeApplied, place: str) -> NodeInForce:
         session = self._hub.sessions.by_node.get(row.node)
         return NodeInForce(
             node=row.node,
-            data_centre=session.hello.data_centre if session else '',
+            data_centre=session.hello.data_centre if session else place,
             index=row.report.index,
             pending_index=row.report.pending_index,
             reason=row.report.reason,
--- a/packages/mustardspur_core/src/mustardspur_core/wire/streams.py
+++ b/packages/mustardspur_core/src/mustardspur_core/wire/streams.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager
 from typing import Final
 
 from mustardspur_core.record import Record
@@ -15,6 +15,7 @@
 )
 
 LENGTH_BYTES: Final = 4
+CLOSE_TIMEOUT_S: Final = 0.5
 MAX_FRAME_BYTES: Final = 4 * BYTES_PER_MIB
 
 
@@ -142,5 +143,14 @@
         yield stream
     finally:
         stream.close()
-        with suppress(OSError):
+        await _close_or_abort(writer)
+
+
+async def _close_or_abort(writer: asyncio.StreamWriter) -> None:
+    # A peer that is silently gone takes no bytes, and the kernel would keep
+    # a connection with unsent ones for a quarter of an hour.
+    try:
+        async with asyncio.timeout(CLOSE_TIMEOUT_S):
             await writer.wait_closed()
+    except (OSError, TimeoutError):
+        writer.transport.abort()
--- a/tests/control/test_move_driver.py
+++ b/tests/control/test_move_driver.py
@@ -114,7 +114,7 @@
     leader = _Leader()
     await leader.seconds(12, failures=5)
     assert leader.mesh.move.state == 'taken_back'
-    assert [cut_off.origin for cut_off in leader.cut_offs] == ['leader']
+    assert [cut_off.origin for cut_off in leader.cut_offs] == ['c1']
 
 
 async def test_new_leader_asks_for_evidence_again() -> None:
--- a/tests/core/wire/test_streams.py
+++ b/tests/core/wire/test_streams.py
@@ -7,11 +7,20 @@
 from mustardspur_core.event_loop import run_in_loop
 from mustardspur_core.messages import Heartbeat
 from mustardspur_core.tasks import run_until_first_end
-from mustardspur_core.wire import FrameStream, end_on_silence
+from mustardspur_core.wire import (
+    MAX_FRAME_BYTES,
+    FrameStream,
+    connect_stream,
+    end_on_silence,
+)
 
 from tests.support.virtual_time import VirtualLoop, in_virtual_time
 
 BEAT = Heartbeat(sequence=1)
+# More than the buffers of the kernel hold.
+UNREAD_FRAMES = 8
+# Only bounds a test that hangs.
+HANG_LIMIT_S = 30
 
 
 async def pair() -> tuple[FrameStream, FrameStream]:
@@ -66,3 +75,26 @@
     with pytest.raises(TimeoutError):
         await run_until_first_end(_receive(near), end_on_silence(near, 3))
     assert loop.time() > 64
+
+
+async def _never_read(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    await asyncio.Event().wait()
+
+
+async def _leave_unread_peer() -> bool:
+    server = await asyncio.start_server(_never_read, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    async with connect_stream(f'{host}:{port}', HANG_LIMIT_S) as stream:
+        for _ in range(UNREAD_FRAMES):
+            stream.send_encoded(bytes(MAX_FRAME_BYTES))
+    server.close()
+    return True
+
+
+def test_peer_that_takes_no_bytes_is_left() -> None:
+    """Guards against a node that cannot leave a connection gone silent."""
+    leaving = asyncio.wait_for(_leave_unread_peer(), HANG_LIMIT_S)
+    assert run_in_loop(leaving)
