--- a/tests/node/calls/test_ejection.py
+++ b/tests/node/calls/test_ejection.py
@@ -44,6 +44,7 @@
         ('aaaaaa', [0, 1, 2, 3, 4], [0, 1, 2]),
         # A lost data centre counts as one failure, however large it is.
         ('aaaabb', [0, 1, 2, 3], [0, 1, 2, 3]),
+        ('aaaaab', [0, 1, 2, 3, 4], [0, 1, 2, 3, 4]),
         ('aaaabb', [0, 1, 2, 3, 4], [0, 1, 2, 3, 4]),
         ('aaaabb', [0, 1, 2, 3, 4, 5], [0, 1, 2, 3, 4]),
     ],
