--- a/benchmarks/distribution/feed.py
+++ b/benchmarks/distribution/feed.py
@@ -8,13 +8,19 @@
 import asyncio
 import time
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import (
+    AbstractAsyncContextManager,
+    contextmanager,
+    suppress,
+)
+from typing import Final
 
 import msgpack
 import zstandard
 from mustardspur_core.conversion import decode_row, encode_row
 from mustardspur_core.record import Record
 from mustardspur_core.state import Move, ServiceConfig
+from mustardspur_core.tasks import EXPECTED_ERRORS
 from mustardspur_core.wire import FrameStream, message
 
 from benchmarks.distribution.topology import (
@@ -23,6 +29,8 @@
     service_name,
 )
 
+RETRY_S: Final = 0.5
+
 
 @message(120)
 class FeedHello(Record):
@@ -84,6 +92,7 @@
 
     async def serve(self, stream: FrameStream, hello: FeedHello) -> None:
         """Feed a follower until it is gone."""
+        stream.send_soon(_packed(list(self._configs.values())))
         with self._following(stream):
             await stream.receive()
 
@@ -107,11 +116,30 @@
     def _take(self, packed: bytes) -> None:
         rows = msgpack.unpackb(zstandard.ZstdDecompressor().decompress(packed))
         for row in rows:
-            self.put(decode_row(ServiceConfig, row))
+            newest = decode_row(ServiceConfig, row)
+            if newest.index > self._configs[newest.service].index:
+                self.put(newest)
 
     def _pass_on(self) -> None:
-        rows = msgpack.packb([encode_row(each) for each in self._batch])
+        changes = _packed(self._batch)
         self._batch.clear()
-        packed = zstandard.ZstdCompressor().compress(rows)
         for follower in self._followers:
-            follower.send_soon(FeedChanges(packed=packed))
+            follower.send_soon(changes)
+
+
+async def follow_always(
+    source: FeedSource,
+    control: str,
+    connect: Callable[[], AbstractAsyncContextManager[FrameStream]],
+) -> None:
+    """Follow another instance, over a new stream whenever one ends."""
+    while True:
+        with suppress(*EXPECTED_ERRORS):
+            async with connect() as stream:
+                await source.follow(stream, control)
+        await asyncio.sleep(RETRY_S)
+
+
+def _packed(configs: list[ServiceConfig]) -> FeedChanges:
+    rows = msgpack.packb([encode_row(each) for each in configs])
+    return FeedChanges(packed=zstandard.ZstdCompressor().compress(rows))
--- a/benchmarks/distribution/served_control.py
+++ b/benchmarks/distribution/served_control.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from functools import partial
 from typing import Any
 
 from expression import Ok, Result
@@ -17,7 +18,11 @@
 
 from benchmarks.distribution.baseline import FullPushHub
 from benchmarks.distribution.counting import CountingWriter
-from benchmarks.distribution.feed import FeedHello, FeedSource
+from benchmarks.distribution.feed import (
+    FeedHello,
+    FeedSource,
+    follow_always,
+)
 from benchmarks.distribution.topology import ControlPlace, control_settings
 
 
@@ -125,5 +130,8 @@
         if upstream is None:
             await asyncio.Event().wait()
             return
-        async with connect(upstream, 5) as stream:
-            await control.source.follow(stream, control.place.name)
+        await follow_always(
+            control.source,
+            control.place.name,
+            partial(connect, upstream, 5),
+        )
