--- a/benchmarks/distribution/feed.py
+++ b/benchmarks/distribution/feed.py
@@ -20,8 +20,7 @@
 from mustardspur_core.conversion import decode_row, encode_row
 from mustardspur_core.record import Record
 from mustardspur_core.state import Move, ServiceConfig
-from mustardspur_core.tasks import EXPECTED_ERRORS
-from mustardspur_core.wire import FrameStream, message
+from mustardspur_core.wire import FrameStream, MalformedFrame, message
 
 from benchmarks.distribution.topology import (
     SERVICES,
@@ -134,7 +133,7 @@
 ) -> None:
     """Follow another instance, over a new stream whenever one ends."""
     while True:
-        with suppress(*EXPECTED_ERRORS):
+        with suppress(OSError, EOFError, MalformedFrame):
             async with connect() as stream:
                 await source.follow(stream, control)
         await asyncio.sleep(RETRY_S)
