--- a/packages/mustardspur_moves/src/mustardspur_moves/facts.py
+++ b/packages/mustardspur_moves/src/mustardspur_moves/facts.py
@@ -14,7 +14,7 @@
 # Evidence ratio from which the share does not rise.
 SUSPICIOUS_RATIO: Final = 1
 # Evidence ratio from which a move is not finished at its stated time.
-DOUBTFUL_RATIO: Final = 10
+DOUBTFUL_RATIO: Final = 3
 # Calls at the current share before it rises.
 CALLS_AT_SHARE: Final = 10
 # Reports older than this many report intervals do not support a raise.
