--- a/tests/moves/test_decision.py
+++ b/tests/moves/test_decision.py
@@ -7,6 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from mustardspur_moves import Evidence, Slot, decide
+from mustardspur_moves.sequential import good_ratio
+from mustardspur_moves.strata import Comparison, trials_of
 
 from tests.moves.builders import (
     LENGTH_S,
@@ -198,6 +200,49 @@
     assert decision.action == action, decision
 
 
+def test_cold_start_is_not_bad() -> None:
+    """Guards against blaming a version for the start of its targets."""
+    evidence = _evidence_until(60)
+    for second in range(15):
+        slot = Slot(step=2, window=window_at(second))
+        for place in range(3):
+            key = a_key(NEW, target=f'new{place}')
+            evidence.add(slot, key, a_tally(5, refusals=1, bucket=30))
+    decision = decide(a_move(), a_policy(), evidence, START_S + 60)
+    assert decision.action == 'raise', decision
+
+
+def test_late_fault_is_not_weighed_against_good_calls() -> None:
+    """Guards against a fault that has to outweigh a long good time."""
+    evidence = _evidence_until(150)
+    for second in range(150, 156):
+        add_good_second(evidence, second)
+        slot = Slot(step=2, window=window_at(second))
+        for place in range(3):
+            key = a_key(NEW, target=f'new{place}')
+            evidence.add(slot, key, a_tally(1, failures=1))
+    decision = decide(a_move(), a_policy(), evidence, START_S + 156)
+    assert decision.action == 'take_back', decision
+
+
+@pytest.mark.parametrize(('new_calls', 'loaded'), [(150, False), (900, True)])
+def test_busy_new_targets_may_be_slower(new_calls: int, loaded: bool) -> None:
+    """Guards against blaming a version for the load of its targets."""
+    cells = {
+        a_key(OLD): a_tally(100),
+        a_key(NEW): a_tally(new_calls, bucket=16),
+    }
+    comparison = Comparison(
+        from_version=OLD,
+        to_version=NEW,
+        warm_windows={f't0-{NEW}': 0},
+        without_target='',
+    )
+    trials = list(trials_of(cells, 0, comparison, {'batches': 17}))
+    assert [trial.new_is_loaded for trial in trials] == [loaded]
+    assert (good_ratio(trials[0]) > 2) == loaded
+
+
 def test_silence_is_no_judgement() -> None:
     """Guards against finishing on evidence from before a partition."""
     decision = decide(
