--- a/benchmarks/distribution/run.py
+++ b/benchmarks/distribution/run.py
@@ -59,22 +59,22 @@
             mesh.grow(size)
             progress(f'{size} nodes are connected')
             run.changes[size] = measure_changes(mesh)
-            progress('changes')
+            progress('changes', run.changes[size])
             run.targets[size] = measure_targets(mesh)
-            progress('targets')
+            progress('targets', run.targets[size])
             run.steady[size] = measure_steady(mesh)
-            progress('steady')
+            progress('steady', run.steady[size])
         run.returned = measure_return(mesh)
-        progress('return')
+        progress('return', run.returned)
         run.restart = measure_restart(mesh)
-        progress('restart')
+        progress('restart', run.restart)
     return run
 
 
-def progress(step: str) -> None:
-    """Print when a step has ended."""
+def progress(step: str, figures: Figures | None = None) -> None:
+    """Print when a step has ended, and its figures, should a later fail."""
     passed_s = round(time.monotonic() - _STARTED_S, 1)
-    _CONSOLE.print(f'{passed_s} s: {step}')
+    _CONSOLE.print(f'{passed_s} s: {step}', figures or '')
 
 
 @contextmanager
