Test late faults against a noisy past and bursts

Cause: the test of a late fault passed without the weight of later starts, since its past had no failures; nothing failed without the cap of a slot.

Change: the past has failures of the old version; a test of one burst.

--- a/tests/moves/test_decision.py
+++ b/tests/moves/test_decision.py
@@ -212,19 +212,36 @@
     assert decision.action == 'raise', decision
 
 
-def test_late_fault_is_not_weighed_against_good_calls() -> None:
-    """Guards against a fault that has to outweigh a long good time."""
-    evidence = _evidence_until(150)
-    for second in range(150, 156):
-        add_good_second(evidence, second)
+def _add_failures(
+    evidence: Evidence,
+    version: str,
+    seconds: range,
+    failures: int,
+) -> None:
+    for second in seconds:
         slot = Slot(step=2, window=window_at(second))
         for place in range(3):
-            key = a_key(NEW, target=f'new{place}')
-            evidence.add(slot, key, a_tally(1, failures=1))
+            key = a_key(version, target=f'{version}-{place}')
+            evidence.add(slot, key, a_tally(failures, failures))
+
+
+def test_late_fault_is_not_weighed_against_good_calls() -> None:
+    """Guards against a fault that has to outweigh a long good time."""
+    evidence = _evidence_until(156)
+    _add_failures(evidence, OLD, range(156), 1)
+    _add_failures(evidence, NEW, range(150, 156), 2)
     decision = decide(a_move(), a_policy(), evidence, START_S + 156)
     assert decision.action == 'take_back', decision
 
 
+def test_one_burst_does_not_decide() -> None:
+    """Guards against calls that fail together for a cause of their own."""
+    evidence = _evidence_until(62)
+    _add_failures(evidence, NEW, range(60, 61), 5)
+    decision = decide(a_move(), a_policy(), evidence, START_S + 62)
+    assert decision.action == 'wait', decision
+
+
 @pytest.mark.parametrize(('new_calls', 'loaded'), [(150, False), (900, True)])
 def test_busy_new_targets_may_be_slower(new_calls: int, loaded: bool) -> None:
     """Guards against blaming a version for the load of its targets."""
