--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 .DEFAULT_GOAL := help
 
-.PHONY: help setup format lint types tests test demo demo-faults clean
+.PHONY: help setup format lint types tests test demo demo-faults demo-repair clean
 .PHONY: bench-calls bench-capacity bench-distribution bench-moves
 
 help: ## List the commands
@@ -39,12 +39,18 @@
 demo: $(STAMP) ## Start a small mesh of real processes and show a good and a bad move
 	$(BIN)/python -m demo
 
+bench-distribution: $(STAMP) ## Measure the distribution of configuration and targets
+	$(BIN)/python -m benchmarks.distribution
+
 bench-moves: $(STAMP) ## Measure the decisions on moves in virtual time
 	$(BIN)/python -m benchmarks.moves
 
 demo-faults: $(STAMP) ## The demo with a herd of killed processes in the middle of a move
 	$(BIN)/python -m demo --faults
 
+demo-repair: $(STAMP) ## Replace a lost voter over real processes, and lose a second one
+	$(BIN)/python -m demo.repair
+
 bench-capacity: $(STAMP) ## Measure the slopes behind docs/CAPACITY.md
 	$(BIN)/python -m benchmarks.capacity
 
