--- a/tests/moves/test_guard.py
+++ b/tests/moves/test_guard.py
@@ -166,3 +166,14 @@
         node.seconds(60, lambda place: 0)
         sizes.append(sum(len(encode_frame(sent)) for sent in node.sent))
     assert sizes[0] < sizes[1] / 2
+
+
+@pytest.mark.parametrize(('failures', 'reports'), [(1, True), (0, False)])
+def test_bad_calls_do_not_wait_for_the_report(
+    failures: int,
+    reports: bool,
+) -> None:
+    """Guards against saving bytes while a version looks bad."""
+    node = _Node(COOPERATIVE, a_move())
+    node.seconds(8, lambda place: failures)
+    assert any(isinstance(sent, Outcomes) for sent in node.sent) == reports
