Name the caller's organisation in the evidence

Cause: decisions tell callers apart, but calls never said who calls, so a version that is bad for one organisation was judged by the mean.

--- a/packages/mustardspur_node/src/mustardspur_node/calls/accounts.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/accounts.py
@@ -14,6 +14,7 @@
     Reply,
     Unreachable,
 )
+from mustardspur_node.calls.callers import Callers
 from mustardspur_node.calls.counters import Counters
 from mustardspur_node.calls.endpoints import Endpoint
 from mustardspur_node.views import OutcomeSink
@@ -35,10 +36,11 @@
         Counters of the node.
     """
 
-    __slots__ = ('_loop', '_outcomes', 'counters')
+    __slots__ = ('_callers', '_loop', '_outcomes', 'counters')
 
     def __init__(self, outcomes: OutcomeSink, counters: Counters) -> None:
         """Start without attempts."""
+        self._callers = Callers()
         self._outcomes = outcomes
         self._loop = asyncio.get_running_loop()
         self.counters = counters
@@ -162,4 +164,5 @@
             attempt.endpoint.target,
             outcome,
             latency_ms,
+            self._callers.known(attempt.call.request),
         )
--- a/tests/node/calls/test_contract_callers.py
+++ b/tests/node/calls/test_contract_callers.py
@@ -5,8 +5,9 @@
 
 import pytest
 from aiohttp import web
+from mustardspur_node.calls.callers import MAX_CALLERS
 
-from tests.node.stand_ins.mesh import HANG_S, run_mesh, run_target
+from tests.node.stand_ins.mesh import HANG_S, Mesh, run_mesh, run_target
 from tests.node.stand_ins.scripted import KEEP, run_scripted
 from tests.node.stand_ins.views import (
     LENS_ROUTES,
@@ -73,6 +74,24 @@
     assert streamed == (200, None, b'POST/prescriptions%b' % long_body)
 
 
+async def _call_as(mesh: Mesh, *names: str) -> None:
+    if names:
+        headers = {'x-mustardspur-caller': names[0]}
+        await mesh.call('GET', '/stock', headers=headers)
+        await _call_as(mesh, *names[1:])
+
+
+async def test_evidence_names_the_caller() -> None:
+    """Guards against a fault for one caller that is lost in the rest."""
+    names = [f'clinic-{number}' for number in range(MAX_CALLERS + 2)]
+    async with run_target(_echo) as address:
+        async with run_mesh(make_view([make_target(address)])) as mesh:
+            await mesh.call('GET', '/stock')
+            await _call_as(mesh, *names, names[0])
+    known = names[:MAX_CALLERS]
+    assert mesh.outcomes.callers == ['', *known, '', '', names[0]]
+
+
 @pytest.mark.parametrize(
     ('method', 'path', 'headers', 'status'),
     [
--- a/tests/node/stand_ins/views.py
+++ b/tests/node/stand_ins/views.py
@@ -96,6 +96,7 @@
     def __init__(self) -> None:
         """Start empty."""
         self.rows: list[tuple[str, str, str]] = []
+        self.callers: list[str] = []
 
     def record_outcome(
         self,
@@ -108,6 +109,7 @@
     ) -> None:
         """Keep route, version and outcome."""
         self.rows.append((route, target.version, outcome))
+        self.callers.append(caller)
 
 
 def _profile_document() -> dict[str, Any]:
