--- a/benchmarks/distribution/run.py
+++ b/benchmarks/distribution/run.py
@@ -64,10 +64,11 @@
             progress('targets', run.targets[size])
             run.steady[size] = measure_steady(mesh)
             progress('steady', run.steady[size])
-        run.returned = measure_return(mesh)
-        progress('return', run.returned)
         run.restart = measure_restart(mesh)
         progress('restart', run.restart)
+        # Last, since the nodes that come back as copies are gone after it.
+        run.returned = measure_return(mesh)
+        progress('return', run.returned)
     return run
 
 
--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -188,7 +188,15 @@
 
 async def _play(stage: Stage, caller: Caller, kill: Kill) -> DemoRun:
     await asyncio.sleep(SETTLE_S)
-    killing = asyncio.create_task(_kill_later(stage, kill))
+    # A group, so that nothing is started again once the demo has failed.
+    async with asyncio.TaskGroup() as group:
+        killing = group.create_task(_kill_later(stage, kill))
+        run = await _play_moves(stage, caller)
+    run.killed = killing.result()
+    return run
+
+
+async def _play_moves(stage: Stage, caller: Caller) -> DemoRun:
     good_move = await stage.play_move(GOOD_VERSION)
     drained = _first_target(stage.mesh.servers[0], GOOD_VERSION)
     drain_told_s = time.time()
@@ -209,7 +217,7 @@
         bad_move=bad_move,
         drained=drained,
         drain_told_s=drain_told_s,
-        killed=await killing,
+        killed=[],
         exit_codes={},
         runs={},
         control_bytes=await control_bytes(stage.mesh),
