Dispatch messages and leader reads in one place each

Cause: three streams had the same registry of functions by message type, and three reads the same check for the leader.

Change: Dispatch in mustardspur_core.wire and a decorator on the reads.

--- a/packages/mustardspur_control/src/mustardspur_control/node_stream.py
+++ b/packages/mustardspur_control/src/mustardspur_control/node_stream.py
@@ -1,8 +1,7 @@
 """One node's stream at a control instance, from `Hello` to its end."""
 
 import asyncio
-from collections.abc import Callable
-from typing import Any, Final, TypeVar
+from typing import Final
 
 from mustardspur_core.messages import (
     Announce,
@@ -14,9 +13,8 @@
     Subscribe,
     Welcome,
 )
-from mustardspur_core.record import Record
 from mustardspur_core.tasks import run_until_first_end
-from mustardspur_core.wire import FrameStream, MalformedFrame, end_on_silence
+from mustardspur_core.wire import Dispatch, FrameStream, end_on_silence
 
 from mustardspur_control.hub import Hub
 from mustardspur_control.sessions import NodeSession
@@ -27,20 +25,7 @@
 # Time for a node to read what it was sent before its stream is closed. Full
 # copies of many services take a busy node longer than a heartbeat.
 DRAIN_TIMEOUT_S: Final = 30.0
-
-_Handle = Callable[[Hub, NodeSession, Any], None]
-_HandleT = TypeVar('_HandleT', bound=_Handle)
-_handles_by_type: dict[type[Record], _Handle] = {}
-
-
-def handles(message_type: type[Record]) -> Callable[[_HandleT], _HandleT]:
-    """Register the function that takes a type of message from nodes."""
-
-    def decorator(handle: _HandleT) -> _HandleT:
-        _handles_by_type[message_type] = handle
-        return handle
-
-    return decorator
+_FROM_NODES: Final = Dispatch('a node')
 
 
 async def serve_node(hub: Hub, stream: FrameStream, hello: Hello) -> None:
@@ -112,41 +97,39 @@
 async def _receive(hub: Hub, session: NodeSession) -> None:
     while True:
         frame = await session.stream.receive()
-        handle = _handles_by_type.get(type(frame.body))
-        if handle is None:
-            raise MalformedFrame('type', f'{type(frame.body)} from a node')
+        handle = _FROM_NODES.handle_of(frame.body)
         hub.registry.renew(session.node)
         handle(hub, session, frame.body)
 
 
-@handles(Heartbeat)
+@_FROM_NODES.handles(Heartbeat)
 def _take_heartbeat(hub: Hub, session: NodeSession, beat: Heartbeat) -> None:
     """Any frame renews the leases, so there is nothing left to do."""
 
 
-@handles(Announce)
+@_FROM_NODES.handles(Announce)
 def _take_announce(hub: Hub, session: NodeSession, news: Announce) -> None:
     for fault in hub.registry.announce(session.node, news.targets):
         hub.metrics.incr('refused_targets')
         hub.timeline.record('target_refused', node=session.node, fault=fault)
 
 
-@handles(Subscribe)
+@_FROM_NODES.handles(Subscribe)
 def _take_subscribe(hub: Hub, session: NodeSession, wish: Subscribe) -> None:
     hub.sessions.subscribe(session, wish.services)
     session.cut_offs.update(hub.cut_offs_for(session))
 
 
-@handles(Applied)
+@_FROM_NODES.handles(Applied)
 def _take_applied(hub: Hub, session: NodeSession, report: Applied) -> None:
     hub.report_applied(session.node, report)
 
 
-@handles(Outcomes)
+@_FROM_NODES.handles(Outcomes)
 def _take_outcomes(hub: Hub, session: NodeSession, report: Outcomes) -> None:
     hub.report_outcomes(session.node, report)
 
 
-@handles(CutOff)
+@_FROM_NODES.handles(CutOff)
 def _take_cut_off(hub: Hub, session: NodeSession, cut_off: CutOff) -> None:
     hub.cut_offs.add(cut_off)
--- a/packages/mustardspur_control/src/mustardspur_control/operators_api/reads.py
+++ b/packages/mustardspur_control/src/mustardspur_control/operators_api/reads.py
@@ -1,5 +1,6 @@
 """Handlers that read."""
 
+from functools import wraps
 from http import HTTPStatus
 
 from aiohttp import hdrs, web
@@ -7,14 +8,17 @@
 from mustardspur_core.findings import Finding
 
 from mustardspur_control.operators_api.marks import read_mark
-from mustardspur_control.operators_api.ports import OperatorsContext
 from mustardspur_control.operators_api.responses import (
     findings_response,
     marked,
     not_leader,
     unavailable_response,
 )
-from mustardspur_control.operators_api.routing import CONTEXT, operation
+from mustardspur_control.operators_api.routing import (
+    CONTEXT,
+    Operation,
+    operation,
+)
 from mustardspur_control.operators_api.views import (
     move_summary,
     move_view,
@@ -25,6 +29,22 @@
 )
 
 
+def _answered_by_leader(read: Operation) -> Operation:
+    """Let only the leader answer, where the reports of all nodes are.
+
+    Without a known leader an instance answers from the reports that it has.
+    """
+
+    @wraps(read)
+    async def decorator(request: web.Request) -> web.StreamResponse:
+        context = request.app[CONTEXT]
+        if context.log.is_leader or context.log.leader is None:
+            return await read(request)
+        return unavailable_response(context, not_leader(context))
+
+    return decorator
+
+
 @operation(hdrs.METH_GET, '/v1/profiles')
 async def list_profiles(request: web.Request) -> web.StreamResponse:
     """List the profiles with their numbers."""
@@ -46,23 +66,21 @@
 
 
 @operation(hdrs.METH_GET, '/v1/services')
+@_answered_by_leader
 async def list_services(request: web.Request) -> web.StreamResponse:
     """List the services with what they follow."""
     context = request.app[CONTEXT]
     mark = await read_mark(context)
-    if _is_for_leader(context):
-        return unavailable_response(context, not_leader(context))
     views = [service_view(context, name) for name in context.store.services()]
     return marked({'services': views}, mark)
 
 
 @operation(hdrs.METH_GET, '/v1/services/{service}')
+@_answered_by_leader
 async def get_service(request: web.Request) -> web.StreamResponse:
     """Return what is accepted for a service and in force on its nodes."""
     context = request.app[CONTEXT]
     mark = await read_mark(context)
-    if _is_for_leader(context):
-        return unavailable_response(context, not_leader(context))
     service = request.match_info['service']
     if service not in context.store.services():
         return _unknown('$.service', 'a service with a profile', service)
@@ -79,12 +97,11 @@
 
 
 @operation(hdrs.METH_GET, '/v1/moves/{id}')
+@_answered_by_leader
 async def get_move(request: web.Request) -> web.StreamResponse:
     """Return a move with its decisions and where it is in force."""
     context = request.app[CONTEXT]
     mark = await read_mark(context)
-    if _is_for_leader(context):
-        return unavailable_response(context, not_leader(context))
     name = request.match_info['id']
     record = context.store.moves.get(name)
     if record is None:
@@ -107,12 +124,6 @@
     return web.json_response(status_view(request.app[CONTEXT]))
 
 
-def _is_for_leader(context: OperatorsContext) -> bool:
-    # The reports of all nodes come together at the leader only. Without a
-    # known leader an instance answers from the reports that it has.
-    return not context.log.is_leader and context.log.leader is not None
-
-
 def _unknown(path: str, expected: str, found: str) -> web.Response:
     finding = Finding(
         source='request',
--- a/packages/mustardspur_control/src/mustardspur_control/relay/peer_stream.py
+++ b/packages/mustardspur_control/src/mustardspur_control/relay/peer_stream.py
@@ -2,12 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any, TypeVar
+from typing import Final
 
 from mustardspur_core.messages import CutOff, Heartbeat, Outcomes
-from mustardspur_core.record import Record
 from mustardspur_core.tasks import run_until_first_end
-from mustardspur_core.wire import FrameStream, MalformedFrame, end_on_silence
+from mustardspur_core.wire import Dispatch, FrameStream, end_on_silence
 
 from mustardspur_control.hub import Hub
 from mustardspur_control.relay.applied_rows import take_reports
@@ -19,6 +18,7 @@
 )
 from mustardspur_control.relay.summaries import RegionSummaries
 
+_FROM_PEERS: Final = Dispatch('a control instance')
 SummaryCallback = Callable[[RegistrySummary], None]
 
 
@@ -75,32 +75,15 @@
             frame = await stream.receive()
             if self.is_near:
                 self.hub.registry.keep_peer(self.hello.control)
-            handle = _handles_by_type.get(type(frame.body))
-            if handle is None:
-                kind = type(frame.body).__name__
-                raise MalformedFrame('type', f'{kind} from a control instance')
-            handle(self, frame.body)
+            _FROM_PEERS.handle_of(frame.body)(self, frame.body)
 
 
-_Handle = Callable[[PeerStream, Any], None]
-_HandleT = TypeVar('_HandleT', bound=_Handle)
-_handles_by_type: dict[type[Record], _Handle] = {}
-
-
-def _handles(message_type: type[Record]) -> Callable[[_HandleT], _HandleT]:
-    def decorator(handle: _HandleT) -> _HandleT:
-        _handles_by_type[message_type] = handle
-        return handle
-
-    return decorator
-
-
-@_handles(Heartbeat)
+@_FROM_PEERS.handles(Heartbeat)
 def _take_heartbeat(peer: PeerStream, beat: Heartbeat) -> None:
     """The arrival itself shows that the peer is there."""
 
 
-@_handles(RegistryShare)
+@_FROM_PEERS.handles(RegistryShare)
 def _take_targets(peer: PeerStream, share: RegistryShare) -> None:
     update = share.update
     if not share.settled:
@@ -109,23 +92,23 @@
     peer.hub.registry.merge(peer.hello.control, update)
 
 
-@_handles(RegistrySummary)
+@_FROM_PEERS.handles(RegistrySummary)
 def _take_summary(peer: PeerStream, summary: RegistrySummary) -> None:
     peer.summaries.take(summary)
     if not peer.is_near:
         peer.pass_on(summary)
 
 
-@_handles(AppliedSummary)
+@_FROM_PEERS.handles(AppliedSummary)
 def _take_applied(peer: PeerStream, summary: AppliedSummary) -> None:
     take_reports(peer.hub.applied, summary)
 
 
-@_handles(Outcomes)
+@_FROM_PEERS.handles(Outcomes)
 def _take_outcomes(peer: PeerStream, outcomes: Outcomes) -> None:
     peer.hub.report_outcomes(peer.hello.control, outcomes)
 
 
-@_handles(CutOff)
+@_FROM_PEERS.handles(CutOff)
 def _take_cut_off(peer: PeerStream, cut_off: CutOff) -> None:
     peer.hub.cut_offs.add(cut_off)
--- a/packages/mustardspur_core/src/mustardspur_core/wire/__init__.py
+++ b/packages/mustardspur_core/src/mustardspur_core/wire/__init__.py
@@ -9,6 +9,7 @@
     message,
 )
 from mustardspur_core.wire.silence import end_on_silence
+from mustardspur_core.wire.dispatch import Dispatch
 from mustardspur_core.wire.streams import (
     MAX_FRAME_BYTES,
     FrameStream,
@@ -18,6 +19,7 @@
 __all__ = [
     'MAX_FRAME_BYTES',
     'PROTOCOL_VERSION',
+    'Dispatch',
     'Frame',
     'FrameStream',
     'MalformedFrame',
--- a/packages/mustardspur_node/src/mustardspur_node/link_session.py
+++ b/packages/mustardspur_node/src/mustardspur_node/link_session.py
@@ -1,8 +1,8 @@
 """One connection of a node to a control instance."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
-from typing import Any, TypeVar
+from typing import Final
 
 from mustardspur_core.messages import (
     Applied,
@@ -16,13 +16,13 @@
     TargetUpdate,
     Welcome,
 )
-from mustardspur_core.record import Record
 from mustardspur_core.units import MS_PER_S
-from mustardspur_core.wire import FrameStream, MalformedFrame
+from mustardspur_core.wire import Dispatch, FrameStream
 
 from mustardspur_node.first_config import FirstConfigs
 from mustardspur_node.held import HeldConfig
 
+_FROM_CONTROL: Final = Dispatch('a control instance')
 Connect = Callable[[str, float], AbstractAsyncContextManager[FrameStream]]
 
 
@@ -100,10 +100,7 @@
             If the frame is none that a control instance sends.
         """
         frame = await self.stream.receive()
-        handle = _handles_by_type.get(type(frame.body))
-        if handle is None:
-            raise MalformedFrame('type', f'{type(frame.body)} from control')
-        await handle(self, frame.body)
+        await _FROM_CONTROL.handle_of(frame.body)(self, frame.body)
 
     def report(self, service: str) -> None:
         """Report what is in force for a service, if that is news."""
@@ -123,20 +120,7 @@
         self.stream.send_soon(Subscribe(services=[service]))
 
 
-_Handle = Callable[[LinkSession, Any], Awaitable[None]]
-_HandleT = TypeVar('_HandleT', bound=_Handle)
-_handles_by_type: dict[type[Record], _Handle] = {}
-
-
-def _handles(message_type: type[Record]) -> Callable[[_HandleT], _HandleT]:
-    def decorator(handle: _HandleT) -> _HandleT:
-        _handles_by_type[message_type] = handle
-        return handle
-
-    return decorator
-
-
-@_handles(Welcome)
+@_FROM_CONTROL.handles(Welcome)
 async def _take_welcome(session: LinkSession, welcome: Welcome) -> None:
     session.control = welcome.control
     session.is_confirmed = welcome.confirmed
@@ -151,7 +135,7 @@
         session.report(service)
 
 
-@_handles(ConfigUpdate)
+@_FROM_CONTROL.handles(ConfigUpdate)
 async def _take_config(session: LinkSession, update: ConfigUpdate) -> None:
     accept = session.may_accept(update.service)
     if not await session.held.take_config(update, accept):
@@ -159,28 +143,28 @@
     session.report(update.service)
 
 
-@_handles(TargetUpdate)
+@_FROM_CONTROL.handles(TargetUpdate)
 async def _take_targets(session: LinkSession, update: TargetUpdate) -> None:
     if not await session.held.take_targets(update):
         session.ask_again(update.service)
     session.report(update.service)
 
 
-@_handles(CutOff)
+@_FROM_CONTROL.handles(CutOff)
 async def _take_cut_off(session: LinkSession, cut_off: CutOff) -> None:
     await session.held.cut_off(cut_off)
 
 
-@_handles(Heartbeat)
+@_FROM_CONTROL.handles(Heartbeat)
 async def _take_heartbeat(session: LinkSession, beat: Heartbeat) -> None:
     """The arrival itself shows that the instance is there."""
 
 
-@_handles(Busy)
+@_FROM_CONTROL.handles(Busy)
 async def _take_busy(session: LinkSession, busy: Busy) -> None:
     raise BusyControl(busy.retry_after_ms / MS_PER_S)
 
 
-@_handles(ProtocolFault)
+@_FROM_CONTROL.handles(ProtocolFault)
 async def _take_fault(session: LinkSession, fault: ProtocolFault) -> None:
     raise ConnectionAbortedError(f'{fault.kind}: {fault.detail}')
