--- a/benchmarks/distribution/measures.py
+++ b/benchmarks/distribution/measures.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import Final
 
 import numpy as np
@@ -10,6 +10,7 @@
 
 from benchmarks.distribution.mesh import Mesh
 from benchmarks.distribution.node_worker import Seen
+from benchmarks.distribution.readings import Readings
 from benchmarks.distribution.topology import (
     REGIONS,
     SERVICES,
@@ -48,16 +49,29 @@
 
 def measure_changes(mesh: Mesh) -> Figures:
     """Change configurations one at a time and follow each to the nodes."""
-    mesh.take_seen()
-    sent = mesh.sent()
-    far_feed = mesh.far_feed()
+    readings = Readings(mesh)
+    readings.take_seen()
+    sent, far_feed = readings.sent(), readings.far_feed()
     services = [
         service_name(_choice.randrange(SERVICES)) for _ in range(CHANGES)
     ]
     accepted = mesh.change(services, CHANGE_INTERVAL_S)
     last_report_s = mesh.wait_for_reports() - accepted[-1][2]
     time.sleep(0.5)
-    spent = mesh.sent() - sent
+    spent = readings.sent() - sent
+    copies = readings.far_feed() - far_feed
+    return {
+        **_convergence(mesh, accepted),
+        **_bytes_per_change(spent),
+        'copies_per_link': copies / CHANGES / LINKS,
+        'all_reported_s': last_report_s,
+    }
+
+
+def _convergence(
+    mesh: Mesh,
+    accepted: list[tuple[str, int, float]],
+) -> Figures:
     nodes = _nodes_by_service(mesh)
     events = [
         Event(name=service, index=index, at_s=at, nodes=nodes[service])
@@ -66,30 +80,32 @@
     near = {
         place.name for place in mesh.places if place.region == _SOURCE_REGION
     }
-    delays = _delays(events, mesh.take_seen())
+    delays = _delays(events, Readings(mesh).take_seen())
     inside = [delay for node, delay in delays if node in near]
     across = [delay for node, delay in delays if node not in near]
-    source_bytes = sum(
-        spent[code] for code in (CONFIG_UPDATE, FEED_CHANGES, APPLIED_SUMMARY)
-    )
     return {
         **_quantiles('', [delay for _, delay in delays]),
         **_quantiles('region_', inside),
         **_quantiles('link_', across),
         'receivers_per_change': len(delays) / CHANGES,
-        'bytes_per_change': source_bytes / CHANGES,
+    }
+
+
+def _bytes_per_change(spent: Counter[int]) -> Figures:
+    parts = (CONFIG_UPDATE, FEED_CHANGES, APPLIED_SUMMARY)
+    return {
+        'bytes_per_change': sum(spent[code] for code in parts) / CHANGES,
         'node_bytes_per_change': spent[CONFIG_UPDATE] / CHANGES,
         'feed_bytes_per_change': spent[FEED_CHANGES] / CHANGES,
-        'copies_per_link': (mesh.far_feed() - far_feed) / CHANGES / LINKS,
         'report_bytes_per_change': spent[APPLIED_SUMMARY] / CHANGES,
-        'all_reported_s': last_report_s,
     }
 
 
 def measure_targets(mesh: Mesh) -> Figures:
     """Restart targets one at a time and follow each inside its region."""
-    mesh.take_seen()
-    sent = mesh.sent()
+    readings = Readings(mesh)
+    readings.take_seen()
+    sent = readings.sent()
     places = _choice.sample(mesh.places, 20)
     events = []
     for number, place in enumerate(places):
@@ -113,8 +129,8 @@
         )
         time.sleep(0.05)
     time.sleep(1)
-    spent = mesh.sent() - sent
-    delays = [delay for _, delay in _delays(events, mesh.take_seen())]
+    spent = readings.sent() - sent
+    delays = [delay for _, delay in _delays(events, readings.take_seen())]
     return {
         **_quantiles('target_', delays),
         'target_receivers': len(delays) / len(places),
@@ -124,23 +140,28 @@
 
 def measure_steady(mesh: Mesh) -> Figures:
     """Count the bytes of all nodes while next to nothing changes."""
-    before = mesh.node_totals()
-    link = mesh.link_bytes()
+    readings = Readings(mesh)
+    before, link = _node_totals(readings), readings.link_bytes()
     started = time.monotonic()
     time.sleep(STEADY_S)
-    after = mesh.node_totals()
+    after = _node_totals(readings)
     passed_s = time.monotonic() - started
-    spent = sum(each['bytes'] for each in after)
-    spent -= sum(each['bytes'] for each in before)
-    busy_s = sum(each['processor_s'] for each in after)
-    busy_s -= sum(each['processor_s'] for each in before)
+    per_node_s = mesh.size * passed_s
+    busy_s = after['processor_s'] - before['processor_s']
     return {
-        'bytes_per_node_s': spent / mesh.size / passed_s,
-        'core_share_per_node': busy_s / mesh.size / passed_s,
-        'link_bytes_per_s': (mesh.link_bytes() - link) / passed_s,
+        'bytes_per_node_s': (after['bytes'] - before['bytes']) / per_node_s,
+        'core_share_per_node': busy_s / per_node_s,
+        'link_bytes_per_s': (readings.link_bytes() - link) / passed_s,
     }
 
 
+def _node_totals(readings: Readings) -> Counter[str]:
+    total: Counter[str] = Counter()
+    for totals in readings.node_totals():
+        total.update(totals)
+    return total
+
+
 def measure_restart(mesh: Mesh) -> Figures:
     """Restart every control instance, with a change in between."""
     mesh.kill_control()
@@ -149,14 +170,14 @@
     mesh.indexes[service] = mesh.next_index
     mesh.start_control()
     ended_at = mesh.wait()
-    counters = mesh.counters()
+    counters = Readings(mesh).counters()
     return {
         'from_listening_s': ended_at - mesh.started_at,
         'from_kill_s': ended_at - killed_at,
         'refused': sum(each['busy'] for each in counters),
         'peak_handshakes': max(each['peak_handshakes'] for each in counters),
         'region_process_mib': max(each['memory_mib'] for each in counters),
-        'sent_bytes': sum(mesh.sent().values()),
+        'sent_bytes': sum(Readings(mesh).sent().values()),
     }
 
 
--- a/benchmarks/distribution/mesh.py
+++ b/benchmarks/distribution/mesh.py
@@ -2,7 +2,7 @@
 
 import time
 from collections import Counter
-from typing import Any, Final
+from typing import Final
 
 from mustardspur_core.settings import Peer
 
@@ -122,39 +122,6 @@
         self.control[0].call('wait_for_reports', reports=self.indexes)
         return time.monotonic()
 
-    def take_seen(self) -> list[Seen]:
-        """Return and forget what came into force at the nodes."""
-        return [
-            tuple(entry)
-            for seen in call_all(self.fleets, 'take_seen')
-            for entry in seen
-        ]
-
-    def counters(self) -> list[dict[str, Any]]:
-        """Return the counters of each control process."""
-        return call_all(self.control, 'counters')
-
-    def sent(self) -> Counter[int]:
-        """Return the bytes that all control instances sent, by type."""
-        total: Counter[int] = Counter()
-        for counters in self.counters():
-            total.update(counters['sent'])
-        return total
-
-    def link_bytes(self) -> int:
-        """Return the bytes over all paid links."""
-        return sum(
-            sum(counters['link'].values()) for counters in self.counters()
-        )
-
-    def far_feed(self) -> int:
-        """Return the copies of changes that crossed a paid link."""
-        return sum(counters['far_feed'] for counters in self.counters())
-
-    def node_totals(self) -> list[dict[str, float]]:
-        """Return the totals of each process with nodes."""
-        return call_all(self.fleets, 'totals')
-
     def _control_lists(self) -> dict[str, list[str]]:
         return {
             place.data_centre: [
