--- a/benchmarks/distribution/mesh.py
+++ b/benchmarks/distribution/mesh.py
@@ -7,7 +7,7 @@
 from mustardspur_core.settings import Peer
 
 from benchmarks.distribution.control_worker import make_control
-from benchmarks.distribution.node_worker import Seen, make_fleet
+from benchmarks.distribution.node_worker import make_fleet
 from benchmarks.distribution.topology import (
     REGIONS,
     NodePlace,
