--- a/benchmarks/distribution/measures.py
+++ b/benchmarks/distribution/measures.py
@@ -29,6 +29,8 @@
 CHANGES: Final = 25
 CHANGE_INTERVAL_S: Final = 0.1
 STEADY_S: Final = 3
+# Until the summaries of the nodes that have just started are passed on.
+SETTLE_S: Final = 5
 RETURNING_NODES: Final = 5
 MISSED_CHANGES: Final = 500
 # Paid links between the source's region and each other one.
@@ -140,6 +142,7 @@
 
 def measure_steady(mesh: Mesh) -> Figures:
     """Count the bytes of all nodes while next to nothing changes."""
+    time.sleep(SETTLE_S)
     readings = Readings(mesh)
     before, link = _node_totals(readings), readings.link_bytes()
     started = time.monotonic()
