--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 bench-moves: $(STAMP) ## Measure the decisions on moves in virtual time
 	$(BIN)/python -m benchmarks.moves
 
-demo-faults: $(STAMP) ## The demo with a herd of killed processes in the middle of a move
+demo-faults: $(STAMP) ## The demo with many processes killed in the middle of a move
 	$(BIN)/python -m demo --faults
 
 demo-repair: $(STAMP) ## Replace a lost voter over real processes, and lose a second one
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -31,7 +31,7 @@
     shutil.rmtree(folder, ignore_errors=True)
     started_s = time.monotonic()
     mesh = Mesh(folder.resolve(), FIRST_NETWORK + os.getpid() % NETWORKS)
-    kill = Stage.kill_herd if _options().faults else Stage.kill_leader
+    kill = Stage.kill_many if _options().faults else Stage.kill_leader
     run = asyncio.run(run_demo(mesh, kill))
     broken = check_promises(run)
     measures = _measures(run, broken, time.monotonic() - started_s)
--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -120,7 +120,7 @@
         await self.group.start_daemon(self._settings_of(leader))
         return [leader]
 
-    async def kill_herd(self) -> list[str]:
+    async def kill_many(self) -> list[str]:
         """Kill the leader, another control instance and a server."""
         leader = str(await self._leader())
         follower = self.mesh.controls[-1].id
--- a/packages/mustardspur_control/src/mustardspur_control/node_stream.py
+++ b/packages/mustardspur_control/src/mustardspur_control/node_stream.py
@@ -108,15 +108,15 @@
 
 
 @_FROM_NODES.handles(Announce)
-def _take_announce(hub: Hub, session: NodeSession, news: Announce) -> None:
-    for fault in hub.registry.announce(session.node, news.targets):
+def _take_announce(hub: Hub, session: NodeSession, announcement: Announce) -> None:
+    for fault in hub.registry.announce(session.node, announcement.targets):
         hub.metrics.incr('refused_targets')
         hub.timeline.record('target_refused', node=session.node, fault=fault)
 
 
 @_FROM_NODES.handles(Subscribe)
-def _take_subscribe(hub: Hub, session: NodeSession, wish: Subscribe) -> None:
-    hub.sessions.subscribe(session, wish.services)
+def _take_subscribe(hub: Hub, session: NodeSession, request: Subscribe) -> None:
+    hub.sessions.subscribe(session, request.services)
     session.cut_offs.update(hub.cut_offs_for(session))
 
 
--- a/tests/control/test_applied.py
+++ b/tests/control/test_applied.py
@@ -32,7 +32,7 @@
     ],
 )
 def test_only_reports_move_a_node(later: NodeApplied, is_taken: bool) -> None:
-    """Guards against the farewell of an old stream hiding the new one."""
+    """Guards against the last report of an old stream hiding the new one."""
     table = AppliedTable()
     held = row('c1', 5)
     table.put(held)
