--- a/packages/mustardspur_control/src/mustardspur_control/node_stream.py
+++ b/packages/mustardspur_control/src/mustardspur_control/node_stream.py
@@ -108,8 +108,8 @@
 
 
 @_FROM_NODES.handles(Announce)
-def _take_announce(hub: Hub, session: NodeSession, announcement: Announce) -> None:
-    for fault in hub.registry.announce(session.node, announcement.targets):
+def _take_announce(hub: Hub, session: NodeSession, report: Announce) -> None:
+    for fault in hub.registry.announce(session.node, report.targets):
         hub.metrics.incr('refused_targets')
         hub.timeline.record('target_refused', node=session.node, fault=fault)
 
