--- a/tests/control/test_streams.py
+++ b/tests/control/test_streams.py
@@ -9,9 +9,16 @@
 import pytest
 from mustardspur_control.admission import MAX_HANDSHAKES
 from mustardspur_control.expiry import expiring
-from mustardspur_core.messages import Busy, Heartbeat, Hello
+from mustardspur_core.messages import (
+    Busy,
+    ConfigUpdate,
+    Heartbeat,
+    Hello,
+    ProtocolFault,
+    Welcome,
+)
 from mustardspur_core.record import replaced
-from mustardspur_core.wire import encode_frame
+from mustardspur_core.wire import connect_stream, encode_frame
 
 from tests.support.pipes import Pipes
 from tests.support.processes import Control, Node
@@ -25,6 +32,8 @@
 )
 from tests.support.virtual_time import in_virtual_time, ticks
 
+# Only bounds a test that hangs.
+HANG_LIMIT_S = 20
 HELLO = Hello(
     node='slow',
     data_centre='split-a',
@@ -200,3 +209,28 @@
         await asyncio.sleep(0.5)
         assert mesh.index_of('n1') == 2
         assert mesh.pipes.opened == [(0, 'c1')]
+
+
+async def test_bad_peer_that_stays_is_cut() -> None:
+    """Guards against a bad peer that keeps its connection."""
+    serve = Mesh().control.streams.serve
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    async with connect_stream(f'{host}:{port}', HANG_LIMIT_S) as bad:
+        bad.send_encoded(msgpack.packb([1, 9999, 0, [1]]))
+        assert isinstance((await bad.receive()).body, ProtocolFault)
+        with pytest.raises(asyncio.IncompleteReadError):
+            await asyncio.wait_for(bad.receive(), HANG_LIMIT_S)
+    server.close()
+
+
+@in_virtual_time
+async def test_instance_that_is_behind_sends_nothing_older() -> None:
+    """Guards against an older configuration being offered to a node."""
+    mesh = Mesh()
+    async with mesh.pipes.connect('c1', 1) as ahead:
+        ahead.send_soon(replaced(HELLO, held={'forms': 7}))
+        seen: list[object] = []
+        while not seen or not isinstance(seen[-1], Welcome):
+            seen.append((await ahead.receive()).body)
+    assert not any(isinstance(body, ConfigUpdate) for body in seen)
