--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -7,12 +7,13 @@
 from pathlib import Path
 from typing import Final
 
+from mustardspur_core.conversion import encode_mapping
+
 from benchmarks.capacity.client_side import measure_client
 from benchmarks.capacity.control_side import measure_edits, measure_nodes
 from benchmarks.capacity.fitting import Slope
 from benchmarks.capacity.node_side import measure_node
 from benchmarks.capacity.page import capacity_tables
-from mustardspur_core.conversion import encode_mapping
 
 OUTPUT: Final = Path('build/bench/capacity.json')
 _MEASUREMENTS: Final = (
--- a/benchmarks/capacity/client_side.py
+++ b/benchmarks/capacity/client_side.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from aiohttp import web
+
 from benchmarks.capacity.fitting import Costs, Slope
 from benchmarks.capacity.meshes import free_address
 
--- a/benchmarks/capacity/control_side.py
+++ b/benchmarks/capacity/control_side.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from aiohttp import ClientSession
+
 from benchmarks.capacity.fitting import Costs, Slope
 from benchmarks.capacity.light_nodes import LightNodes, light_nodes
 from benchmarks.capacity.meshes import (
--- a/benchmarks/capacity/design_size.py
+++ b/benchmarks/capacity/design_size.py
@@ -1,6 +1,7 @@
 """Projections of each role to the design size."""
 
 from benchmarks.capacity.projections import (
+    BYTES_PER_MIB,
     EDITS_PER_DAY,
     EDITS_PER_S,
     NODE_CPU_BUDGET_PERCENT,
@@ -10,7 +11,6 @@
     NODES_PER_EDIT,
     TARGET_CHANGES_PER_S,
     TARGETS_PER_NODE,
-    BYTES_PER_MIB,
     Lines,
     projection,
     shown_sum,
--- a/benchmarks/capacity/fitting.py
+++ b/benchmarks/capacity/fitting.py
@@ -4,7 +4,6 @@
 
 from mustardspur_core.record import Record
 
-
 Point = tuple[float, float]
 
 
--- a/benchmarks/capacity/light_nodes.py
+++ b/benchmarks/capacity/light_nodes.py
@@ -5,7 +5,6 @@
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from typing import Final
 
-from benchmarks.capacity.meshes import node_of, service_of, target_of
 from mustardspur_core.messages import (
     Announce,
     Applied,
@@ -19,6 +18,8 @@
 from mustardspur_core.units import MS_PER_S
 from mustardspur_core.wire import FrameStream, connect_stream
 
+from benchmarks.capacity.meshes import node_of, service_of, target_of
+
 CONNECT_LIMIT_S: Final = 10.0
 HEARTBEAT_S: Final = 1.0
 BATCH: Final = 50
--- a/benchmarks/capacity/meshes.py
+++ b/benchmarks/capacity/meshes.py
@@ -8,10 +8,11 @@
 from typing import Any, Final
 
 from aiohttp import ClientSession
-from benchmarks.capacity.processes import daemon
 from mustardspur_core.record import Record
 from mustardspur_core.state import Target, TargetState
 
+from benchmarks.capacity.processes import daemon
+
 EXAMPLE: Final = Path('examples/lens-bench-standard.json')
 # 2,800 servers in 190 services.
 SERVERS_PER_SERVICE: Final = 15
--- a/benchmarks/capacity/node_side.py
+++ b/benchmarks/capacity/node_side.py
@@ -8,6 +8,12 @@
 from typing import Any, Final
 
 from aiohttp import ClientSession
+from mustardspur_core.messages import Announce, Heartbeat, Hello
+from mustardspur_core.record import Record
+from mustardspur_core.state import Target, TargetState
+from mustardspur_core.tasks import background
+from mustardspur_core.wire import FrameStream, connect_stream
+
 from benchmarks.capacity.fitting import Costs, Slope
 from benchmarks.capacity.meshes import (
     VERSION,
@@ -17,11 +23,6 @@
     running_control,
 )
 from benchmarks.capacity.processes import daemon, usage_of
-from mustardspur_core.messages import Announce, Heartbeat, Hello
-from mustardspur_core.record import Record
-from mustardspur_core.state import Target, TargetState
-from mustardspur_core.tasks import background
-from mustardspur_core.wire import FrameStream, connect_stream
 
 TARGET_SIZES: Final = (15, 60, 150, 600)
 SERVICE: Final = 'measured'
--- a/benchmarks/capacity/projections.py
+++ b/benchmarks/capacity/projections.py
@@ -3,9 +3,10 @@
 from collections.abc import Callable
 from typing import Final
 
-from benchmarks.capacity.fitting import Slope
 from mustardspur_core.record import Record
 
+from benchmarks.capacity.fitting import Slope
+
 SERVERS: Final = 2800
 SERVICES: Final = 190
 DATA_CENTRES: Final = 18
--- a/benchmarks/distribution/leader_loss.py
+++ b/benchmarks/distribution/leader_loss.py
@@ -9,9 +9,10 @@
 from typing import Any, Final
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
+from mustardspur_core.record import Record
+
 from benchmarks.capacity.meshes import EXAMPLE, free_address
 from benchmarks.capacity.processes import BINARY
-from mustardspur_core.record import Record
 
 VOTERS: Final = 3
 LOSSES: Final = 5
--- a/benchmarks/distribution/served_control.py
+++ b/benchmarks/distribution/served_control.py
@@ -7,9 +7,9 @@
 
 from expression import Ok, Result
 from mustardspur_agreement.ports import ProposalError
-from mustardspur_control.control_stream import ControlStreams
 from mustardspur_control.expiry import expiring
 from mustardspur_control.hub import Hub
+from mustardspur_control.node_stream import node_streams
 from mustardspur_control.registry import Registry
 from mustardspur_control.relay import Relay, RelayHello
 from mustardspur_control.relay.peer_link import Connect
@@ -80,7 +80,7 @@
             Timeline(place.name, place.data_centre, None),
             self.metrics,
         )
-        self.streams = ControlStreams(self.hub)
+        self.streams = node_streams(self.hub)
         self.streams.add(FeedHello, self.source.serve)
 
     async def listen(self, address: str | None) -> str:
--- a/benchmarks/distribution/topology.py
+++ b/benchmarks/distribution/topology.py
@@ -107,7 +107,7 @@
     return replaced(
         settings,
         role='control',
-        listen=Listen(stream=stream, http='127.0.0.1:1'),
+        listen=_listen(stream, '127.0.0.1:1'),
         peers=peers,
     )
 
@@ -117,7 +117,7 @@
     settings = _settings(place.name, place.data_centre, place.region)
     return replaced(
         settings,
-        listen=Listen(stream=None, http=f'{place.host}:8000'),
+        listen=_listen(None, f'{place.host}:8000'),
         control=control,
         service=place.services[0],
         calls=place.services[1:],
@@ -145,7 +145,7 @@
         data_centre=data_centre,
         region=region,
         data_dir=None,
-        listen=Listen(stream=None, http='127.0.0.1:1'),
+        listen=_listen(None, '127.0.0.1:1'),
         peers=[],
         control=[],
         service=None,
@@ -160,6 +160,17 @@
             election_s=0.5,
             drain_s=30,
         ),
+        mesh=None,
+    )
+
+
+def _listen(stream: str | None, http: str) -> Listen:
+    return Listen(
+        stream=stream,
+        http=http,
+        ready=None,
+        targets=None,
+        metrics=None,
     )
 
 
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/log.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/log.py
@@ -8,6 +8,7 @@
 from mustardspur_agreement.messages import PeerGreeting
 from mustardspur_agreement.parts import Parts
 from mustardspur_agreement.ports import Channel, Committed, ProposalError
+from mustardspur_agreement.voting import hears_leader
 
 
 class ReplicatedLog:
@@ -71,6 +72,16 @@
         """Identifiers of the voters, sorted."""
         return sorted(self._replica.membership.voters_by_id)
 
+    @property
+    def voter_peers(self) -> dict[str, Peer]:
+        """Addresses of the voters by identifier."""
+        return dict(self._replica.membership.voters_by_id)
+
+    @property
+    def is_current(self) -> bool:
+        """Whether a leader that a quorum follows is heard here."""
+        return hears_leader(self._replica)
+
     async def propose(self, entry: bytes) -> Result[Committed, ProposalError]:
         """Commit an entry on a quorum and apply it.
 
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/voters.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/voters.py
@@ -113,16 +113,18 @@
         replica = self._replica
         leadership.learners_by_id[peer.id] = peer
         replica.changed.notify()
-        caught_up = await replica.changed.wait_until(
-            lambda: (
-                replica.leadership is not leadership
-                or _is_caught_up(leadership, replica, peer.id)
-            ),
-            replica.election_s * _CATCH_UP_ELECTIONS,
-        )
+        try:
+            caught_up = await replica.changed.wait_until(
+                lambda: (
+                    replica.leadership is not leadership
+                    or _is_caught_up(leadership, replica, peer.id)
+                ),
+                replica.election_s * _CATCH_UP_ELECTIONS,
+            )
+        finally:
+            leadership.learners_by_id.pop(peer.id, None)
         if replica.leadership is not leadership:
             return Error(self._error('not_leader', 'leadership was lost'))
-        leadership.learners_by_id.pop(peer.id)
         if caught_up:
             return Ok(None)
         return Error(self._error('no_quorum', f'{peer.id} did not catch up'))
--- a/packages/mustardspur_control/src/mustardspur_control/control_stream.py
+++ b/packages/mustardspur_control/src/mustardspur_control/control_stream.py
@@ -6,13 +6,13 @@
 from contextlib import suppress
 from typing import Any, Final
 
-from mustardspur_core.messages import Hello, ProtocolFault
+from mustardspur_core.messages import ProtocolFault
+from mustardspur_core.metrics import Metrics
 from mustardspur_core.record import Record
+from mustardspur_core.settings import Settings
+from mustardspur_core.timeline import Timeline
 from mustardspur_core.wire import FrameStream, MalformedFrame
 
-from mustardspur_control.hub import Hub
-from mustardspur_control.node_stream import serve_node
-
 _LOG: Final = logging.getLogger(__name__)
 ServeStream = Callable[[FrameStream, Any], Awaitable[None]]
 
@@ -22,17 +22,27 @@
 
     Parameters
     ----------
-    hub : Hub
-        Serves the streams that start with `Hello`.
+    settings : Settings
+        Settings of this instance.
+    timeline : Timeline
+        Receives the events.
+    metrics : Metrics
+        Receives the counts of malformed frames.
     """
 
-    __slots__ = ('_hub', '_serve_by_type')
+    __slots__ = ('_metrics', '_serve_by_type', '_silence_s', '_timeline')
 
-    def __init__(self, hub: Hub) -> None:
-        """Serve nodes only."""
-        self._hub = hub
+    def __init__(
+        self,
+        settings: Settings,
+        timeline: Timeline,
+        metrics: Metrics,
+    ) -> None:
+        """Serve no streams."""
+        self._silence_s = settings.intervals.silence_s
+        self._timeline = timeline
+        self._metrics = metrics
         self._serve_by_type: dict[type[Record], ServeStream] = {}
-        self.add(Hello, self._serve_hello)
 
     def add(self, first_type: type[Record], serve: ServeStream) -> None:
         """Let a function serve the streams that start with a message type.
@@ -66,7 +76,7 @@
             stream.close()
 
     async def _dispatch(self, stream: FrameStream) -> None:
-        async with asyncio.timeout(self._hub.settings.intervals.silence_s):
+        async with asyncio.timeout(self._silence_s):
             frame = await stream.receive()
         serve = self._serve_by_type.get(type(frame.body))
         if serve is None:
@@ -79,19 +89,14 @@
         stream: FrameStream,
         fault: MalformedFrame,
     ) -> None:
-        self._hub.metrics.incr(f'malformed.{fault.kind}')
-        self._hub.timeline.record('malformed_frame', kind=fault.kind)
+        self._metrics.incr(f'malformed.{fault.kind}')
+        self._timeline.record('malformed_frame', kind=fault.kind)
         _LOG.warning(
             'malformed frame',
             extra={'peer': stream.peer_address, 'reason': str(fault)},
         )
         with suppress(OSError, TimeoutError):
-            async with asyncio.timeout(
-                self._hub.settings.intervals.silence_s,
-            ):
+            async with asyncio.timeout(self._silence_s):
                 await stream.send(
                     ProtocolFault(kind=fault.kind, detail=str(fault)),
                 )
-
-    async def _serve_hello(self, stream: FrameStream, hello: Hello) -> None:
-        await serve_node(self._hub, stream, hello)
--- a/packages/mustardspur_control/src/mustardspur_control/instance.py
+++ b/packages/mustardspur_control/src/mustardspur_control/instance.py
@@ -9,10 +9,10 @@
 from mustardspur_core.settings import Settings
 from mustardspur_core.timeline import Timeline
 
-from mustardspur_control.control_stream import ControlStreams
 from mustardspur_control.driving import running_driver
 from mustardspur_control.expiry import expiring
 from mustardspur_control.hub import Hub
+from mustardspur_control.node_stream import node_streams
 from mustardspur_control.operator_sources import operators_context
 from mustardspur_control.registry import Registry
 from mustardspur_control.relay import Relay, RelayHello
@@ -53,7 +53,7 @@
         registry = Registry(settings)
         hub = Hub(settings, store, registry, log, timeline, metrics)
         relay = Relay(settings, hub, partial(getattr, log, 'leader'))
-        streams = ControlStreams(hub)
+        streams = node_streams(hub)
         streams.add(PeerGreeting, replicated.serve)
         streams.add(RelayHello, relay.serve)
         await stack.enter_async_context(expiring(settings, registry))
--- /dev/null
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/instance.py
@@ -0,0 +1,101 @@
+"""A control instance of a mesh put together from its parts."""
+
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+
+from mustardspur_agreement import PeerGreeting, running_log
+from mustardspur_core.mesh.messages import ControlHello, MeshHello
+from mustardspur_core.metrics import Metrics
+from mustardspur_core.settings import MeshSettings, Settings
+from mustardspur_core.tasks import background
+from mustardspur_core.timeline import Timeline
+
+from mustardspur_control.control_stream import ControlStreams
+from mustardspur_control.mesh.evidence import EvidenceBook
+from mustardspur_control.mesh.exchange import Exchange
+from mustardspur_control.mesh.formation import formed_settings
+from mustardspur_control.mesh.machines import MeshMachine
+from mustardspur_control.mesh.members import Members
+from mustardspur_control.mesh.node_feed import NodeFeeds
+from mustardspur_control.mesh.operations import MeshOperations
+from mustardspur_control.mesh.registry import MeshRegistry
+from mustardspur_control.mesh.store import MeshStore
+from mustardspur_control.mesh.transfers import TransferDriver
+from mustardspur_control.serving import serving_streams
+from mustardspur_control.store import Store
+
+
+class MeshControl:
+    """The parts of a running instance that an interface needs.
+
+    Parameters
+    ----------
+    operations : MeshOperations
+        What operators can ask.
+    members : Members
+        The known control instances.
+    """
+
+    __slots__ = ('members', 'operations')
+
+    def __init__(self, operations: MeshOperations, members: Members) -> None:
+        """Keep both."""
+        self.operations = operations
+        self.members = members
+
+
+@asynccontextmanager
+async def running_mesh_control(
+    settings: Settings,
+    mesh: MeshSettings,
+    timeline: Timeline,
+    metrics: Metrics,
+) -> AsyncIterator[MeshControl]:
+    """Run a control instance of a mesh for the length of a block.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the instance.
+    mesh : MeshSettings
+        Their part for a mesh.
+    timeline : Timeline
+        Receives the events.
+    metrics : Metrics
+        Receives the metrics.
+
+    Raises
+    ------
+    OSError
+        If an address cannot be listened on or the data folder not used.
+    """
+    settings = formed_settings(settings, mesh)
+    store = MeshStore()
+    machine = MeshMachine(Store(), store)
+    async with AsyncExitStack() as stack:
+        log = await stack.enter_async_context(
+            running_log(settings, machine, timeline, metrics),
+        )
+        registry = MeshRegistry()
+        evidence = EvidenceBook()
+        members = Members(settings, mesh, log)
+        exchange = Exchange(settings, members, registry, evidence)
+        feeds = NodeFeeds(
+            settings,
+            log,
+            store,
+            registry,
+            members,
+            exchange,
+            evidence,
+        )
+        driver = TransferDriver(log, store, registry, evidence)
+        streams = ControlStreams(settings, timeline, metrics)
+        streams.add(PeerGreeting, log.serve)
+        streams.add(ControlHello, exchange.serve)
+        streams.add(MeshHello, feeds.serve)
+        await stack.enter_async_context(serving_streams(settings, streams))
+        await stack.enter_async_context(
+            background(members.run(), exchange.run(), driver.run()),
+        )
+        yield MeshControl(MeshOperations(log, store), members)
--- /dev/null
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/operations.py
@@ -0,0 +1,266 @@
+"""What operators can ask of a control instance of a mesh."""
+
+import asyncio
+import logging
+import time
+from typing import Final
+
+import xxhash
+from expression import Error, Ok, Result
+from mustardspur_agreement import ProposalError, ReplicatedLog
+from mustardspur_core.findings import Finding
+from mustardspur_core.mesh.checks import check_table
+from mustardspur_core.mesh.messages import (
+    MeshAnswer,
+    PublishTable,
+    StartTransfer,
+)
+from mustardspur_core.mesh.model import RoutingTable, Transfer
+from mustardspur_core.mesh.packing import (
+    compress_bytes,
+    expand_bytes,
+    pack_rows,
+    table_rows,
+)
+from mustardspur_core.record import Record
+from mustardspur_core.wire import encode_frame
+
+from mustardspur_control.mesh.store import (
+    INVALID,
+    MeshStore,
+)
+
+_LOG: Final = logging.getLogger(__name__)
+
+# Callers give up on an answer after a second; the log may commit later.
+PROPOSE_TIMEOUT_S: Final = 3.0
+READ_TIMEOUT_S: Final = 1.5
+
+
+class OperationError(Record):
+    """Why an instance cannot answer an operator.
+
+    Parameters
+    ----------
+    leader_http : str or None
+        Address of the instance that can, if it is known and another one.
+    """
+
+    __slots__ = ('reason', 'leader_http')
+    reason: str
+    leader_http: str | None
+
+
+class PublishOutcome(Record):
+    """Answer to an edit of the routing table.
+
+    Parameters
+    ----------
+    status : str
+        ``accepted``, ``conflict`` or ``invalid``.
+    number : int
+        Number of the table in force.
+    findings : list of Finding
+        What is wrong with the table.
+    """
+
+    __slots__ = ('status', 'number', 'findings')
+    status: str
+    number: int
+    findings: list[Finding]
+
+
+class PublishedTable(Record):
+    """The table in force, as the operator sent it."""
+
+    __slots__ = ('number', 'document')
+    number: int
+    document: bytes
+
+
+class MeshOperations:
+    """Edits and reads of the agreed state.
+
+    Parameters
+    ----------
+    log : ReplicatedLog
+        Commits the edits and confirms the reads.
+    store : MeshStore
+        The applied state.
+    """
+
+    __slots__ = ('_log', '_store')
+
+    def __init__(self, log: ReplicatedLog, store: MeshStore) -> None:
+        """Keep both."""
+        self._log = log
+        self._store = store
+
+    async def publish(
+        self,
+        table: RoutingTable,
+        base: int,
+        document: bytes,
+    ) -> Result[PublishOutcome, OperationError]:
+        """Replace the routing table.
+
+        Parameters
+        ----------
+        table : RoutingTable
+            The new table, complete.
+        base : int
+            Number of the table that it builds on, 0 for none.
+        document : bytes
+            The table as the operator sent it, for reads.
+
+        Returns
+        -------
+        Result
+            The outcome, or why this instance cannot tell it.
+        """
+        digest = xxhash.xxh3_128_hexdigest(b'%d %s' % (base, document))
+        findings = check_table(table)
+        if findings and digest not in self._store.state.accepted:
+            _log_edit(table, base, INVALID, str(findings[0]))
+            return Ok(self._outcome(INVALID, findings))
+        entry = PublishTable(
+            number=table.number,
+            base=base,
+            digest=digest,
+            packed=pack_rows(table_rows(table)),
+            document=compress_bytes(document),
+        )
+        answer = await self._propose(entry)
+        if answer.is_error():
+            _log_edit(table, base, 'unanswered', answer.error.reason)
+            return Error(answer.error)
+        _log_edit(table, base, answer.ok.status, '')
+        return Ok(self._outcome(answer.ok.status, []))
+
+    async def read(self) -> Result[PublishedTable | None, OperationError]:
+        """Return the newest table, None before the first one.
+
+        Returns
+        -------
+        Result
+            An error if no quorum confirms what the newest is.
+        """
+        confirmed = await self._confirm()
+        if confirmed.is_error():
+            return Error(confirmed.error)
+        state = self._store.state
+        if not state.table_index:
+            return Ok(None)
+        document = expand_bytes(state.document)
+        return Ok(PublishedTable(number=state.number, document=document))
+
+    async def start_transfer(
+        self,
+        service: str,
+        version: str,
+        duration_ms: float,
+    ) -> Result[str, OperationError]:
+        """Order the move of a service to a version.
+
+        Returns
+        -------
+        Result
+            ``accepted``, or ``conflict`` while another one is running.
+        """
+        entry = StartTransfer(
+            service=service,
+            version=version,
+            duration_ms=duration_ms,
+            at_s=time.time(),
+        )
+        answer = await self._propose(entry)
+        if answer.is_error():
+            return Error(answer.error)
+        _LOG.info(
+            'transfer ordered',
+            extra={
+                'service': service,
+                'version': version,
+                'outcome': answer.ok.status,
+            },
+        )
+        return Ok(answer.ok.status)
+
+    async def read_transfer(
+        self,
+        service: str,
+    ) -> Result[Transfer | None, OperationError]:
+        """Return the newest transfer of a service."""
+        confirmed = await self._confirm()
+        if confirmed.is_error():
+            return Error(confirmed.error)
+        return Ok(self._store.state.transfers.get(service))
+
+    async def _propose(
+        self,
+        entry: Record,
+    ) -> Result[MeshAnswer, OperationError]:
+        if not self._log.is_leader:
+            return Error(self._error('another instance leads'))
+        try:
+            async with asyncio.timeout(PROPOSE_TIMEOUT_S):
+                outcome = await asyncio.shield(
+                    self._log.propose(encode_frame(entry)),
+                )
+        except TimeoutError:
+            return Error(self._unanswered('no quorum answered in time'))
+        if outcome.is_error():
+            return Error(self._proposal_error(outcome.error))
+        answer = outcome.ok.answer
+        assert isinstance(answer, MeshAnswer)
+        return Ok(answer)
+
+    async def _confirm(self) -> Result[int, OperationError]:
+        try:
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                barrier = await self._log.read_barrier()
+        except TimeoutError:
+            return Error(self._unanswered('no quorum answered in time'))
+        if barrier.is_error():
+            return Error(self._unanswered(barrier.error.detail))
+        return Ok(barrier.ok)
+
+    def _proposal_error(self, error: ProposalError) -> OperationError:
+        if error.kind == 'not_leader':
+            return self._error(error.detail)
+        return self._unanswered(f'{error.kind}: {error.detail}')
+
+    def _error(self, reason: str) -> OperationError:
+        leader = self._log.leader
+        peer = self._log.voter_peers.get(leader or '')
+        return OperationError(
+            reason=reason,
+            leader_http=peer.http if peer else None,
+        )
+
+    def _unanswered(self, reason: str) -> OperationError:
+        return OperationError(reason=reason, leader_http=None)
+
+    def _outcome(self, status: str, findings: list[Finding]) -> PublishOutcome:
+        return PublishOutcome(
+            status=status,
+            number=self._store.state.number,
+            findings=findings,
+        )
+
+
+def _log_edit(
+    table: RoutingTable,
+    base: int,
+    outcome: str,
+    reason: str,
+) -> None:
+    _LOG.info(
+        'table edited',
+        extra={
+            'number': table.number,
+            'base': base,
+            'outcome': outcome,
+            'reason': reason,
+        },
+    )
--- a/packages/mustardspur_control/src/mustardspur_control/node_stream.py
+++ b/packages/mustardspur_control/src/mustardspur_control/node_stream.py
@@ -1,6 +1,7 @@
 """One node's stream at a control instance, from `Hello` to its end."""
 
 import asyncio
+from functools import partial
 from typing import Final
 
 from mustardspur_core.messages import (
@@ -16,6 +17,7 @@
 from mustardspur_core.tasks import run_until_first_end
 from mustardspur_core.wire import Dispatch, FrameStream, end_on_silence
 
+from mustardspur_control.control_stream import ControlStreams
 from mustardspur_control.hub import Hub
 from mustardspur_control.sessions import NodeSession
 
@@ -28,6 +30,13 @@
 _FROM_NODES: Final = Dispatch('a node')
 
 
+def node_streams(hub: Hub) -> ControlStreams:
+    """Return the streams of a control instance, with nodes to serve."""
+    streams = ControlStreams(hub.settings, hub.timeline, hub.metrics)
+    streams.add(Hello, partial(serve_node, hub))
+    return streams
+
+
 async def serve_node(hub: Hub, stream: FrameStream, hello: Hello) -> None:
     """Serve a node until its stream ends.
 
--- a/packages/mustardspur_core/src/mustardspur_core/conversion.py
+++ b/packages/mustardspur_core/src/mustardspur_core/conversion.py
@@ -5,7 +5,6 @@
 from functools import cache
 from typing import Any, TypeVar, Union, get_args, get_origin, get_type_hints
 
-from mustardspur_core.record import Record
 from mustardspur_core.readers import (
     DecodeError,
     Reader,
@@ -14,6 +13,7 @@
     list_reader,
     scalar_reader,
 )
+from mustardspur_core.record import Record
 
 _RecordT = TypeVar('_RecordT', bound=Record)
 _SCALARS: tuple[type, ...] = (int, str, bool, float, bytes)
--- /dev/null
+++ b/packages/mustardspur_core/src/mustardspur_core/durations.py
@@ -0,0 +1,50 @@
+"""Durations written with their unit, for example ``1500ms`` or ``2.5s``."""
+
+import math
+from typing import Any, Final
+
+_UNITS_MS: Final = (('ms', 1.0), ('s', 1000.0))
+MS_PER_S: Final = 1000.0
+
+
+def parse_ms(text: Any) -> float:
+    """Return a duration in milliseconds.
+
+    Parameters
+    ----------
+    text : object
+        A number and its unit, ``ms`` or ``s``.
+
+    Raises
+    ------
+    ValueError
+        If it is no finite duration with a unit.
+
+    Examples
+    ========
+    >>> parse_ms('2.5s')
+    2500.0
+    """
+    if not isinstance(text, str):
+        raise ValueError(f'not a duration with a unit: {text!r}')
+    for suffix, factor in _UNITS_MS:
+        if text.endswith(suffix):
+            return _number(text, text.removesuffix(suffix)) * factor
+    raise ValueError(f'a duration needs the unit ms or s: {text!r}')
+
+
+def parse_s(text: Any) -> float:
+    """Return a duration in seconds; see `parse_ms`."""
+    return parse_ms(text) / MS_PER_S
+
+
+def format_ms(duration_ms: float) -> str:
+    """Return a duration with its unit, whole milliseconds without a dot."""
+    return f'{duration_ms:g}ms'
+
+
+def _number(text: str, digits: str) -> float:
+    number = float(digits)
+    if math.isfinite(number):
+        return number
+    raise ValueError(f'not a finite duration: {text!r}')
--- a/packages/mustardspur_core/src/mustardspur_core/profile/parsing.py
+++ b/packages/mustardspur_core/src/mustardspur_core/profile/parsing.py
@@ -5,10 +5,10 @@
 
 from expression import Error, Ok, Result
 
+from mustardspur_core.conversion import decode_mapping
 from mustardspur_core.findings import Findings
 from mustardspur_core.profile.checks import check_profile
 from mustardspur_core.profile.model import Profile
-from mustardspur_core.conversion import decode_mapping
 from mustardspur_core.schemas import load_schema, schema_findings
 
 _VALIDATOR = load_schema('mustardspur_core.profile', 'profile.schema.json')
--- a/packages/mustardspur_core/src/mustardspur_core/settings/__init__.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/__init__.py
@@ -4,6 +4,7 @@
 from mustardspur_core.settings.model import (
     Intervals,
     Listen,
+    MeshSettings,
     Peer,
     Settings,
 )
@@ -11,6 +12,7 @@
 __all__ = [
     'Intervals',
     'Listen',
+    'MeshSettings',
     'Peer',
     'Settings',
     'load_settings',
--- a/packages/mustardspur_core/src/mustardspur_core/settings/loading.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/loading.py
@@ -8,8 +8,9 @@
 
 from expression import Error, Ok, Result
 
-from mustardspur_core.findings import Finding, Findings
 from mustardspur_core.conversion import decode_mapping
+from mustardspur_core.durations import parse_s
+from mustardspur_core.findings import Finding, Findings
 from mustardspur_core.schemas import load_schema, schema_findings
 from mustardspur_core.settings.model import Settings
 
@@ -24,6 +25,37 @@
         'statsd': None,
         'log_level': 'info',
         'timeline': None,
+        'mesh': None,
+    }
+)
+_DEFAULT_LISTEN: Final = MappingProxyType(
+    dict.fromkeys(('stream', 'ready', 'targets', 'metrics')),
+)
+_MESH_DURATIONS: Final = frozenset(
+    (
+        'drain',
+        'grace',
+        'apply',
+        'contact',
+        'retry_window',
+        'rollback',
+    ),
+)
+_DEFAULT_MESH: Final = MappingProxyType(
+    {
+        'seeds': [],
+        'first_start': False,
+        'target_address': None,
+        'drain_s': 2.5,
+        'grace_s': 6.0,
+        'apply_s': 2.5,
+        'contact_s': 3.0,
+        'retry_ratio': 0.2,
+        'retry_slack': 60,
+        'retry_window_s': 10.0,
+        'exposure_share': 0.1,
+        'exposure_slack': 50,
+        'rollback_s': 5.0,
     }
 )
 _DEFAULT_INTERVALS: Final = MappingProxyType(
@@ -71,10 +103,24 @@
         return Error(Findings(entries=entries))
     filled = {**_DEFAULTS, **document}
     filled['intervals'] = _intervals(document)
-    filled['listen'] = {'stream': None} | document['listen']
+    filled['listen'] = {**_DEFAULT_LISTEN, **document['listen']}
+    filled['mesh'] = _mesh(document)
     return Ok(decode_mapping(Settings, filled))
 
 
+def _mesh(document: dict[str, Any]) -> dict[str, Any] | None:
+    given = document.get('mesh')
+    if given is None:
+        return None
+    mesh = dict(_DEFAULT_MESH)
+    for name, stated in given.items():
+        if name in _MESH_DURATIONS:
+            mesh[f'{name}_s'] = parse_s(stated)
+        else:
+            mesh[name] = stated
+    return mesh
+
+
 def _intervals(document: dict[str, Any]) -> dict[str, float]:
     return {**_DEFAULT_INTERVALS, **document.get('intervals', {})}
 
--- a/packages/mustardspur_core/src/mustardspur_core/settings/model.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/model.py
@@ -10,14 +10,24 @@
     Parameters
     ----------
     stream : str or None
-        For frames between mustardspur's processes; control instances only.
+        For frames between mustardspur's processes; nodes have one only in a
+        mesh.
     http : str
         For calls at a node, for operators at a control instance.
+    ready : str or None
+        For the question whether a node of a mesh takes calls.
+    targets : str or None
+        For the announcements of the target beside a node of a mesh.
+    metrics : str or None
+        For readers of the metrics.
     """
 
-    __slots__ = ('stream', 'http')
+    __slots__ = ('stream', 'http', 'ready', 'targets', 'metrics')
     stream: str | None
     http: str
+    ready: str | None
+    targets: str | None
+    metrics: str | None
 
 
 class Peer(Record):
@@ -63,6 +73,64 @@
     drain_s: float
 
 
+class MeshSettings(Record):
+    """What a process of a mesh is told beside the rest.
+
+    Parameters
+    ----------
+    seeds : list of str
+        ``ip:port`` for operators at some control instances.
+    first_start : bool
+        Whether the whole system starts for the first time.
+    target_address : str or None
+        ``ip:port`` of the target beside a node.
+    drain_s : float
+        Time after an acknowledged leave in which a target still takes calls.
+    grace_s : float
+        Time between the signal to stop and the kill.
+    apply_s : float
+        Time within which an accepted table is in force.
+    contact_s : float
+        Time without trouble after which a process counts as connected.
+    retry_ratio, retry_slack : float, int
+        Repeated calls that all nodes together may send to a service within
+        `retry_window_s`: a part of its calls and a fixed number.
+    exposure_share, exposure_slack : float, int
+        Calls that a bad version may get: a part of all and a fixed number.
+    rollback_s : float
+        Time within which a version that fails gets no more calls.
+    """
+
+    __slots__ = (
+        'seeds',
+        'first_start',
+        'target_address',
+        'drain_s',
+        'grace_s',
+        'apply_s',
+        'contact_s',
+        'retry_ratio',
+        'retry_slack',
+        'retry_window_s',
+        'exposure_share',
+        'exposure_slack',
+        'rollback_s',
+    )
+    seeds: list[str]
+    first_start: bool
+    target_address: str | None
+    drain_s: float
+    grace_s: float
+    apply_s: float
+    contact_s: float
+    retry_ratio: float
+    retry_slack: int
+    retry_window_s: float
+    exposure_share: float
+    exposure_slack: int
+    rollback_s: float
+
+
 class Settings(Record):
     """Everything that one process is told."""
 
@@ -81,6 +149,7 @@
         'log_level',
         'timeline',
         'intervals',
+        'mesh',
     )
     role: str
     id: str
@@ -96,6 +165,7 @@
     log_level: str
     timeline: str | None
     intervals: Intervals
+    mesh: MeshSettings | None
 
     @property
     def location(self) -> DataCentre:
--- a/packages/mustardspur_core/src/mustardspur_core/target_list.py
+++ b/packages/mustardspur_core/src/mustardspur_core/target_list.py
@@ -6,6 +6,7 @@
 
 import msgpack
 import xxhash
+
 from mustardspur_core.conversion import encode_row
 from mustardspur_core.messages import TargetUpdate
 from mustardspur_core.state import Target
--- a/packages/mustardspur_core/src/mustardspur_core/wire/__init__.py
+++ b/packages/mustardspur_core/src/mustardspur_core/wire/__init__.py
@@ -8,8 +8,8 @@
     encode_frame,
     message,
 )
-from mustardspur_core.wire.silence import end_on_silence
 from mustardspur_core.wire.dispatch import Dispatch
+from mustardspur_core.wire.silence import end_on_silence
 from mustardspur_core.wire.streams import (
     MAX_FRAME_BYTES,
     FrameStream,
--- a/packages/mustardspur_daemon/src/mustardspur_daemon/main.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/main.py
@@ -10,6 +10,7 @@
 from mustardspur_core.event_loop import run_in_loop
 from mustardspur_core.logs import configure_logs
 from mustardspur_core.settings import Settings, load_settings
+
 from mustardspur_daemon import processes
 from mustardspur_daemon.exit_codes import ExitCode
 from mustardspur_daemon.recovering import recover
--- a/packages/mustardspur_moves/src/mustardspur_moves/evidence.py
+++ b/packages/mustardspur_moves/src/mustardspur_moves/evidence.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from mustardspur_core.messages import OutcomeRow
+
 from mustardspur_moves.scores import Scores
 from mustardspur_moves.slots import Slot, time_of
 from mustardspur_moves.tally import Tally
--- a/packages/mustardspur_node/src/mustardspur_node/calls/shapes.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/shapes.py
@@ -3,7 +3,8 @@
 from http import HTTPStatus
 from typing import Final
 
-from aiohttp import HttpVersion11, web
+from aiohttp import HttpVersion, HttpVersion11, web
+from multidict import MultiMapping
 
 from mustardspur_node.calls import names
 from mustardspur_node.calls.answers import CallFault, not_run
@@ -13,7 +14,23 @@
 
 
 def shape_fault(request: web.BaseRequest) -> CallFault | None:
-    """Return why a request's shape is refused, None for a right one.
+    """Return why a request's shape is refused, None for a right one."""
+    reason = shape_reason(
+        request.method,
+        request.raw_path,
+        request.version,
+        request.headers,
+    )
+    return _refusal(reason) if reason else None
+
+
+def shape_reason(
+    method: str,
+    target: str,
+    version: HttpVersion,
+    headers: MultiMapping[str],
+) -> str:
+    """Return why a request's shape is refused, empty for a right one.
 
     Explanation
     ===========
@@ -22,31 +39,28 @@
     are requests that it accepts but that a target could delimit in another
     way, so that the rest of one call would be read as the next.
     """
-    headers = request.headers
-    if request.method in _REFUSED_METHODS:
-        return _refusal('method is not forwarded')
+    if method in _REFUSED_METHODS:
+        return 'method is not forwarded'
     if len(headers.getall(names.HOST, ())) != 1:
-        return _refusal('not exactly one host header')
-    target = request.raw_path
+        return 'not exactly one host header'
     if not target.startswith('/') or _has_dot_segment(target):
-        return _refusal('request target is not a plain path')
+        return 'request target is not a plain path'
     if names.TRANSFER_ENCODING in headers:
-        return _transfer_fault(request)
+        return _transfer_reason(version, headers)
     if len(headers.getall(names.CONTENT_LENGTH, ())) > 1:
-        return _refusal('more than one content-length header')
-    return None
+        return 'more than one content-length header'
+    return ''
 
 
-def _transfer_fault(request: web.BaseRequest) -> CallFault | None:
-    headers = request.headers
+def _transfer_reason(version: HttpVersion, headers: MultiMapping[str]) -> str:
     encodings = headers.getall(names.TRANSFER_ENCODING)
     if names.CONTENT_LENGTH in headers:
-        return _refusal('both content-length and transfer-encoding')
+        return 'both content-length and transfer-encoding'
     if len(encodings) > 1 or encodings[0].strip().lower() != 'chunked':
-        return _refusal('transfer-encoding other than chunked')
-    if request.version < HttpVersion11:
-        return _refusal('transfer-encoding before HTTP/1.1')
-    return None
+        return 'transfer-encoding other than chunked'
+    if version < HttpVersion11:
+        return 'transfer-encoding before HTTP/1.1'
+    return ''
 
 
 def _has_dot_segment(target: str) -> bool:
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_answers.py
@@ -0,0 +1,76 @@
+"""Answers to callers as bytes."""
+
+from http import HTTPStatus
+
+from mustardspur_core.record import Record
+
+from mustardspur_node.mesh.calls import Headers, TargetAnswer
+
+
+class CallerAnswer(Record):
+    """An answer that is ready to be written.
+
+    Parameters
+    ----------
+    closes : bool
+        Whether the connection ends with it.
+    """
+
+    __slots__ = ('status', 'reason', 'headers', 'body', 'closes')
+    status: int
+    reason: str
+    headers: Headers
+    body: bytes
+    closes: bool
+
+
+def own_answer(
+    status: HTTPStatus,
+    reason: str,
+    headers: Headers | None = None,
+    *,
+    closes: bool = False,
+) -> CallerAnswer:
+    """Return an answer of the node itself, with the reason as its body."""
+    return CallerAnswer(
+        status=status.value,
+        reason=status.phrase,
+        headers=[['content-type', 'text/plain'], *(headers or [])],
+        body=f'{reason}\n'.encode(),
+        closes=closes,
+    )
+
+
+def passed_on(answer: TargetAnswer) -> CallerAnswer:
+    """Return a target's answer as it is."""
+    return CallerAnswer(
+        status=answer.status,
+        reason=answer.reason,
+        headers=answer.headers,
+        body=answer.body,
+        closes=False,
+    )
+
+
+def encode_answer(answer: CallerAnswer, method: str, *, closes: bool) -> bytes:
+    """Return an answer as HTTP/1.1.
+
+    Parameters
+    ----------
+    method : str
+        Method of the request; an answer to HEAD has no body.
+    closes : bool
+        Whether to announce the end of the connection.
+    """
+    lines = [f'HTTP/1.1 {answer.status} {answer.reason}']
+    lines.extend(f'{name}: {text}' for name, text in answer.headers)
+    if answer.status not in _BODYLESS:
+        lines.append(f'content-length: {len(answer.body)}')
+    if closes:
+        lines.append('connection: close')
+    lines.append('\r\n')
+    head = '\r\n'.join(lines).encode('utf-8', 'surrogateescape')
+    return head if method == 'HEAD' else head + answer.body
+
+
+_BODYLESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
@@ -0,0 +1,249 @@
+"""Serving the callers on a node's instance."""
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from http import HTTPStatus
+from typing import Final
+
+from aiohttp.http_parser import RawRequestMessage
+from mustardspur_core.mesh.model import CallerLimits, MeshRoute
+from mustardspur_core.metrics import Metrics
+from mustardspur_core.units import MS_PER_S
+
+from mustardspur_node.calls.shapes import shape_reason
+from mustardspur_node.mesh.caller_answers import (
+    CallerAnswer,
+    own_answer,
+    passed_on,
+)
+from mustardspur_node.mesh.caller_connection import (
+    BodyFault,
+    CallerConnection,
+    ReadBody,
+)
+from mustardspur_node.mesh.calls import Headers, MeshCall
+from mustardspur_node.mesh.names import HOP_BY_HOP, HeaderNames
+from mustardspur_node.mesh.placing import RETRY_AFTER_S, Placement, Placer
+from mustardspur_node.mesh.view import MeshView
+
+_LOG: Final = logging.getLogger(__name__)
+
+BACKLOG: Final = 1024
+# Until a table is known.
+FIRST_LIMITS: Final = CallerLimits(
+    header_bytes=16_384,
+    body_bytes=67_108_864,
+    header_timeout_ms=3000.0,
+    idle_timeout_ms=15_000.0,
+)
+
+
+class CallerServer:
+    """Answers the callers on the instance.
+
+    Parameters
+    ----------
+    view : MeshView
+        The routing table.
+    placer : Placer
+        Finds targets.
+    names : HeaderNames
+        Names of the headers.
+    metrics : Metrics
+        Receives the counts and times of calls.
+    """
+
+    __slots__ = (
+        '_connections',
+        '_metrics',
+        '_names',
+        '_own_names',
+        '_placer',
+        '_view',
+        'draining',
+        'in_flight',
+        'origin_service',
+    )
+
+    def __init__(
+        self,
+        view: MeshView,
+        placer: Placer,
+        names: HeaderNames,
+        metrics: Metrics,
+    ) -> None:
+        """Start without connections."""
+        self._view = view
+        self._placer = placer
+        self._names = names
+        self._metrics = metrics
+        self._connections: set[CallerConnection] = set()
+        # The node states these itself, whatever a caller sends.
+        self._own_names = frozenset(
+            name.lower()
+            for name in (
+                names.deadline_ms,
+                names.expected_target,
+                names.origin_service,
+            )
+        )
+        self.draining = False
+        self.in_flight = 0
+        self.origin_service = ''
+
+    @asynccontextmanager
+    async def serving(self, address: str) -> AsyncIterator[None]:
+        """Serve callers for the length of a block."""
+        host, _, port = address.rpartition(':')
+        server = await asyncio.get_running_loop().create_server(
+            self._connect,
+            host,
+            int(port),
+            backlog=BACKLOG,
+        )
+        try:
+            yield
+        finally:
+            server.close()
+            self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is open."""
+        self._connections = {
+            each for each in self._connections if each.connected
+        }
+        for connection in self._connections:
+            connection.close_idle()
+
+    def _connect(self) -> CallerConnection:
+        routes = self._view.routes
+        limits = routes.table.limits if routes else FIRST_LIMITS
+        connection = CallerConnection(
+            limits,
+            self.answer,
+            lambda: self.draining,
+        )
+        if len(self._connections) % 64 == 0:
+            self._connections = {
+                each for each in self._connections if each.connected
+            }
+        self._connections.add(connection)
+        return connection
+
+    async def answer(
+        self,
+        message: RawRequestMessage,
+        read_body: ReadBody,
+    ) -> CallerAnswer:
+        """Answer a request of a caller."""
+        self.in_flight += 1
+        started_s = _now()
+        try:
+            answer = await self._answer(message, read_body, started_s)
+        except BodyFault as fault:
+            answer = own_answer(fault.status, fault.reason, closes=True)
+        except Placement as placement:
+            answer = self._refusal(placement)
+        finally:
+            self.in_flight -= 1
+        self._metrics.incr(f'calls.answered.{answer.status}')
+        self._metrics.timing('calls.ms', (_now() - started_s) * MS_PER_S)
+        return answer
+
+    async def _answer(
+        self,
+        message: RawRequestMessage,
+        read_body: ReadBody,
+        started_s: float,
+    ) -> CallerAnswer:
+        reason = shape_reason(
+            message.method,
+            message.path,
+            message.version,
+            message.headers,
+        )
+        if reason:
+            return own_answer(HTTPStatus.BAD_REQUEST, reason, closes=True)
+        if self._view.routes is None:
+            raise Placement(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'no routing table is known yet',
+            )
+        host = message.headers['host'].partition(':')[0].lower()
+        route = self._view.routes.find(host, message.path)
+        if route is None:
+            await read_body()
+            self._placer.decisions.note(
+                'no route',
+                host=host,
+                path=message.path,
+                request=message.headers.get(self._names.request_id),
+                table_index=self._view.table_index,
+            )
+            return own_answer(HTTPStatus.NOT_FOUND, 'no route matches')
+        deadline_s = started_s + self._wait_ms(message, route) / MS_PER_S
+        body = await self._body_in_time(read_body, deadline_s)
+        return passed_on(
+            await self._placer.place(
+                MeshCall(
+                    request_id=message.headers.get(self._names.request_id, ''),
+                    route=route,
+                    method=message.method,
+                    path=message.path,
+                    headers=self._forwarded(message),
+                    body=body,
+                    started_s=started_s,
+                    deadline_s=deadline_s,
+                ),
+            ),
+        )
+
+    async def _body_in_time(
+        self,
+        read_body: ReadBody,
+        deadline_s: float,
+    ) -> bytes:
+        try:
+            async with asyncio.timeout_at(deadline_s):
+                return await read_body()
+        except TimeoutError as error:
+            raise BodyFault(
+                HTTPStatus.REQUEST_TIMEOUT,
+                'request body did not arrive in time',
+            ) from error
+
+    def _wait_ms(self, message: RawRequestMessage, route: MeshRoute) -> float:
+        """Return the longest time that the caller is kept waiting."""
+        stated = message.headers.get(self._names.deadline_ms)
+        if stated is None:
+            return route.timeout_ms
+        try:
+            return min(float(stated), route.timeout_ms)
+        except ValueError:
+            _LOG.info('deadline is not a number', extra={'deadline': stated})
+            return route.timeout_ms
+
+    def _forwarded(self, message: RawRequestMessage) -> Headers:
+        listed = message.headers.get('connection', '').lower()
+        dropped = {name.strip() for name in listed.split(',')}
+        headers = [
+            [name, text]
+            for name, text in message.headers.items()
+            if name.lower() not in HOP_BY_HOP
+            and name.lower() not in self._own_names
+            and name.lower() not in dropped
+        ]
+        headers.append([self._names.origin_service, self.origin_service])
+        return headers
+
+    def _refusal(self, placement: Placement) -> CallerAnswer:
+        headers: Headers = []
+        if placement.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            headers.append([self._names.retry_after, f'{RETRY_AFTER_S:g}'])
+        return own_answer(placement.status, placement.reason, headers)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/calls.py
@@ -0,0 +1,93 @@
+"""A call on its way, its answer and its faults."""
+
+from mustardspur_core.mesh.messages import TargetLoad
+from mustardspur_core.mesh.model import MeshRoute
+from mustardspur_core.record import Record
+
+Headers = list[list[str]]
+
+
+class MeshCall(Record):
+    """A call as its caller sent it, read whole.
+
+    Parameters
+    ----------
+    deadline_s : float
+        Moment on the loop's clock at which the caller is answered at the
+        latest.
+    started_s : float
+        Moment at which the call was read.
+    """
+
+    __slots__ = (
+        'request_id',
+        'route',
+        'method',
+        'path',
+        'headers',
+        'body',
+        'started_s',
+        'deadline_s',
+    )
+    request_id: str
+    route: MeshRoute
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    started_s: float
+    deadline_s: float
+
+
+class TargetAnswer(Record):
+    """Complete answer of a target."""
+
+    __slots__ = ('status', 'reason', 'headers', 'body', 'load')
+    status: int
+    reason: str
+    headers: Headers
+    body: bytes
+    load: TargetLoad
+
+
+class PlaceFault(Exception):
+    """A target gave no usable answer.
+
+    Parameters
+    ----------
+    kind : str
+        ``busy``, ``closed``, ``moved``, ``unreachable``, ``refused``,
+        ``broken`` or ``timeout``.
+    not_run : bool
+        Whether the call certainly did not run and never will.
+    arrived : bool
+        Whether the target was sent the call, which draws on the budget for
+        repeats.
+    detail : str
+        Description for the log.
+    """
+
+    def __init__(
+        self,
+        kind: str,
+        detail: str,
+        *,
+        not_run: bool,
+        arrived: bool,
+    ) -> None:
+        """Keep what is known of the call."""
+        super().__init__(f'{kind}: {detail}')
+        self.kind = kind
+        self.detail = detail
+        self.not_run = not_run
+        self.arrived = arrived
+
+
+def never_sent(kind: str, detail: str) -> PlaceFault:
+    """Return the fault of a call that no target was sent."""
+    return PlaceFault(kind, detail, not_run=True, arrived=False)
+
+
+def maybe_run(kind: str, detail: str) -> PlaceFault:
+    """Return the fault of a call that a target may have run."""
+    return PlaceFault(kind, detail, not_run=False, arrived=True)
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
@@ -0,0 +1,148 @@
+"""Choice of the target of a call."""
+
+import asyncio
+import random
+from collections.abc import Iterable
+from typing import Final
+
+from mustardspur_core.mesh.messages import TargetLoad
+from mustardspur_core.mesh.model import MeshTarget
+from mustardspur_core.settings import Settings
+
+from mustardspur_node.mesh.gate import FIRST_RUN_MS
+
+# Added to the expected time of a call by the distance of the target. Bytes
+# between regions are paid for, and dearer than bytes between data centres.
+OTHER_DATA_CENTRE_MS: Final = 3.0
+OTHER_REGION_MS: Final = 60.0
+# Expected time that a target costs whose runs all fail.
+FAILING_MS: Final = 400.0
+# Rise of the time of a run when all slots of a target are in use.
+FULL_SLOWDOWN: Final = 0.6
+# A target that is still slow after its start counts as this much slower.
+COLD_FACTOR: Final = 2.0
+# A node that could not be reached is tried again after this time.
+SUSPECT_S: Final = 0.7
+# Targets that are compared for a call; more would all find the same one.
+COMPARED: Final = 3
+
+
+class _NodeState:
+    """What this node knows of the target beside another node."""
+
+    __slots__ = ('load', 'sent', 'suspect_until_s')
+
+    def __init__(self) -> None:
+        self.load: TargetLoad | None = None
+        self.sent = 0
+        self.suspect_until_s = 0.0
+
+
+class TargetChooser:
+    """Chooses targets by their reported load and by their distance.
+
+    Parameters
+    ----------
+    settings : Settings
+        Where this node is.
+    choice : random.Random
+        Source of the samples that are compared.
+    """
+
+    __slots__ = ('_choice', '_cold_until_s', '_settings', '_states')
+
+    def __init__(self, settings: Settings, choice: random.Random) -> None:
+        """Start without reports."""
+        self._settings = settings
+        self._choice = choice
+        self._states: dict[str, _NodeState] = {}
+        self._cold_until_s: dict[str, float] = {}
+
+    def note_load(self, node: str, load: TargetLoad) -> None:
+        """Take over the state of a target as its node reports it."""
+        state = self._state(node)
+        state.load = load
+        state.sent = 0
+
+    def note_sent(self, node: str) -> None:
+        """Count a call that the next report will include."""
+        self._state(node).sent += 1
+
+    def note_unreachable(self, node: str) -> None:
+        """Avoid a node for a while."""
+        state = self._state(node)
+        state.suspect_until_s = _now() + SUSPECT_S
+
+    def note_rows(self, rows: Iterable[MeshTarget]) -> None:
+        """Note which targets are slow after their start."""
+        for row in rows:
+            key = f'{row.node}/{row.id}'
+            if key not in self._cold_until_s and row.cold_ms:
+                self._cold_until_s[key] = _now() + row.cold_ms / 1000
+
+    def near(self, rows: list[MeshTarget]) -> list[MeshTarget]:
+        """Return the targets of the own region."""
+        region = self._settings.region
+        return [row for row in rows if row.region == region]
+
+    def choose(self, rows: list[MeshTarget]) -> MeshTarget | None:
+        """Return the best of a few targets, None if there are none."""
+        usable = [row for row in rows if self._is_usable(row)] or rows
+        if not usable:
+            return None
+        compared = usable
+        if len(usable) > COMPARED:
+            compared = self._choice.sample(usable, COMPARED)
+        return min(compared, key=self.expected_ms)
+
+    def expected_ms(self, row: MeshTarget) -> float:
+        """Return the expected time of a call at a target, with its price."""
+        state = self._state(row.node)
+        slots = max(row.slots, 1)
+        run_ms = state.load.run_ms if state.load else FIRST_RUN_MS
+        if _now() < self._cold_until_s.get(f'{row.node}/{row.id}', 0.0):
+            run_ms *= COLD_FACTOR
+        inside = self._inside(state)
+        full = min(inside / slots, 1.0)
+        queued = max(inside + 1 - slots, 0) / slots
+        failing = state.load.failing if state.load else 0.0
+        return (
+            run_ms * (1 + FULL_SLOWDOWN * full * full + queued)
+            + self.distance_ms(row)
+            + failing * FAILING_MS
+        )
+
+    def run_ms(self, row: MeshTarget) -> float:
+        """Return the mean time of a run at a target."""
+        load = self._state(row.node).load
+        return load.run_ms if load else FIRST_RUN_MS
+
+    def distance_ms(self, row: MeshTarget) -> float:
+        """Return what the distance of a target adds to a call."""
+        if row.data_centre == self._settings.data_centre:
+            return 0.0
+        if row.region == self._settings.region:
+            return OTHER_DATA_CENTRE_MS
+        return OTHER_REGION_MS
+
+    def _inside(self, state: _NodeState) -> int:
+        if state.load is None:
+            return state.sent
+        return state.load.running + state.load.waiting + state.sent
+
+    def _is_usable(self, row: MeshTarget) -> bool:
+        state = self._state(row.node)
+        if _now() < state.suspect_until_s:
+            return False
+        return state.load is None or state.load.open
+
+    def _state(self, node: str) -> _NodeState:
+        known = self._states.get(node)
+        if known is None:
+            known = _NodeState()
+            self._states[node] = known
+        return known
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
@@ -0,0 +1,295 @@
+"""The node's stream to a control instance."""
+
+import asyncio
+import logging
+import time
+from typing import Final
+
+from mustardspur_core.mesh.messages import (
+    MeshAnnounce,
+    MeshBeat,
+    MeshEvidence,
+    MeshHello,
+    MeshTable,
+    MeshTargets,
+    MeshTransfers,
+)
+from mustardspur_core.mesh.model import MeshTarget, TargetState
+from mustardspur_core.record import Record
+from mustardspur_core.settings import MeshSettings, Peer, Settings
+from mustardspur_core.tasks import run_until_first_end
+from mustardspur_core.wire import (
+    Dispatch,
+    FrameStream,
+    MalformedFrame,
+    connect_stream,
+    end_on_silence,
+)
+
+from mustardspur_node.mesh.chooser import TargetChooser
+from mustardspur_node.mesh.local_target import LocalTarget
+from mustardspur_node.mesh.view import MeshView
+
+_LOG: Final = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT_S: Final = 0.6
+RETRY_S: Final = 0.2
+# A control instance without a leader is left after this many of its beats.
+STALE_BEATS: Final = 2
+# A node without a table takes one that no quorum confirms after this time.
+UNCONFIRMED_S: Final = 2.0
+# A node goes back to the nearest control instance after this time.
+RETURN_S: Final = 15.0
+EVIDENCE_S: Final = 0.4
+_LINK_ERRORS: Final = (
+    OSError,
+    EOFError,
+    TimeoutError,
+    MalformedFrame,
+    ValueError,
+)
+_FROM_CONTROL: Final = Dispatch('a control instance')
+
+
+class Stale(ConnectionError):
+    """The control instance follows no leader."""
+
+
+class ControlLink:
+    """Keeps a stream to the nearest control instance that is current.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of this node.
+    mesh : MeshSettings
+        Their part for a mesh.
+    view : MeshView
+        Takes what the stream brings.
+    local : LocalTarget
+        The target that is announced.
+    chooser : TargetChooser
+        Learns which targets are new.
+    """
+
+    __slots__ = (
+        '_chooser',
+        '_controls',
+        '_failed_s',
+        '_incarnation',
+        '_local',
+        '_mesh',
+        '_sequence',
+        '_settings',
+        '_stale_beats',
+        '_started_s',
+        '_view',
+        'attached',
+        'leaving',
+        'row_changed',
+    )
+
+    def __init__(
+        self,
+        settings: Settings,
+        mesh: MeshSettings,
+        view: MeshView,
+        local: LocalTarget,
+        chooser: TargetChooser,
+    ) -> None:
+        """Start with the seeds."""
+        self._settings = settings
+        self._mesh = mesh
+        self._view = view
+        self._local = local
+        self._chooser = chooser
+        self._incarnation = time.time_ns()
+        self._sequence = 0
+        self._controls: dict[str, Peer] = {}
+        self._failed_s: dict[str, float] = {}
+        self._stale_beats = 0
+        self._started_s = _now()
+        self.attached = ''
+        self.leaving = False
+        self.row_changed = asyncio.Event()
+
+    async def run(self) -> None:
+        """Keep a stream until cancelled."""
+        while True:
+            for address in self._candidates():
+                await self._try(address)
+                if self.attached:
+                    break
+            self.attached = ''
+            await asyncio.sleep(RETRY_S)
+
+    def replace_seeds(self, seeds: list[str]) -> None:
+        """Use other seeds from now on."""
+        self._mesh.seeds = seeds
+
+    def own_row(self) -> MeshTarget:
+        """Return the row of this node for the others."""
+        self._sequence += 1
+        report = self._local.book.current
+        state = report.state if report else ''
+        return MeshTarget(
+            id=report.id if report else '',
+            service=report.service if report else '',
+            version=report.version if report else '',
+            node=self._settings.listen.stream or '',
+            data_centre=self._settings.data_centre,
+            region=self._settings.region,
+            slots=report.slots if report else 0,
+            state=TargetState.DRAINING.value if self.leaving else state,
+            cold_ms=report.cold_ms if report else 0.0,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+        )
+
+    def _candidates(self) -> list[str]:
+        """Return the streams of control instances, best first."""
+        known = dict(self._controls)
+        stream_port = (self._settings.listen.stream or '').rpartition(':')[2]
+        streams = [peer.stream for peer in known.values()]
+        for seed in self._mesh.seeds:
+            host = seed.rpartition(':')[0]
+            streams.append(f'{host}:{stream_port}')
+        by_stream = {peer.stream: peer for peer in known.values()}
+        return sorted(
+            dict.fromkeys(streams),
+            key=lambda stream: self._rank(stream, by_stream.get(stream)),
+        )
+
+    def _rank(self, stream: str, peer: Peer | None) -> tuple[bool, int, str]:
+        failed_s = self._failed_s.get(stream, float('-inf'))
+        recently = _now() - failed_s < self._mesh.contact_s
+        distance = 2
+        if peer is not None and peer.region == self._settings.region:
+            distance = int(peer.data_centre != self._settings.data_centre)
+        return recently, distance, stream
+
+    async def _try(self, stream_address: str) -> None:
+        try:
+            async with connect_stream(
+                stream_address,
+                CONNECT_TIMEOUT_S,
+            ) as stream:
+                self._stale_beats = 0
+                await run_until_first_end(
+                    self._receive(stream, stream_address),
+                    self._send(stream),
+                    self._send_evidence(stream),
+                    end_on_silence(
+                        stream,
+                        self._settings.intervals.silence_s,
+                    ),
+                    self._return_to_nearest(stream_address),
+                )
+        except _LINK_ERRORS as error:
+            self._failed_s[stream_address] = _now()
+            _LOG.info(
+                'control instance lost',
+                extra={
+                    'control': stream_address,
+                    'was_attached': bool(self.attached),
+                    'reason': repr(error),
+                },
+            )
+
+    async def _receive(self, stream: FrameStream, address: str) -> None:
+        stream.send_soon(
+            MeshHello(
+                node=self._settings.listen.stream or '',
+                data_centre=self._settings.data_centre,
+                region=self._settings.region,
+                held_index=self._view.table_index,
+            ),
+        )
+        while True:
+            body = (await stream.receive()).body
+            if not self.attached:
+                self.attached = address
+                _LOG.info('attached', extra={'control': address})
+            self._take(body)
+
+    def _take(self, body: Record) -> None:
+        _FROM_CONTROL.handle_of(body)(self, body)
+
+    @_FROM_CONTROL.handles(MeshBeat)
+    def _take_beat(self, beat: MeshBeat) -> None:
+        if beat.controls:
+            self._controls = {peer.id: peer for peer in beat.controls}
+        self._stale_beats = 0 if beat.current else self._stale_beats + 1
+        if self._stale_beats >= STALE_BEATS and self._has_other():
+            raise Stale('the control instance follows no leader')
+
+    @_FROM_CONTROL.handles(MeshTable)
+    def _take_table(self, update: MeshTable) -> None:
+        late = _now() - self._started_s >= UNCONFIRMED_S
+        if update.confirmed or late or self._view.table_index:
+            self._view.take_table(update.delta)
+        else:
+            raise Stale('no quorum confirms the table')
+
+    @_FROM_CONTROL.handles(MeshTransfers)
+    def _take_transfers(self, update: MeshTransfers) -> None:
+        for service in self._view.take_transfers(update):
+            self._local.tally.reset(service)
+
+    @_FROM_CONTROL.handles(MeshTargets)
+    def _take_targets(self, update: MeshTargets) -> None:
+        self._chooser.note_rows(update.upserts)
+        self._view.take_targets(update)
+
+    def _has_other(self) -> bool:
+        return len(self._candidates()) > 1
+
+    async def _send(self, stream: FrameStream) -> None:
+        while True:
+            self.row_changed.clear()
+            stream.send_soon(MeshAnnounce(target=self.own_row()))
+            await stream.drain()
+            await self._wait(stream)
+
+    async def _wait(self, stream: FrameStream) -> None:
+        while not self.row_changed.is_set():
+            try:
+                async with asyncio.timeout(
+                    self._settings.intervals.heartbeat_s,
+                ):
+                    await self.row_changed.wait()
+            except TimeoutError:
+                stream.send_soon(MeshBeat(current=True, controls=[]))
+
+    async def _send_evidence(self, stream: FrameStream) -> None:
+        while True:
+            await asyncio.sleep(EVIDENCE_S)
+            tally = self._local.tally
+            if tally.changed and self._view.runs_transfer:
+                tally.changed = False
+                stream.send_soon(
+                    MeshEvidence(
+                        node=self._settings.listen.stream or '',
+                        incarnation=self._incarnation,
+                        rows=tally.rows,
+                    ),
+                )
+
+    async def _return_to_nearest(self, address: str) -> None:
+        """End the stream once a nearer control instance seems to be back."""
+        while True:
+            await asyncio.sleep(RETURN_S)
+            best = self._candidates()[0]
+            if best != address and self._is_nearer(best, address):
+                raise Stale('a nearer control instance is there')
+
+    def _is_nearer(self, stream: str, other: str) -> bool:
+        by_stream = {peer.stream: peer for peer in self._controls.values()}
+        return (
+            self._rank(stream, by_stream.get(stream))[:2]
+            < self._rank(other, by_stream.get(other))[:2]
+        )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -0,0 +1,238 @@
+"""Running calls at the target beside the node."""
+
+import asyncio
+import logging
+import time
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import Final
+
+from aiohttp.http_parser import RawResponseMessage
+from mustardspur_core.mesh.messages import CallOpen, TargetLoad
+from mustardspur_core.units import MS_PER_S, NS_PER_MS
+
+from mustardspur_node.mesh.calls import (
+    PlaceFault,
+    TargetAnswer,
+    maybe_run,
+    never_sent,
+)
+from mustardspur_node.mesh.gate import Gate
+from mustardspur_node.mesh.names import HeaderNames
+from mustardspur_node.mesh.reports import ReportBook, TargetReport, is_ready
+from mustardspur_node.mesh.tally import Tally
+from mustardspur_node.mesh.target_connection import (
+    BrokenAnswer,
+    RawAnswer,
+    TargetConnection,
+)
+from mustardspur_node.mesh.target_pool import TargetPool
+
+_LOG: Final = logging.getLogger(__name__)
+
+# A call with less time than this would be sent only to expire.
+MIN_SENT_MS: Final = 10.0
+# The target counts its time from the receipt; the answer has a way back.
+DEADLINE_MARGIN_MS: Final = 2.0
+
+HandedOver = Callable[[TargetLoad], None]
+
+
+class LocalTarget:
+    """The target beside the node, with its gate and connections.
+
+    Parameters
+    ----------
+    book : ReportBook
+        What the target says of itself.
+    names : HeaderNames
+        Names of the headers.
+    tally : Tally
+        Counts the outcomes.
+    """
+
+    __slots__ = ('_identity', '_names', '_pool', 'book', 'gate', 'tally')
+
+    def __init__(
+        self,
+        book: ReportBook,
+        names: HeaderNames,
+        tally: Tally,
+    ) -> None:
+        """Start without a target."""
+        self._names = names
+        self._pool = TargetPool(book.address)
+        self._identity: tuple[str, int] | None = None
+        self.book = book
+        self.gate = Gate()
+        self.tally = tally
+
+    def refresh(self) -> None:
+        """Follow a change of what the target says of itself."""
+        report = self.book.current
+        self.gate.open = is_ready(report)
+        if report is None:
+            return
+        if self._identity != (report.id, report.born):
+            self._identity = (report.id, report.born)
+            self._pool.close()
+            self._pool = TargetPool(report.address)
+            self.gate.reset()
+        self.gate.resize(report.slots)
+
+    def prune(self) -> None:
+        """Close connections that have been idle for too long."""
+        self._pool.prune()
+
+    async def run(self, call: CallOpen, handed_over: HandedOver) -> TargetAnswer:
+        """Run a call at the target.
+
+        Parameters
+        ----------
+        call : CallOpen
+            The call.
+        handed_over : callable
+            Called at the moment from which on the call may run.
+
+        Raises
+        ------
+        PlaceFault
+            If there is no usable answer.
+        """
+        received_s = _now()
+        report = self._checked(call)
+        async with self.gate.admitted(call.priority, call.patience_ms):
+            connection = await self._lend()
+            waited_ms = (_now() - received_s) * MS_PER_S
+            left_ms = call.deadline_ms - waited_ms - DEADLINE_MARGIN_MS
+            try:
+                # The target can leave while the call waits for a slot.
+                self._checked(call)
+                if left_ms < MIN_SENT_MS:
+                    raise never_sent('timeout', 'no time was left')
+            except PlaceFault:
+                self._pool.take_back(connection)
+                raise
+            handed_over(self.gate.load)
+            answer = await self._exchange(call, report, connection, left_ms)
+            self._pool.take_back(connection)
+        return self._target_answer(answer)
+
+    def _checked(self, call: CallOpen) -> TargetReport:
+        report = self.book.current
+        if report is None or report.id != call.target:
+            raise never_sent('moved', 'target is not here')
+        if report.service != call.service:
+            raise never_sent('moved', 'target is of another service')
+        if not is_ready(report):
+            raise never_sent('closed', 'target is leaving')
+        return report
+
+    async def _lend(self) -> TargetConnection:
+        try:
+            return await self._pool.lend()
+        except PlaceFault:
+            self.gate.close_for_a_while()
+            raise
+
+    async def _exchange(
+        self,
+        call: CallOpen,
+        report: TargetReport,
+        connection: TargetConnection,
+        left_ms: float,
+    ) -> RawAnswer:
+        started_ns = time.monotonic_ns()
+        request_id = _header(call, self._names.request_id)
+
+        def is_own(message: RawResponseMessage) -> bool:
+            echoed = message.headers.get(self._names.request_id)
+            return echoed is None or echoed == request_id
+
+        try:
+            async with asyncio.timeout(left_ms / MS_PER_S):
+                answer = await connection.exchange(
+                    call.method,
+                    self._head(call, report, left_ms),
+                    call.body,
+                    is_own,
+                )
+        except TimeoutError as error:
+            raise maybe_run('timeout', 'no answer in time') from error
+        except BrokenAnswer as error:
+            self._note(call, report, started_ns, failed=True)
+            raise maybe_run('broken', str(error)) from error
+        self._check_run(answer)
+        failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        self._note(call, report, started_ns, failed=failed)
+        return answer
+
+    def _check_run(self, answer: RawAnswer) -> None:
+        refused = answer.header(self._names.not_run) is not None
+        misdirected = answer.status == HTTPStatus.MISDIRECTED_REQUEST
+        if refused or misdirected:
+            raise PlaceFault(
+                'refused',
+                f'target answered {answer.status}',
+                not_run=True,
+                arrived=True,
+            )
+
+    def _note(
+        self,
+        call: CallOpen,
+        report: TargetReport,
+        started_ns: int,
+        *,
+        failed: bool,
+    ) -> None:
+        run_ms = (time.monotonic_ns() - started_ns) / NS_PER_MS
+        cold = self.book.is_cold
+        self.gate.note_run(run_ms, failed=failed)
+        self.tally.note(
+            (report.service, report.version, call.route),
+            run_ms,
+            failed=failed,
+            timed=not failed and not cold,
+        )
+
+    def _head(
+        self,
+        call: CallOpen,
+        report: TargetReport,
+        left_ms: float,
+    ) -> bytes:
+        lines = [f'{call.method} {call.path} HTTP/1.1']
+        lines.extend(f'{name}: {text}' for name, text in call.headers)
+        lines.append(f'{self._names.deadline_ms}: {int(left_ms)}')
+        lines.append(f'{self._names.expected_target}: {report.id}')
+        if call.body or call.method not in _BODYLESS_METHODS:
+            lines.append(f'content-length: {len(call.body)}')
+        lines.append('\r\n')
+        return '\r\n'.join(lines).encode('utf-8', 'surrogateescape')
+
+    def _target_answer(self, answer: RawAnswer) -> TargetAnswer:
+        return TargetAnswer(
+            status=answer.status,
+            reason=answer.reason,
+            headers=answer.headers,
+            body=answer.body,
+            load=self.gate.load,
+        )
+
+
+_BODYLESS_METHODS: Final = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
+
+RunCall = Callable[[CallOpen, HandedOver], Awaitable[TargetAnswer]]
+
+
+def _header(call: CallOpen, wanted: str) -> str:
+    lowered = wanted.lower()
+    for name, text in call.headers:
+        if name.lower() == lowered:
+            return text
+    return ''
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/names.py
@@ -0,0 +1,67 @@
+"""Names of the headers that a mesh's callers and targets use."""
+
+from typing import Final
+
+from mustardspur_core.record import Record
+
+
+class HeaderNames(Record):
+    """Header names, which an adapter to another platform replaces.
+
+    Parameters
+    ----------
+    request_id : str
+        Identifies a call; targets echo it.
+    deadline_ms : str
+        Milliseconds that the caller still waits.
+    expected_target : str
+        Identity of the target that is to run the call.
+    not_run : str
+        Present on a target's answer to a call that it did not run.
+    origin_service : str
+        Service on whose instance the call began.
+    retry_after : str
+        Seconds, possibly with a fraction, after which to come back.
+    """
+
+    __slots__ = (
+        'request_id',
+        'deadline_ms',
+        'expected_target',
+        'not_run',
+        'origin_service',
+        'retry_after',
+    )
+    request_id: str
+    deadline_ms: str
+    expected_target: str
+    not_run: str
+    origin_service: str
+    retry_after: str
+
+
+OWN_NAMES: Final = HeaderNames(
+    request_id='x-request-id',
+    deadline_ms='x-mustardspur-deadline-ms',
+    expected_target='x-mustardspur-target',
+    not_run='x-mustardspur-refused',
+    origin_service='x-mustardspur-origin',
+    retry_after='retry-after',
+)
+
+# Headers that concern one connection only.
+HOP_BY_HOP: Final = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-connection',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'expect',
+        'content-length',
+    ),
+)
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/reports.py
@@ -0,0 +1,152 @@
+"""What the target beside the node says of itself."""
+
+import asyncio
+import logging
+from typing import Final
+
+from mustardspur_core.mesh.model import TargetState
+from mustardspur_core.record import Record
+
+_LOG: Final = logging.getLogger(__name__)
+
+# Identities that left are remembered, since a late report of one of them
+# must not bring it back.
+MAX_LEFT: Final = 256
+
+
+class TargetReport(Record):
+    """An announcement of a target.
+
+    Parameters
+    ----------
+    born : int
+        Wall clock of the target's start in milliseconds; an identity that is
+        used again starts anew with a higher one.
+    sequence : int
+        Number of the announcement since the start.
+    """
+
+    __slots__ = (
+        'id',
+        'service',
+        'version',
+        'address',
+        'slots',
+        'state',
+        'cold_ms',
+        'sequence',
+        'born',
+    )
+    id: str
+    service: str
+    version: str
+    address: str
+    slots: int
+    state: str
+    cold_ms: float
+    sequence: int
+    born: int
+
+
+class ReportBook:
+    """The newest report of the target beside the node.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of the target by the settings.
+    """
+
+    __slots__ = ('_left', 'address', 'changed', 'cold_until_s', 'current')
+
+    def __init__(self, address: str) -> None:
+        """Start without a target."""
+        self.address = address
+        self.current: TargetReport | None = None
+        self.cold_until_s = 0.0
+        self.changed = asyncio.Event()
+        self._left: dict[str, int] = {}
+
+    @property
+    def is_cold(self) -> bool:
+        """Whether the target is still slow after its start."""
+        return asyncio.get_running_loop().time() < self.cold_until_s
+
+    def take(self, report: TargetReport) -> bool:
+        """Take a report over if it is newer than what is known.
+
+        Returns
+        -------
+        bool
+            Whether it changed what the node believes.
+        """
+        refusal = self._refusal(report)
+        if refusal:
+            _LOG.info(
+                'report not used',
+                extra={'target': report.id, 'reason': refusal},
+            )
+            return False
+        known = self.current
+        self.current = report
+        loop_s = asyncio.get_running_loop().time()
+        self.cold_until_s = loop_s + report.cold_ms / 1000
+        if known is not None and _same_row(known, report):
+            return False
+        _LOG.info(
+            'target changed',
+            extra={
+                'target': report.id,
+                'service': report.service,
+                'version': report.version,
+                'state': report.state,
+                'sequence': report.sequence,
+            },
+        )
+        self.changed.set()
+        return True
+
+    def leave(self, target_id: str) -> bool:
+        """Drop the target if it has this identity."""
+        known = self.current
+        born = known.born if known and known.id == target_id else 0
+        self._left[target_id] = max(self._left.get(target_id, 0), born)
+        while len(self._left) > MAX_LEFT:
+            self._left.pop(next(iter(self._left)))
+        if known is None or known.id != target_id:
+            return False
+        self.current = None
+        _LOG.info('target left', extra={'target': target_id})
+        self.changed.set()
+        return True
+
+    def _refusal(self, report: TargetReport) -> str:
+        if report.address.rpartition(':')[0] != self.address.rpartition(':')[0]:
+            return f'address {report.address} is on another instance'
+        if report.born <= self._left.get(report.id, -1):
+            return 'the target has left'
+        known = self.current
+        if known is None:
+            return ''
+        if (report.born, report.sequence) < (known.born, known.sequence):
+            return 'a newer report is known'
+        if report.born == known.born and report.id != known.id:
+            return f'{known.id} was born at the same moment'
+        return ''
+
+
+def _same_row(known: TargetReport, report: TargetReport) -> bool:
+    return (
+        known.id == report.id
+        and known.service == report.service
+        and known.version == report.version
+        and known.state == report.state
+        and known.slots == report.slots
+        and known.address == report.address
+        and known.born == report.born
+    )
+
+
+def is_ready(report: TargetReport | None) -> bool:
+    """Whether a target takes new calls."""
+    return report is not None and report.state == TargetState.READY
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_pool.py
@@ -0,0 +1,93 @@
+"""The few warm connections to the target beside the node."""
+
+import asyncio
+from typing import Final
+
+from mustardspur_node.mesh.calls import never_sent
+from mustardspur_node.mesh.target_connection import TargetConnection
+
+# The target is on the same instance; one that needs longer is overloaded.
+CONNECT_TIMEOUT_S: Final = 1.0
+
+
+class TargetPool:
+    """Connections to a target, the most recently used one first.
+
+    Explanation
+    ===========
+
+    A new connection costs the target a moment of a slot and counts against
+    the connections that it takes, so as few as possible stay warm.
+    """
+
+    __slots__ = ('_address', '_idle', '_loop')
+
+    def __init__(self, address: str) -> None:
+        """Open nothing yet."""
+        self._address = address
+        self._idle: list[TargetConnection] = []
+        self._loop = asyncio.get_running_loop()
+
+    async def lend(self) -> TargetConnection:
+        """Return a connection without a request.
+
+        Raises
+        ------
+        PlaceFault
+            If the target takes no connection; nothing was sent.
+        """
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_fresh:
+                return connection
+            connection.abort()
+        return await self._connect()
+
+    def take_back(self, connection: TargetConnection) -> None:
+        """Keep a connection after its answer if it can be used again."""
+        if connection.is_fresh:
+            self._idle.append(connection)
+
+    def prune(self) -> None:
+        """Close connections that have been idle for too long."""
+        for connection in self._idle:
+            if not connection.is_fresh:
+                connection.abort()
+        self._idle = [each for each in self._idle if each.is_fresh]
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            self._idle.pop().abort()
+
+    async def _connect(self) -> TargetConnection:
+        host, _, port = self._address.rpartition(':')
+        creation = self._loop.create_task(self._create(host, int(port)))
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                return await asyncio.shield(creation)
+        except (OSError, TimeoutError) as error:
+            _abort_later(creation)
+            raise never_sent('unreachable', repr(error)) from error
+        except asyncio.CancelledError:
+            # uvloop can lose track of a descriptor when a connect is
+            # cancelled, so the connect is completed and then dropped.
+            _abort_later(creation)
+            raise
+
+    async def _create(self, host: str, port: int) -> TargetConnection:
+        _, connection = await self._loop.create_connection(
+            lambda: TargetConnection(self._loop),
+            host,
+            port,
+        )
+        connection.idle_since_s = self._loop.time()
+        return connection
+
+
+def _abort_later(creation: asyncio.Task[TargetConnection]) -> None:
+    def drop(done: asyncio.Task[TargetConnection]) -> None:
+        if not done.cancelled() and done.exception() is None:
+            done.result().abort()
+
+    creation.add_done_callback(drop)
--- a/tests/agreement/cluster.py
+++ b/tests/agreement/cluster.py
@@ -20,7 +20,6 @@
 from tests.agreement.fake_network import FakeChannel, FakeNetwork
 from tests.support.virtual_time import VirtualLoop
 
-
 # In virtual time; ends a test that waits for something that never comes.
 HANG_S = 300
 Details = dict[str, Any]
--- a/tests/agreement/test_records.py
+++ b/tests/agreement/test_records.py
@@ -1,9 +1,9 @@
 """Guards against a damaged file being read as a whole one."""
 
 import pytest
-from mustardspur_agreement.records import FileState, scan, seal
 from hypothesis import given
 from hypothesis import strategies as st
+from mustardspur_agreement.records import FileState, scan, seal
 
 FIRST = seal(b'first entry')
 SECOND = seal(b'second entry, longer \0\0')
--- a/tests/control/store/test_replicas.py
+++ b/tests/control/store/test_replicas.py
@@ -14,9 +14,9 @@
 from mustardspur_core.wire import encode_frame
 
 from tests.control.builders import (
+    MOVE_ENTRIES,
     NOW_S,
     SERVICE,
-    MOVE_ENTRIES,
     apply_all,
     follow,
     order,
--- a/tests/node/calls/test_channels.py
+++ b/tests/node/calls/test_channels.py
@@ -6,9 +6,9 @@
 import pytest
 from aiohttp import TCPConnector
 from multidict import CIMultiDict
+from mustardspur_node.calls.channels import Channel
 
 from tests.node.stand_ins.mesh import HANG_S
-from mustardspur_node.calls.channels import Channel
 
 
 class PendingConnects:
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -1,7 +1,7 @@
 """A control instance and a node without the parts of other packages."""
 
-from mustardspur_control.control_stream import ControlStreams
 from mustardspur_control.hub import Hub
+from mustardspur_control.node_stream import node_streams
 from mustardspur_control.registry import Registry
 from mustardspur_core.settings import Settings
 from mustardspur_node.announcements import Announcements
@@ -39,7 +39,7 @@
             QUIET,
             self.metrics,
         )
-        self.streams = ControlStreams(self.hub)
+        self.streams = node_streams(self.hub)
 
 
 class Node:
