--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 PACKAGES := $(sort $(wildcard packages/*))
-SOURCES := packages tests demo benchmarks
+SOURCES := packages platform tests demo benchmarks
 STAMP := $(VENV)/.installed
 
 .DEFAULT_GOAL := help
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/log.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/log.py
@@ -5,13 +5,13 @@
 
 from mustardspur_agreement.context import Context
 from mustardspur_agreement.entries import MAX_ENTRY_BYTES, EntryKind
+from mustardspur_agreement.log_state import LogState
 from mustardspur_agreement.messages import PeerGreeting
 from mustardspur_agreement.parts import Parts
 from mustardspur_agreement.ports import Channel, Committed, ProposalError
-from mustardspur_agreement.voting import hears_leader
 
 
-class ReplicatedLog:
+class ReplicatedLog(LogState):
     """The replicated log; implements the `CommittedLog` protocol.
 
     Explanation
@@ -30,57 +30,12 @@
     running_log : opens the log in the data folder and runs it.
     """
 
-    __slots__ = ('_parts', '_replica')
+    __slots__ = ('_parts',)
 
     def __init__(self, context: Context) -> None:
         """Load the files."""
         self._parts = Parts(context)
-        self._replica = self._parts.replica
-
-    @property
-    def is_leader(self) -> bool:
-        """Whether this instance leads the current term."""
-        return self._replica.leadership is not None
-
-    @property
-    def leader(self) -> str | None:
-        """Identifier of the current leader, if known."""
-        return self._replica.leader
-
-    @property
-    def term(self) -> int:
-        """Current term."""
-        return self._replica.ballot.term
-
-    @property
-    def commit_index(self) -> int:
-        """Highest committed index that this instance knows of."""
-        return self._replica.commit_index
-
-    @property
-    def applied_index(self) -> int:
-        """Highest index that was applied here."""
-        return self._replica.applied_index
-
-    @property
-    def is_trusted(self) -> bool:
-        """Whether this instance may vote; False from damage to refill."""
-        return self._replica.ballot.trusted
-
-    @property
-    def voters(self) -> list[str]:
-        """Identifiers of the voters, sorted."""
-        return sorted(self._replica.membership.voters_by_id)
-
-    @property
-    def voter_peers(self) -> dict[str, Peer]:
-        """Addresses of the voters by identifier."""
-        return dict(self._replica.membership.voters_by_id)
-
-    @property
-    def is_current(self) -> bool:
-        """Whether a leader that a quorum follows is heard here."""
-        return hears_leader(self._replica)
+        super().__init__(self._parts.replica)
 
     async def propose(self, entry: bytes) -> Result[Committed, ProposalError]:
         """Commit an entry on a quorum and apply it.
--- /dev/null
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/log_state.py
@@ -0,0 +1,67 @@
+"""What an instance's copy of the log tells of itself."""
+
+from mustardspur_core.settings import Peer
+
+from mustardspur_agreement.replica import Replica
+from mustardspur_agreement.voting import hears_leader
+
+
+class LogState:
+    """Read-only view of an instance's copy of the log.
+
+    Parameters
+    ----------
+    replica : Replica
+        The copy of the log.
+    """
+
+    __slots__ = ('_replica',)
+
+    def __init__(self, replica: Replica) -> None:
+        """View a copy."""
+        self._replica = replica
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this instance leads the current term."""
+        return self._replica.leadership is not None
+
+    @property
+    def leader(self) -> str | None:
+        """Identifier of the current leader, if known."""
+        return self._replica.leader
+
+    @property
+    def term(self) -> int:
+        """Current term."""
+        return self._replica.ballot.term
+
+    @property
+    def commit_index(self) -> int:
+        """Highest committed index that this instance knows of."""
+        return self._replica.commit_index
+
+    @property
+    def applied_index(self) -> int:
+        """Highest index that was applied here."""
+        return self._replica.applied_index
+
+    @property
+    def is_trusted(self) -> bool:
+        """Whether this instance may vote; False from damage to refill."""
+        return self._replica.ballot.trusted
+
+    @property
+    def voters(self) -> list[str]:
+        """Identifiers of the voters, sorted."""
+        return sorted(self._replica.membership.voters_by_id)
+
+    @property
+    def voter_peers(self) -> dict[str, Peer]:
+        """Addresses of the voters by identifier."""
+        return dict(self._replica.membership.voters_by_id)
+
+    @property
+    def is_current(self) -> bool:
+        """Whether a leader that a quorum follows is heard here."""
+        return hears_leader(self._replica)
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/voters.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/voters.py
@@ -1,7 +1,7 @@
 """Changes of the voters, one at a time."""
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
 
 from expression import Error, Ok, Result
 from mustardspur_core.record import replaced
@@ -111,9 +111,8 @@
         peer: Peer,
     ) -> Result[None, ProposalError]:
         replica = self._replica
-        leadership.learners_by_id[peer.id] = peer
-        replica.changed.notify()
-        try:
+        with _learning(leadership, peer):
+            replica.changed.notify()
             caught_up = await replica.changed.wait_until(
                 lambda: (
                     replica.leadership is not leadership
@@ -121,8 +120,6 @@
                 ),
                 replica.election_s * _CATCH_UP_ELECTIONS,
             )
-        finally:
-            leadership.learners_by_id.pop(peer.id, None)
         if replica.leadership is not leadership:
             return Error(self._error('not_leader', 'leadership was lost'))
         if caught_up:
@@ -139,6 +136,16 @@
         return self._replica.error(kind, detail)
 
 
+@contextmanager
+def _learning(leadership: Leadership, peer: Peer) -> Iterator[None]:
+    """Send a peer the log for the length of a block."""
+    leadership.learners_by_id[peer.id] = peer
+    try:
+        yield
+    finally:
+        leadership.learners_by_id.pop(peer.id, None)
+
+
 def _is_caught_up(
     leadership: Leadership,
     replica: Replica,
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/evidence.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/evidence.py
@@ -15,7 +15,8 @@
 Counts = tuple[int, int, int, float]
 Key = tuple[str, str]
 Totals = dict[Key, Counts]
-ZERO: Final[Counts] = (0, 0, 0, 0.0)
+_History = deque[tuple[float, Totals]]
+ZERO: Final[Counts] = (0, 0, 0, 0)
 
 
 class EvidenceBook:
@@ -27,7 +28,7 @@
         """Start without counts."""
         self._by_node: dict[str, MeshEvidence] = {}
         self._ended: list[MeshEvidence] = []
-        self._history: dict[str, deque[tuple[float, Totals]]] = {}
+        self._history: dict[str, _History] = {}
 
     def take(self, evidence: MeshEvidence) -> None:
         """Replace the counts of a node; those before a restart stay."""
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/exchange.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/exchange.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import logging
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Final
 
 from mustardspur_core.mesh.messages import (
@@ -92,17 +94,12 @@
         """Take what another instance sends until its stream ends."""
         peer = hello.sender
         self._members.note(peer)
-        try:
+        with self._reported_by(peer):
             await run_until_first_end(
                 self._receive(stream, peer),
                 self._answer_beats(stream),
                 end_on_silence(stream, self._settings.intervals.silence_s),
             )
-        finally:
-            self._registry.drop_later(
-                peer.id,
-                lambda: self._members.is_live(peer.id),
-            )
 
     def send_evidence(self, leader: str, evidence: MeshEvidence) -> None:
         """Pass the counts of an attached node on to the leader."""
@@ -110,6 +107,17 @@
         if link is not None:
             link.send(evidence)
 
+    @contextmanager
+    def _reported_by(self, peer: Peer) -> Iterator[None]:
+        """Let the rows of a peer go some time after its stream."""
+        try:
+            yield
+        finally:
+            self._registry.drop_later(
+                peer.id,
+                lambda: self._members.is_live(peer.id),
+            )
+
     async def _receive(self, stream: FrameStream, peer: Peer) -> None:
         while True:
             body = (await stream.receive()).body
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/formation.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/formation.py
@@ -8,6 +8,8 @@
 
 import json
 import os
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Final
 
@@ -88,8 +90,14 @@
         output.flush()
         os.fsync(output.fileno())
     temporary.rename(folder / _FILE_NAME)
+    with _opened(folder) as descriptor:
+        os.fsync(descriptor)
+
+
+@contextmanager
+def _opened(folder: Path) -> Iterator[int]:
     descriptor = os.open(folder, os.O_RDONLY)
     try:
-        os.fsync(descriptor)
+        yield descriptor
     finally:
         os.close(descriptor)
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/instance.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/instance.py
@@ -7,20 +7,15 @@
 from mustardspur_core.mesh.messages import ControlHello, MeshHello
 from mustardspur_core.metrics import Metrics
 from mustardspur_core.settings import MeshSettings, Settings
-from mustardspur_core.tasks import background
 from mustardspur_core.timeline import Timeline
 
 from mustardspur_control.control_stream import ControlStreams
-from mustardspur_control.mesh.evidence import EvidenceBook
-from mustardspur_control.mesh.exchange import Exchange
 from mustardspur_control.mesh.formation import formed_settings
 from mustardspur_control.mesh.machines import MeshMachine
 from mustardspur_control.mesh.members import Members
-from mustardspur_control.mesh.node_feed import NodeFeeds
 from mustardspur_control.mesh.operations import MeshOperations
-from mustardspur_control.mesh.registry import MeshRegistry
+from mustardspur_control.mesh.parts import MeshParts
 from mustardspur_control.mesh.store import MeshStore
-from mustardspur_control.mesh.transfers import TransferDriver
 from mustardspur_control.serving import serving_streams
 from mustardspur_control.store import Store
 
@@ -76,26 +71,11 @@
         log = await stack.enter_async_context(
             running_log(settings, machine, timeline, metrics),
         )
-        registry = MeshRegistry()
-        evidence = EvidenceBook()
-        members = Members(settings, mesh, log)
-        exchange = Exchange(settings, members, registry, evidence)
-        feeds = NodeFeeds(
-            settings,
-            log,
-            store,
-            registry,
-            members,
-            exchange,
-            evidence,
-        )
-        driver = TransferDriver(log, store, registry, evidence)
+        parts = MeshParts(settings, mesh, log, store)
         streams = ControlStreams(settings, timeline, metrics)
         streams.add(PeerGreeting, log.serve)
-        streams.add(ControlHello, exchange.serve)
-        streams.add(MeshHello, feeds.serve)
+        streams.add(ControlHello, parts.exchange.serve)
+        streams.add(MeshHello, parts.feeds.serve)
         await stack.enter_async_context(serving_streams(settings, streams))
-        await stack.enter_async_context(
-            background(members.run(), exchange.run(), driver.run()),
-        )
-        yield MeshControl(MeshOperations(log, store), members)
+        await stack.enter_async_context(parts.running())
+        yield MeshControl(MeshOperations(log, store), parts.members)
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/members.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/members.py
@@ -63,7 +63,9 @@
     @property
     def controls(self) -> list[Peer]:
         """Instances that nodes may attach to: this one and live others."""
-        live = [peer for peer in self._learned.values() if self.is_live(peer.id)]
+        live = [
+            peer for peer in self._learned.values() if self.is_live(peer.id)
+        ]
         return [own_peer(self._settings), *live]
 
     def replace_seeds(self, seeds: list[str]) -> None:
@@ -97,14 +99,17 @@
 
     async def _keep_voters(self, since_s: float) -> None:
         voters = self._log.voter_peers
-        for peer in self._candidates(voters):
-            await self._add(peer)
-            return
-        for voter in voters:
-            silent_s = self.silent_s(voter, since_s)
-            if voter != self._settings.id and silent_s > REMOVE_AFTER_S:
-                await self._remove(voter, len(voters))
-                return
+        candidates = self._candidates(voters)
+        gone = [
+            voter
+            for voter in voters
+            if voter != self._settings.id
+            and self.silent_s(voter, since_s) > REMOVE_AFTER_S
+        ]
+        if candidates:
+            await self._add(candidates[0])
+        elif gone:
+            await self._remove(gone[0], len(voters))
 
     def _candidates(self, voters: dict[str, Peer]) -> list[Peer]:
         live = [peer for peer in self.controls if voters.get(peer.id) != peer]
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import logging
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Final
 
 from mustardspur_agreement import ReplicatedLog
@@ -94,15 +96,23 @@
     async def serve(self, stream: FrameStream, hello: MeshHello) -> None:
         """Serve a node until its stream ends."""
         feed = NodeFeed(self, stream, hello)
+        with self._attached(feed):
+            await feed.run()
+
+    @contextmanager
+    def _attached(self, feed: 'NodeFeed') -> Iterator[None]:
         self.feeds.add(feed)
-        _LOG.info('node attached', extra={'node': hello.node})
+        _LOG.info('node attached', extra={'node': feed.node})
         try:
-            await feed.run()
+            yield
         finally:
-            self.feeds.discard(feed)
-            if not self._is_attached(hello.node):
-                self.registry.remove(OWN, hello.node)
-            _LOG.info('node detached', extra={'node': hello.node})
+            self._detach(feed)
+
+    def _detach(self, feed: 'NodeFeed') -> None:
+        self.feeds.discard(feed)
+        if not self._is_attached(feed.node):
+            self.registry.remove(OWN, feed.node)
+        _LOG.info('node detached', extra={'node': feed.node})
 
     def _is_attached(self, node: str) -> bool:
         return any(feed.node == node for feed in self.feeds)
@@ -251,4 +261,3 @@
                 controls=self._shared.members.controls,
             ),
         )
-
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/registry.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/registry.py
@@ -61,17 +61,26 @@
     def drop_later(self, source: str, has_returned: Callable[[], bool]) -> None:
         """Drop the rows of a source that is gone, unless it returns."""
 
-        def drop() -> None:
-            if not has_returned():
-                for node in self.rows_of(source):
-                    self.remove(source, node)
-
-        asyncio.get_running_loop().call_later(SOURCE_LINGER_S, drop)
+        asyncio.get_running_loop().call_later(
+            SOURCE_LINGER_S,
+            self._drop_unless,
+            source,
+            has_returned,
+        )
 
     def on_change(self, callback: Callable[[str], None]) -> None:
         """Call back with a node's stream after each change of its row."""
         self._callbacks.append(callback)
 
+    def _drop_unless(
+        self,
+        source: str,
+        has_returned: Callable[[], bool],
+    ) -> None:
+        if not has_returned():
+            for node in self.rows_of(source):
+                self.remove(source, node)
+
     def _choose(self, node: str) -> None:
         rows = [
             by_node[node]
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/schedule.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/schedule.py
@@ -7,11 +7,11 @@
 # of the steps after it.
 FIRST_SHARE: Final = 0.05
 # Faults that show only some seconds after a start are waited for.
-FIRST_STEP_END: Final = 0.40
+FIRST_STEP_END: Final = 0.4
 # Shares by the part of the time after which they hold.
 STEPS: Final = (
     (FIRST_STEP_END, 0.15),
-    (0.47, 0.30),
+    (0.47, 0.3),
     (0.54, 0.55),
     (0.61, 1.0),
 )
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/store.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/store.py
@@ -192,8 +192,8 @@
         from_version=state.base_versions.get(entry.service, ''),
         duration_ms=entry.duration_ms,
         state=TransferState.RUNNING.value,
-        share=0.0,
-        elapsed_ms=0.0,
+        share=0,
+        elapsed_ms=0,
         step=0,
     )
     state.started_at[entry.service] = entry.at_s
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Sequence
 from typing import Final
 
 from mustardspur_agreement import ReplicatedLog
@@ -66,8 +67,12 @@
             await asyncio.sleep(CHECK_S)
             if self._log.is_leader:
                 await self._record_base_versions()
-                for transfer in list(self._store.state.transfers.values()):
-                    await self._step(transfer)
+                await asyncio.gather(
+                    *(
+                        self._step(transfer)
+                        for transfer in self._store.state.transfers.values()
+                    ),
+                )
             else:
                 self._clocks.clear()
 
@@ -78,14 +83,26 @@
             if row.id and row.service not in known:
                 versions = versions_by_service.setdefault(row.service, set())
                 versions.add(row.version)
-        for service, versions in versions_by_service.items():
-            transfer = self._store.state.transfers.get(service)
-            if transfer is not None:
-                versions.discard(transfer.version)
-            if len(versions) == 1:
-                await self._propose(
-                    SetBaseVersion(service=service, version=versions.pop()),
-                )
+        entries = [
+            self._base_version(service, versions)
+            for service, versions in versions_by_service.items()
+        ]
+        await self._propose_all([each for each in entries if each])
+
+    def _base_version(
+        self,
+        service: str,
+        versions: set[str],
+    ) -> SetBaseVersion | None:
+        transfer = self._store.state.transfers.get(service)
+        if transfer is not None:
+            versions.discard(transfer.version)
+        if len(versions) != 1:
+            return None
+        return SetBaseVersion(service=service, version=versions.pop())
+
+    async def _propose_all(self, entries: Sequence[Record]) -> None:
+        await asyncio.gather(*(self._propose(entry) for entry in entries))
 
     async def _step(self, transfer: Transfer) -> None:
         if transfer.state != TransferState.RUNNING:
@@ -117,10 +134,12 @@
         verdict = self._verdict(transfer)
         if verdict.bad:
             _log_decision(transfer, 'rolled back', verdict, progress)
-            return TransferState.ROLLED_BACK.value, 0.0
+            return TransferState.ROLLED_BACK.value, 0
         if progress >= 1:
-            _log_decision(transfer, 'rolled back at its time', verdict, progress)
-            return TransferState.ROLLED_BACK.value, 0.0
+            _log_decision(
+                transfer, 'rolled back at its time', verdict, progress
+            )
+            return TransferState.ROLLED_BACK.value, 0
         if progress >= COMPLETE_AT and transfer.share >= 1:
             _log_decision(transfer, 'completed', verdict, progress)
             return TransferState.COMPLETED.value, 1.0
@@ -149,7 +168,7 @@
         new = self._ready_slots(transfer, new=True)
         old = self._ready_slots(transfer, new=False)
         if not new:
-            return 0.0
+            return 0
         return min(1.0, new / max(old, 1))
 
     def _ready_slots(self, transfer: Transfer, *, new: bool) -> int:
@@ -167,7 +186,7 @@
         not know when that was.
         """
         now_s = asyncio.get_running_loop().time()
-        version, began_s = self._clocks.get(transfer.service, ('', 0.0))
+        version, began_s = self._clocks.get(transfer.service, ('', 0))
         if version != transfer.version:
             began_s = now_s - transfer.elapsed_ms / MS_PER_S
             self._clocks[transfer.service] = (transfer.version, began_s)
--- a/packages/mustardspur_core/src/mustardspur_core/durations.py
+++ b/packages/mustardspur_core/src/mustardspur_core/durations.py
@@ -40,7 +40,8 @@
 
 def format_ms(duration_ms: float) -> str:
     """Return a duration with its unit, whole milliseconds without a dot."""
-    return f'{duration_ms:g}ms'
+    number = format(duration_ms, 'g')
+    return f'{number}ms'
 
 
 def _number(text: str, digits: str) -> float:
--- a/packages/mustardspur_core/src/mustardspur_core/exposition.py
+++ b/packages/mustardspur_core/src/mustardspur_core/exposition.py
@@ -42,10 +42,14 @@
         """Add a duration in milliseconds to a histogram."""
         buckets = self._buckets.get(stat)
         if buckets is None:
-            buckets = [0] * (len(BUCKETS_MS) + 1)
+            buckets = [0 for _ in (*BUCKETS_MS, None)]
             self._buckets[stat] = buckets
         buckets[bisect_left(BUCKETS_MS, delta)] += 1
-        self._sums[stat] = self._sums.get(stat, 0.0) + delta
+        self._sums[stat] = self._sums.get(stat, 0) + delta
+
+    async def answer(self, _: web.Request) -> web.Response:
+        """Answer a reader with all figures."""
+        return web.Response(text=self.text())
 
     def text(self) -> str:
         """Return all figures, a line each."""
@@ -69,11 +73,8 @@
         yield
         return
 
-    async def answer(_: web.Request) -> web.Response:
-        return web.Response(text=exposition.text())
-
     app = web.Application()
-    app.router.add_get('/metrics', answer)
+    app.router.add_get('/metrics', exposition.answer)
     runner = web.AppRunner(app, access_log=None)
     await runner.setup()
     host, _, port = address.rpartition(':')
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/model.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/model.py
@@ -1,6 +1,7 @@
 """Routing table, targets and transfers of a mesh."""
 
 from enum import StrEnum
+from typing import Final
 
 from mustardspur_core.record import Record
 
@@ -88,6 +89,19 @@
     idle_timeout_ms: float
 
 
+# Bounds for callers of a node that has no table yet.
+_HEADER_BYTES: Final = 16_384
+_BODY_BYTES: Final = 67_108_864
+_HEADER_TIMEOUT_MS: Final = 3000
+_IDLE_TIMEOUT_MS: Final = 15_000
+DEFAULT_LIMITS: Final = CallerLimits(
+    header_bytes=_HEADER_BYTES,
+    body_bytes=_BODY_BYTES,
+    header_timeout_ms=_HEADER_TIMEOUT_MS,
+    idle_timeout_ms=_IDLE_TIMEOUT_MS,
+)
+
+
 class RoutingTable(Record):
     """All routes and services, agreed as one document with one number."""
 
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/packing.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/packing.py
@@ -13,9 +13,9 @@
     ServiceRule,
 )
 from mustardspur_core.record import Record
-from mustardspur_core.units import BYTES_PER_MIB
 
-MAX_UNPACKED_BYTES: Final = 64 * BYTES_PER_MIB
+# A table of some hundred thousand routes.
+MAX_UNPACKED_BYTES: Final = 67_108_864
 
 Rows = dict[str, Any]
 
@@ -124,11 +124,15 @@
     DecodeError
         If a row does not fit its class.
     """
-    routes = dict(table.routes) if table and delta.base_index else {}
-    for name in delta.removed:
-        routes.pop(name, None)
-    for changed, row in delta.routes.items():
-        routes[changed] = decode_row(MeshRoute, row)
+    held = table.routes if table and delta.base_index else {}
+    removed = set(delta.removed)
+    routes = {
+        name: route for name, route in held.items() if name not in removed
+    }
+    changed = {
+        name: decode_row(MeshRoute, row) for name, row in delta.routes.items()
+    }
+    routes.update(changed)
     return RoutingTable(
         number=delta.number,
         routes=routes,
--- a/packages/mustardspur_core/src/mustardspur_core/settings/loading.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/loading.py
@@ -41,7 +41,7 @@
         'rollback',
     ),
 )
-_DEFAULT_MESH: Final = MappingProxyType(
+_DEFAULT_MESH: Final[Mapping[str, Any]] = MappingProxyType(
     {
         'seeds': [],
         'first_start': False,
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_log.py
@@ -0,0 +1,96 @@
+"""Log lines and counts of what happens to calls."""
+
+from http import HTTPStatus
+
+from mustardspur_core.mesh.model import MeshTarget
+from mustardspur_core.metrics import Metrics
+
+from mustardspur_node.mesh.calls import PlaceFault, TargetAnswer
+from mustardspur_node.mesh.decisions import DecisionLog
+from mustardspur_node.mesh.journey import Journey
+from mustardspur_node.mesh.view import MeshView
+
+
+class CallLog:
+    """Explains each refused, repeated or failed call and a sample of others.
+
+    Parameters
+    ----------
+    view : MeshView
+        The table that the calls are routed by.
+    metrics : Metrics
+        Receives the counts.
+    """
+
+    __slots__ = ('_metrics', '_view', 'decisions')
+
+    def __init__(self, view: MeshView, metrics: Metrics) -> None:
+        """Start without lines."""
+        self._view = view
+        self._metrics = metrics
+        self.decisions = DecisionLog()
+
+    def note_fault(
+        self,
+        journey: Journey,
+        target: MeshTarget,
+        fault: PlaceFault,
+    ) -> None:
+        """Note that a target gave no answer."""
+        self._metrics.incr(f'calls.fault.{fault.kind}')
+        self.decisions.note(
+            'target gave no answer',
+            request=journey.call.request_id,
+            route=journey.call.route.name,
+            target=target.id,
+            node=target.node,
+            kind=fault.kind,
+            not_run=fault.not_run,
+            detail=fault.detail,
+            left_ms=round(journey.left_ms()),
+            table_index=self._view.table_index,
+        )
+
+    def note_end(
+        self,
+        journey: Journey,
+        status: HTTPStatus,
+        reason: str,
+    ) -> None:
+        """Note that a call ends without a target's answer."""
+        self._metrics.incr(f'calls.ended.{status.value}')
+        self.decisions.note(
+            'call ended without an answer',
+            request=journey.call.request_id,
+            route=journey.call.route.name,
+            service=journey.service,
+            status=status.value,
+            reason=reason,
+            placements=journey.placements,
+            arrivals=journey.arrivals,
+            left_ms=round(journey.left_ms()),
+            held_ms=round(journey.held_ms()),
+            table_index=self._view.table_index,
+        )
+
+    def note_answer(
+        self,
+        journey: Journey,
+        target: MeshTarget,
+        answer: TargetAnswer,
+    ) -> None:
+        """Note a target's answer, if it failed or is of the sample."""
+        failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        write = self.decisions.note if failed else self.decisions.sample
+        write(
+            'target failed a call' if failed else 'call answered',
+            request=journey.call.request_id,
+            route=journey.call.route.name,
+            target=target.id,
+            node=target.node,
+            status=answer.status,
+            placements=journey.placements,
+            arrivals=journey.arrivals,
+            held_ms=round(journey.held_ms()),
+            table_index=self._view.table_index,
+        )
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -2,7 +2,8 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from functools import partial
 from http import HTTPStatus
 from typing import Any, Final
 
@@ -18,6 +19,7 @@
     encode_answer,
     own_answer,
 )
+from mustardspur_node.mesh.caller_timers import CallerTimers
 
 READ_BUFFER_BYTES: Final = 65_536
 MAX_HEADERS: Final = 256
@@ -31,7 +33,10 @@
 
 _Message = tuple[RawRequestMessage, StreamReader]
 ReadBody = Callable[[], Awaitable[bytes]]
-Answer = Callable[[RawRequestMessage, ReadBody], Awaitable[CallerAnswer]]
+Answer = Callable[
+    [RawRequestMessage, ReadBody],
+    Coroutine[Any, Any, CallerAnswer],
+]
 
 
 class BodyFault(Exception):
@@ -47,18 +52,18 @@
 class _Pending:
     """A request whose answer has not gone out."""
 
-    __slots__ = ('keeps', 'method', 'task')
+    __slots__ = ('answer', 'keeps', 'method')
 
     def __init__(
         self,
         method: str,
-        task: 'asyncio.Task[CallerAnswer]',
+        answer: 'asyncio.Future[CallerAnswer]',
         *,
         keeps: bool,
     ) -> None:
         self.method = method
         self.keeps = keeps
-        self.task = task
+        self.answer = answer
 
 
 class CallerConnection(BaseProtocol):
@@ -78,10 +83,9 @@
         '_answer',
         '_closing',
         '_ended',
-        '_head_timer',
-        '_idle_timer',
         '_limits',
         '_pending',
+        '_timers',
         '_wake',
         '_writer',
     )
@@ -102,8 +106,15 @@
         self._wake = asyncio.Event()
         self._ended = False
         self._writer: asyncio.Task[None] | None = None
-        self._head_timer: asyncio.TimerHandle | None = None
-        self._idle_timer: asyncio.TimerHandle | None = None
+        self._timers = CallerTimers(
+            limits,
+            partial(
+                self._refuse_with,
+                HTTPStatus.REQUEST_TIMEOUT,
+                'request head did not arrive in time',
+            ),
+            self.close_idle,
+        )
         self._parser: Any = HttpRequestParser(
             self,
             loop,
@@ -124,7 +135,7 @@
         """Start to answer."""
         super().connection_made(transport)
         self._writer = self._loop.create_task(self._write_answers())
-        self._restart_idle_timer()
+        self._timers.restart_idle()
 
     def data_received(self, received: bytes) -> None:
         """Start to work on the requests that are complete up to the body."""
@@ -137,7 +148,8 @@
             return
         for message, payload in messages:
             self._start(message, payload)
-        self._watch_head(started=bool(received), complete=bool(messages))
+        if received and not messages and not self._pending:
+            self._timers.start_head()
 
     def eof_received(self) -> bool:
         """Take the end of a caller's side for its leaving."""
@@ -146,9 +158,9 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel everything, as nobody waits for the answers."""
         self._ended = True
-        self._cancel_timers()
+        self._timers.cancel()
         for pending in self._pending:
-            pending.task.cancel()
+            pending.answer.cancel()
         if self._writer is not None:
             self._writer.cancel()
         super().connection_lost(exc)
@@ -161,14 +173,9 @@
     def _start(self, message: RawRequestMessage, payload: StreamReader) -> None:
         if self._ended:
             return
-        self._cancel_timers()
-
-        async def read_body() -> bytes:
-            expected = message.headers.get('expect', '')
-            if expected.lower() == '100-continue' and self.transport:
-                self.transport.write(_CONTINUE)
-            return await _read_whole(payload, self._limits.body_bytes)
+        self._timers.cancel()
 
+        read_body = partial(self._read_body, message, payload)
         task = self._loop.create_task(self._answer(message, read_body))
         keeps = not message.should_close
         self._pending.append(_Pending(message.method, task, keeps=keeps))
@@ -176,6 +183,16 @@
         if len(self._pending) >= MAX_PENDING:
             self._pause_reading_for_buffer()
 
+    async def _read_body(
+        self,
+        message: RawRequestMessage,
+        payload: StreamReader,
+    ) -> bytes:
+        expected = message.headers.get('expect', '')
+        if expected.lower() == '100-continue' and self.transport:
+            self.transport.write(_CONTINUE)
+        return await _read_whole(payload, self._limits.body_bytes)
+
     def _refuse(self, error: HttpProcessingError) -> None:
         status = HTTPStatus.BAD_REQUEST
         if isinstance(error, LineTooLong):
@@ -183,20 +200,18 @@
         self._refuse_with(status, f'request is malformed: {error.message}')
 
     def _refuse_with(self, status: HTTPStatus, reason: str) -> None:
-        async def refusal() -> CallerAnswer:
-            return own_answer(status, reason, closes=True)
-
         self._ended = True
-        self._cancel_timers()
-        task = self._loop.create_task(refusal())
-        self._pending.append(_Pending('GET', task, keeps=False))
+        self._timers.cancel()
+        refusal: asyncio.Future[CallerAnswer] = self._loop.create_future()
+        refusal.set_result(own_answer(status, reason, closes=True))
+        self._pending.append(_Pending('GET', refusal, keeps=False))
         self._wake.set()
 
     async def _write_answers(self) -> None:
         while True:
             while not self._pending:
                 self._wake.clear()
-                self._restart_idle_timer()
+                self._timers.restart_idle()
                 await self._wake.wait()
             await self._write_first()
             self._pending.popleft()
@@ -205,7 +220,7 @@
 
     async def _write_first(self) -> None:
         first = self._pending[0]
-        answer = await first.task
+        answer = await first.answer
         transport = self.transport
         if transport is None:
             return
@@ -224,9 +239,9 @@
     def _finish(self) -> None:
         """End the own side; close once the caller has, or after a while."""
         self._ended = True
-        self._cancel_timers()
+        self._timers.cancel()
         for pending in list(self._pending)[1:]:
-            pending.task.cancel()
+            pending.answer.cancel()
         transport = self.transport
         if transport is None:
             return
@@ -234,34 +249,6 @@
             transport.write_eof()
         self._loop.call_later(LINGER_S, transport.close)
 
-    def _watch_head(self, *, started: bool, complete: bool) -> None:
-        """Bound the time in which a caller sends the head of a request."""
-        if complete or not started or self._pending:
-            return
-        if self._head_timer is None:
-            self._cancel_timers()
-            self._head_timer = self._loop.call_later(
-                self._limits.header_timeout_ms / 1000,
-                self._refuse_with,
-                HTTPStatus.REQUEST_TIMEOUT,
-                'request head did not arrive in time',
-            )
-
-    def _restart_idle_timer(self) -> None:
-        if self._idle_timer is not None:
-            self._idle_timer.cancel()
-        self._idle_timer = self._loop.call_later(
-            self._limits.idle_timeout_ms / 1000,
-            self.close_idle,
-        )
-
-    def _cancel_timers(self) -> None:
-        for timer in (self._head_timer, self._idle_timer):
-            if timer is not None:
-                timer.cancel()
-        self._head_timer = None
-        self._idle_timer = None
-
 
 async def _read_whole(payload: StreamReader, limit: int) -> bytes:
     if payload is EMPTY_PAYLOAD:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 from aiohttp.http_parser import RawRequestMessage
-from mustardspur_core.mesh.model import CallerLimits, MeshRoute
+from mustardspur_core.mesh.model import DEFAULT_LIMITS, MeshRoute
 from mustardspur_core.metrics import Metrics
 from mustardspur_core.units import MS_PER_S
 
@@ -31,13 +31,8 @@
 _LOG: Final = logging.getLogger(__name__)
 
 BACKLOG: Final = 1024
-# Until a table is known.
-FIRST_LIMITS: Final = CallerLimits(
-    header_bytes=16_384,
-    body_bytes=67_108_864,
-    header_timeout_ms=3000.0,
-    idle_timeout_ms=15_000.0,
-)
+# Connections between two looks for those that have ended.
+_PRUNE_CONNECTIONS: Final = 64
 
 
 class CallerServer:
@@ -117,21 +112,6 @@
         for connection in self._connections:
             connection.close_idle()
 
-    def _connect(self) -> CallerConnection:
-        routes = self._view.routes
-        limits = routes.table.limits if routes else FIRST_LIMITS
-        connection = CallerConnection(
-            limits,
-            self.answer,
-            lambda: self.draining,
-        )
-        if len(self._connections) % 64 == 0:
-            self._connections = {
-                each for each in self._connections if each.connected
-            }
-        self._connections.add(connection)
-        return connection
-
     async def answer(
         self,
         message: RawRequestMessage,
@@ -152,6 +132,21 @@
         self._metrics.timing('calls.ms', (_now() - started_s) * MS_PER_S)
         return answer
 
+    def _connect(self) -> CallerConnection:
+        routes = self._view.routes
+        limits = routes.table.limits if routes else DEFAULT_LIMITS
+        connection = CallerConnection(
+            limits,
+            self.answer,
+            lambda: self.draining,
+        )
+        if len(self._connections) % _PRUNE_CONNECTIONS == 0:
+            self._connections = {
+                each for each in self._connections if each.connected
+            }
+        self._connections.add(connection)
+        return connection
+
     async def _answer(
         self,
         message: RawRequestMessage,
@@ -175,7 +170,7 @@
         route = self._view.routes.find(host, message.path)
         if route is None:
             await read_body()
-            self._placer.decisions.note(
+            self._placer.log.decisions.note(
                 'no route',
                 host=host,
                 path=message.path,
@@ -241,7 +236,7 @@
     def _refusal(self, placement: Placement) -> CallerAnswer:
         headers: Headers = []
         if placement.status == HTTPStatus.SERVICE_UNAVAILABLE:
-            headers.append([self._names.retry_after, f'{RETRY_AFTER_S:g}'])
+            headers.append([self._names.retry_after, str(RETRY_AFTER_S)])
         return own_answer(placement.status, placement.reason, headers)
 
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
@@ -35,7 +35,7 @@
     def __init__(self) -> None:
         self.load: TargetLoad | None = None
         self.sent = 0
-        self.suspect_until_s = 0.0
+        self.suspect_until_s: float = 0
 
 
 class TargetChooser:
@@ -100,12 +100,12 @@
         state = self._state(row.node)
         slots = max(row.slots, 1)
         run_ms = state.load.run_ms if state.load else FIRST_RUN_MS
-        if _now() < self._cold_until_s.get(f'{row.node}/{row.id}', 0.0):
+        if _now() < self._cold_until_s.get(f'{row.node}/{row.id}', 0):
             run_ms *= COLD_FACTOR
         inside = self._inside(state)
         full = min(inside / slots, 1.0)
         queued = max(inside + 1 - slots, 0) / slots
-        failing = state.load.failing if state.load else 0.0
+        failing = state.load.failing if state.load else 0
         return (
             run_ms * (1 + FULL_SLOWDOWN * full * full + queued)
             + self.distance_ms(row)
@@ -120,7 +120,7 @@
     def distance_ms(self, row: MeshTarget) -> float:
         """Return what the distance of a target adds to a call."""
         if row.data_centre == self._settings.data_centre:
-            return 0.0
+            return 0
         if row.region == self._settings.region:
             return OTHER_DATA_CENTRE_MS
         return OTHER_REGION_MS
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import time
 from typing import Final
 
 from mustardspur_core.mesh.messages import (
@@ -14,9 +13,8 @@
     MeshTargets,
     MeshTransfers,
 )
-from mustardspur_core.mesh.model import MeshTarget, TargetState
 from mustardspur_core.record import Record
-from mustardspur_core.settings import MeshSettings, Peer, Settings
+from mustardspur_core.settings import MeshSettings, Settings
 from mustardspur_core.tasks import run_until_first_end
 from mustardspur_core.wire import (
     Dispatch,
@@ -27,13 +25,17 @@
 )
 
 from mustardspur_node.mesh.chooser import TargetChooser
+from mustardspur_node.mesh.control_choice import ControlChoice
 from mustardspur_node.mesh.local_target import LocalTarget
+from mustardspur_node.mesh.own_row import OwnRow
 from mustardspur_node.mesh.view import MeshView
 
 _LOG: Final = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_S: Final = 0.6
 RETRY_S: Final = 0.2
+# An instance that was not reached has cost a time-out already.
+FAILED_RETRY_S: Final = 0.05
 # A control instance without a leader is left after this many of its beats.
 STALE_BEATS: Final = 2
 # A node without a table takes one that no quorum confirms after this time.
@@ -75,17 +77,13 @@
     __slots__ = (
         '_chooser',
         '_controls',
-        '_failed_s',
-        '_incarnation',
         '_local',
-        '_mesh',
-        '_sequence',
         '_settings',
         '_stale_beats',
         '_started_s',
         '_view',
         'attached',
-        'leaving',
+        'own_row',
         'row_changed',
     )
 
@@ -99,74 +97,24 @@
     ) -> None:
         """Start with the seeds."""
         self._settings = settings
-        self._mesh = mesh
         self._view = view
         self._local = local
         self._chooser = chooser
-        self._incarnation = time.time_ns()
-        self._sequence = 0
-        self._controls: dict[str, Peer] = {}
-        self._failed_s: dict[str, float] = {}
+        self._controls = ControlChoice(settings, mesh)
         self._stale_beats = 0
         self._started_s = _now()
         self.attached = ''
-        self.leaving = False
+        self.own_row = OwnRow(settings, local.book)
         self.row_changed = asyncio.Event()
 
     async def run(self) -> None:
         """Keep a stream until cancelled."""
         while True:
-            for address in self._candidates():
-                await self._try(address)
-                if self.attached:
-                    break
+            # An instance that fails is ranked behind the others.
+            await self._try(self._controls.ranked()[0])
+            wait_s = RETRY_S if self.attached else FAILED_RETRY_S
             self.attached = ''
-            await asyncio.sleep(RETRY_S)
-
-    def replace_seeds(self, seeds: list[str]) -> None:
-        """Use other seeds from now on."""
-        self._mesh.seeds = seeds
-
-    def own_row(self) -> MeshTarget:
-        """Return the row of this node for the others."""
-        self._sequence += 1
-        report = self._local.book.current
-        state = report.state if report else ''
-        return MeshTarget(
-            id=report.id if report else '',
-            service=report.service if report else '',
-            version=report.version if report else '',
-            node=self._settings.listen.stream or '',
-            data_centre=self._settings.data_centre,
-            region=self._settings.region,
-            slots=report.slots if report else 0,
-            state=TargetState.DRAINING.value if self.leaving else state,
-            cold_ms=report.cold_ms if report else 0.0,
-            incarnation=self._incarnation,
-            sequence=self._sequence,
-        )
-
-    def _candidates(self) -> list[str]:
-        """Return the streams of control instances, best first."""
-        known = dict(self._controls)
-        stream_port = (self._settings.listen.stream or '').rpartition(':')[2]
-        streams = [peer.stream for peer in known.values()]
-        for seed in self._mesh.seeds:
-            host = seed.rpartition(':')[0]
-            streams.append(f'{host}:{stream_port}')
-        by_stream = {peer.stream: peer for peer in known.values()}
-        return sorted(
-            dict.fromkeys(streams),
-            key=lambda stream: self._rank(stream, by_stream.get(stream)),
-        )
-
-    def _rank(self, stream: str, peer: Peer | None) -> tuple[bool, int, str]:
-        failed_s = self._failed_s.get(stream, float('-inf'))
-        recently = _now() - failed_s < self._mesh.contact_s
-        distance = 2
-        if peer is not None and peer.region == self._settings.region:
-            distance = int(peer.data_centre != self._settings.data_centre)
-        return recently, distance, stream
+            await asyncio.sleep(wait_s)
 
     async def _try(self, stream_address: str) -> None:
         try:
@@ -186,7 +134,7 @@
                     self._return_to_nearest(stream_address),
                 )
         except _LINK_ERRORS as error:
-            self._failed_s[stream_address] = _now()
+            self._controls.note_failure(stream_address)
             _LOG.info(
                 'control instance lost',
                 extra={
@@ -217,10 +165,9 @@
 
     @_FROM_CONTROL.handles(MeshBeat)
     def _take_beat(self, beat: MeshBeat) -> None:
-        if beat.controls:
-            self._controls = {peer.id: peer for peer in beat.controls}
+        self._controls.learn(beat.controls)
         self._stale_beats = 0 if beat.current else self._stale_beats + 1
-        if self._stale_beats >= STALE_BEATS and self._has_other():
+        if self._stale_beats >= STALE_BEATS:
             raise Stale('the control instance follows no leader')
 
     @_FROM_CONTROL.handles(MeshTable)
@@ -241,13 +188,10 @@
         self._chooser.note_rows(update.upserts)
         self._view.take_targets(update)
 
-    def _has_other(self) -> bool:
-        return len(self._candidates()) > 1
-
     async def _send(self, stream: FrameStream) -> None:
         while True:
             self.row_changed.clear()
-            stream.send_soon(MeshAnnounce(target=self.own_row()))
+            stream.send_soon(MeshAnnounce(target=self.own_row.next()))
             await stream.drain()
             await self._wait(stream)
 
@@ -270,7 +214,7 @@
                 stream.send_soon(
                     MeshEvidence(
                         node=self._settings.listen.stream or '',
-                        incarnation=self._incarnation,
+                        incarnation=self.own_row.incarnation,
                         rows=tally.rows,
                     ),
                 )
@@ -279,16 +223,9 @@
         """End the stream once a nearer control instance seems to be back."""
         while True:
             await asyncio.sleep(RETURN_S)
-            best = self._candidates()[0]
-            if best != address and self._is_nearer(best, address):
-                raise Stale('a nearer control instance is there')
-
-    def _is_nearer(self, stream: str, other: str) -> bool:
-        by_stream = {peer.stream: peer for peer in self._controls.values()}
-        return (
-            self._rank(stream, by_stream.get(stream))[:2]
-            < self._rank(other, by_stream.get(other))[:2]
-        )
+            nearer = self._controls.nearer(address)
+            if nearer is not None:
+                raise Stale(f'{nearer} is nearer')
 
 
 def _now() -> float:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/gate.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/gate.py
@@ -54,8 +54,8 @@
         self._sequence = 0
         self._running = 0
         self._run_ms = FIRST_RUN_MS
-        self._failing = 0.0
-        self._closed_until_s = 0.0
+        self._failing: float = 0
+        self._closed_until_s: float = 0
         self.open = False
         self.slots = 0
 
@@ -79,8 +79,8 @@
     def reset(self) -> None:
         """Forget what is known of the target before this one."""
         self._run_ms = FIRST_RUN_MS
-        self._failing = 0.0
-        self._closed_until_s = 0.0
+        self._failing = 0
+        self._closed_until_s = 0
 
     def close_for_a_while(self) -> None:
         """Refuse calls for a moment, as the target takes no connections."""
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -103,7 +103,7 @@
         """Let callers leave and calls end, within the grace time."""
         self._stopping = True
         self.callers.draining = True
-        self.link.leaving = True
+        self.link.own_row.leaving = True
         self.link.row_changed.set()
         loop = asyncio.get_running_loop()
         began_s = loop.time()
@@ -124,6 +124,11 @@
         )
         await asyncio.sleep(CHECK_S)
 
+    def check(self) -> None:
+        """Close what is silent or has been idle for too long."""
+        self.placer.check_links()
+        self.local.prune()
+
     def _follow_target(self) -> None:
         self.local.refresh()
         report = self.book.current
@@ -131,11 +136,6 @@
             self.callers.origin_service = report.service
         self.link.row_changed.set()
 
-    def check(self) -> None:
-        """Close what is silent or has been idle for too long."""
-        self.placer.check_links()
-        self.local.prune()
-
 
 @asynccontextmanager
 async def running_mesh_node(
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -4,6 +4,7 @@
 import logging
 import time
 from collections.abc import Awaitable, Callable
+from functools import partial
 from http import HTTPStatus
 from typing import Final
 
@@ -11,6 +12,7 @@
 from mustardspur_core.mesh.messages import CallOpen, TargetLoad
 from mustardspur_core.units import MS_PER_S, NS_PER_MS
 
+from mustardspur_node.mesh.answer_parser import BrokenAnswer, RawAnswer
 from mustardspur_node.mesh.calls import (
     PlaceFault,
     TargetAnswer,
@@ -21,11 +23,7 @@
 from mustardspur_node.mesh.names import HeaderNames
 from mustardspur_node.mesh.reports import ReportBook, TargetReport, is_ready
 from mustardspur_node.mesh.tally import Tally
-from mustardspur_node.mesh.target_connection import (
-    BrokenAnswer,
-    RawAnswer,
-    TargetConnection,
-)
+from mustardspur_node.mesh.target_connection import TargetConnection
 from mustardspur_node.mesh.target_pool import TargetPool
 
 _LOG: Final = logging.getLogger(__name__)
@@ -84,7 +82,9 @@
         """Close connections that have been idle for too long."""
         self._pool.prune()
 
-    async def run(self, call: CallOpen, handed_over: HandedOver) -> TargetAnswer:
+    async def run(
+        self, call: CallOpen, handed_over: HandedOver
+    ) -> TargetAnswer:
         """Run a call at the target.
 
         Parameters
@@ -143,19 +143,13 @@
         left_ms: float,
     ) -> RawAnswer:
         started_ns = time.monotonic_ns()
-        request_id = _header(call, self._names.request_id)
-
-        def is_own(message: RawResponseMessage) -> bool:
-            echoed = message.headers.get(self._names.request_id)
-            return echoed is None or echoed == request_id
-
         try:
             async with asyncio.timeout(left_ms / MS_PER_S):
                 answer = await connection.exchange(
                     call.method,
                     self._head(call, report, left_ms),
                     call.body,
-                    is_own,
+                    partial(self._is_own, call),
                 )
         except TimeoutError as error:
             raise maybe_run('timeout', 'no answer in time') from error
@@ -167,6 +161,11 @@
         self._note(call, report, started_ns, failed=failed)
         return answer
 
+    def _is_own(self, call: CallOpen, message: RawResponseMessage) -> bool:
+        echoed = message.headers.get(self._names.request_id)
+        sent = _header(call, self._names.request_id)
+        return echoed is None or echoed == sent
+
     def _check_run(self, answer: RawAnswer) -> None:
         refused = answer.header(self._names.not_run) is not None
         misdirected = answer.status == HTTPStatus.MISDIRECTED_REQUEST
@@ -204,8 +203,9 @@
     ) -> bytes:
         lines = [f'{call.method} {call.path} HTTP/1.1']
         lines.extend(f'{name}: {text}' for name, text in call.headers)
-        lines.append(f'{self._names.deadline_ms}: {int(left_ms)}')
-        lines.append(f'{self._names.expected_target}: {report.id}')
+        names = self._names
+        lines.append(f'{names.deadline_ms}: {int(left_ms)}')
+        lines.append(f'{names.expected_target}: {report.id}')
         if call.body or call.method not in _BODYLESS_METHODS:
             lines.append(f'content-length: {len(call.body)}')
         lines.append('\r\n')
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_link.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import deque
 from collections.abc import Callable
 from typing import Final
 
@@ -127,7 +128,7 @@
         self._stream: FrameStream | None = None
         self._task: asyncio.Task[None] | None = None
         self._ready: asyncio.Future[FrameStream] = asyncio.Future()
-        self._heard_s = 0.0
+        self._heard_s: float = 0
         self._used_s = _now()
 
     async def run(
@@ -214,13 +215,13 @@
                 ready.set_result(stream)
                 await self._receive(stream)
         except _STREAM_ERRORS as error:
-            if not ready.done():
-                ready.set_exception(error)
-            else:
+            if ready.done():
                 _LOG.info(
                     'stream to node ended',
                     extra={'node': self._node, 'reason': repr(error)},
                 )
+            else:
+                ready.set_exception(error)
         finally:
             if self._task is asyncio.current_task():
                 self._stream = None
@@ -239,13 +240,15 @@
 
     def _drop(self, reason: str) -> None:
         self._stream = None
-        task, self._task = self._task, None
+        task = self._task
+        self._task = None
         if task is not None:
             task.cancel()
         self._lose_all(reason)
 
     def _lose_all(self, reason: str) -> None:
-        lost, self._open_by_id = self._open_by_id, {}
+        lost = self._open_by_id
+        self._open_by_id = {}
         for waiting in lost.values():
             waiting.lose(reason)
 
@@ -275,14 +278,22 @@
     call_id: int,
     call: CallOpen,
 ) -> None:
-    if len(call.body) <= PART_BYTES:
-        await stream.send(call, call_id)
-        return
     first, *rest = split_body(call.body)
-    await stream.send(replaced(call, body=first, more=True), call_id)
-    for number, part in enumerate(rest, start=1):
-        more = number < len(rest)
-        await stream.send(CallPart(body=part, more=more), call_id)
+    opened = replaced(call, body=first, more=True) if rest else call
+    await stream.send(opened, call_id)
+    await send_parts(stream, call_id, rest)
+
+
+async def send_parts(
+    stream: FrameStream,
+    call_id: int,
+    parts: list[bytes],
+) -> None:
+    """Send the parts of a body behind its first one."""
+    left = deque(parts)
+    while left:
+        part = left.popleft()
+        await stream.send(CallPart(body=part, more=bool(left)), call_id)
 
 
 def split_body(body: bytes) -> list[bytes]:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_server.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from functools import partial
 from typing import Final
 
@@ -23,11 +23,16 @@
 
 from mustardspur_node.mesh.calls import PlaceFault, TargetAnswer
 from mustardspur_node.mesh.local_target import LocalTarget
-from mustardspur_node.mesh.peer_link import BEAT_S, split_body
+from mustardspur_node.mesh.peer_link import (
+    BEAT_S,
+    send_parts,
+    split_body,
+)
 
 _LOG: Final = logging.getLogger(__name__)
 
 HELLO_TIMEOUT_S: Final = 2.0
+_Incomplete = tuple[CallOpen, list[bytes]]
 _STREAM_ERRORS: Final = (OSError, EOFError, TimeoutError, MalformedFrame)
 
 
@@ -90,12 +95,8 @@
         # The end of the stream cancels its calls: their caller is gone.
         async with asyncio.TaskGroup() as group:
             served = ServedStream(stream, self._local, group, self)
-            beating = group.create_task(served.beat())
-            try:
+            with served.beating():
                 await served.receive()
-            finally:
-                beating.cancel()
-                served.cancel_all()
 
 
 class ServedStream:
@@ -115,7 +116,7 @@
         self._local = local
         self._group = group
         self._server = server
-        self._parts: dict[int, tuple[CallOpen, list[bytes]]] = {}
+        self._parts: dict[int, _Incomplete] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
 
     async def receive(self) -> None:
@@ -133,15 +134,23 @@
                 kind = type(body).__name__
                 raise MalformedFrame('type', f'{kind} from a node')
 
-    async def beat(self) -> None:
-        """Show that the node is alive while calls are open."""
+    @contextmanager
+    def beating(self) -> Iterator[None]:
+        """Show that the node is alive; cancel every call at the end."""
+        beat = self._group.create_task(self._beat())
+        try:
+            yield
+        finally:
+            beat.cancel()
+            self._cancel_all()
+
+    async def _beat(self) -> None:
         while True:
             await asyncio.sleep(BEAT_S)
             if self._tasks:
                 self._stream.send_soon(NodeBeat(load=self._local.gate.load))
 
-    def cancel_all(self) -> None:
-        """Cancel every call of the stream."""
+    def _cancel_all(self) -> None:
         for task in self._tasks.values():
             task.cancel()
 
@@ -209,6 +218,4 @@
             ),
             call_id,
         )
-        for number, part in enumerate(rest, start=1):
-            more = number < len(rest)
-            await self._stream.send(CallPart(body=part, more=more), call_id)
+        await send_parts(self._stream, call_id, rest)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -5,24 +5,23 @@
 from http import HTTPStatus
 from typing import Final
 
-from mustardspur_core.mesh.messages import CallOpen, TargetLoad
+from mustardspur_core.mesh.messages import CallOpen
 from mustardspur_core.mesh.model import MeshTarget
 from mustardspur_core.metrics import Metrics
 from mustardspur_core.settings import MeshSettings, Settings
-from mustardspur_core.units import MS_PER_S
 
+from mustardspur_node.mesh.call_log import CallLog
 from mustardspur_node.mesh.calls import (
     MeshCall,
     PlaceFault,
     TargetAnswer,
 )
 from mustardspur_node.mesh.chooser import TargetChooser
-from mustardspur_node.mesh.decisions import DecisionLog
+from mustardspur_node.mesh.journey import Journey
 from mustardspur_node.mesh.local_target import LocalTarget
 from mustardspur_node.mesh.peer_link import PeerLink
 from mustardspur_node.mesh.retry_budget import RetryBudget
 from mustardspur_node.mesh.shares import ShareChooser
-from mustardspur_node.mesh.versions import eligible_targets
 from mustardspur_node.mesh.view import MeshView
 
 # Targets that may refuse a call before it is refused to the caller.
@@ -76,13 +75,12 @@
         '_choice',
         '_links',
         '_local',
-        '_metrics',
         '_settings',
         '_shares',
         '_view',
         'budget',
         'chooser',
-        'decisions',
+        'log',
     )
 
     def __init__(
@@ -97,13 +95,12 @@
         self._settings = settings
         self._view = view
         self._local = local
-        self._metrics = metrics
         self._choice = random.Random()
         self._shares = ShareChooser(self._choice)
         self._links: dict[str, PeerLink] = {}
         self.budget = RetryBudget(mesh)
         self.chooser = TargetChooser(settings, self._choice)
-        self.decisions = DecisionLog()
+        self.log = CallLog(view, metrics)
 
     async def place(self, call: MeshCall) -> TargetAnswer:
         """Return the answer of a target to a call.
@@ -132,7 +129,7 @@
         for link in self._links.values():
             link.close()
 
-    async def _travel(self, journey: 'Journey') -> TargetAnswer:
+    async def _travel(self, journey: Journey) -> TargetAnswer:
         while True:
             target = self._next_target(journey)
             if target is None:
@@ -141,10 +138,10 @@
                 raise self._ended(journey, journey.last_reason())
             answer = await self._try(journey, target)
             if answer is not None and self._is_final(journey, answer):
-                self._log_answer(journey, target, answer)
+                self.log.note_answer(journey, target, answer)
                 return answer
 
-    def _next_target(self, journey: 'Journey') -> MeshTarget | None:
+    def _next_target(self, journey: Journey) -> MeshTarget | None:
         if journey.placements >= MAX_PLACEMENTS:
             return None
         if journey.left_ms() < MIN_LEFT_MS:
@@ -159,7 +156,7 @@
 
     async def _try(
         self,
-        journey: 'Journey',
+        journey: Journey,
         target: MeshTarget,
     ) -> TargetAnswer | None:
         journey.placements += 1
@@ -183,7 +180,7 @@
 
     async def _run(
         self,
-        journey: 'Journey',
+        journey: Journey,
         target: MeshTarget,
         opened: CallOpen,
     ) -> TargetAnswer:
@@ -199,7 +196,7 @@
             self._links[target.node] = link
         return await link.run(opened, journey.note_sent)
 
-    def _opened(self, journey: 'Journey', target: MeshTarget) -> CallOpen:
+    def _opened(self, journey: Journey, target: MeshTarget) -> CallOpen:
         call = journey.call
         left_ms = journey.left_ms() - self.chooser.distance_ms(target)
         patience_ms = left_ms - NEEDED_RUNS * self.chooser.run_ms(target)
@@ -212,7 +209,7 @@
             path=call.path,
             headers=call.headers,
             deadline_ms=left_ms,
-            patience_ms=max(patience_ms, 0.0),
+            patience_ms=max(patience_ms, 0),
             repeat=journey.arrivals > 0,
             body=call.body,
             more=False,
@@ -220,39 +217,23 @@
 
     def _note_fault(
         self,
-        journey: 'Journey',
+        journey: Journey,
         target: MeshTarget,
         fault: PlaceFault,
     ) -> None:
-        journey.faults.append(fault)
-        if fault.arrived:
-            journey.arrivals += 1
-        if not fault.not_run:
-            journey.runs += 1
+        journey.note_fault(fault)
         if fault.kind == 'unreachable':
             self.chooser.note_unreachable(target.node)
-        self._metrics.incr(f'calls.fault.{fault.kind}')
-        self.decisions.note(
-            'target gave no answer',
-            request=journey.call.request_id,
-            route=journey.call.route.name,
-            target=target.id,
-            node=target.node,
-            kind=fault.kind,
-            not_run=fault.not_run,
-            detail=fault.detail,
-            left_ms=round(journey.left_ms()),
-            table_index=self._view.table_index,
-        )
+        self.log.note_fault(journey, target, fault)
 
-    def _may_go_on(self, journey: 'Journey', fault: PlaceFault) -> bool:
+    def _may_go_on(self, journey: Journey, fault: PlaceFault) -> bool:
         if fault.not_run and not fault.arrived:
             return True
         if not fault.not_run and not journey.call.route.idempotent:
             return False
         return self._may_repeat(journey)
 
-    def _may_repeat(self, journey: 'Journey') -> bool:
+    def _may_repeat(self, journey: Journey) -> bool:
         if journey.arrivals >= journey.call.route.max_attempts:
             return False
         if journey.left_ms() < MIN_LEFT_MS:
@@ -260,7 +241,7 @@
         nodes = len(self._view.rows_by_node)
         return self.budget.take(journey.service, nodes)
 
-    def _is_final(self, journey: 'Journey', answer: TargetAnswer) -> bool:
+    def _is_final(self, journey: Journey, answer: TargetAnswer) -> bool:
         if answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
             return True
         if not journey.call.route.idempotent:
@@ -270,110 +251,11 @@
         journey.failure = answer
         return not self._may_repeat(journey)
 
-    def _ended(self, journey: 'Journey', reason: str) -> Placement:
-        call = journey.call
+    def _ended(self, journey: Journey, reason: str) -> Placement:
         status = HTTPStatus.SERVICE_UNAVAILABLE
         if journey.runs or journey.sent_on:
             status = HTTPStatus.BAD_GATEWAY
             if journey.left_ms() <= 0:
                 status = HTTPStatus.GATEWAY_TIMEOUT
-        self._metrics.incr(f'calls.ended.{status.value}')
-        self.decisions.note(
-            'call ended without an answer',
-            request=call.request_id,
-            route=call.route.name,
-            service=journey.service,
-            status=status.value,
-            reason=reason,
-            placements=journey.placements,
-            arrivals=journey.arrivals,
-            left_ms=round(journey.left_ms()),
-            held_ms=round(journey.held_ms()),
-            table_index=self._view.table_index,
-        )
+        self.log.note_end(journey, status, reason)
         return Placement(status, reason)
-
-    def _log_answer(
-        self,
-        journey: 'Journey',
-        target: MeshTarget,
-        answer: TargetAnswer,
-    ) -> None:
-        failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-        write = self.decisions.note if failed else self.decisions.sample
-        write(
-            'target failed a call' if failed else 'call answered',
-            request=journey.call.request_id,
-            route=journey.call.route.name,
-            target=target.id,
-            node=target.node,
-            status=answer.status,
-            placements=journey.placements,
-            arrivals=journey.arrivals,
-            held_ms=round(journey.held_ms()),
-            table_index=self._view.table_index,
-        )
-
-
-class Journey:
-    """What has been tried for a call.
-
-    Parameters
-    ----------
-    call : MeshCall
-        The call.
-    service : str
-        The service that it was assigned to.
-    """
-
-    __slots__ = (
-        '_rows',
-        'arrivals',
-        'call',
-        'failure',
-        'faults',
-        'placements',
-        'runs',
-        'sent_on',
-        'service',
-        'tried',
-    )
-
-    def __init__(self, call: MeshCall, service: str) -> None:
-        """Start untried."""
-        self.call = call
-        self.service = service
-        self.placements = 0
-        self.arrivals = 0
-        self.runs = 0
-        self.sent_on = False
-        self.tried: set[str] = set()
-        self.faults: list[PlaceFault] = []
-        self.failure: TargetAnswer | None = None
-        self._rows: list[MeshTarget] | None = None
-
-    def rows(self, view: MeshView, choice: random.Random) -> list[MeshTarget]:
-        """Return the targets of the version that the call goes to."""
-        if self._rows is None:
-            self._rows = eligible_targets(view, self.service, choice)
-        return self._rows
-
-    def note_sent(self, _load: TargetLoad | None = None) -> None:
-        """Note that the call may run from now on."""
-        self.sent_on = True
-
-    def left_ms(self) -> float:
-        """Return the time that is left."""
-        return (self.call.deadline_s - _now()) * MS_PER_S
-
-    def held_ms(self) -> float:
-        """Return the time since the call was read."""
-        return (_now() - self.call.started_s) * MS_PER_S
-
-    def last_reason(self) -> str:
-        """Return why the last target gave no answer."""
-        return str(self.faults[-1]) if self.faults else 'no target is known'
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/reports.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/reports.py
@@ -5,7 +5,8 @@
 from typing import Final
 
 from mustardspur_core.mesh.model import TargetState
-from mustardspur_core.record import Record
+from mustardspur_core.record import Record, replaced
+from mustardspur_core.units import MS_PER_S
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -63,7 +64,7 @@
         """Start without a target."""
         self.address = address
         self.current: TargetReport | None = None
-        self.cold_until_s = 0.0
+        self.cold_until_s: float = 0
         self.changed = asyncio.Event()
         self._left: dict[str, int] = {}
 
@@ -90,7 +91,7 @@
         known = self.current
         self.current = report
         loop_s = asyncio.get_running_loop().time()
-        self.cold_until_s = loop_s + report.cold_ms / 1000
+        self.cold_until_s = loop_s + report.cold_ms / MS_PER_S
         if known is not None and _same_row(known, report):
             return False
         _LOG.info(
@@ -136,14 +137,10 @@
 
 
 def _same_row(known: TargetReport, report: TargetReport) -> bool:
-    return (
-        known.id == report.id
-        and known.service == report.service
-        and known.version == report.version
-        and known.state == report.state
-        and known.slots == report.slots
-        and known.address == report.address
-        and known.born == report.born
+    return known == replaced(
+        report,
+        sequence=known.sequence,
+        cold_ms=known.cold_ms,
     )
 
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/shares.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/shares.py
@@ -28,7 +28,9 @@
             return route.shares[0].service
         total = sum(share.weight for share in route.shares)
         held = self._credits.get(route.name)
-        if held is None or held.keys() != {each.service for each in route.shares}:
+        if held is None or held.keys() != {
+            each.service for each in route.shares
+        }:
             # Nodes start at different points, so that their first calls do
             # not all go to the service with the highest weight.
             held = {
@@ -36,10 +38,10 @@
                 for share in route.shares
             }
             self._credits[route.name] = held
-        for share in route.shares:
-            held[share.service] += share.weight
+        for part in route.shares:
+            held[part.service] += part.weight
         chosen = max(
-            (share.service for share in route.shares if share.weight),
+            (each.service for each in route.shares if each.weight),
             key=held.__getitem__,
         )
         held[chosen] -= total
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/tally.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/tally.py
@@ -51,7 +51,7 @@
                 runs=0,
                 failed=0,
                 timed=0,
-                busy_ms=0.0,
+                busy_ms=0,
             )
             self._rows[key] = row
         row.runs += 1
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_pool.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_pool.py
@@ -86,8 +86,9 @@
 
 
 def _abort_later(creation: asyncio.Task[TargetConnection]) -> None:
-    def drop(done: asyncio.Task[TargetConnection]) -> None:
-        if not done.cancelled() and done.exception() is None:
-            done.result().abort()
+    creation.add_done_callback(_abort_created)
 
-    creation.add_done_callback(drop)
+
+def _abort_created(done: asyncio.Task[TargetConnection]) -> None:
+    if not done.cancelled() and done.exception() is None:
+        done.result().abort()
