--- a/packages/mustardspur_control/src/mustardspur_control/mesh/instance.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/instance.py
@@ -12,7 +12,6 @@
 from mustardspur_control.control_stream import ControlStreams
 from mustardspur_control.mesh.formation import formed_settings
 from mustardspur_control.mesh.machines import MeshMachine
-from mustardspur_control.mesh.members import Members
 from mustardspur_control.mesh.operations import MeshOperations
 from mustardspur_control.mesh.parts import MeshParts
 from mustardspur_control.mesh.store import MeshStore
@@ -27,16 +26,25 @@
     ----------
     operations : MeshOperations
         What operators can ask.
-    members : Members
-        The known control instances.
+    mesh : MeshSettings
+        What can change while the instance runs.
     """
 
-    __slots__ = ('members', 'operations')
+    __slots__ = ('_mesh', 'operations')
 
-    def __init__(self, operations: MeshOperations, members: Members) -> None:
+    def __init__(
+        self,
+        operations: MeshOperations,
+        mesh: MeshSettings,
+    ) -> None:
         """Keep both."""
         self.operations = operations
-        self.members = members
+        self._mesh = mesh
+
+    def take_settings(self, settings: Settings) -> None:
+        """Take over the settings that can change while it runs."""
+        if settings.mesh is not None:
+            self._mesh.seeds = settings.mesh.seeds
 
 
 @asynccontextmanager
@@ -78,4 +86,4 @@
         streams.add(MeshHello, parts.feeds.serve)
         await stack.enter_async_context(serving_streams(settings, streams))
         await stack.enter_async_context(parts.running())
-        yield MeshControl(MeshOperations(log, store), parts.members)
+        yield MeshControl(MeshOperations(log, store), mesh)
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/members.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/members.py
@@ -37,7 +37,7 @@
         Names the voters.
     """
 
-    __slots__ = ('_heard_s', '_learned', '_log', '_seeds', '_settings')
+    __slots__ = ('_heard_s', '_learned', '_log', '_mesh', '_settings')
 
     def __init__(
         self,
@@ -50,13 +50,17 @@
         self._log = log
         self._learned: dict[str, Peer] = {}
         self._heard_s: dict[str, float] = {}
-        self._seeds: dict[str, Peer] = {}
-        self.replace_seeds(mesh.seeds)
+        self._mesh = mesh
 
     @property
     def others(self) -> dict[str, Peer]:
         """Every other control instance that may exist, by identifier."""
-        known = {**self._seeds, **self._log.voter_peers, **self._learned}
+        seeds = [
+            control_peer(self._settings, seed) for seed in self._mesh.seeds
+        ]
+        known = {peer.id: peer for peer in seeds}
+        known.update(self._log.voter_peers)
+        known.update(self._learned)
         known.pop(self._settings.id, None)
         return known
 
@@ -68,11 +72,6 @@
         ]
         return [own_peer(self._settings), *live]
 
-    def replace_seeds(self, seeds: list[str]) -> None:
-        """Use other seeds from now on."""
-        peers = [control_peer(self._settings, seed) for seed in seeds]
-        self._seeds = {peer.id: peer for peer in peers}
-
     def note(self, peer: Peer) -> None:
         """Take over what a control instance says of itself."""
         self._learned[peer.id] = peer
--- a/packages/mustardspur_core/src/mustardspur_core/settings/__init__.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/__init__.py
@@ -8,6 +8,7 @@
     Peer,
     Settings,
 )
+from mustardspur_core.settings.watching import watching_settings
 
 __all__ = [
     'Intervals',
@@ -17,4 +18,5 @@
     'Settings',
     'load_settings',
     'parse_settings',
+    'watching_settings',
 ]
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/answer_parser.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/answer_parser.py
@@ -81,6 +81,11 @@
         self.messages: list[Message] = []
         self.parser: Any = None
 
+    @property
+    def has_more(self) -> bool:
+        """Whether anything came behind the answer that was read."""
+        return bool(self.messages) or self._failure is not None
+
     def begin(self, method: str) -> None:
         """Expect the answer to a request."""
         self.messages.clear()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
@@ -56,6 +56,7 @@
         '_names',
         '_own_names',
         '_placer',
+        '_server',
         '_view',
         'draining',
         'in_flight',
@@ -84,6 +85,7 @@
                 names.origin_service,
             )
         )
+        self._server: asyncio.Server | None = None
         self.draining = False
         self.in_flight = 0
         self.origin_service = ''
@@ -98,17 +100,27 @@
             int(port),
             backlog=BACKLOG,
         )
+        self._server = server
         try:
             yield
         finally:
             server.close()
             self.close_idle()
 
+    @property
+    def open_connections(self) -> int:
+        """Number of connections of callers."""
+        self._forget_ended()
+        return len(self._connections)
+
+    def stop_listening(self) -> None:
+        """Take no new connections."""
+        if self._server is not None:
+            self._server.close()
+
     def close_idle(self) -> None:
         """Close the connections on which no request is open."""
-        self._connections = {
-            each for each in self._connections if each.connected
-        }
+        self._forget_ended()
         for connection in self._connections:
             connection.close_idle()
 
@@ -132,6 +144,11 @@
         self._metrics.timing('calls.ms', (_now() - started_s) * MS_PER_S)
         return answer
 
+    def _forget_ended(self) -> None:
+        self._connections = {
+            each for each in self._connections if each.connected
+        }
+
     def _connect(self) -> CallerConnection:
         routes = self._view.routes
         limits = routes.table.limits if routes else DEFAULT_LIMITS
@@ -141,9 +158,7 @@
             lambda: self.draining,
         )
         if len(self._connections) % _PRUNE_CONNECTIONS == 0:
-            self._connections = {
-                each for each in self._connections if each.connected
-            }
+            self._forget_ended()
         self._connections.add(connection)
         return connection
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/gate.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/gate.py
@@ -68,9 +68,13 @@
             slots=self.slots,
             run_ms=round(self._run_ms, 1),
             failing=round(self._failing, 2),
-            open=self.open and self._loop.time() >= self._closed_until_s,
+            open=self._is_open(),
         )
 
+    def shut(self) -> None:
+        """Refuse calls for good, as the node stops."""
+        self._closed_until_s = float('inf')
+
     def resize(self, slots: int) -> None:
         """Use another number of slots."""
         self.slots = slots
@@ -80,11 +84,11 @@
         """Forget what is known of the target before this one."""
         self._run_ms = FIRST_RUN_MS
         self._failing = 0
-        self._closed_until_s = 0
 
     def close_for_a_while(self) -> None:
         """Refuse calls for a moment, as the target takes no connections."""
-        self._closed_until_s = self._loop.time() + CLOSED_S
+        until_s = self._loop.time() + CLOSED_S
+        self._closed_until_s = max(self._closed_until_s, until_s)
 
     def note_run(self, run_ms: float, *, failed: bool) -> None:
         """Take the outcome of a run into the means."""
@@ -112,7 +116,7 @@
         PlaceFault
             If the target is closed, or the wait would be longer.
         """
-        if not self.load.open:
+        if not self._is_open():
             raise never_sent('closed', 'target takes no calls')
         if self._running < self.slots:
             self._running += 1
@@ -124,6 +128,9 @@
             self._running -= 1
             self._admit_next()
 
+    def _is_open(self) -> bool:
+        return self.open and self._loop.time() >= self._closed_until_s
+
     def _expected_wait_ms(self, priority: int) -> float:
         ahead = sum(1 for waiter in self._waiters if waiter[0] <= priority)
         return (ahead + 1) * self._run_ms / max(self.slots, 1)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -75,7 +75,7 @@
         self.peers = PeerServer(self.local)
         self.placer = Placer(settings, mesh, self.view, self.local, metrics)
         self.callers = CallerServer(self.view, self.placer, names, metrics)
-        self.callers.origin_service = settings.service or ''
+        self._name_origin()
         self.link = ControlLink(
             settings,
             mesh,
@@ -99,41 +99,61 @@
         if self.book.leave(target_id):
             self._follow_target()
 
+    def take_settings(self, settings: Settings) -> None:
+        """Take over the settings that can change while the node runs."""
+        if settings.mesh is not None:
+            self._mesh.seeds = settings.mesh.seeds
+        self.settings.service = settings.service
+        self._name_origin()
+
     async def drain(self) -> None:
-        """Let callers leave and calls end, within the grace time."""
+        """Let callers leave and calls end, within the grace time.
+
+        Explanation
+        ===========
+
+        Callers that have not noticed yet are still served. Once they have
+        had the time to, the node takes no new connections and no calls of
+        other nodes, and ends when nothing is open any more.
+        """
         self._stopping = True
         self.callers.draining = True
         self.link.own_row.leaving = True
         self.link.row_changed.set()
-        loop = asyncio.get_running_loop()
-        began_s = loop.time()
+        began_s = _now()
+        await asyncio.sleep(LEAVE_S)
+        self.callers.stop_listening()
+        self.local.gate.shut()
         latest_s = began_s + self._mesh.grace_s - EXIT_RESERVE_S
-        while loop.time() < latest_s:
+        while self._is_busy() and _now() < latest_s:
             await asyncio.sleep(CHECK_S)
-            busy = self.callers.in_flight + self.peers.running
-            if loop.time() - began_s >= LEAVE_S and not busy:
-                break
-        self.callers.close_idle()
         _LOG.info(
             'drained',
             extra={
                 'calls_left': self.callers.in_flight,
                 'calls_of_nodes_left': self.peers.running,
-                'after_s': round(loop.time() - began_s, 1),
+                'after_s': round(_now() - began_s, 1),
             },
         )
-        await asyncio.sleep(CHECK_S)
 
     def check(self) -> None:
         """Close what is silent or has been idle for too long."""
         self.placer.check_links()
         self.local.prune()
 
+    def _is_busy(self) -> bool:
+        self.callers.close_idle()
+        return bool(self.callers.open_connections or self.peers.running)
+
+    def _name_origin(self) -> None:
+        """State the service beside the node in the calls from here."""
+        report = self.book.current
+        stated = report.service if report else self.settings.service
+        self.callers.origin_service = stated or ''
+
     def _follow_target(self) -> None:
         self.local.refresh()
-        report = self.book.current
-        if report is not None:
-            self.callers.origin_service = report.service
+        self._name_origin()
         self.link.row_changed.set()
 
 
@@ -171,3 +191,7 @@
         tune_collector()
         yield node
         node.placer.close()
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_connection.py
@@ -113,7 +113,7 @@
 
     def _end(self, transport: asyncio.Transport) -> None:
         self._waiting = False
-        if self._answers.messages or transport.get_write_buffer_size():
+        if self._answers.has_more or transport.get_write_buffer_size():
             self.reusable = False
         self.idle_since_s = self._loop.time()
         if not self.reusable:
--- /dev/null
+++ b/tests/control/mesh/test_store.py
@@ -0,0 +1,146 @@
+"""Tests of the replicated state of a mesh."""
+
+from typing import Any
+
+from mustardspur_control.mesh.store import MeshStore
+from mustardspur_core.mesh.messages import (
+    PublishTable,
+    SetBaseVersion,
+    StartTransfer,
+    StepTransfer,
+)
+from mustardspur_core.record import Record
+from mustardspur_core.wire import encode_frame
+
+
+class _Log:
+    """Applies entries under rising indexes."""
+
+    def __init__(self) -> None:
+        self.store = MeshStore()
+        self.index = 0
+
+    def apply(self, entry: Record) -> str:
+        self.index += 1
+        return self.store.apply(self.index, encode_frame(entry)).status
+
+
+def _publish(number: int, base: int, digest: str) -> PublishTable:
+    return PublishTable(
+        number=number,
+        base=base,
+        digest=digest,
+        packed=digest.encode(),
+        document=digest.encode(),
+    )
+
+
+def _order(at_s: float = 100.0, **changes: Any) -> StartTransfer:
+    fields: dict[str, Any] = {
+        'service': 'forms',
+        'version': 'v2',
+        'duration_ms': 12_000.0,
+        'at_s': at_s,
+    }
+    return StartTransfer(**(fields | changes))
+
+
+def _step(expected: int, state: str, share: float) -> StepTransfer:
+    return StepTransfer(
+        service='forms',
+        version='v2',
+        expected_step=expected,
+        state=state,
+        share=share,
+        elapsed_ms=1000.0,
+    )
+
+
+def test_one_of_two_rivals_wins() -> None:
+    """Guards against two edits on the same table that are both accepted."""
+    log = _Log()
+    assert log.apply(_publish(3, 0, 'one')) == 'accepted'
+    assert log.apply(_publish(3, 0, 'two')) == 'conflict'
+    assert log.store.state.document == b'one'
+
+
+def test_resend_is_accepted_again() -> None:
+    """Guards against a refusal of an edit whose answer was lost.
+
+    The number alone cannot tell it from a rival's edit with the same one.
+    """
+    log = _Log()
+    log.apply(_publish(3, 0, 'one'))
+    log.apply(_publish(8, 3, 'two'))
+    assert log.apply(_publish(3, 0, 'one')) == 'accepted'
+    assert log.store.state.number == 8
+    assert log.store.state.document == b'two'
+
+
+def test_lower_number_is_refused() -> None:
+    """Guards against a table whose number does not rise."""
+    log = _Log()
+    log.apply(_publish(3, 0, 'one'))
+    assert log.apply(_publish(3, 3, 'same')) == 'invalid'
+    assert log.apply(_publish(2, 3, 'lower')) == 'invalid'
+    assert log.store.state.number == 3
+
+
+def test_snapshot_keeps_what_was_accepted() -> None:
+    """Guards against a resend that is refused after a restart."""
+    log = _Log()
+    log.apply(_publish(3, 0, 'one'))
+    log.apply(_order())
+    restored = _Log()
+    restored.store.restore(log.index, log.store.snapshot())
+    restored.index = log.index
+    assert restored.store.state == log.store.state
+    assert restored.apply(_publish(3, 0, 'one')) == 'accepted'
+
+
+def test_unreadable_entry_changes_nothing() -> None:
+    """Guards against replicas that stop at an entry they cannot read."""
+    store = MeshStore()
+    assert store.apply(1, b'no frame').status == 'invalid'
+    assert store.state.table_index == 0
+
+
+def test_resent_order_starts_one_transfer() -> None:
+    """Guards against a resend that starts a finished transfer anew."""
+    log = _Log()
+    assert log.apply(_order(100.0)) == 'accepted'
+    log.apply(_step(0, 'running', 0.5))
+    assert log.apply(_order(101.0)) == 'accepted'
+    assert log.store.state.transfers['forms'].share == 0.5
+    log.apply(_step(1, 'rolled_back', 0))
+    assert log.apply(_order(103.0)) == 'accepted'
+    assert log.store.state.transfers['forms'].state == 'rolled_back'
+    assert log.apply(_order(200.0)) == 'accepted'
+    assert log.store.state.transfers['forms'].state == 'running'
+
+
+def test_second_version_waits_for_the_first() -> None:
+    """Guards against two transfers of a service at a time."""
+    log = _Log()
+    log.apply(_order())
+    assert log.apply(_order(version='v3')) == 'conflict'
+
+
+def test_step_of_a_former_leader_has_no_effect() -> None:
+    """Guards against a share that a leader raised before it was replaced."""
+    log = _Log()
+    log.apply(_order())
+    log.apply(_step(0, 'rolled_back', 0))
+    assert log.apply(_step(0, 'running', 1.0)) == 'conflict'
+    assert log.apply(_step(1, 'running', 1.0)) == 'conflict'
+    assert log.store.state.transfers['forms'].share == 0
+
+
+def test_completed_version_becomes_the_base() -> None:
+    """Guards against calls that go back to targets that have stopped."""
+    log = _Log()
+    log.apply(SetBaseVersion(service='forms', version='v1'))
+    log.apply(_order())
+    assert log.store.state.transfers['forms'].from_version == 'v1'
+    log.apply(_step(0, 'completed', 1.0))
+    assert log.store.state.base_versions == {'forms': 'v2'}
--- /dev/null
+++ b/tests/core/mesh/builders.py
@@ -0,0 +1,70 @@
+"""Tables and targets for the tests of a mesh."""
+
+from typing import Any
+
+from mustardspur_core.mesh import (
+    CallerLimits,
+    MeshRoute,
+    MeshTarget,
+    RouteShare,
+    RoutingTable,
+    ServiceRule,
+)
+
+LIMITS = CallerLimits(
+    header_bytes=4096,
+    body_bytes=10_000,
+    header_timeout_ms=500.0,
+    idle_timeout_ms=2000.0,
+)
+
+
+def route(name: str, **changes: Any) -> MeshRoute:
+    """Return an idempotent route to ``forms`` with some fields changed."""
+    fields: dict[str, Any] = {
+        'name': name,
+        'host': 'forms.example',
+        'path_prefix': f'/{name}/',
+        'idempotent': True,
+        'timeout_ms': 1000.0,
+        'objective_ms': 300.0,
+        'priority': 1,
+        'max_attempts': 2,
+        'shares': [RouteShare(service='forms', weight=100.0)],
+    }
+    return MeshRoute(**(fields | changes))
+
+
+def table(number: int, *routes: MeshRoute) -> RoutingTable:
+    """Return a table with two services."""
+    return RoutingTable(
+        number=number,
+        routes={each.name: each for each in routes},
+        services={
+            name: ServiceRule(
+                name=name,
+                health_path='/healthz',
+                max_connections=100,
+            )
+            for name in ('forms', 'stamps')
+        },
+        limits=LIMITS,
+    )
+
+
+def target(name: str, **changes: Any) -> MeshTarget:
+    """Return a ready target of ``forms`` with some fields changed."""
+    fields: dict[str, Any] = {
+        'id': name,
+        'service': 'forms',
+        'version': 'v1',
+        'node': f'127.0.0.1:{name}',
+        'data_centre': 'split-a',
+        'region': 'dalmacija',
+        'slots': 4,
+        'state': 'ready',
+        'cold_ms': 0,
+        'incarnation': 1,
+        'sequence': 1,
+    }
+    return MeshTarget(**(fields | changes))
--- /dev/null
+++ b/tests/core/test_durations.py
@@ -0,0 +1,28 @@
+"""Tests of durations with a unit."""
+
+import pytest
+from mustardspur_core.durations import format_ms, parse_ms, parse_s
+
+
+@pytest.mark.parametrize(
+    ('text', 'expected_ms'),
+    [('1500ms', 1500.0), ('2.5s', 2500.0), ('0ms', 0), ('0.25s', 250.0)],
+)
+def test_unit_is_read(text: str, expected_ms: float) -> None:
+    """Guards against seconds that are taken for milliseconds."""
+    assert parse_ms(text) == pytest.approx(expected_ms)
+    assert parse_s(text) == pytest.approx(expected_ms / 1000)
+
+
+@pytest.mark.parametrize(
+    'text', ['', '12', 'ms', 'xs', 'nans', 'infs', 5, None]
+)
+def test_other_texts_are_refused(text: object) -> None:
+    """Guards against a duration without a unit that is guessed."""
+    with pytest.raises(ValueError, match='duration|float|unit'):
+        parse_ms(text)
+
+
+def test_format_is_read_back() -> None:
+    """Guards against a duration that changes on its way out."""
+    assert parse_ms(format_ms(1234.5)) == pytest.approx(1234.5)
--- a/tests/daemon/processes.py
+++ b/tests/daemon/processes.py
@@ -75,6 +75,7 @@
         str(BINARY),
         '--settings',
         str(path),
+        stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.PIPE,
     )
     try:
--- a/tests/daemon/test_processes.py
+++ b/tests/daemon/test_processes.py
@@ -84,9 +84,9 @@
     async with running_daemon(tmp_path, document) as process:
         await _until_serving(document)
         process.send_signal(number)
-        _, complaints = await process.communicate()
+        lines, complaints = await process.communicate()
     assert process.returncode == 0
-    assert b'Traceback' not in complaints
+    assert b'Traceback' not in lines + complaints
 
 
 async def test_taken_port_is_reported(tmp_path: Path) -> None:
@@ -97,9 +97,9 @@
     async with running_daemon(tmp_path, document):
         await _until_serving(document)
         async with running_daemon(tmp_path, second) as process:
-            _, complaints = await process.communicate()
+            lines, _ = await process.communicate()
     assert process.returncode == 3
-    assert b'taken by another process' in complaints
+    assert b'taken by another process' in lines
 
 
 async def test_unwritable_folder_is_reported(tmp_path: Path) -> None:
@@ -108,9 +108,9 @@
     blocked.write_text('')
     document = {**control_document(tmp_path), 'data_dir': str(blocked)}
     async with running_daemon(tmp_path, document) as process:
-        _, complaints = await process.communicate()
+        lines, _ = await process.communicate()
     assert process.returncode == 3
-    assert b'not a usable folder' in complaints
+    assert b'not a usable folder' in lines
 
 
 async def test_node_without_control_says_not_run(tmp_path: Path) -> None:
--- /dev/null
+++ b/tests/node/mesh/test_caller_connection.py
@@ -0,0 +1,164 @@
+"""Tests of callers' connections."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+from aiohttp.http_parser import RawRequestMessage
+from mustardspur_node.mesh.caller_answers import CallerAnswer, own_answer
+from mustardspur_node.mesh.caller_connection import (
+    BodyFault,
+    CallerConnection,
+    ReadBody,
+)
+
+from tests.core.mesh.builders import LIMITS
+
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+class _Node:
+    """Answers ``/slow`` after the rest and ``/hang`` never."""
+
+    def __init__(self) -> None:
+        self.closing = False
+        self.cancelled = 0
+        self.paths: list[str] = []
+
+    def is_closing(self) -> bool:
+        return self.closing
+
+    async def answer(
+        self,
+        message: RawRequestMessage,
+        read_body: ReadBody,
+    ) -> CallerAnswer:
+        self.paths.append(message.path)
+        try:
+            body = await read_body()
+            if message.path == '/slow':
+                await asyncio.sleep(0.1)
+            if message.path == '/hang':
+                await asyncio.sleep(60)
+        except BodyFault as fault:
+            return own_answer(fault.status, fault.reason, closes=True)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        return CallerAnswer(
+            status=200,
+            reason='OK',
+            headers=[],
+            body=message.path.encode() + body,
+            closes=False,
+        )
+
+
+@asynccontextmanager
+async def _connected(node: _Node) -> AsyncIterator[Streams]:
+    server = await asyncio.get_running_loop().create_server(
+        lambda: CallerConnection(LIMITS, node.answer, node.is_closing),
+        '127.0.0.1',
+        0,
+    )
+    port = server.sockets[0].getsockname()[1]
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    try:
+        yield reader, writer
+    finally:
+        writer.close()
+        server.close()
+
+
+def _get(path: str) -> bytes:
+    return f'GET {path} HTTP/1.1\r\nhost: forms.example\r\n\r\n'.encode()
+
+
+async def _answer(reader: asyncio.StreamReader) -> tuple[str, bytes]:
+    async with asyncio.timeout(5):
+        head = (await reader.readuntil(b'\r\n\r\n')).decode()
+        length = int(head.lower().split('content-length: ')[1].split('\r')[0])
+        return head, await reader.readexactly(length)
+
+
+async def test_answers_keep_the_order_of_the_requests() -> None:
+    """Guards against an answer that is taken for another request's."""
+    async with _connected(_Node()) as (reader, writer):
+        writer.write(_get('/slow') + _get('/fast') + _get('/last'))
+        _, first = await _answer(reader)
+        _, second = await _answer(reader)
+        _, third = await _answer(reader)
+    assert (first, second, third) == (b'/slow', b'/fast', b'/last')
+
+
+async def test_pipelined_requests_are_worked_on_together() -> None:
+    """Guards against a fast call that waits behind a slow one's run."""
+    node = _Node()
+    async with _connected(node) as (reader, writer):
+        writer.write(_get('/slow') + _get('/fast'))
+        while len(node.paths) < 2:
+            await asyncio.sleep(0.005)
+        assert reader.at_eof() is False
+        await _answer(reader)
+
+
+async def test_caller_that_leaves_cancels_its_calls() -> None:
+    """Guards against work for callers that are gone."""
+    node = _Node()
+    async with _connected(node) as (_, writer):
+        writer.write(_get('/hang') + _get('/hang'))
+        while len(node.paths) < 2:
+            await asyncio.sleep(0.005)
+        writer.close()
+        async with asyncio.timeout(5):
+            while node.cancelled < 2:
+                await asyncio.sleep(0.005)
+
+
+async def test_leaving_node_answers_what_it_has_read() -> None:
+    """Guards against calls that are cut when a node stops."""
+    node = _Node()
+    async with _connected(node) as (reader, writer):
+        writer.write(_get('/slow') + _get('/slow'))
+        while len(node.paths) < 2:
+            await asyncio.sleep(0.005)
+        node.closing = True
+        first, _ = await _answer(reader)
+        second, _ = await _answer(reader)
+        assert 'connection: close' not in first
+        assert 'connection: close' in second
+        async with asyncio.timeout(5):
+            assert await reader.read() == b''
+
+
+@pytest.mark.parametrize(
+    ('name', 'sent', 'status'),
+    [
+        ('no HTTP', b'hello world\r\n\r\n', '400'),
+        (
+            'a header that is too long',
+            b'GET / HTTP/1.1\r\nhost: a\r\nx: %s\r\n\r\n' % (b'y' * 9000),
+            '431',
+        ),
+        (
+            'a body that is too long',
+            b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 10001\r\n\r\n%s'
+            % (b'z' * 10_001),
+            '413',
+        ),
+        ('a head that does not end', b'GET / HTTP/1.1\r\nhost: a\r\n', '408'),
+    ],
+)
+async def test_bad_request_is_told_so(
+    name: str,
+    sent: bytes,
+    status: str,
+) -> None:
+    """Guards against callers that hang or take down a connection mutely."""
+    async with _connected(_Node()) as (reader, writer):
+        writer.write(sent)
+        head, _ = await _answer(reader)
+        assert head.split()[1] == status, name
+        async with asyncio.timeout(5):
+            assert await reader.read() == b''
--- /dev/null
+++ b/tests/node/mesh/test_view.py
@@ -0,0 +1,140 @@
+"""Tests of what a node holds."""
+
+import random
+from collections import Counter
+
+import pytest
+from mustardspur_core.mesh import MeshTarget, RouteShare, Transfer
+from mustardspur_core.mesh.messages import MeshTargets, MeshTransfers
+from mustardspur_core.mesh.packing import difference, table_rows
+from mustardspur_node.mesh.shares import ShareChooser
+from mustardspur_node.mesh.versions import eligible_targets
+from mustardspur_node.mesh.view import MeshView
+
+from tests.core.mesh.builders import route, table, target
+
+
+def _view(*rows: MeshTarget) -> MeshView:
+    view = MeshView()
+    tables = table(
+        1,
+        route('a'),
+        route('deep', path_prefix='/a/deep/'),
+        route('root', path_prefix='/'),
+        route('other', host='stamps.example', path_prefix='/a/'),
+    )
+    view.take_table(difference(None, 0, table_rows(tables), 5))
+    view.take_targets(MeshTargets(full=True, upserts=list(rows), removed=[]))
+    return view
+
+
+@pytest.mark.parametrize(
+    ('host', 'path', 'expected'),
+    [
+        ('forms.example', '/a/1', 'a'),
+        ('forms.example', '/a/', 'a'),
+        ('forms.example', '/a', 'root'),
+        ('forms.example', '/a/deep/1/2?x=/y/', 'deep'),
+        ('forms.example', '/a/deeper/1', 'a'),
+        ('stamps.example', '/a/1', 'other'),
+        ('stamps.example', '/b/1', None),
+        ('nobody.example', '/a/1', None),
+    ],
+)
+async def test_longest_prefix_of_the_host_wins(
+    host: str,
+    path: str,
+    expected: str | None,
+) -> None:
+    """Guards against a call that goes to another route."""
+    routes = _view().routes
+    assert routes is not None
+    found = routes.find(host, path)
+    assert getattr(found, 'name', None) == expected
+
+
+async def test_older_table_is_ignored() -> None:
+    """Guards against a node that goes back to an older table."""
+    view = _view()
+    older = difference(None, 0, table_rows(table(9, route('old'))), 4)
+    view.take_table(older)
+    assert view.table_index == 5
+    assert view.routes is not None
+    assert view.routes.table.number == 1
+
+
+async def test_difference_from_another_table_is_refused() -> None:
+    """Guards against a table put together from parts of two others."""
+    view = _view()
+    newer = table_rows(table(9, route('new')))
+    with pytest.raises(ValueError, match='difference from 4'):
+        view.take_table(difference(newer, 4, newer, 6))
+
+
+def _transfer(state: str, share: float) -> MeshTransfers:
+    return MeshTransfers(
+        index=1,
+        transfers=[
+            Transfer(
+                service='forms',
+                version='v2',
+                from_version='v1',
+                duration_ms=12_000.0,
+                state=state,
+                share=share,
+                elapsed_ms=0,
+                step=1,
+            ),
+        ],
+        base_versions={'forms': 'v2' if state == 'completed' else 'v1'},
+    )
+
+
+@pytest.mark.parametrize(
+    ('state', 'share', 'expected'),
+    [
+        ('running', 0, {'v1': 1000}),
+        ('running', 1.0, {'v2': 1000}),
+        ('completed', 1.0, {'v2': 1000}),
+        ('rolled_back', 0, {'v1': 1000}),
+    ],
+)
+async def test_version_follows_the_transfer(
+    state: str,
+    share: float,
+    expected: dict[str, int],
+) -> None:
+    """Guards against calls to a version that may get none."""
+    view = _view(target('1'), target('2', version='v2'))
+    view.take_transfers(_transfer(state, share))
+    choice = random.Random(1)
+    counts = Counter(
+        eligible_targets(view, 'forms', choice)[0].version for _ in range(1000)
+    )
+    assert counts == expected
+
+
+async def test_new_version_gets_nothing_before_the_order() -> None:
+    """Guards against calls to targets that were only started."""
+    view = _view(target('1'), target('2', version='v2'))
+    update = _transfer('running', 0)
+    update.transfers = []
+    view.take_transfers(update)
+    rows = eligible_targets(view, 'forms', random.Random(1))
+    assert [row.version for row in rows] == ['v1']
+
+
+async def test_weights_hold_over_few_calls() -> None:
+    """Guards against shares that are off by chance."""
+    weighted = route(
+        'w',
+        shares=[
+            RouteShare(service='forms', weight=90.0),
+            RouteShare(service='stamps', weight=10.0),
+            RouteShare(service='nobody', weight=0),
+        ],
+    )
+    chooser = ShareChooser(random.Random(2))
+    counts = Counter(chooser.service_of(weighted) for _ in range(100))
+    assert abs(counts['forms'] - 90) <= 1
+    assert counts['nobody'] == 0
--- a/tests/node/stand_ins/scripted.py
+++ b/tests/node/stand_ins/scripted.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import re
+import socket
+import struct
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Final
@@ -59,10 +61,16 @@
             request_id = found.group(1) if found else b''
             writer.write(sent.replace(b'{id}', request_id))
         if after == RESET:
-            writer.transport.abort()
+            _reset_at_close(writer)
         writer.close()
 
 
+def _reset_at_close(writer: asyncio.StreamWriter) -> None:
+    linger = struct.pack('ii', 1, 0)
+    opened = writer.get_extra_info('socket')
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 @asynccontextmanager
 async def run_scripted(
     *steps: Step,
--- /dev/null
+++ b/tests/platform/test_manifest.py
@@ -0,0 +1,165 @@
+"""Tests of the translation of manifests and heartbeats."""
+
+import json
+from typing import Any
+
+import pytest
+from mustardspur_core.mesh import RouteShare
+from mustardspur_platform.fields import BadField, manifest_number
+from mustardspur_platform.manifest import decode_manifest
+from mustardspur_platform.status_reports import decode_report
+
+
+def _manifest() -> dict[str, Any]:
+    return {
+        'version': 'r7',
+        'routes': {
+            'r-1': {
+                'host': 'a.example',
+                'path_prefix': '/x/',
+                'kind': 'idempotent',
+                'timeout': '1200ms',
+                'target_latency': '400ms',
+                'priority': 2,
+                'weighted_services': [
+                    {'service': 'one', 'weight': 90},
+                    {'service': 'two', 'weight': 10},
+                ],
+                'max_attempts': 2,
+            },
+            'r-2': {
+                'host': 'a.example',
+                'path_prefix': '/y/',
+                'kind': 'non_idempotent',
+                'timeout': '1.5s',
+                'target_latency': '500ms',
+                'priority': 1,
+                'service': 'one',
+                'max_attempts': 2,
+            },
+        },
+        'services': {
+            'one': {
+                'health_path': '/healthz',
+                'max_connections': 110,
+                'protocol': 'h1',
+                'tls': False,
+            },
+            'two': {'health_path': '/healthz', 'max_connections': 110},
+        },
+        'limits': {
+            'max_header_bytes': 16384,
+            'max_body_bytes': 67108864,
+            'header_timeout': '3000ms',
+            'idle_timeout': '15000ms',
+        },
+    }
+
+
+def _report() -> dict[str, Any]:
+    return {
+        'service': 'one',
+        'address': '10.0.0.9:8080',
+        'zone': 'split-a',
+        'version': 'v1',
+        'slots': 9,
+        'state': 'ready',
+        'cold_remaining': '250ms',
+        'sequence': 4,
+        'born': 1_700_000_000_000,
+    }
+
+
+def test_manifest_becomes_a_table() -> None:
+    """Guards against fields that are read under the wrong meaning."""
+    table = decode_manifest(json.dumps(_manifest()).encode())
+    weighted, plain = table.routes['r-1'], table.routes['r-2']
+    assert table.number == 7
+    assert weighted.idempotent
+    assert not plain.idempotent
+    assert weighted.objective_ms == 400
+    assert plain.timeout_ms == 1500
+    assert weighted.shares[1] == RouteShare(service='two', weight=10.0)
+    assert [share.service for share in plain.shares] == ['one']
+    assert table.limits.idle_timeout_ms == 15_000
+
+
+@pytest.mark.parametrize(
+    ('place', 'found'),
+    [
+        (('version',), 'seven'),
+        (('routes',), []),
+        (('routes', 'r-1', 'kind'), 'sometimes'),
+        (('routes', 'r-1', 'timeout'), 1200),
+        (('routes', 'r-1', 'timeout'), '1200'),
+        (('routes', 'r-1', 'max_attempts'), True),
+        (('routes', 'r-1', 'weighted_services'), 'one'),
+        (('services', 'one', 'max_connections'), None),
+        (('limits', 'max_body_bytes'), '64'),
+    ],
+)
+def test_unreadable_field_is_named(place: tuple[str, ...], found: Any) -> None:
+    """Guards against a manifest that is put in force in part."""
+    manifest = _manifest()
+    table: Any = manifest
+    for name in place[:-1]:
+        table = table[name]
+    table[place[-1]] = found
+    with pytest.raises(BadField, match=place[-1]):
+        decode_manifest(json.dumps(manifest).encode())
+
+
+def test_cut_manifest_is_refused() -> None:
+    """Guards against the first half of a manifest."""
+    content = json.dumps(_manifest()).encode()
+    with pytest.raises(BadField):
+        decode_manifest(content[: len(content) // 2])
+
+
+@pytest.mark.parametrize(('text', 'number'), [('r12', 12), ('0', 0), ('r0', 0)])
+def test_manifest_number(text: str, number: int) -> None:
+    """Guards against versions that are compared as texts."""
+    assert manifest_number(text) == number
+
+
+@pytest.mark.parametrize('text', ['', 'r', 'r-1', 'v3', None, 4])
+def test_bad_manifest_number(text: object) -> None:
+    """Guards against an edit that builds on a guessed number."""
+    with pytest.raises(BadField):
+        manifest_number(text)
+
+
+def test_heartbeat_becomes_a_report() -> None:
+    """Guards against fields that are read under the wrong meaning."""
+    report = decode_report('i-1', json.dumps(_report()).encode())
+    assert (report.id, report.service, report.slots) == ('i-1', 'one', 9)
+    assert report.cold_ms == 250
+    assert report.born == 1_700_000_000_000
+
+
+@pytest.mark.parametrize(
+    ('name', 'found'),
+    [
+        ('service', None),
+        ('service', 7),
+        ('state', 'asleep'),
+        ('slots', '9'),
+        ('slots', 0),
+        ('sequence', 'four'),
+        ('address', 'somewhere'),
+        ('cold_remaining', 250),
+        ('born', 1.5),
+    ],
+)
+def test_foreign_heartbeat_names_no_target(name: str, found: Any) -> None:
+    """Guards against a target made up from another writer's entry."""
+    body = {**_report(), name: found}
+    with pytest.raises(BadField, match=name):
+        decode_report('i-1', json.dumps(body).encode())
+
+
+@pytest.mark.parametrize('content', [b'', b'\xff\xfe', b'[]', b'{"a":1,"a":2}'])
+def test_bytes_that_cannot_be_read(content: bytes) -> None:
+    """Guards against an exception of another type."""
+    with pytest.raises(BadField):
+        decode_report('i-1', content)
