--- a/tests/daemon/processes.py
+++ b/tests/daemon/processes.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import socket
 import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -11,20 +10,14 @@
 
 from aiohttp import ClientError, ClientSession
 
+from tests.support.ports import free_address
+
 # Only bounds a test that hangs; no verdict depends on how long a start takes.
 HANG_LIMIT_S: Final = 60.0
 POLL_S: Final = 0.05
 BINARY: Final = Path(sys.executable).parent / 'mustardspurd'
 
 
-def free_address() -> str:
-    """Return an address of this machine that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        port = probe.getsockname()[1]
-    return f'127.0.0.1:{port}'
-
-
 def control_document(folder: Path) -> dict[str, Any]:
     """Return settings of a control instance that is the only voter."""
     stream, http = free_address(), free_address()
--- a/tests/daemon/test_processes.py
+++ b/tests/daemon/test_processes.py
@@ -10,10 +10,10 @@
 from tests.daemon.processes import (
     answer_of,
     control_document,
-    free_address,
     node_document,
     running_daemon,
 )
+from tests.support.ports import free_address
 
 Document = dict[str, Any]
 READY_PATH = '/mustardspur/v1/ready'
--- a/tests/daemon/test_recovering.py
+++ b/tests/daemon/test_recovering.py
@@ -11,10 +11,10 @@
 from tests.daemon.processes import (
     answer_of,
     control_document,
-    free_address,
     node_document,
     running_daemon,
 )
+from tests.support.ports import free_address
 
 
 def _recover(folder: Path, document: dict[str, Any]) -> int:
--- /dev/null
+++ b/tests/node/mesh/builders.py
@@ -0,0 +1,52 @@
+"""Targets and calls for the tests of a mesh's node."""
+
+from typing import Any
+
+from mustardspur_core.mesh.messages import CallOpen
+from mustardspur_node.mesh.local_target import LocalTarget
+from mustardspur_node.mesh.names import OWN_NAMES
+from mustardspur_node.mesh.reports import ReportBook, TargetReport
+from mustardspur_node.mesh.tally import Tally
+
+
+def target_report(**changes: Any) -> TargetReport:
+    """Return a report of a ready target with some fields changed."""
+    fields: dict[str, Any] = {
+        'id': 't1',
+        'service': 'forms',
+        'version': 'v1',
+        'address': '10.0.0.5:9000',
+        'slots': 9,
+        'state': 'ready',
+        'cold_ms': 0,
+        'sequence': 4,
+        'born': 1000,
+    }
+    return TargetReport(**(fields | changes))
+
+
+def local_target(address: str) -> LocalTarget:
+    """Return the node's side of a ready target at an address."""
+    local = LocalTarget(ReportBook(address), OWN_NAMES, Tally())
+    local.book.take(target_report(address=address, slots=2))
+    local.refresh()
+    return local
+
+
+def call_open(request_id: str = 'r1', **changes: Any) -> CallOpen:
+    """Return a call for that target with some fields changed."""
+    fields: dict[str, Any] = {
+        'target': 't1',
+        'service': 'forms',
+        'route': 'drafts',
+        'priority': 0,
+        'method': 'GET',
+        'path': '/drafts/1',
+        'headers': [['host', 'forms.example'], ['x-request-id', request_id]],
+        'deadline_ms': 2000.0,
+        'patience_ms': 500.0,
+        'confirm': False,
+        'body': b'',
+        'more': False,
+    }
+    return CallOpen(**(fields | changes))
--- a/tests/node/mesh/test_reports.py
+++ b/tests/node/mesh/test_reports.py
@@ -1,42 +1,30 @@
 """Tests of what a target says of itself."""
 
-from typing import Any
-
 import pytest
 import pytest_asyncio
 from mustardspur_node.mesh.reports import ReportBook, TargetReport
 
-
-def _report(**changes: Any) -> TargetReport:
-    fields: dict[str, Any] = {
-        'id': 't1',
-        'service': 'forms',
-        'version': 'v1',
-        'address': '10.0.0.5:9000',
-        'slots': 9,
-        'state': 'ready',
-        'cold_ms': 0,
-        'sequence': 4,
-        'born': 1000,
-    }
-    return TargetReport(**(fields | changes))
+from tests.node.mesh.builders import target_report
 
 
 @pytest_asyncio.fixture(name='book')
 async def make_book() -> ReportBook:
     """Return a book that has taken a report."""
     book = ReportBook('10.0.0.5:9000')
-    book.take(_report())
+    book.take(target_report())
     return book
 
 
 @pytest.mark.parametrize(
     ('name', 'report'),
     [
-        ('an earlier one', _report(sequence=3, state='draining')),
-        ('of an earlier start', _report(born=999, sequence=90)),
-        ('of an earlier target', _report(id='t0', born=900, sequence=90)),
-        ('of another instance', _report(address='10.0.0.6:9000', born=2000)),
+        ('an earlier one', target_report(sequence=3, state='draining')),
+        ('of an earlier start', target_report(born=999, sequence=90)),
+        ('of an earlier target', target_report(id='t0', born=900, sequence=90)),
+        (
+            'of another instance',
+            target_report(address='10.0.0.6:9000', born=2000),
+        ),
     ],
 )
 async def test_report_is_not_used(
@@ -46,25 +34,25 @@
 ) -> None:
     """Guards against late and false reports."""
     assert not book.take(report), name
-    assert book.current == _report()
+    assert book.current == target_report()
 
 
 async def test_same_identity_starts_anew(book: ReportBook) -> None:
     """Guards against a restarted target that counts as known."""
-    assert book.take(_report(born=2000, sequence=1))
+    assert book.take(target_report(born=2000, sequence=1))
 
 
 async def test_left_target_stays_away(book: ReportBook) -> None:
     """Guards against a late report that brings a target back."""
     assert book.leave('t1')
-    assert not book.take(_report(sequence=9))
+    assert not book.take(target_report(sequence=9))
     assert book.current is None
-    assert book.take(_report(born=2000, sequence=1))
+    assert book.take(target_report(born=2000, sequence=1))
 
 
 async def test_next_target_at_the_address(book: ReportBook) -> None:
     """Guards against the leave of an old target that drops its successor."""
-    book.take(_report(id='t2', service='stamps', born=3000, sequence=1))
+    book.take(target_report(id='t2', service='stamps', born=3000, sequence=1))
     assert not book.leave('t1')
     assert book.current is not None
     assert book.current.service == 'stamps'
@@ -72,4 +60,4 @@
 
 async def test_heartbeat_changes_nothing(book: ReportBook) -> None:
     """Guards against an announcement to all nodes at each heartbeat."""
-    assert not book.take(_report(sequence=5))
+    assert not book.take(target_report(sequence=5))
--- /dev/null
+++ b/tests/support/ports.py
@@ -0,0 +1,11 @@
+"""Free ports on the loopback address."""
+
+import socket
+
+
+def free_address() -> str:
+    """Return an address of this machine that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        port = probe.getsockname()[1]
+    return f'127.0.0.1:{port}'
