--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
@@ -25,7 +25,7 @@
 )
 from mustardspur_node.mesh.calls import Headers, MeshCall
 from mustardspur_node.mesh.names import HOP_BY_HOP, HeaderNames
-from mustardspur_node.mesh.placing import RETRY_AFTER_S, Placement, Placer
+from mustardspur_node.mesh.placing import Placement, Placer
 from mustardspur_node.mesh.view import MeshView
 
 _LOG: Final = logging.getLogger(__name__)
@@ -251,7 +251,8 @@
     def _refusal(self, placement: Placement) -> CallerAnswer:
         headers: Headers = []
         if placement.status == HTTPStatus.SERVICE_UNAVAILABLE:
-            headers.append([self._names.retry_after, str(RETRY_AFTER_S)])
+            after_s = placement.retry_after_s
+            headers.append([self._names.retry_after, str(after_s)])
         return own_answer(placement.status, placement.reason, headers)
 
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/journey.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/journey.py
@@ -68,7 +68,9 @@
         self.faults.append(fault)
         if fault.arrived:
             self.arrivals += 1
-        if not fault.not_run:
+        if fault.not_run:
+            self.sent_on = False
+        else:
             self.runs += 1
 
     def left_ms(self) -> float:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -140,8 +140,9 @@
     async def _lend(self) -> TargetConnection:
         try:
             return await self._pool.lend()
-        except PlaceFault:
-            self.gate.close_for_a_while()
+        except PlaceFault as fault:
+            if fault.kind == 'unreachable':
+                self.gate.close_for_a_while()
             raise
 
     async def _exchange(
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -31,9 +31,11 @@
 NEEDED_RUNS: Final = 1.2
 # A call with less time than this is not placed again.
 MIN_LEFT_MS: Final = 15.0
-# Time after which a refused caller is asked to come back: about the time in
-# which a full target frees its slots.
-RETRY_AFTER_S: Final = 0.25
+# Times after which a refused caller is asked to come back: about the time in
+# which full targets work off a part of their queues, and a moment where
+# targets refused the call though they have slots.
+BUSY_RETRY_AFTER_S: Final = 0.3
+REFUSED_RETRY_AFTER_S: Final = 0.05
 
 
 class Placement(Exception):
@@ -45,13 +47,21 @@
         For the caller; 503 only if the call certainly did not run.
     reason : str
         Description for the caller and the log.
+    retry_after_s : float
+        When to come back, for a call that did not run.
     """
 
-    def __init__(self, status: HTTPStatus, reason: str) -> None:
-        """Keep both."""
+    def __init__(
+        self,
+        status: HTTPStatus,
+        reason: str,
+        retry_after_s: float = BUSY_RETRY_AFTER_S,
+    ) -> None:
+        """Keep what the caller is told."""
         super().__init__(reason)
         self.status = status
         self.reason = reason
+        self.retry_after_s = retry_after_s
 
 
 class Placer:
@@ -257,4 +267,6 @@
             if journey.left_ms() <= 0:
                 status = HTTPStatus.GATEWAY_TIMEOUT
         self.log.note_end(journey, status, reason)
-        return Placement(status, reason)
+        busy = bool(journey.faults) and journey.faults[-1].kind == 'busy'
+        after_s = BUSY_RETRY_AFTER_S if busy else REFUSED_RETRY_AFTER_S
+        return Placement(status, reason, after_s)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_pool.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_pool.py
@@ -66,6 +66,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 return await asyncio.shield(creation)
+        except ConnectionResetError as error:
+            # The target is there, but takes no further connection now.
+            raise never_sent('refused', repr(error)) from error
         except (OSError, TimeoutError) as error:
             _abort_later(creation)
             raise never_sent('unreachable', repr(error)) from error
