--- a/packages/mustardspur_agreement/src/mustardspur_agreement/election.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/election.py
@@ -81,7 +81,7 @@
             return 2 * election_s
         # Voters of other regions wait longer, so that one of the region with
         # most voters usually stands first.
-        outside = region != membership.preferred_region()
+        outside = membership.preferred_region() not in {region, ''}
         return (1 + chance + outside) * election_s
 
     async def _stand(self) -> None:
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/membership.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/membership.py
@@ -54,8 +54,13 @@
         return sorted(held, reverse=True)[self.quorum - 1]
 
     def preferred_region(self) -> str:
-        """Return the region with most voters, the first by name if equal."""
+        """Return the region with most voters, the first by name if equal.
+
+        Empty while the region of any voter is unknown.
+        """
         counts = Counter(peer.region for peer in self.voters_by_id.values())
+        if '' in counts:
+            return ''
         return min(counts, key=lambda region: (-counts[region], region))
 
 
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/oversight.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/oversight.py
@@ -70,7 +70,7 @@
         preferred = replica.membership.preferred_region()
         pause_s = _HANDOVER_PAUSE_ELECTIONS * replica.election_s
         recent = _now() - self._handover_s < pause_s
-        if recent or replica.context.settings.region == preferred:
+        if recent or preferred in {replica.context.settings.region, ''}:
             return
         heir = self._heir(leadership, preferred)
         if heir is not None:
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/voters.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/voters.py
@@ -39,6 +39,8 @@
     async def add(self, peer: Peer) -> Outcome:
         """Let a peer catch up as a non-voting member, then make it a voter.
 
+        For a peer that is a voter already only its description changes.
+
         Parameters
         ----------
         peer : Peer
@@ -53,9 +55,11 @@
         async with self._turn() as leadership:
             if leadership.is_error():
                 return Error(leadership.error)
-            caught_up = await self._catch_up(leadership.ok, peer)
-            if caught_up.is_error():
-                return Error(caught_up.error)
+            voters = self._replica.membership.voters_by_id
+            if peer.id not in voters:
+                caught_up = await self._catch_up(leadership.ok, peer)
+                if caught_up.is_error():
+                    return Error(caught_up.error)
             voters = dict(self._replica.membership.voters_by_id)
             voters[peer.id] = replaced(peer, voter=True)
             return await self._commit(list(voters.values()))
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/judging.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/judging.py
@@ -8,6 +8,10 @@
 
 # Fewer failures than this can be chance on any version.
 MIN_FAILED: Final = 4
+# Failures on a route that the other version has not answered yet may come
+# from the route itself, so more of them are needed.
+MIN_OTHER_RUNS: Final = 5
+MIN_FAILED_ALONE: Final = 15
 # A version fails if its rate of failures is above this and above a multiple
 # of the other version's.
 MIN_FAILURE_RATE: Final = 0.12
@@ -79,7 +83,8 @@
     rate = new[1] / max(new[0], 1)
     old_rate = old[1] / max(old[0], 1)
     limit = max(MIN_FAILURE_RATE, FAILURE_RATIO * old_rate)
-    if new[1] >= MIN_FAILED and rate > limit:
+    needed = MIN_FAILED if old[0] >= MIN_OTHER_RUNS else MIN_FAILED_ALONE
+    if new[1] >= needed and rate > limit:
         return f'{route}: {new[1]} of {new[0]} failed, others {old_rate:.3f}'
     if min(new[2], old[2]) < MIN_TIMED:
         return ''
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
@@ -28,6 +28,11 @@
 CHECK_S: Final = 0.25
 # Shares are moved in steps of at least this size, since each is an entry.
 MIN_SHARE_STEP: Final = 0.02
+# The time of a transfer is recorded at least this often, as a part of it, so
+# that the next leader knows it.
+PROGRESS_STEP: Final = 0.08
+# Time that a new leader takes to be elected, in which no step is made.
+ELECTION_MS: Final = 1000
 
 
 class TransferDriver:
@@ -110,7 +115,7 @@
                 self._evidence.forget(transfer.service)
             return
         elapsed_ms = self._elapsed_ms(transfer)
-        progress = elapsed_ms / max(transfer.duration_ms, 1.0)
+        progress = elapsed_ms / max(transfer.duration_ms, 1)
         step = self._decide(transfer, progress)
         if step is None:
             return
@@ -150,6 +155,8 @@
         if share >= transfer.share + MIN_SHARE_STEP:
             _log_decision(transfer, f'share {share:.2f}', verdict, progress)
             return TransferState.RUNNING.value, share
+        if progress - _last_progress(transfer) >= PROGRESS_STEP:
+            return TransferState.RUNNING.value, transfer.share
         return None
 
     def _verdict(self, transfer: Transfer) -> Verdict:
@@ -182,13 +189,16 @@
     def _elapsed_ms(self, transfer: Transfer) -> float:
         """Return the time since the order, by the steady clock.
 
-        A new leader goes on from the time at the latest step, as it does
-        not know when that was.
+        A new leader goes on from the time at the latest step and adds the
+        time of an election, since it is better early than late.
         """
         now_s = asyncio.get_running_loop().time()
         version, began_s = self._clocks.get(transfer.service, ('', 0))
         if version != transfer.version:
-            began_s = now_s - transfer.elapsed_ms / MS_PER_S
+            elapsed_ms = transfer.elapsed_ms
+            if transfer.step:
+                elapsed_ms += ELECTION_MS
+            began_s = now_s - elapsed_ms / MS_PER_S
             self._clocks[transfer.service] = (transfer.version, began_s)
         return (now_s - began_s) * MS_PER_S
 
@@ -204,6 +214,10 @@
             )
 
 
+def _last_progress(transfer: Transfer) -> float:
+    return transfer.elapsed_ms / max(transfer.duration_ms, 1)
+
+
 def _is_ready(row: MeshTarget, service: str) -> bool:
     return row.service == service and row.state == TargetState.READY
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -85,6 +85,7 @@
         '_ended',
         '_limits',
         '_pending',
+        '_refusing',
         '_timers',
         '_wake',
         '_writer',
@@ -105,6 +106,7 @@
         self._pending: deque[_Pending] = deque()
         self._wake = asyncio.Event()
         self._ended = False
+        self._refusing = False
         self._writer: asyncio.Task[None] | None = None
         self._timers = CallerTimers(
             limits,
@@ -170,8 +172,13 @@
         if not self._pending and not self._ended:
             self._finish()
 
+    def leave(self) -> None:
+        """Take no further request; close after the last open one."""
+        self._refusing = True
+        self.close_idle()
+
     def _start(self, message: RawRequestMessage, payload: StreamReader) -> None:
-        if self._ended:
+        if self._ended or self._refusing:
             return
         self._timers.cancel()
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
@@ -105,7 +105,7 @@
             yield
         finally:
             server.close()
-            self.close_idle()
+            self.leave()
 
     @property
     def open_connections(self) -> int:
@@ -118,11 +118,11 @@
         if self._server is not None:
             self._server.close()
 
-    def close_idle(self) -> None:
-        """Close the connections on which no request is open."""
+    def leave(self) -> None:
+        """Close each connection once no request is open on it."""
         self._forget_ended()
         for connection in self._connections:
-            connection.close_idle()
+            connection.leave()
 
     async def answer(
         self,
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
@@ -37,7 +37,7 @@
 # An instance that was not reached has cost a time-out already.
 FAILED_RETRY_S: Final = 0.05
 # A control instance without a leader is left after this many of its beats.
-STALE_BEATS: Final = 2
+STALE_BEATS: Final = 3
 # A node without a table takes one that no quorum confirms after this time.
 UNCONFIRMED_S: Final = 2.0
 # A node goes back to the nearest control instance after this time.
@@ -172,11 +172,16 @@
 
     @_FROM_CONTROL.handles(MeshTable)
     def _take_table(self, update: MeshTable) -> None:
-        late = _now() - self._started_s >= UNCONFIRMED_S
-        if update.confirmed or late or self._view.table_index:
+        wait_s = self._started_s + UNCONFIRMED_S - _now()
+        if update.confirmed or self._view.table_index or wait_s <= 0:
             self._view.take_table(update.delta)
         else:
-            raise Stale('no quorum confirms the table')
+            # A confirmed table that comes before then has at least its index.
+            asyncio.get_running_loop().call_later(
+                wait_s,
+                self._view.take_table,
+                update.delta,
+            )
 
     @_FROM_CONTROL.handles(MeshTransfers)
     def _take_transfers(self, update: MeshTransfers) -> None:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -142,7 +142,7 @@
         self.local.prune()
 
     def _is_busy(self) -> bool:
-        self.callers.close_idle()
+        self.callers.leave()
         return bool(self.callers.open_connections or self.peers.running)
 
     def _name_origin(self) -> None:
--- a/tests/agreement/test_faults.py
+++ b/tests/agreement/test_faults.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import pytest
+from mustardspur_core.record import replaced
 from mustardspur_core.units import MS_PER_S
 
 from tests.agreement.cluster import Cluster
@@ -276,3 +277,32 @@
     )
     assert cluster.run(outcome).error.kind == 'not_leader'
     assert leader.running.voters == sorted(VOTERS)
+
+
+def test_description_of_a_voter_is_replaced(
+    make_cluster: MakeCluster,
+) -> None:
+    """Guards against a leader that waits for itself to catch up."""
+    cluster = make_cluster(VOTERS)
+    cluster.start()
+    _fill(cluster)
+    log = cluster.leader().running
+    own = cluster.peer(cluster.leader().settings.id)
+    moved = replaced(own, data_centre='elsewhere')
+    assert cluster.run(log.add_voter(moved)).is_ok()
+    assert log.voter_peers[own.id].data_centre == 'elsewhere'
+
+
+def test_unknown_regions_move_no_leader(make_cluster: MakeCluster) -> None:
+    """Guards against a leadership that goes around without an end."""
+    cluster = make_cluster(VOTERS)
+    cluster.start()
+    _fill(cluster)
+    log = cluster.leader().running
+    for name in VOTERS:
+        unknown = replaced(cluster.peer(name), region='')
+        assert cluster.run(log.add_voter(unknown)).is_ok()
+    term = log.term
+    cluster.advance(60)
+    assert log.is_leader
+    assert log.term == term
--- a/tests/control/mesh/test_judging.py
+++ b/tests/control/mesh/test_judging.py
@@ -48,6 +48,16 @@
     assert not judge(totals, 'v2').bad
 
 
+def test_new_route_alone_is_no_verdict() -> None:
+    """Guards against a rollback for a route that fails at any version."""
+    totals = {
+        ('v1', 'drafts'): _OLD,
+        ('v2', 'drafts'): (400, 2, 400, 24_000.0),
+        ('v2', 'added'): (4, 4, 0, 0),
+    }
+    assert not judge(totals, 'v2').bad
+
+
 def test_share_waits_for_answers() -> None:
     """Guards against a step up on a version that has answered nothing."""
     assert planned_share(0.7, 0) == planned_share(0, 0)
--- a/tests/node/mesh/test_caller_connection.py
+++ b/tests/node/mesh/test_caller_connection.py
@@ -25,6 +25,12 @@
         self.closing = False
         self.cancelled = 0
         self.paths: list[str] = []
+        self.connections: list[CallerConnection] = []
+
+    def connect(self) -> CallerConnection:
+        connection = CallerConnection(LIMITS, self.answer, self.is_closing)
+        self.connections.append(connection)
+        return connection
 
     def is_closing(self) -> bool:
         return self.closing
@@ -58,7 +64,7 @@
 @asynccontextmanager
 async def _connected(node: _Node) -> AsyncIterator[Streams]:
     server = await asyncio.get_running_loop().create_server(
-        lambda: CallerConnection(LIMITS, node.answer, node.is_closing),
+        node.connect,
         '127.0.0.1',
         0,
     )
@@ -132,6 +138,23 @@
             assert await reader.read() == b''
 
 
+async def test_request_behind_the_end_is_not_started() -> None:
+    """Guards against a caller whose requests keep a stopping node busy."""
+    node = _Node()
+    async with _connected(node) as (reader, writer):
+        writer.write(_get('/slow'))
+        while not node.paths:
+            await asyncio.sleep(0.005)
+        node.closing = True
+        node.connections[0].leave()
+        writer.write(_get('/late'))
+        head, _ = await _answer(reader)
+        assert 'connection: close' in head
+        async with asyncio.timeout(5):
+            assert await reader.read() == b''
+    assert node.paths == ['/slow']
+
+
 @pytest.mark.parametrize(
     ('name', 'sent', 'status'),
     [
--- a/tests/node/mesh/test_journey.py
+++ b/tests/node/mesh/test_journey.py
@@ -9,6 +9,7 @@
     never_sent,
 )
 from mustardspur_node.mesh.journey import Journey
+
 from tests.core.mesh.builders import route
 
 
