Refuse calls that would wait beyond their objective

Change: a call waits for a slot within its objective only, unless its caller has no other chance; targets known to be full are not asked.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -128,11 +128,6 @@
             auto_decompress=False,
         )
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether no request waits for its answer."""
-        return not self._pending
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to answer."""
         super().connection_made(transport)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
@@ -31,6 +31,9 @@
 _LOG: Final = logging.getLogger(__name__)
 
 BACKLOG: Final = 1024
+# A caller whose time is below this multiple of the objective is on its last
+# attempt, or makes a call within another one.
+LAST_CHANCE: Final = 4
 # Connections between two looks for those that have ended.
 _PRUNE_CONNECTIONS: Final = 64
 
@@ -193,7 +196,10 @@
                 table_index=self._view.table_index,
             )
             return own_answer(HTTPStatus.NOT_FOUND, 'no route matches')
-        deadline_s = started_s + self._wait_ms(message, route) / MS_PER_S
+        stated_ms = self._stated_ms(message, route)
+        wait_ms = min(stated_ms, route.timeout_ms)
+        deadline_s = started_s + wait_ms / MS_PER_S
+        useful_ms = useful_wait_ms(route, stated_ms)
         body = await self._body_in_time(read_body, deadline_s)
         return passed_on(
             await self._placer.place(
@@ -206,6 +212,7 @@
                     body=body,
                     started_s=started_s,
                     deadline_s=deadline_s,
+                    useful_s=started_s + useful_ms / MS_PER_S,
                 ),
             ),
         )
@@ -224,13 +231,17 @@
                 'request body did not arrive in time',
             ) from error
 
-    def _wait_ms(self, message: RawRequestMessage, route: MeshRoute) -> float:
-        """Return the longest time that the caller is kept waiting."""
+    def _stated_ms(
+        self,
+        message: RawRequestMessage,
+        route: MeshRoute,
+    ) -> float:
+        """Return the time that the caller still waits, as it says."""
         stated = message.headers.get(self._names.deadline_ms)
         if stated is None:
             return route.timeout_ms
         try:
-            return min(float(stated), route.timeout_ms)
+            return float(stated)
         except ValueError:
             _LOG.info('deadline is not a number', extra={'deadline': stated})
             return route.timeout_ms
@@ -256,5 +267,26 @@
         return own_answer(placement.status, placement.reason, headers)
 
 
+def useful_wait_ms(route: MeshRoute, stated_ms: float) -> float:
+    """Return the time within which an answer has most of its value.
+
+    Explanation
+    ===========
+
+    While targets are short of slots, calls that wait beyond their objective
+    make all others late as well, so they are refused and come back. A caller
+    with little time left has no such other chance.
+
+    Parameters
+    ----------
+    stated_ms : float
+        Time that the caller still waits.
+    """
+    wait_ms = min(stated_ms, route.timeout_ms)
+    if stated_ms <= LAST_CHANCE * route.objective_ms:
+        return wait_ms
+    return min(wait_ms, route.objective_ms)
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/calls.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/calls.py
@@ -15,6 +15,8 @@
     deadline_s : float
         Moment on the loop's clock at which the caller is answered at the
         latest.
+    useful_s : float
+        Moment after which an answer has lost most of its value.
     started_s : float
         Moment at which the call was read.
     """
@@ -28,6 +30,7 @@
         'body',
         'started_s',
         'deadline_s',
+        'useful_s',
     )
     request_id: str
     route: MeshRoute
@@ -37,6 +40,7 @@
     body: bytes
     started_s: float
     deadline_s: float
+    useful_s: float
 
 
 class TargetAnswer(Record):
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
@@ -23,6 +23,8 @@
 COLD_FACTOR: Final = 2.0
 # A node that could not be reached is tried again after this time.
 SUSPECT_S: Final = 0.7
+# A report of a target's load is relied on for this time.
+FRESH_S: Final = 0.25
 # Targets that are compared for a call; more would all find the same one.
 COMPARED: Final = 3
 
@@ -30,10 +32,11 @@
 class _NodeState:
     """What this node knows of the target beside another node."""
 
-    __slots__ = ('load', 'sent', 'suspect_until_s')
+    __slots__ = ('load', 'load_s', 'sent', 'suspect_until_s')
 
     def __init__(self) -> None:
         self.load: TargetLoad | None = None
+        self.load_s: float = 0
         self.sent = 0
         self.suspect_until_s: float = 0
 
@@ -62,6 +65,7 @@
         """Take over the state of a target as its node reports it."""
         state = self._state(node)
         state.load = load
+        state.load_s = _now()
         state.sent = 0
 
     def note_sent(self, node: str) -> None:
@@ -80,13 +84,30 @@
             if key not in self._cold_until_s and row.cold_ms:
                 self._cold_until_s[key] = _now() + row.cold_ms / 1000
 
-    def choose(self, rows: list[MeshTarget]) -> MeshTarget | None:
+    def choose(
+        self,
+        rows: list[MeshTarget],
+        useful_ms: float,
+    ) -> MeshTarget | None:
         """Return the best of a few targets, None if there are none.
 
+        Explanation
+        ===========
+
         Some of the own region and some of others are compared, so that a
-        call crosses regions where that is worth its price.
+        call crosses regions where that is worth its price. Targets that are
+        known to be too full for the call are left out: asking them costs
+        bytes and time, and they would refuse.
+
+        Parameters
+        ----------
+        rows : list of MeshTarget
+            Targets that may run the call.
+        useful_ms : float
+            Time within which an answer has most of its value.
         """
-        usable = [row for row in rows if self._is_usable(row)] or rows
+        sound = [row for row in rows if self._is_usable(row)] or rows
+        usable = [row for row in sound if self._fits(row, useful_ms)]
         region = self._settings.region
         near = [row for row in usable if row.region == region]
         far = [row for row in usable if row.region != region]
@@ -136,6 +157,18 @@
             return state.sent
         return state.load.running + state.load.waiting + state.sent
 
+    def _fits(self, row: MeshTarget, useful_ms: float) -> bool:
+        state = self._state(row.node)
+        load = state.load
+        if load is None or _now() - state.load_s > FRESH_S:
+            return True
+        slots = max(load.slots, 1)
+        ahead = self._inside(state) + 1 - slots
+        if ahead <= 0:
+            return True
+        wait_ms = ahead * load.run_ms / slots
+        return wait_ms + load.run_ms + self.distance_ms(row) <= useful_ms
+
     def _is_usable(self, row: MeshTarget) -> bool:
         state = self._state(row.node)
         if _now() < state.suspect_until_s:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/journey.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/journey.py
@@ -77,6 +77,10 @@
         """Return the time that is left."""
         return (self.call.deadline_s - _now()) * MS_PER_S
 
+    def useful_ms(self) -> float:
+        """Return the time within which an answer has most of its value."""
+        return (self.call.useful_s - _now()) * MS_PER_S
+
     def held_ms(self) -> float:
         """Return the time since the call was read."""
         return (_now() - self.call.started_s) * MS_PER_S
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -25,10 +25,7 @@
 from mustardspur_node.mesh.view import MeshView
 
 # Targets that may refuse a call before it is refused to the caller.
-MAX_PLACEMENTS: Final = 6
-# Part of a run's mean time that a call must have left after its wait, as
-# most runs are shorter than the mean.
-NEEDED_RUNS: Final = 1.2
+MAX_PLACEMENTS: Final = 4
 # A call with less time than this is not placed again.
 MIN_LEFT_MS: Final = 15.0
 # Times after which a refused caller is asked to come back: about the time in
@@ -161,7 +158,7 @@
             for row in journey.rows(self._view, self._choice)
             if row.node not in journey.tried
         ]
-        return self.chooser.choose(rows)
+        return self.chooser.choose(rows, journey.useful_ms())
 
     async def _try(
         self,
@@ -208,7 +205,8 @@
     def _opened(self, journey: Journey, target: MeshTarget) -> CallOpen:
         call = journey.call
         left_ms = journey.left_ms() - self.chooser.distance_ms(target)
-        patience_ms = left_ms - NEEDED_RUNS * self.chooser.run_ms(target)
+        useful_ms = journey.useful_ms() - self.chooser.distance_ms(target)
+        patience_ms = min(useful_ms, left_ms) - self.chooser.run_ms(target)
         return CallOpen(
             target=target.id,
             service=target.service,
--- a/tests/node/mesh/builders.py
+++ b/tests/node/mesh/builders.py
@@ -3,12 +3,32 @@
 from typing import Any
 
 from mustardspur_core.mesh.messages import CallOpen
+from mustardspur_core.settings import Settings, parse_settings
 from mustardspur_node.mesh.local_target import LocalTarget
 from mustardspur_node.mesh.names import OWN_NAMES
 from mustardspur_node.mesh.reports import ReportBook, TargetReport
 from mustardspur_node.mesh.tally import Tally
 
 
+def node_settings() -> Settings:
+    """Return the settings of a node in ``split-a``."""
+    document = {
+        'role': 'node',
+        'id': 'n1',
+        'data_centre': 'split-a',
+        'region': 'dalmacija',
+        'service': 'forms',
+        'listen': {
+            'http': '127.0.0.1:1',
+            'stream': '127.0.0.1:2',
+            'ready': '127.0.0.1:3',
+            'targets': '127.0.0.1:4',
+        },
+        'mesh': {},
+    }
+    return parse_settings(document, 'settings').ok
+
+
 def target_report(**changes: Any) -> TargetReport:
     """Return a report of a ready target with some fields changed."""
     fields: dict[str, Any] = {
--- a/tests/node/mesh/test_journey.py
+++ b/tests/node/mesh/test_journey.py
@@ -24,6 +24,7 @@
         body=b'',
         started_s=now_s,
         deadline_s=now_s + 1,
+        useful_s=now_s + 0.3,
     )
     return Journey(call, 'forms')
 
--- a/tests/node/mesh/test_peer_streams.py
+++ b/tests/node/mesh/test_peer_streams.py
@@ -8,14 +8,13 @@
 
 import pytest
 from mustardspur_core.mesh.messages import CallOpen, CallReady, TargetLoad
-from mustardspur_core.settings import Settings, parse_settings
 from mustardspur_core.wire import FrameStream
 from mustardspur_node.mesh.calls import PlaceFault, TargetAnswer
 from mustardspur_node.mesh.local_target import LocalTarget
 from mustardspur_node.mesh.peer_link import PeerLink
 from mustardspur_node.mesh.peer_server import PeerServer
 
-from tests.node.mesh.builders import call_open, local_target
+from tests.node.mesh.builders import call_open, local_target, node_settings
 from tests.node.stand_ins.scripted import KEEP, ScriptedTarget, run_scripted
 from tests.support.ports import free_address
 
@@ -28,7 +27,7 @@
         self.server = PeerServer(local)
         self.loads: list[TargetLoad] = []
         self.sent = 0
-        self.link = PeerLink(address, _settings(), self._note_load)
+        self.link = PeerLink(address, node_settings(), self._note_load)
 
     async def run(self, **changes: Any) -> TargetAnswer:
         return await self.link.run(call_open(**changes), self._note_sent)
@@ -48,24 +47,6 @@
     """Take no notice."""
 
 
-def _settings() -> Settings:
-    document = {
-        'role': 'node',
-        'id': 'n1',
-        'data_centre': 'split-a',
-        'region': 'dalmacija',
-        'service': 'forms',
-        'listen': {
-            'http': '127.0.0.1:1',
-            'stream': '127.0.0.1:2',
-            'ready': '127.0.0.1:3',
-            'targets': '127.0.0.1:4',
-        },
-        'mesh': {},
-    }
-    return parse_settings(document, 'settings').ok
-
-
 @asynccontextmanager
 async def _pair(*steps: Any) -> AsyncIterator[tuple[_Pair, ScriptedTarget]]:
     async with run_scripted(*steps) as (target_address, target):
@@ -114,7 +95,7 @@
 
 async def test_node_without_listener_was_sent_nothing() -> None:
     """Guards against calls that count as run at a node that is gone."""
-    link = PeerLink(free_address(), _settings(), _ignore_load)
+    link = PeerLink(free_address(), node_settings(), _ignore_load)
     with pytest.raises(PlaceFault) as fault:
         await link.run(call_open(), _ignore_sent)
     assert fault.value.kind == 'unreachable'
@@ -172,7 +153,7 @@
     against one that is said not to have run although it may have.
     """
     async with _node_that_dies(asks=asks) as address:
-        link = PeerLink(address, _settings(), _ignore_load)
+        link = PeerLink(address, node_settings(), _ignore_load)
         with pytest.raises(PlaceFault) as fault:
             await link.run(call_open(confirm=confirm), _ignore_sent)
     assert fault.value.not_run is not_run, name
