--- /dev/null
+++ b/tests/platform/mesh_processes.py
@@ -0,0 +1,256 @@
+"""A mesh of real processes on loopback addresses."""
+
+import asyncio
+import json
+import os
+import shutil
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from contextlib import ExitStack, asynccontextmanager
+from functools import partial
+from pathlib import Path
+from typing import Any, Final
+
+from aiohttp import ClientError, ClientResponse, ClientSession, web
+
+REPOSITORY: Final = Path(__file__).parents[2]
+# Only bounds a test that hangs; no verdict depends on how long a step takes.
+HANG_LIMIT_S: Final = 60.0
+POLL_S: Final = 0.05
+HOST: Final = 'forms.example'
+_PORTS: Final = ('stream', 'http', 'ready', 'targets', 'target')
+
+
+class Mesh:
+    """Control instances and nodes, each on an address of its own.
+
+    Parameters
+    ----------
+    folder : Path
+        For settings, data and logs.
+    session : aiohttp.ClientSession
+        For calls to the processes.
+    """
+
+    def __init__(self, folder: Path, session: ClientSession) -> None:
+        """Choose ports that are free on every address."""
+        self.folder = folder
+        self.session = session
+        self.ports = dict(zip(_PORTS, _free_ports(), strict=True))
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+
+    def url(self, host: str, port: str, path: str) -> str:
+        """Return the URL of a path at a process."""
+        return f'http://{host}:{self.ports[port]}{path}'
+
+    async def start_control(self, host: str, *, first_start: bool) -> None:
+        """Start a control instance."""
+        await self._start(
+            host,
+            {
+                'role': 'control',
+                'data_dir': str(self.folder / host),
+                'peers': [],
+                'listen': self._listen(host, 'stream', 'http'),
+                'mesh': {**self._seeds(), 'first_start': first_start},
+            },
+        )
+
+    async def start_node(self, host: str) -> None:
+        """Start a node."""
+        target = f'{host}:{self.ports["target"]}'
+        await self._start(
+            host,
+            {
+                'role': 'node',
+                'service': 'forms',
+                'listen': self._listen(host, *_PORTS[:4]),
+                'mesh': {**self._seeds(), 'target_address': target},
+            },
+        )
+
+    async def kill(self, host: str) -> None:
+        """Kill a process."""
+        process = self.processes.pop(host)
+        process.send_signal(signal.SIGKILL)
+        await process.wait()
+
+    async def stop(self, host: str) -> int:
+        """Let a process stop and return its exit code."""
+        process = self.processes.pop(host)
+        process.terminate()
+        return await process.wait()
+
+    def wipe(self, host: str) -> None:
+        """Remove the data of a stopped control instance."""
+        shutil.rmtree(self.folder / host)
+
+    async def until(self, method: str, url: str, **options: Any) -> bytes:
+        """Repeat a call until it is answered with 200; return its body."""
+        async with asyncio.timeout(HANG_LIMIT_S):
+            while True:
+                body = await _try(self.session, method, url, options)
+                if body is not None:
+                    return body
+                await asyncio.sleep(POLL_S)
+
+    async def until_logged(self, host: str, event: str) -> None:
+        """Wait until a process has logged an event."""
+        path = self.folder / f'{host}.log'
+        async with asyncio.timeout(HANG_LIMIT_S):
+            while f'"{event}"' not in path.read_text('utf-8'):
+                await asyncio.sleep(POLL_S)
+
+    async def report(self, host: str) -> None:
+        """Report the target beside a node."""
+        await self.until(
+            'PUT',
+            self.url(host, 'targets', f'/api/instances/i-{host}'),
+            json={
+                'service': 'forms',
+                'address': f'{host}:{self.ports["target"]}',
+                'zone': 'split-a',
+                'version': 'v1',
+                'slots': 4,
+                'state': 'ready',
+                'cold_remaining': '0ms',
+                'sequence': 1,
+                'born': 1000,
+            },
+        )
+
+    def call(self, host: str) -> Any:
+        """Make a call at a node."""
+        return self.session.get(
+            self.url(host, 'http', '/drafts/1'),
+            headers={'Host': HOST, 'Request-Id': 'r1', 'Deadline-Ms': '2000'},
+        )
+
+    async def _start(self, host: str, document: dict[str, Any]) -> None:
+        path = self.folder / f'{host}.json'
+        document |= {
+            'id': host,
+            'data_centre': 'split-a',
+            'region': 'dalmacija',
+        }
+        path.write_text(json.dumps(document), encoding='utf-8')
+        environment = {
+            **os.environ,
+            'MUSTARDSPUR_BOOT': str(path),
+            'PYTHONPATH': str(REPOSITORY / 'platform'),
+        }
+        with (self.folder / f'{host}.log').open('ab') as output:
+            self.processes[host] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'mustardspur_platform',
+                env=environment,
+                stdout=output,
+                stderr=output,
+            )
+
+    def _listen(self, host: str, *names: str) -> dict[str, str]:
+        return {name: f'{host}:{self.ports[name]}' for name in names}
+
+    def _seeds(self) -> dict[str, Any]:
+        port = self.ports['http']
+        return {'seeds': [f'127.0.7.{number}:{port}' for number in (1, 2, 3)]}
+
+
+@asynccontextmanager
+async def running_mesh(folder: Path) -> AsyncIterator[Mesh]:
+    """Yield a mesh without processes; kill what is left at the end."""
+    async with ClientSession() as session:
+        mesh = Mesh(folder, session)
+        try:
+            yield mesh
+        finally:
+            await asyncio.gather(*map(mesh.kill, list(mesh.processes)))
+
+
+@asynccontextmanager
+async def running_target(mesh: Mesh, host: str) -> AsyncIterator[list[str]]:
+    """Serve the target beside a node; yield the paths that it has run."""
+    paths: list[str] = []
+    runner = web.ServerRunner(web.Server(partial(_serve_target, host, paths)))
+    await runner.setup()
+    try:
+        await web.TCPSite(runner, host, mesh.ports['target']).start()
+        yield paths
+    finally:
+        await runner.cleanup()
+
+
+async def _try(
+    session: ClientSession,
+    method: str,
+    url: str,
+    options: dict[str, Any],
+) -> bytes | None:
+    try:
+        async with session.request(method, url, **options) as answer:
+            return await answer.read() if answer.status == 200 else None
+    except (ClientError, TimeoutError):
+        # The process does not listen yet, or not any more.
+        return None
+
+
+async def _serve_target(
+    host: str,
+    paths: list[str],
+    request: web.BaseRequest,
+) -> web.Response:
+    paths.append(request.path)
+    headers = {
+        'Request-Id': request.headers['Request-Id'],
+        'Response-Signature': f'signed by {host}',
+    }
+    return web.Response(text=f'answer of {host}', headers=headers)
+
+
+def manifest(number: int) -> dict[str, Any]:
+    """Return a manifest with one route."""
+    return {
+        'version': f'r{number}',
+        'routes': {
+            'drafts': {
+                'host': HOST,
+                'path_prefix': '/drafts/',
+                'kind': 'idempotent',
+                'timeout': '2000ms',
+                'target_latency': '400ms',
+                'priority': 1,
+                'service': 'forms',
+                'max_attempts': 2,
+            },
+        },
+        'services': {
+            'forms': {'health_path': '/healthz', 'max_connections': 50},
+        },
+        'limits': {
+            'max_header_bytes': 16384,
+            'max_body_bytes': 1048576,
+            'header_timeout': '3000ms',
+            'idle_timeout': '15000ms',
+        },
+    }
+
+
+async def body_of(response: ClientResponse) -> tuple[int, str, str]:
+    """Return status, body and signature of an answer."""
+    signature = response.headers.get('Response-Signature', '')
+    return response.status, await response.text(), signature
+
+
+def _free_ports() -> list[int]:
+    with ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in _PORTS]
+        return [_bind(probe) for probe in probes]
+
+
+def _bind(probe: socket.socket) -> int:
+    probe.bind(('0.0.0.0', 0))
+    port: int = probe.getsockname()[1]
+    return port
--- /dev/null
+++ b/tests/platform/test_processes.py
@@ -0,0 +1,136 @@
+"""Tests of a mesh of real processes, from the operator to the target."""
+
+import asyncio
+import json
+from pathlib import Path
+from typing import Any
+
+from tests.platform.mesh_processes import (
+    POLL_S,
+    Mesh,
+    body_of,
+    manifest,
+    running_mesh,
+    running_target,
+)
+
+CONTROLS = ('127.0.7.1', '127.0.7.2', '127.0.7.3')
+NODES = ('127.0.7.21', '127.0.7.22')
+
+
+async def _start_controls(mesh: Mesh) -> None:
+    await asyncio.gather(
+        *(mesh.start_control(host, first_start=True) for host in CONTROLS),
+    )
+
+
+async def _put(mesh: Mesh, host: str, number: int, base: int) -> None:
+    await mesh.until(
+        'PUT',
+        mesh.url(host, 'http', '/api/config'),
+        json=manifest(number),
+        headers={'If-Match': f'r{base}'},
+    )
+
+
+async def _read(mesh: Mesh, host: str) -> Any:
+    url = mesh.url(host, 'http', '/api/config')
+    return json.loads(await mesh.until('GET', url))
+
+
+async def _until_routed(mesh: Mesh, host: str, expected: str) -> None:
+    while True:
+        async with mesh.call(host) as response:
+            if (await body_of(response))[1] == expected:
+                return
+        await asyncio.sleep(POLL_S)
+
+
+async def test_call_passes_two_nodes(tmp_path: Path) -> None:
+    """Guards against a target that only its own node's callers reach."""
+    async with running_mesh(tmp_path) as mesh:
+        await _start_controls(mesh)
+        await asyncio.gather(*map(mesh.start_node, NODES))
+        await _put(mesh, CONTROLS[1], 3, 0)
+        async with running_target(mesh, NODES[1]):
+            await mesh.report(NODES[1])
+            ready = mesh.url(NODES[0], 'ready', '/api/readyz')
+            await mesh.until('GET', ready)
+            await _until_routed(mesh, NODES[0], f'answer of {NODES[1]}')
+            async with mesh.call(NODES[0]) as response:
+                assert await body_of(response) == (
+                    200,
+                    f'answer of {NODES[1]}',
+                    f'signed by {NODES[1]}',
+                )
+
+
+async def test_leaving_target_gets_no_call(tmp_path: Path) -> None:
+    """Guards against calls to a target whose leave was acknowledged."""
+    async with running_mesh(tmp_path) as mesh:
+        await _start_controls(mesh)
+        await mesh.start_node(NODES[0])
+        await _put(mesh, CONTROLS[0], 3, 0)
+        async with running_target(mesh, NODES[0]) as paths:
+            await mesh.report(NODES[0])
+            await _until_routed(mesh, NODES[0], f'answer of {NODES[0]}')
+            await mesh.until(
+                'DELETE',
+                mesh.url(NODES[0], 'targets', f'/api/instances/i-{NODES[0]}'),
+            )
+            before = len(paths)
+            async with mesh.call(NODES[0]) as response:
+                assert response.status == 503
+                assert float(response.headers['Retry-After']) > 0
+            assert len(paths) == before
+
+
+async def test_table_outlives_the_loss_of_disks(tmp_path: Path) -> None:
+    """Guards against a table that is lost with an instance and its disk."""
+    async with running_mesh(tmp_path) as mesh:
+        await _start_controls(mesh)
+        await _put(mesh, CONTROLS[0], 3, 0)
+        await mesh.kill(CONTROLS[0])
+        mesh.wipe(CONTROLS[0])
+        await _put(mesh, CONTROLS[1], 5, 3)
+        await mesh.start_control(CONTROLS[0], first_start=False)
+        assert await _read(mesh, CONTROLS[0]) == manifest(5)
+        # A loss right behind it is borne once it holds all again; from then
+        # on it carries the quorum.
+        await mesh.until_logged(CONTROLS[0], 'refilled')
+        await mesh.kill(CONTROLS[1])
+        assert await _read(mesh, CONTROLS[2]) == manifest(5)
+        await _put(mesh, CONTROLS[2], 8, 5)
+
+
+async def test_everything_killed_at_once_comes_back(tmp_path: Path) -> None:
+    """Guards against an accepted table that a restart of all forgets."""
+    async with running_mesh(tmp_path) as mesh:
+        await _start_controls(mesh)
+        await _put(mesh, CONTROLS[2], 3, 0)
+        await asyncio.gather(*(mesh.kill(host) for host in CONTROLS))
+        await asyncio.gather(
+            *(mesh.start_control(host, first_start=False) for host in CONTROLS),
+        )
+        read = [_read(mesh, host) for host in CONTROLS]
+        assert await asyncio.gather(*read) == [manifest(3) for _ in CONTROLS]
+
+
+async def test_new_instance_replaces_a_lost_one(tmp_path: Path) -> None:
+    """Guards against a group that stays a voter short."""
+    async with running_mesh(tmp_path) as mesh:
+        await _start_controls(mesh)
+        await _put(mesh, CONTROLS[0], 3, 0)
+        await mesh.start_control('127.0.7.4', first_start=False)
+        assert await _read(mesh, '127.0.7.4') == manifest(3)
+
+
+async def test_stopped_processes_end_cleanly(tmp_path: Path) -> None:
+    """Guards against an exit code that the platform takes for a crash."""
+    async with running_mesh(tmp_path) as mesh:
+        await _start_controls(mesh)
+        await mesh.start_node(NODES[0])
+        await _put(mesh, CONTROLS[0], 3, 0)
+        await mesh.until('GET', mesh.url(NODES[0], 'ready', '/api/readyz'))
+        assert await mesh.stop(NODES[0]) == 0
+        assert await mesh.stop(CONTROLS[0]) == 0
