--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
@@ -13,6 +13,7 @@
 from mustardspur_core.units import MS_PER_S
 
 from mustardspur_node.calls.shapes import shape_reason
+from mustardspur_node.mesh.call_value import CallValues
 from mustardspur_node.mesh.caller_answers import (
     CallerAnswer,
     own_answer,
@@ -31,9 +32,6 @@
 _LOG: Final = logging.getLogger(__name__)
 
 BACKLOG: Final = 1024
-# A caller whose time is below this multiple of the objective is on its last
-# attempt, or makes a call within another one.
-LAST_CHANCE: Final = 4
 # Connections between two looks for those that have ended.
 _PRUNE_CONNECTIONS: Final = 64
 
@@ -60,6 +58,7 @@
         '_own_names',
         '_placer',
         '_server',
+        '_values',
         '_view',
         'draining',
         'in_flight',
@@ -78,6 +77,7 @@
         self._placer = placer
         self._names = names
         self._metrics = metrics
+        self._values = CallValues()
         self._connections: set[CallerConnection] = set()
         # The node states these itself, whatever a caller sends.
         self._own_names = frozenset(
@@ -121,6 +121,12 @@
         if self._server is not None:
             self._server.close()
 
+    def forget_routes(self) -> None:
+        """Drop what was kept of routes that are gone."""
+        routes = self._view.routes
+        if routes is not None:
+            self._values.forget_except(set(routes.table.routes))
+
     def leave(self) -> None:
         """Close each connection once no request is open on it."""
         self._forget_ended()
@@ -199,7 +205,7 @@
         stated_ms = self._stated_ms(message, route)
         wait_ms = min(stated_ms, route.timeout_ms)
         deadline_s = started_s + wait_ms / MS_PER_S
-        useful_ms = useful_wait_ms(route, stated_ms)
+        value = self._values.judge(route, stated_ms)
         body = await self._body_in_time(read_body, deadline_s)
         return passed_on(
             await self._placer.place(
@@ -212,7 +218,8 @@
                     body=body,
                     started_s=started_s,
                     deadline_s=deadline_s,
-                    useful_s=started_s + useful_ms / MS_PER_S,
+                    useful_s=started_s + value.useful_ms / MS_PER_S,
+                    rank=value.rank,
                 ),
             ),
         )
@@ -267,26 +274,5 @@
         return own_answer(placement.status, placement.reason, headers)
 
 
-def useful_wait_ms(route: MeshRoute, stated_ms: float) -> float:
-    """Return the time within which an answer has most of its value.
-
-    Explanation
-    ===========
-
-    While targets are short of slots, calls that wait beyond their objective
-    make all others late as well, so they are refused and come back. A caller
-    with little time left has no such other chance.
-
-    Parameters
-    ----------
-    stated_ms : float
-        Time that the caller still waits.
-    """
-    wait_ms = min(stated_ms, route.timeout_ms)
-    if stated_ms <= LAST_CHANCE * route.objective_ms:
-        return wait_ms
-    return min(wait_ms, route.objective_ms)
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/calls.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/calls.py
@@ -17,6 +17,8 @@
         latest.
     useful_s : float
         Moment after which an answer has lost most of its value.
+    rank : int
+        Lower ranks get a slot first.
     started_s : float
         Moment at which the call was read.
     """
@@ -31,6 +33,7 @@
         'started_s',
         'deadline_s',
         'useful_s',
+        'rank',
     )
     request_id: str
     route: MeshRoute
@@ -41,6 +44,7 @@
     started_s: float
     deadline_s: float
     useful_s: float
+    rank: int
 
 
 class TargetAnswer(Record):
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
@@ -9,7 +9,7 @@
 from mustardspur_core.mesh.model import MeshTarget
 from mustardspur_core.settings import Settings
 
-from mustardspur_node.mesh.gate import FIRST_RUN_MS
+from mustardspur_node.mesh.run_times import FIRST_RUN_MS
 
 # Added to the expected time of a call by the distance of the target. Bytes
 # between regions are paid for, and dearer than bytes between data centres.
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/gate.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/gate.py
@@ -10,12 +10,8 @@
 from mustardspur_core.units import MS_PER_S
 
 from mustardspur_node.mesh.calls import never_sent
+from mustardspur_node.mesh.run_times import RunTimes
 
-# Weight of the newest run in the mean time and in the part that failed.
-TIME_WEIGHT: Final = 0.08
-FAILURE_WEIGHT: Final = 0.06
-# Mean time of a run before the first one has ended.
-FIRST_RUN_MS: Final = 50.0
 # Waiting calls for each slot; what waits behind more would be late anyway.
 WAITING_PER_SLOT: Final = 6
 # A target that refuses connections is tried again after this time.
@@ -37,13 +33,12 @@
 
     __slots__ = (
         '_closed_until_s',
-        '_failing',
         '_loop',
-        '_run_ms',
         '_running',
         '_sequence',
         '_waiters',
         'open',
+        'runs',
         'slots',
     )
 
@@ -53,8 +48,7 @@
         self._waiters: list[_Waiter] = []
         self._sequence = 0
         self._running = 0
-        self._run_ms = FIRST_RUN_MS
-        self._failing: float = 0
+        self.runs = RunTimes()
         self._closed_until_s: float = 0
         self.open = False
         self.slots = 0
@@ -66,8 +60,8 @@
             running=self._running,
             waiting=len(self._waiters),
             slots=self.slots,
-            run_ms=round(self._run_ms, 1),
-            failing=round(self._failing, 2),
+            run_ms=round(self.runs.expected_ms, 1),
+            failing=round(self.runs.failing, 2),
             open=self._is_open(),
         )
 
@@ -80,22 +74,15 @@
         self.slots = slots
         self._admit_next()
 
-    def reset(self) -> None:
-        """Forget what is known of the target before this one."""
-        self._run_ms = FIRST_RUN_MS
-        self._failing = 0
+    def renew(self) -> None:
+        """Forget the runs of the target before this one."""
+        self.runs = RunTimes()
 
     def close_for_a_while(self) -> None:
         """Refuse calls for a moment, as the target takes no connections."""
         until_s = self._loop.time() + CLOSED_S
         self._closed_until_s = max(self._closed_until_s, until_s)
 
-    def note_run(self, run_ms: float, *, failed: bool) -> None:
-        """Take the outcome of a run into the means."""
-        if not failed:
-            self._run_ms += TIME_WEIGHT * (run_ms - self._run_ms)
-        self._failing += FAILURE_WEIGHT * (failed - self._failing)
-
     @asynccontextmanager
     async def admitted(
         self,
@@ -133,7 +120,8 @@
 
     def _expected_wait_ms(self, priority: int) -> float:
         ahead = sum(1 for waiter in self._waiters if waiter[0] <= priority)
-        return (ahead + 1) * self._run_ms / max(self.slots, 1)
+        run_ms = self.runs.expected_ms
+        return (ahead + 1) * run_ms / max(self.slots, 1)
 
     async def _wait(self, priority: int, patience_ms: float) -> None:
         full = len(self._waiters) >= WAITING_PER_SLOT * self.slots
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -140,6 +140,7 @@
         """Close what is silent or has been idle for too long."""
         self.placer.check_links()
         self.local.prune()
+        self.callers.forget_routes()
 
     def _is_busy(self) -> bool:
         self.callers.leave()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -75,7 +75,7 @@
             self._identity = (report.id, report.born)
             self._pool.close()
             self._pool = TargetPool(report.address)
-            self.gate.reset()
+            self.gate.renew()
         self.gate.resize(report.slots)
 
     def prune(self) -> None:
@@ -108,7 +108,8 @@
                 # Nothing was sent on it.
                 self._pool.take_back(connection)
                 raise
-            answer = await self._exchange(call, connection, left_ms)
+            with self.gate.runs.timed():
+                answer = await self._exchange(call, connection, left_ms)
             self._pool.take_back(connection)
         return self._target_answer(answer)
 
@@ -197,7 +198,7 @@
     ) -> None:
         run_ms = (time.monotonic_ns() - started_ns) / NS_PER_MS
         cold = self.book.is_cold
-        self.gate.note_run(run_ms, failed=failed)
+        self.gate.runs.note(run_ms, failed=failed)
         self.tally.note(
             (report.service, report.version, call.route),
             run_ms,
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -211,7 +211,7 @@
             target=target.id,
             service=target.service,
             route=call.route.name,
-            priority=call.route.priority,
+            priority=call.rank,
             method=call.method,
             path=call.path,
             headers=call.headers,
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/run_times.py
@@ -0,0 +1,61 @@
+"""Times and failures of the runs at one target."""
+
+import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Final
+
+from mustardspur_core.units import MS_PER_S
+
+# Weight of the newest run in the mean time and in the part that failed.
+TIME_WEIGHT: Final = 0.12
+FAILURE_WEIGHT: Final = 0.06
+# Mean time of a run before the first one has ended.
+FIRST_RUN_MS: Final = 50.0
+
+
+class RunTimes:
+    """Means over the latest runs, and the ages of the open ones."""
+
+    __slots__ = ('_began_s', '_mean_ms', '_sequence', 'failing')
+
+    def __init__(self) -> None:
+        """Start without runs."""
+        self._mean_ms = FIRST_RUN_MS
+        self._began_s: dict[int, float] = {}
+        self._sequence = 0
+        self.failing: float = 0
+
+    @property
+    def expected_ms(self) -> float:
+        """Mean time of a run, or mean age of the open ones if that is more.
+
+        A target that turns slow ends few runs, so the ages of those that
+        are open show it first.
+        """
+        count = len(self._began_s)
+        if not count:
+            return self._mean_ms
+        age_s = _now() - sum(self._began_s.values()) / count
+        return max(self._mean_ms, age_s * MS_PER_S)
+
+    @contextmanager
+    def timed(self) -> Iterator[None]:
+        """Count the age of a run while a block lasts."""
+        self._sequence += 1
+        number = self._sequence
+        self._began_s[number] = _now()
+        try:
+            yield
+        finally:
+            self._began_s.pop(number)
+
+    def note(self, run_ms: float, *, failed: bool) -> None:
+        """Take the outcome of a run into the means."""
+        if not failed:
+            self._mean_ms += TIME_WEIGHT * (run_ms - self._mean_ms)
+        self.failing += FAILURE_WEIGHT * (failed - self.failing)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/tests/node/mesh/test_gate.py
+++ b/tests/node/mesh/test_gate.py
@@ -87,3 +87,15 @@
     with pytest.raises(PlaceFault, match='closed'):
         async with gate.admitted(0, 1000.0):
             pytest.fail('admitted to a closed target')
+
+
+@in_virtual_time
+async def test_slow_target_is_seen_early() -> None:
+    """Guards against calls that pile up at a target which hangs."""
+    gate = _gate(2)
+    gate.runs.note(40.0, failed=False)
+    with gate.runs.timed(), gate.runs.timed():
+        assert gate.load.run_ms < 100
+        await asyncio.sleep(0.8)
+        assert gate.load.run_ms == pytest.approx(800)
+    assert gate.load.run_ms < 100
--- a/tests/node/mesh/test_journey.py
+++ b/tests/node/mesh/test_journey.py
@@ -25,6 +25,7 @@
         started_s=now_s,
         deadline_s=now_s + 1,
         useful_s=now_s + 0.3,
+        rank=1,
     )
     return Journey(call, 'forms')
 
