Give the mesh mustardspur's own interface and verbs of the client

Cause: only the platform's adapter could drive a mesh. Change: the daemon runs control instances and nodes of a mesh with its own HTTP interface; table, put-table, transfer and show-transfer are verbs.

--- a/packages/mustardspur_client/src/mustardspur_client/verbs/__init__.py
+++ b/packages/mustardspur_client/src/mustardspur_client/verbs/__init__.py
@@ -5,6 +5,7 @@
     moves,
     profiles,
     services,
+    tables,
     timelines,
     voters,
     waiting,
@@ -22,6 +23,7 @@
     instances,
     timelines,
     voters,
+    tables,
 )
 
 __all__ = ['VERB_MODULES', 'Verb', 'verb', 'verbs']
--- /dev/null
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/http_api.py
@@ -0,0 +1,172 @@
+"""mustardspur's own HTTP interface for operators of a mesh."""
+
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Any, Final
+
+from aiohttp import web
+from expression import Error, Ok, Result
+from mustardspur_core.conversion import decode_mapping, encode_mapping
+from mustardspur_core.durations import parse_ms
+from mustardspur_core.findings import Finding
+from mustardspur_core.mesh import RoutingTable
+from mustardspur_core.strict_json import parse_json
+
+from mustardspur_control.mesh.operations import (
+    MeshOperations,
+    OperationError,
+    PublishOutcome,
+)
+from mustardspur_control.mesh.store import ACCEPTED, CONFLICT, INVALID
+
+# A table of several ten thousand routes.
+MAX_BODY_BYTES: Final = 16_777_216
+TABLE_PATH: Final = '/v1/table'
+TRANSFERS_PATH: Final = '/v1/transfers'
+
+_STATUS_BY_OUTCOME: Final = MappingProxyType(
+    {
+        ACCEPTED: HTTPStatus.OK,
+        CONFLICT: HTTPStatus.CONFLICT,
+        INVALID: HTTPStatus.UNPROCESSABLE_ENTITY,
+    },
+)
+
+
+class MeshApi:
+    """Answers operators in mustardspur's own form.
+
+    Parameters
+    ----------
+    operations : MeshOperations
+        What can be asked.
+    """
+
+    __slots__ = ('_operations',)
+
+    def __init__(self, operations: MeshOperations) -> None:
+        """Keep the operations."""
+        self._operations = operations
+
+    def app(self) -> web.Application:
+        """Return the calls by method and path."""
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.router.add_put(TABLE_PATH, self.put_table)
+        app.router.add_get(TABLE_PATH, self.get_table)
+        app.router.add_post(TRANSFERS_PATH, self.start_transfer)
+        app.router.add_get(f'{TRANSFERS_PATH}/{{service}}', self.get_transfer)
+        return app
+
+    async def put_table(self, request: web.Request) -> web.Response:
+        """Replace the table: ``base`` and ``table``."""
+        document = await request.read()
+        decoded = _table(document)
+        if decoded.is_error():
+            return _findings([decoded.error])
+        base, table = decoded.ok
+        outcome = await self._operations.publish(table, base, document)
+        if outcome.is_error():
+            return _unavailable(outcome.error)
+        return _published(outcome.ok)
+
+    async def get_table(self, _: web.Request) -> web.Response:
+        """Return the newest edit of the table as it was sent."""
+        outcome = await self._operations.read()
+        if outcome.is_error():
+            return _unavailable(outcome.error)
+        if outcome.ok is None:
+            return _findings([], HTTPStatus.NOT_FOUND)
+        return web.Response(
+            body=outcome.ok.document,
+            content_type='application/json',
+        )
+
+    async def start_transfer(self, request: web.Request) -> web.Response:
+        """Move a service: ``service``, ``version`` and ``within``."""
+        parsed = parse_json(await request.read(), 'request')
+        if parsed.is_error():
+            return _findings(parsed.error.entries)
+        try:
+            service, version, within_ms = _order(parsed.ok)
+        except (KeyError, TypeError, ValueError) as error:
+            return _findings([_finding(error)])
+        outcome = await self._operations.start_transfer(
+            service,
+            version,
+            within_ms,
+        )
+        if outcome.is_error():
+            return _unavailable(outcome.error)
+        status = _STATUS_BY_OUTCOME[outcome.ok]
+        return web.json_response({'outcome': outcome.ok}, status=status)
+
+    async def get_transfer(self, request: web.Request) -> web.Response:
+        """Return the newest transfer of a service."""
+        service = request.match_info['service']
+        outcome = await self._operations.read_transfer(service)
+        if outcome.is_error():
+            return _unavailable(outcome.error)
+        if outcome.ok is None:
+            return _findings([], HTTPStatus.NOT_FOUND)
+        return web.json_response(encode_mapping(outcome.ok))
+
+
+def _table(document: bytes) -> Result[tuple[int, RoutingTable], Finding]:
+    parsed = parse_json(document, 'request')
+    if parsed.is_error():
+        return Error(parsed.error.entries[0])
+    try:
+        body: Any = parsed.ok
+        return Ok(
+            (int(body['base']), decode_mapping(RoutingTable, body['table'])),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        return Error(_finding(error))
+
+
+def _order(body: Any) -> tuple[str, str, float]:
+    service, version = body['service'], body['version']
+    if not isinstance(service, str) or not isinstance(version, str):
+        raise TypeError('service and version are texts')
+    return service, version, parse_ms(body['within'])
+
+
+def _finding(error: Exception) -> Finding:
+    return Finding(
+        source='request',
+        path='$',
+        expected='the fields of docs/platform.md',
+        found=str(error),
+    )
+
+
+def _findings(
+    findings: list[Finding],
+    status: HTTPStatus = HTTPStatus.UNPROCESSABLE_ENTITY,
+) -> web.Response:
+    return web.json_response(
+        {'findings': [encode_mapping(finding) for finding in findings]},
+        status=status,
+    )
+
+
+def _published(outcome: PublishOutcome) -> web.Response:
+    return web.json_response(
+        {
+            'number': outcome.number,
+            'current_number': outcome.number,
+            'findings': [encode_mapping(each) for each in outcome.findings],
+        },
+        status=_STATUS_BY_OUTCOME[outcome.status],
+    )
+
+
+def _unavailable(error: OperationError) -> web.Response:
+    return web.json_response(
+        {
+            'kind': 'not_leader' if error.leader_http else 'no_quorum',
+            'reason': error.reason,
+            'leader': error.leader_http,
+        },
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+    )
--- a/packages/mustardspur_core/src/mustardspur_core/exposition.py
+++ b/packages/mustardspur_core/src/mustardspur_core/exposition.py
@@ -1,12 +1,13 @@
 """Counters and histograms as text, for readers that fetch them."""
 
 from bisect import bisect_left
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AbstractAsyncContextManager
 from typing import Final
 
 from aiohttp import web
 
+from mustardspur_core.http_serving import serving_app
+
 # Upper bounds of the buckets of a time, in milliseconds.
 BUCKETS_MS: Final = (1, 2, 5, 10, 20, 50, 100, 200, 300, 500, 1000, 2000, 5000)
 
@@ -63,26 +64,14 @@
         return '\n'.join([*lines, ''])
 
 
-@asynccontextmanager
-async def serving_metrics(
+def serving_metrics(
     address: str | None,
     exposition: Exposition,
-) -> AsyncIterator[None]:
+) -> AbstractAsyncContextManager[None]:
     """Serve the figures on an address for the length of a block."""
-    if address is None:
-        yield
-        return
-
     app = web.Application()
     app.router.add_get('/metrics', exposition.answer)
-    runner = web.AppRunner(app, access_log=None)
-    await runner.setup()
-    host, _, port = address.rpartition(':')
-    try:
-        await web.TCPSite(runner, host, int(port)).start()
-        yield
-    finally:
-        await runner.cleanup()
+    return serving_app(app, address)
 
 
 def _label(name: str) -> str:
--- /dev/null
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/mesh_processes.py
@@ -0,0 +1,53 @@
+"""Processes of a mesh with mustardspur's own interfaces."""
+
+import logging
+from contextlib import closing
+from pathlib import Path
+
+from mustardspur_control.mesh import running_mesh_control
+from mustardspur_control.mesh.http_api import MeshApi
+from mustardspur_core.event_loop import stop_event
+from mustardspur_core.exposition import Exposition, serving_metrics
+from mustardspur_core.http_serving import serving_app
+from mustardspur_core.settings import MeshSettings, Settings
+from mustardspur_core.timeline import Timeline
+from mustardspur_node.mesh import OWN_NAMES, running_mesh_node
+from mustardspur_node.mesh.http_api import NodeApi
+
+_LOG = logging.getLogger(__name__)
+
+
+async def run_mesh_control(settings: Settings, mesh: MeshSettings) -> None:
+    """Run a control instance of a mesh until it is told to stop."""
+    stopped = stop_event()
+    metrics = Exposition()
+    path = Path(settings.timeline) if settings.timeline else None
+    timeline = Timeline(settings.id, settings.data_centre, path)
+    with closing(timeline):
+        async with (
+            running_mesh_control(settings, mesh, timeline, metrics) as control,
+            serving_app(
+                MeshApi(control.operations).app(), settings.listen.http
+            ),
+            serving_metrics(settings.listen.metrics, metrics),
+        ):
+            _LOG.info('started', extra={'role': settings.role})
+            await stopped.wait()
+            _LOG.info('stopping')
+
+
+async def run_mesh_node(settings: Settings, mesh: MeshSettings) -> None:
+    """Run a node of a mesh until it is told to stop."""
+    stopped = stop_event()
+    metrics = Exposition()
+    async with running_mesh_node(settings, mesh, OWN_NAMES, metrics) as node:
+        api = NodeApi(node)
+        async with (
+            serving_app(api.ready_app(), settings.listen.ready),
+            serving_app(api.targets_app(), settings.listen.targets),
+            serving_metrics(settings.listen.metrics, metrics),
+        ):
+            _LOG.info('started', extra={'role': settings.role})
+            await stopped.wait()
+            _LOG.info('stopping')
+            await node.drain()
--- a/packages/mustardspur_daemon/src/mustardspur_daemon/processes.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/processes.py
@@ -13,6 +13,10 @@
 from mustardspur_core.timeline import Timeline
 from mustardspur_node.instance import running_node
 
+from mustardspur_daemon.mesh_processes import (
+    run_mesh_control,
+    run_mesh_node,
+)
 from mustardspur_daemon.roles import role
 
 _LOG = logging.getLogger(__name__)
@@ -22,13 +26,19 @@
 @role('control')
 async def run_control(settings: Settings) -> None:
     """Run a control instance until it is told to stop."""
-    await _run(settings, running_control)
+    if settings.mesh is None:
+        await _run(settings, running_control)
+    else:
+        await run_mesh_control(settings, settings.mesh)
 
 
 @role('node')
 async def run_node(settings: Settings) -> None:
     """Run a node until it is told to stop."""
-    await _run(settings, running_node)
+    if settings.mesh is None:
+        await _run(settings, running_node)
+    else:
+        await run_mesh_node(settings, settings.mesh)
 
 
 async def _run(settings: Settings, running: _Running) -> None:
--- /dev/null
+++ b/tests/daemon/test_mesh.py
@@ -0,0 +1,111 @@
+"""Tests of a mesh of daemons, edited with the operators' client."""
+
+import io
+import json
+from pathlib import Path
+from typing import Any
+
+from aiohttp import ClientSession
+from mustardspur_client.main import run
+from mustardspur_core.conversion import encode_mapping
+from mustardspur_node.announcements import ANNOUNCEMENTS_PATH
+from mustardspur_node.calls.serving import READY_PATH
+
+from tests.core.mesh.builders import route, table
+from tests.daemon.processes import answer_of, running_daemon
+from tests.node.mesh.builders import target_report
+from tests.node.stand_ins.scripted import run_scripted
+from tests.support.ports import free_address
+
+Documents = tuple[dict[str, Any], dict[str, Any]]
+
+
+def _documents(folder: Path, target_address: str) -> Documents:
+    # The stream of a control instance is found by the port of the own one.
+    stream_port = free_address().rpartition(':')[2]
+    place = {'data_centre': 'split-a', 'region': 'dalmacija'}
+    control_http = free_address()
+    control = {
+        'role': 'control',
+        'id': '127.0.0.1',
+        'data_dir': str(folder / 'data'),
+        'peers': [],
+        'listen': {'stream': f'127.0.0.1:{stream_port}', 'http': control_http},
+        'mesh': {'seeds': [control_http], 'first_start': True},
+    }
+    node = {
+        'role': 'node',
+        'id': 'n1',
+        'service': 'forms',
+        'listen': {
+            'stream': f'127.0.0.2:{stream_port}',
+            'http': free_address(),
+            'ready': free_address(),
+            'targets': free_address(),
+            'metrics': free_address(),
+        },
+        'mesh': {'seeds': [control_http], 'target_address': target_address},
+    }
+    return control | place, node | place
+
+
+async def _client(control: dict[str, Any], *arguments: str) -> str:
+    shown = io.StringIO()
+    address = control['listen']['http']
+    line = [*arguments, '--control', address, '--output', 'json']
+    code = await run(line, shown, io.StringIO())
+    text = shown.getvalue()
+    return f'{code.value} {text}'
+
+
+async def test_table_put_by_the_client_routes_calls(tmp_path: Path) -> None:
+    """Guards against a mesh that only the platform's adapter can drive."""
+    path = tmp_path / 'table.json'
+    path.write_text(json.dumps(encode_mapping(table(3, route('drafts')))))
+    async with run_scripted() as (target_address, _):
+        control, node = _documents(tmp_path, target_address)
+        async with (
+            running_daemon(tmp_path, control),
+            running_daemon(tmp_path, node),
+            ClientSession() as session,
+        ):
+            put = ('put-table', str(path), '--base', '0')
+            assert (await _client(control, *put)).startswith('0 ')
+            # A resend is accepted again, a rival is not.
+            assert (await _client(control, *put)).startswith('0 ')
+            path.write_text(json.dumps(encode_mapping(table(4, route('x')))))
+            assert (await _client(control, *put)).startswith('4 ')
+            assert '"drafts"' in await _client(control, 'table')
+            await _report(session, node, target_address)
+            assert await _call(session, node) == b'good'
+            metrics = node['listen']['metrics']
+            async with session.get(f'http://{metrics}/metrics') as figures:
+                text = await figures.text()
+    assert 'mustardspur_calls_answered_200 1' in text
+
+
+async def _report(
+    session: ClientSession,
+    node: dict[str, Any],
+    target_address: str,
+) -> None:
+    await answer_of('http://{ready}{0}'.format(READY_PATH, **node['listen']))
+    report = encode_mapping(target_report(address=target_address))
+    url = 'http://{targets}{0}'.format(ANNOUNCEMENTS_PATH, **node['listen'])
+    async with session.post(url, json=report) as response:
+        assert response.status == 200
+    async with session.post(url, json={**report, 'slots': 'x'}) as refusal:
+        assert refusal.status == 422
+
+
+async def _call(session: ClientSession, node: dict[str, Any]) -> bytes:
+    url = 'http://{http}/drafts/1'.format(**node['listen'])
+    while True:
+        async with session.get(
+            url,
+            headers={'Host': 'forms.example', 'x-request-id': 'r1'},
+        ) as response:
+            body = await response.read()
+            if response.status == 200:
+                return body
+            assert response.status == 503
