--- a/packages/mustardspur_control/src/mustardspur_control/mesh/members.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/members.py
@@ -22,6 +22,8 @@
 # An instance that does not catch up in this time is tried again later.
 CATCH_UP_TIMEOUT_S: Final = 6.0
 CHECK_S: Final = 0.5
+# An instance that is no voter and was silent for this long is not looked for.
+FORGET_S: Final = 60.0
 
 
 class Members:
@@ -60,7 +62,11 @@
         ]
         known = {peer.id: peer for peer in seeds}
         known.update(self._log.voter_peers)
-        known.update(self._learned)
+        known.update(
+            (name, peer)
+            for name, peer in self._learned.items()
+            if _now() - self._heard_s[name] < FORGET_S
+        )
         known.pop(self._settings.id, None)
         return known
 
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
@@ -15,7 +15,7 @@
     MeshTable,
     MeshTransfers,
 )
-from mustardspur_core.settings import Settings
+from mustardspur_core.settings import Peer, Settings
 from mustardspur_core.tasks import run_until_first_end
 from mustardspur_core.wire import FrameStream, end_on_silence
 
@@ -142,9 +142,11 @@
     __slots__ = (
         '_confirmed',
         '_held_index',
+        '_sent_controls',
         '_shared',
         '_stream',
         '_transfers_index',
+        '_waited',
         'node',
         'pending',
         'wake',
@@ -162,21 +164,33 @@
         self._held_index = hello.held_index
         self._transfers_index = -1
         self._confirmed = False
+        self._sent_controls: list[Peer] = []
+        self._waited: asyncio.Task[None] | None = None
         self.node = hello.node
         self.wake = asyncio.Event()
         self.pending = PendingRows(self.wake)
 
     async def run(self) -> None:
         """Serve until the stream ends."""
-        await run_until_first_end(
-            self._receive(),
-            self._send(),
-            self._beat(),
-            end_on_silence(
-                self._stream,
-                self._shared.settings.intervals.silence_s,
-            ),
-        )
+        with self._confirming():
+            await run_until_first_end(
+                self._receive(),
+                self._send(),
+                self._beat(),
+                end_on_silence(
+                    self._stream,
+                    self._shared.settings.intervals.silence_s,
+                ),
+            )
+
+    @contextmanager
+    def _confirming(self) -> Iterator[None]:
+        """End the wait for a quorum with the stream."""
+        try:
+            yield
+        finally:
+            if self._waited is not None:
+                self._waited.cancel()
 
     async def _receive(self) -> None:
         while True:
@@ -213,6 +227,7 @@
             return
         waited = asyncio.create_task(self._wait_for_quorum())
         waited.add_done_callback(lambda _: self.wake.set())
+        self._waited = waited
         await asyncio.wait([waited], timeout=CONFIRM_S)
 
     async def _wait_for_quorum(self) -> None:
@@ -255,9 +270,12 @@
             self._send_beat()
 
     def _send_beat(self) -> None:
+        controls = self._shared.members.controls
+        changed = controls != self._sent_controls
+        self._sent_controls = controls
         self._stream.send_soon(
             MeshBeat(
                 current=self._shared.log.is_current,
-                controls=self._shared.members.controls,
+                controls=controls if changed else [],
             ),
         )
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/messages.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/messages.py
@@ -91,7 +91,8 @@
         Whether the sender follows a leader that a quorum follows; a node
         sends True.
     controls : list of Peer
-        Control instances that the sender knows of; empty from a node.
+        Control instances that the sender knows of, if they have changed
+        since the last beat; empty from a node.
     """
 
     __slots__ = ('current', 'controls')
