--- a/benchmarks/capacity/processes.py
+++ b/benchmarks/capacity/processes.py
@@ -57,6 +57,7 @@
         str(BINARY),
         '--settings',
         str(path),
+        stdout=asyncio.subprocess.DEVNULL,
         stderr=asyncio.subprocess.DEVNULL,
     )
     try:
--- a/benchmarks/distribution/leader_loss.py
+++ b/benchmarks/distribution/leader_loss.py
@@ -72,6 +72,7 @@
             str(BINARY),
             '--settings',
             str(path),
+            stdout=asyncio.subprocess.DEVNULL,
             stderr=asyncio.subprocess.DEVNULL,
         )
 
--- a/packages/mustardspur_core/src/mustardspur_core/logs.py
+++ b/packages/mustardspur_core/src/mustardspur_core/logs.py
@@ -2,6 +2,7 @@
 
 import logging
 import os
+import stat
 from typing import Final
 
 from pythonjsonlogger.json import JsonFormatter
@@ -27,9 +28,14 @@
     """
 
     def __init__(self, descriptor: int) -> None:
-        """Make the descriptor non-blocking."""
+        """Make the descriptor non-blocking if it is a pipe.
+
+        The flag belongs to all processes that share the descriptor, so a
+        terminal is left as it is; files never block.
+        """
         super().__init__()
-        os.set_blocking(descriptor, False)
+        if stat.S_ISFIFO(os.fstat(descriptor).st_mode):
+            os.set_blocking(descriptor, False)
         self._descriptor = descriptor
         self._rest = b''
         self.dropped = 0
--- /dev/null
+++ b/tests/core/test_logs.py
@@ -0,0 +1,31 @@
+"""Tests of logs that never wait for their reader."""
+
+import logging
+import os
+
+from mustardspur_core.logs import NonBlockingHandler
+
+_PIPE_BYTES = 65_536
+
+
+def _record(message: str) -> logging.LogRecord:
+    return logging.makeLogRecord({'msg': message, 'levelno': logging.INFO})
+
+
+def test_full_pipe_costs_lines_and_no_time() -> None:
+    """Guards against a process that stops because nobody reads its log."""
+    reader, writer = os.pipe()
+    handler = NonBlockingHandler(writer)
+    line = 'x' * 1000
+    while not handler.dropped:
+        handler.emit(_record(line))
+    handler.emit(_record(line))
+    assert handler.dropped == 2
+    os.read(reader, _PIPE_BYTES)
+    last = _record('after')
+    handler.emit(last)
+    assert handler.dropped == 0
+    assert vars(last)['lines_dropped'] == 2
+    os.close(writer)
+    with os.fdopen(reader, 'rb') as rest:
+        assert rest.read().endswith(b'after\n')
