--- a/packages/mustardspur_core/src/mustardspur_core/mesh/messages.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/messages.py
@@ -173,7 +173,8 @@
     Parameters
     ----------
     running, waiting : int
-        Calls at the target and calls that wait for a slot.
+        Calls at the target, and calls that wait for a slot and can still be
+        in time.
     slots : int
         Calls that the node sends to the target at a time.
     run_ms : float
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/gate.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/gate.py
@@ -9,10 +9,12 @@
 from mustardspur_core.mesh.messages import TargetLoad
 from mustardspur_core.units import MS_PER_S
 
+from mustardspur_node.mesh.call_value import LATE_RANK
 from mustardspur_node.mesh.calls import never_sent
 from mustardspur_node.mesh.run_times import RunTimes
 
-# Waiting calls for each slot; what waits behind more would be late anyway.
+# Waiting calls of the same or a better rank for each slot; what waits behind
+# more would be late anyway.
 WAITING_PER_SLOT: Final = 6
 # A target that refuses connections is tried again after this time.
 CLOSED_S: Final = 0.3
@@ -58,7 +60,7 @@
         """State of the target for the nodes that choose."""
         return TargetLoad(
             running=self._running,
-            waiting=len(self._waiters),
+            waiting=self._ahead_of(LATE_RANK),
             slots=self.slots,
             run_ms=round(self.runs.expected_ms, 1),
             failing=round(self.runs.failing, 2),
@@ -119,12 +121,16 @@
         return self.open and self._loop.time() >= self._closed_until_s
 
     def _expected_wait_ms(self, priority: int) -> float:
-        ahead = sum(1 for waiter in self._waiters if waiter[0] <= priority)
+        ahead = self._ahead_of(priority)
         run_ms = self.runs.expected_ms
         return (ahead + 1) * run_ms / max(self.slots, 1)
 
+    def _ahead_of(self, rank: int) -> int:
+        """Return the calls that get a slot before a new one of a rank."""
+        return sum(1 for waiter in self._waiters if waiter[0] <= rank)
+
     async def _wait(self, priority: int, patience_ms: float) -> None:
-        full = len(self._waiters) >= WAITING_PER_SLOT * self.slots
+        full = self._ahead_of(priority) >= WAITING_PER_SLOT * self.slots
         if full or self._expected_wait_ms(priority) > patience_ms:
             raise never_sent('busy', f'{len(self._waiters)} calls wait')
         self._sequence += 1
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/run_times.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/run_times.py
@@ -12,6 +12,10 @@
 FAILURE_WEIGHT: Final = 0.06
 # Mean time of a run before the first one has ended.
 FIRST_RUN_MS: Final = 50.0
+# Ages of fewer open runs, or below this multiple of the mean, are common at a
+# sound target whose runs differ in length.
+MIN_OPEN: Final = 3
+SLOW_AGES: Final = 2.5
 
 
 class RunTimes:
@@ -28,16 +32,16 @@
 
     @property
     def expected_ms(self) -> float:
-        """Mean time of a run, or mean age of the open ones if that is more.
+        """Mean time of a run, or mean age of the open ones if far above.
 
         A target that turns slow ends few runs, so the ages of those that
         are open show it first.
         """
         count = len(self._began_s)
-        if not count:
+        if count < MIN_OPEN:
             return self._mean_ms
-        age_s = _now() - sum(self._began_s.values()) / count
-        return max(self._mean_ms, age_s * MS_PER_S)
+        age_ms = (_now() - sum(self._began_s.values()) / count) * MS_PER_S
+        return age_ms if age_ms > SLOW_AGES * self._mean_ms else self._mean_ms
 
     @contextmanager
     def timed(self) -> Iterator[None]:
--- a/tests/node/mesh/test_gate.py
+++ b/tests/node/mesh/test_gate.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from mustardspur_node.mesh.call_value import LATE_RANK
 from mustardspur_node.mesh.calls import PlaceFault
 from mustardspur_node.mesh.gate import Gate
 
@@ -94,8 +95,34 @@
     """Guards against calls that pile up at a target which hangs."""
     gate = _gate(2)
     gate.runs.note(40.0, failed=False)
-    with gate.runs.timed(), gate.runs.timed():
+    with gate.runs.timed(), gate.runs.timed(), gate.runs.timed():
         assert gate.load.run_ms < 100
         await asyncio.sleep(0.8)
         assert gate.load.run_ms == pytest.approx(800)
     assert gate.load.run_ms < 100
+
+
+@in_virtual_time
+async def test_one_long_run_is_no_slow_target() -> None:
+    """Guards against sound targets that are avoided for a long call."""
+    gate = _gate(4)
+    with gate.runs.timed():
+        await asyncio.sleep(0.8)
+        assert gate.load.run_ms < 100
+
+
+@in_virtual_time
+async def test_late_calls_do_not_count_as_load() -> None:
+    """Guards against calls in time that are refused for late ones."""
+    gate = _gate(1)
+    held: list[int] = []
+    late = LATE_RANK + 1
+    async with asyncio.TaskGroup() as group:
+        for priority in (0, late, late, late):
+            group.create_task(_hold(gate, priority, held))
+        await asyncio.sleep(0.01)
+        assert gate.load.waiting == 0
+        group.create_task(_hold(gate, 2, held))
+        await asyncio.sleep(0.01)
+        assert gate.load.waiting == 1
+    assert held == [0, 2, late, late, late]
