--- a/packages/mustardspur_node/src/mustardspur_node/mesh/call_value.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_value.py
@@ -11,10 +11,14 @@
 # less than those of any call that can still be in time.
 LATE_RANK: Final = 1000
 # Part of a route's calls that state the longest time, as a mean over about
-# twenty calls. With callers that come back twice it is a third; where times
-# vary it is near 0.
-TELLING_PART: Final = 0.15
-AT_LONGEST_WEIGHT: Final = 0.05
+# fifty calls. With callers that come back twice it is a third, with callers
+# that repeat more often it falls to a tenth.
+TELLING_PART: Final = 0.08
+# Calls that state just less than the longest time, as a multiple of those that
+# state it. Where times vary there are many more of them.
+NEAR_RATIO: Final = 1.5
+NEAR_PART: Final = 0.97
+PART_WEIGHT: Final = 0.02
 
 
 class CallValue(Record):
@@ -36,22 +40,27 @@
 class _StatedTimes:
     """Times that the callers of a route state."""
 
-    __slots__ = ('at_longest', 'longest_ms')
+    __slots__ = ('_at_longest', '_near_longest', 'longest_ms')
 
     def __init__(self) -> None:
         self.longest_ms: float = 0
-        self.at_longest: float = 0
+        self._at_longest: float = 0
+        self._near_longest: float = 0
 
     @property
     def tell_attempts(self) -> bool:
         """Whether first attempts can be told from later ones."""
-        return self.at_longest >= TELLING_PART
+        if self._at_longest < TELLING_PART:
+            return False
+        return self._near_longest <= NEAR_RATIO * self._at_longest
 
     def note(self, stated_ms: float) -> None:
         """Take in what a caller states."""
         self.longest_ms = max(self.longest_ms, stated_ms)
-        is_longest = stated_ms >= self.longest_ms
-        self.at_longest += AT_LONGEST_WEIGHT * (is_longest - self.at_longest)
+        at_longest = stated_ms >= self.longest_ms
+        near = not at_longest and stated_ms > NEAR_PART * self.longest_ms
+        self._at_longest += PART_WEIGHT * (at_longest - self._at_longest)
+        self._near_longest += PART_WEIGHT * (near - self._near_longest)
 
 
 class CallValues:
--- a/tests/node/mesh/test_call_value.py
+++ b/tests/node/mesh/test_call_value.py
@@ -34,12 +34,24 @@
     """Guards against the rest of another call's time taken for a late try."""
     values = CallValues()
     ranks = {
-        values.judge(_ROUTE, 2000.0 - 7 * number % 900).rank
-        for number in range(200)
+        values.judge(_ROUTE, 999.0 - stated % spread).rank
+        for spread in (4, 900)
+        for stated in range(0, 2000, 7)
     }
     assert ranks == {2}
 
 
+def test_attempts_are_told_apart_while_callers_repeat() -> None:
+    """Guards against long waits just when targets are short of slots."""
+    values = _known()
+    ranks = [
+        values.judge(_ROUTE, stated_ms).rank
+        for _ in range(100)
+        for stated_ms in (2000.0, 1990.0, 1400.0, 900.0, 600.0)
+    ]
+    assert ranks[-5:] == [2, 2, *(2 + LATE_RANK for _ in range(3))]
+
+
 def test_routes_that_are_gone_are_forgotten() -> None:
     """Guards against memory that grows with each change of the routes."""
     values = _known()
