--- /dev/null
+++ b/tests/control/mesh/test_transfers.py
@@ -0,0 +1,154 @@
+"""Tests of the leader's decisions on transfers."""
+
+import asyncio
+from typing import Any, cast
+
+from expression import Ok, Result
+from mustardspur_agreement import Committed, ProposalError
+from mustardspur_control.mesh.evidence import EvidenceBook
+from mustardspur_control.mesh.registry import OWN, MeshRegistry
+from mustardspur_control.mesh.store import MeshStore
+from mustardspur_control.mesh.transfers import TransferDriver
+from mustardspur_core.mesh import Transfer
+from mustardspur_core.mesh.messages import (
+    EvidenceRow,
+    MeshEvidence,
+    StartTransfer,
+)
+from mustardspur_core.tasks import background
+from mustardspur_core.wire import encode_frame
+
+from tests.core.mesh.builders import target
+from tests.support.virtual_time import in_virtual_time
+
+_DURATION_S = 12.0
+
+
+class _Log:
+    """A log that commits at once."""
+
+    is_leader = True
+
+    def __init__(self, store: MeshStore) -> None:
+        self._store = store
+        self.index = 0
+
+    async def propose(self, entry: bytes) -> Result[Committed, ProposalError]:
+        self.index += 1
+        answer = self._store.apply(self.index, entry)
+        return Ok(Committed(index=self.index, answer=answer))
+
+
+class _Mesh:
+    """A leader with an old and a new target of a service."""
+
+    def __init__(self) -> None:
+        self.store = MeshStore()
+        self.registry = MeshRegistry()
+        self.evidence = EvidenceBook()
+        self.log = _Log(self.store)
+        self.registry.put(OWN, target('1'))
+        self.registry.put(OWN, target('2', version='v2'))
+
+    @property
+    def transfer(self) -> Transfer:
+        return self.store.state.transfers['forms']
+
+    def driver(self) -> TransferDriver:
+        return TransferDriver(
+            cast(Any, self.log),
+            self.store,
+            self.registry,
+            self.evidence,
+        )
+
+    async def order(self) -> None:
+        await self.log.propose(
+            encode_frame(
+                StartTransfer(
+                    service='forms',
+                    version='v2',
+                    duration_ms=_DURATION_S * 1000,
+                    at_s=0,
+                ),
+            ),
+        )
+
+    def report(self, runs: int, failed: int) -> None:
+        rows = [
+            EvidenceRow(
+                service='forms',
+                version=version,
+                route='drafts',
+                runs=count,
+                failed=bad,
+                timed=count - bad,
+                busy_ms=50.0 * (count - bad),
+            )
+            for version, count, bad in (('v1', 500, 2), ('v2', runs, failed))
+        ]
+        self.evidence.take(MeshEvidence(node='n1', incarnation=1, rows=rows))
+
+
+@in_virtual_time
+async def test_good_version_is_in_before_its_time() -> None:
+    """Guards against a good version that is completed late."""
+    mesh = _Mesh()
+    await mesh.order()
+    async with background(mesh.driver().run()):
+        await asyncio.sleep(2)
+        assert 0 < round(100 * mesh.transfer.share) <= 10
+        mesh.report(200, 1)
+        await asyncio.sleep(_DURATION_S - 2 - 1)
+    assert mesh.transfer.state == 'completed'
+    assert mesh.store.state.base_versions['forms'] == 'v2'
+
+
+@in_virtual_time
+async def test_bad_version_is_rolled_back_at_once() -> None:
+    """Guards against calls to a version that is known to fail."""
+    mesh = _Mesh()
+    await mesh.order()
+    async with background(mesh.driver().run()):
+        await asyncio.sleep(3)
+        mesh.report(20, 10)
+        await asyncio.sleep(0.5)
+    assert mesh.transfer.state == 'rolled_back'
+
+
+@in_virtual_time
+async def test_version_without_targets_is_rolled_back() -> None:
+    """Guards against a transfer that never ends."""
+    mesh = _Mesh()
+    mesh.registry.remove(OWN, '127.0.0.1:2')
+    await mesh.order()
+    async with background(mesh.driver().run()):
+        await asyncio.sleep(_DURATION_S - 1)
+        assert mesh.transfer.share == 0
+        await asyncio.sleep(2)
+    assert mesh.transfer.state == 'rolled_back'
+
+
+@in_virtual_time
+async def test_next_leader_goes_on_with_the_time() -> None:
+    """Guards against a transfer that starts anew with each leader."""
+    mesh = _Mesh()
+    await mesh.order()
+    mesh.report(200, 1)
+    async with background(mesh.driver().run()):
+        await asyncio.sleep(6)
+    # The next leader is elected a second later.
+    await asyncio.sleep(1)
+    async with background(mesh.driver().run()):
+        await asyncio.sleep(4)
+    assert mesh.transfer.state == 'completed'
+
+
+@in_virtual_time
+async def test_base_version_is_recorded() -> None:
+    """Guards against calls to targets that were started before an order."""
+    mesh = _Mesh()
+    mesh.registry.remove(OWN, '127.0.0.1:2')
+    async with background(mesh.driver().run()):
+        await asyncio.sleep(1)
+    assert mesh.store.state.base_versions == {'forms': 'v1'}
