--- a/tests/platform/mesh_processes.py
+++ b/tests/platform/mesh_processes.py
@@ -40,6 +40,8 @@
         self.session = session
         self.ports = dict(zip(_PORTS, _free_ports(), strict=True))
         self.processes: dict[str, asyncio.subprocess.Process] = {}
+        # Length of each log at the start of its process.
+        self._begun: dict[str, int] = {}
 
     def url(self, host: str, port: str, path: str) -> str:
         """Return the URL of a path at a process."""
@@ -97,10 +99,10 @@
                 await asyncio.sleep(POLL_S)
 
     async def until_logged(self, host: str, event: str) -> None:
-        """Wait until a process has logged an event."""
+        """Wait until a process has logged an event since its last start."""
         path = self.folder / f'{host}.log'
         async with asyncio.timeout(HANG_LIMIT_S):
-            while f'"{event}"' not in path.read_text('utf-8'):
+            while event.encode() not in path.read_bytes()[self._begun[host] :]:
                 await asyncio.sleep(POLL_S)
 
     async def report(self, host: str) -> None:
@@ -142,6 +144,7 @@
             'PYTHONPATH': str(REPOSITORY / 'platform'),
         }
         with (self.folder / f'{host}.log').open('ab') as output:
+            self._begun[host] = output.tell()
             self.processes[host] = await asyncio.create_subprocess_exec(
                 sys.executable,
                 '-m',
