Recover sooner after a restart of all: elect early, confirm on the change

Cause: after a power loss of all instances the last of three voters ran 0.5 s after the nodes, the first candidate stood a whole election timeout later, a node's table was confirmed up to another 0.45 s later since the feed polled, and callers without a table were told to come back after 50 ms, which used up their retries before there was one.

--- a/packages/mustardspur_agreement/src/mustardspur_agreement/election.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/election.py
@@ -13,6 +13,10 @@
 
 # A full disk mostly stays full for a while, and another voter can lead.
 _DISK_PAUSE_ELECTIONS: Final = 10
+# Part of the usual timeout until a leader was heard for the first time. Voters
+# that hear a leader refuse the pre-vote, so an instance that starts among them
+# disturbs nobody; after a restart of all, nobody is waited for.
+_COLD_START_PART: Final = 0.4
 
 
 class Elections:
@@ -82,7 +86,10 @@
         # Voters of other regions wait longer, so that one of the region with
         # most voters usually stands first.
         outside = membership.preferred_region() not in {region, ''}
-        return (1 + chance + outside) * election_s
+        timeout_s = (1 + chance + outside) * election_s
+        if self._replica.contact.heard_s > float('-inf'):
+            return timeout_s
+        return _COLD_START_PART * timeout_s
 
     async def _stand(self) -> None:
         handover = self._summoned
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/log.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/log.py
@@ -69,6 +69,20 @@
         """
         return await self._parts.barriers.read()
 
+    async def wait_for_leader(self, timeout_s: float) -> bool:
+        """Wait until a leader is known here, for a bounded time.
+
+        Returns
+        -------
+        bool
+            Whether one is known.
+        """
+        replica = self._replica
+        return await replica.changed.wait_until(
+            lambda: self.is_leader or replica.leader is not None,
+            timeout_s,
+        )
+
     async def add_voter(self, peer: Peer) -> Result[Committed, ProposalError]:
         """Let an instance catch up and make it a voter; leader only."""
         return await self._parts.voters.add(peer)
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
@@ -231,10 +231,14 @@
         await asyncio.wait([waited], timeout=CONFIRM_S)
 
     async def _wait_for_quorum(self) -> None:
-        barrier = await self._shared.log.read_barrier()
+        log = self._shared.log
+        interval_s = self._shared.settings.intervals.election_s
+        while not await log.wait_for_leader(interval_s):
+            _LOG.debug('no leader is known', extra={'node': self.node})
+        barrier = await log.read_barrier()
         while barrier.is_error():
-            await asyncio.sleep(self._shared.settings.intervals.election_s)
-            barrier = await self._shared.log.read_barrier()
+            await asyncio.sleep(interval_s)
+            barrier = await log.read_barrier()
         self._confirmed = True
         # An unconfirmed table is sent once more, now confirmed.
         self._held_index = 0
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
@@ -26,7 +26,11 @@
 )
 from mustardspur_node.mesh.calls import Headers, MeshCall
 from mustardspur_node.mesh.names import HOP_BY_HOP, HeaderNames
-from mustardspur_node.mesh.placing import Placement, Placer
+from mustardspur_node.mesh.placing import (
+    UNKNOWN_RETRY_AFTER_S,
+    Placement,
+    Placer,
+)
 from mustardspur_node.mesh.view import MeshView, RouteIndex
 
 _LOG: Final = logging.getLogger(__name__)
@@ -192,6 +196,7 @@
             raise Placement(
                 HTTPStatus.SERVICE_UNAVAILABLE,
                 'no routing table is known yet',
+                UNKNOWN_RETRY_AFTER_S,
             )
         host = message.headers['host'].partition(':')[0].lower()
         route = self._view.routes.find(host, message.path)
--- a/tests/agreement/test_elections.py
+++ b/tests/agreement/test_elections.py
@@ -87,6 +87,35 @@
     assert cluster.run(vote).granted is granted
 
 
+@pytest.mark.parametrize('seed', range(8))
+def test_restart_of_all_elects_soon(
+    make_cluster: MakeCluster,
+    seed: int,
+) -> None:
+    """Guards against nodes without a table for the length of an election."""
+    cluster = make_cluster(VOTERS, seed=seed)
+    cluster.start()
+    cluster.propose(b'entry')
+    cluster.stop()
+    cluster.start()
+    cluster.advance(cluster.instances['c1'].election_s)
+    assert any(one.running.is_leader for one in cluster.live())
+
+
+def test_wait_for_leader_ends_with_the_election(
+    make_cluster: MakeCluster,
+) -> None:
+    """Guards against a confirmation that comes an interval after a leader."""
+    cluster = make_cluster(VOTERS)
+    cluster.start('c1')
+    waiting = cluster.instances['c1'].running
+    assert not cluster.run(waiting.wait_for_leader(2))
+    cluster.start('c2', 'c3')
+    assert cluster.run(waiting.wait_for_leader(60))
+    assert cluster.loop.time() < 2 + 60 / 2
+    assert waiting.leader is not None
+
+
 def test_heard_leader_prevents_votes(make_cluster: MakeCluster) -> None:
     """Guards against a disturbance by an instance that lost contact."""
     cluster = make_cluster(VOTERS)
--- a/tests/node/mesh/builders.py
+++ b/tests/node/mesh/builders.py
@@ -1,14 +1,18 @@
 """Targets and calls for the tests of a mesh's node."""
 
+import asyncio
 from typing import Any
 
 from mustardspur_core.mesh.messages import CallOpen
 from mustardspur_core.settings import Settings, parse_settings
+from mustardspur_node.mesh.calls import MeshCall
 from mustardspur_node.mesh.local_target import LocalTarget
 from mustardspur_node.mesh.names import OWN_NAMES
 from mustardspur_node.mesh.reports import ReportBook, TargetReport
 from mustardspur_node.mesh.tally import Tally
 
+from tests.core.mesh.builders import route
+
 
 def node_settings() -> Settings:
     """Return the settings of a node in ``split-a``."""
@@ -53,6 +57,24 @@
     return local
 
 
+def mesh_call(**changes: Any) -> MeshCall:
+    """Return a call of a caller with some fields changed."""
+    now_s = asyncio.get_running_loop().time()
+    fields: dict[str, Any] = {
+        'request_id': 'r1',
+        'route': route('drafts'),
+        'method': 'GET',
+        'path': '/drafts/1',
+        'headers': [],
+        'body': b'',
+        'started_s': now_s,
+        'deadline_s': now_s + 1,
+        'useful_s': now_s + 0.3,
+        'rank': 1,
+    }
+    return MeshCall(**(fields | changes))
+
+
 def call_open(request_id: str = 'r1', **changes: Any) -> CallOpen:
     """Return a call for that target with some fields changed."""
     fields: dict[str, Any] = {
--- a/tests/node/mesh/test_journey.py
+++ b/tests/node/mesh/test_journey.py
@@ -1,33 +1,17 @@
 """Tests of what is known of a call after its faults."""
 
-import asyncio
-
 from mustardspur_node.mesh.calls import (
-    MeshCall,
     PlaceFault,
     maybe_run,
     never_sent,
 )
 from mustardspur_node.mesh.journey import Journey
 
-from tests.core.mesh.builders import route
+from tests.node.mesh.builders import mesh_call
 
 
 def _journey() -> Journey:
-    now_s = asyncio.get_running_loop().time()
-    call = MeshCall(
-        request_id='r1',
-        route=route('drafts'),
-        method='GET',
-        path='/drafts/1',
-        headers=[],
-        body=b'',
-        started_s=now_s,
-        deadline_s=now_s + 1,
-        useful_s=now_s + 0.3,
-        rank=1,
-    )
-    return Journey(call, 'forms')
+    return Journey(mesh_call(), 'forms')
 
 
 async def test_refusal_takes_back_that_the_call_may_run() -> None:
