Keep queues short: a call waits a third of its objective for a slot

Change: the longest wait is a third of the objective, at least 60 ms for calls within calls; a full target of another region is asked again after 1 s instead of 0.25 s.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/call_value.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_value.py
@@ -7,6 +7,13 @@
 
 # Part of the objective that must be left for a call to count as in time.
 IN_TIME_PART: Final = 0.25
+# Longest wait for a slot, as a part of the objective. A queue that is short of
+# slots for long makes every call wait as long as it lets them; with a third of
+# the objective most of them still end in time.
+WAIT_PART: Final = 1 / 3
+# Calls with a short objective, most often made within other calls, wait at
+# least this long, since a refusal loses the work of the call around them.
+MIN_WAIT_MS: Final = 60.0
 # Added to the rank of calls that are late already: their answers are worth
 # less than those of any call that can still be in time.
 LATE_RANK: Final = 1000
@@ -37,6 +44,11 @@
     rank: int
 
 
+def longest_wait_ms(route: MeshRoute) -> float:
+    """Return the longest useful wait of a route's calls for a slot."""
+    return max(WAIT_PART * route.objective_ms, MIN_WAIT_MS)
+
+
 class _StatedTimes:
     """Times that the callers of a route state."""
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
@@ -25,6 +25,9 @@
 SUSPECT_S: Final = 0.7
 # A report of a target's load is relied on for this time.
 FRESH_S: Final = 0.25
+# One of another region that was full is asked again after this time only: a
+# refused call has crossed the link between regions for nothing.
+FRESH_OTHER_REGION_S: Final = 1.0
 # Targets that are compared for a call; more would all find the same one.
 COMPARED: Final = 3
 
@@ -88,6 +91,7 @@
         self,
         rows: list[MeshTarget],
         useful_ms: float,
+        longest_wait_ms: float,
     ) -> MeshTarget | None:
         """Return the best of a few targets, None if there are none.
 
@@ -105,9 +109,13 @@
             Targets that may run the call.
         useful_ms : float
             Time within which an answer has most of its value.
+        longest_wait_ms : float
+            Longest useful wait for a slot.
         """
         sound = [row for row in rows if self._is_usable(row)] or rows
-        usable = [row for row in sound if self._fits(row, useful_ms)]
+        usable = [
+            row for row in sound if self._fits(row, useful_ms, longest_wait_ms)
+        ]
         region = self._settings.region
         near = [row for row in usable if row.region == region]
         far = [row for row in usable if row.region != region]
@@ -157,16 +165,26 @@
             return state.sent
         return state.load.running + state.load.waiting + state.sent
 
-    def _fits(self, row: MeshTarget, useful_ms: float) -> bool:
+    def _fits(
+        self,
+        row: MeshTarget,
+        useful_ms: float,
+        longest_wait_ms: float,
+    ) -> bool:
         state = self._state(row.node)
         load = state.load
-        if load is None or _now() - state.load_s > FRESH_S:
+        fresh_s = FRESH_S
+        if row.region != self._settings.region:
+            fresh_s = FRESH_OTHER_REGION_S
+        if load is None or _now() - state.load_s > fresh_s:
             return True
         slots = max(load.slots, 1)
         ahead = self._inside(state) + 1 - slots
         if ahead <= 0:
             return True
         wait_ms = ahead * load.run_ms / slots
+        if wait_ms > longest_wait_ms:
+            return False
         return wait_ms + load.run_ms + self.distance_ms(row) <= useful_ms
 
     def _is_usable(self, row: MeshTarget) -> bool:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -11,6 +11,7 @@
 from mustardspur_core.settings import MeshSettings, Settings
 
 from mustardspur_node.mesh.call_log import CallLog
+from mustardspur_node.mesh.call_value import longest_wait_ms
 from mustardspur_node.mesh.calls import (
     MeshCall,
     PlaceFault,
@@ -33,6 +34,9 @@
 # targets refused the call though they have slots.
 BUSY_RETRY_AFTER_S: Final = 0.3
 REFUSED_RETRY_AFTER_S: Final = 0.05
+# A node that knows no table or no target learns of them from a control
+# instance; after a restart of all, that takes about an election.
+UNKNOWN_RETRY_AFTER_S: Final = 0.5
 
 
 class Placement(Exception):
@@ -158,7 +162,11 @@
             for row in journey.rows(self._view, self._choice)
             if row.node not in journey.tried
         ]
-        return self.chooser.choose(rows, journey.useful_ms())
+        return self.chooser.choose(
+            rows,
+            journey.useful_ms(),
+            longest_wait_ms(journey.call.route),
+        )
 
     async def _try(
         self,
@@ -206,7 +214,10 @@
         call = journey.call
         left_ms = journey.left_ms() - self.chooser.distance_ms(target)
         useful_ms = journey.useful_ms() - self.chooser.distance_ms(target)
-        patience_ms = min(useful_ms, left_ms) - self.chooser.run_ms(target)
+        patience_ms = min(
+            min(useful_ms, left_ms) - self.chooser.run_ms(target),
+            longest_wait_ms(call.route),
+        )
         return CallOpen(
             target=target.id,
             service=target.service,
@@ -265,6 +276,13 @@
             if journey.left_ms() <= 0:
                 status = HTTPStatus.GATEWAY_TIMEOUT
         self.log.note_end(journey, status, reason)
-        busy = bool(journey.faults) and journey.faults[-1].kind == 'busy'
-        after_s = BUSY_RETRY_AFTER_S if busy else REFUSED_RETRY_AFTER_S
-        return Placement(status, reason, after_s)
+        return Placement(status, reason, _retry_after_s(journey))
+
+
+def _retry_after_s(journey: Journey) -> float:
+    """Return when a call that did not run may find a target."""
+    if not journey.faults:
+        return UNKNOWN_RETRY_AFTER_S
+    if journey.faults[-1].kind == 'busy':
+        return BUSY_RETRY_AFTER_S
+    return REFUSED_RETRY_AFTER_S
