Give connections back after a refusal by the target

Cause: a target's refusal left the pool as a fault and its connection was neither kept nor closed.

Change: the pool lends for the length of a block, so whatever ends the block the connection goes back; one that is lent while the target changes is closed at its return.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -101,18 +101,25 @@
         deadline_s = _now() + (call.deadline_ms - MARGIN_MS) / MS_PER_S
         self._checked(call)
         async with self.gate.admitted(call.priority, call.patience_ms):
-            connection = await self._lend()
             try:
-                left_ms = await self._hand_over(call, deadline_s, hand_over)
-            except BaseException:
-                # Nothing was sent on it.
-                self._pool.take_back(connection)
+                answer = await self._run_admitted(call, deadline_s, hand_over)
+            except PlaceFault as fault:
+                if fault.kind == 'unreachable':
+                    self.gate.close_for_a_while()
                 raise
-            with self.gate.runs.timed():
-                answer = await self._exchange(call, connection, left_ms)
-            self._pool.take_back(connection)
         return self._target_answer(answer)
 
+    async def _run_admitted(
+        self,
+        call: CallOpen,
+        deadline_s: float,
+        hand_over: HandOver,
+    ) -> RawAnswer:
+        async with self._pool.lent() as connection:
+            left_ms = await self._hand_over(call, deadline_s, hand_over)
+            with self.gate.runs.timed():
+                return await self._exchange(call, connection, left_ms)
+
     async def _hand_over(
         self,
         call: CallOpen,
@@ -138,14 +145,6 @@
             raise never_sent('closed', 'target is leaving')
         return report
 
-    async def _lend(self) -> TargetConnection:
-        try:
-            return await self._pool.lend()
-        except PlaceFault as fault:
-            if fault.kind == 'unreachable':
-                self.gate.close_for_a_while()
-            raise
-
     async def _exchange(
         self,
         call: CallOpen,
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_pool.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_pool.py
@@ -1,6 +1,8 @@
 """The few warm connections to the target beside the node."""
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import Final
 
 from mustardspur_node.mesh.calls import never_sent
@@ -20,33 +22,35 @@
     the connections that it takes, so as few as possible stay warm.
     """
 
-    __slots__ = ('_address', '_idle', '_loop')
+    __slots__ = ('_address', '_closed', '_idle', '_loop')
 
     def __init__(self, address: str) -> None:
         """Open nothing yet."""
         self._address = address
+        self._closed = False
         self._idle: list[TargetConnection] = []
         self._loop = asyncio.get_running_loop()
 
-    async def lend(self) -> TargetConnection:
-        """Return a connection without a request.
+    @asynccontextmanager
+    async def lent(self) -> AsyncIterator[TargetConnection]:
+        """Lend a connection without a request for the length of a block.
+
+        Explanation
+        ===========
+
+        Whatever ends the block, the connection goes back: each one that is
+        lost counts against the connections that the target takes.
 
         Raises
         ------
         PlaceFault
             If the target takes no connection; nothing was sent.
         """
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_fresh:
-                return connection
-            connection.abort()
-        return await self._connect()
-
-    def take_back(self, connection: TargetConnection) -> None:
-        """Keep a connection after its answer if it can be used again."""
-        if connection.is_fresh:
-            self._idle.append(connection)
+        connection = await self._lend()
+        try:
+            yield connection
+        finally:
+            self._take_back(connection)
 
     def prune(self) -> None:
         """Close connections that have been idle for too long."""
@@ -56,10 +60,25 @@
         self._idle = [each for each in self._idle if each.is_fresh]
 
     def close(self) -> None:
-        """Close the idle connections."""
+        """Close the idle connections, and the lent ones at their return."""
+        self._closed = True
         while self._idle:
             self._idle.pop().abort()
 
+    async def _lend(self) -> TargetConnection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_fresh:
+                return connection
+            connection.abort()
+        return await self._connect()
+
+    def _take_back(self, connection: TargetConnection) -> None:
+        if self._closed:
+            connection.abort()
+        elif connection.is_fresh:
+            self._idle.append(connection)
+
     async def _connect(self) -> TargetConnection:
         host, _, port = self._address.rpartition(':')
         creation = self._loop.create_task(self._create(host, int(port)))
--- a/tests/node/mesh/test_target_connection.py
+++ b/tests/node/mesh/test_target_connection.py
@@ -13,7 +13,7 @@
 from mustardspur_node.mesh.local_target import LocalTarget
 from mustardspur_node.mesh.target_connection import TargetConnection
 
-from tests.node.mesh.builders import call_open, local_target
+from tests.node.mesh.builders import call_open, local_target, target_report
 from tests.node.stand_ins.scripted import CLOSE, GOOD, KEEP, RESET, run_scripted
 
 _LATE: Final = (
@@ -46,6 +46,33 @@
         assert target.connections == 1
 
 
+async def test_refused_call_keeps_the_connection() -> None:
+    """Guards against a connection that is lost with each refusal, until the
+    target takes no more of them.
+    """
+    async with run_scripted((_REFUSAL, KEEP)) as (address, target):
+        local = local_target(address)
+        with pytest.raises(PlaceFault, match='refused'):
+            await _run(local, 'r1')
+        answer = await _run(local, 'r2')
+        assert answer.body == b'good'
+        assert target.connections == 1
+
+
+async def test_connection_to_an_earlier_target_is_closed() -> None:
+    """Guards against a call on a connection to the target before."""
+    async with run_scripted() as (address, target):
+        local = local_target(address)
+        await _run(local, 'r1')
+        async with local._pool.lent() as connection:
+            local.book.take(
+                target_report(address=address, id='t2', born=2000),
+            )
+            local.refresh()
+        assert not connection.is_fresh
+        assert target.connections == 1
+
+
 @pytest.mark.parametrize(
     ('name', 'sent'),
     [
