--- a/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
@@ -77,6 +77,7 @@
     __slots__ = (
         '_chooser',
         '_controls',
+        '_failures',
         '_local',
         '_settings',
         '_stale_beats',
@@ -101,6 +102,7 @@
         self._local = local
         self._chooser = chooser
         self._controls = ControlChoice(settings, mesh)
+        self._failures = 0
         self._stale_beats = 0
         self._started_s = _now()
         self.attached = ''
@@ -135,14 +137,22 @@
                 )
         except _LINK_ERRORS as error:
             self._controls.note_failure(stream_address)
-            _LOG.info(
-                'control instance lost',
-                extra={
-                    'control': stream_address,
-                    'was_attached': bool(self.attached),
-                    'reason': repr(error),
-                },
-            )
+            self._log_failure(stream_address, error)
+
+    def _log_failure(self, address: str, error: Exception) -> None:
+        """Log a loss and the first failed attempt after it."""
+        if not self.attached:
+            self._failures += 1
+        level = logging.DEBUG if self._failures > 1 else logging.INFO
+        _LOG.log(
+            level,
+            'control instance lost',
+            extra={
+                'control': address,
+                'was_attached': bool(self.attached),
+                'reason': repr(error),
+            },
+        )
 
     async def _receive(self, stream: FrameStream, address: str) -> None:
         stream.send_soon(
@@ -157,7 +167,14 @@
             body = (await stream.receive()).body
             if not self.attached:
                 self.attached = address
-                _LOG.info('attached', extra={'control': address})
+                _LOG.info(
+                    'attached',
+                    extra={
+                        'control': address,
+                        'failed_attempts': self._failures,
+                    },
+                )
+                self._failures = 0
             self._take(body)
 
     def _take(self, body: Record) -> None:
