Take the first share of a transfer from the settings, drop unused ones

exposure_share of the settings was read but a constant of 0.05 used, which only fits a bound of a tenth. drain, apply, exposure_slack and rollback were checked and used by nothing, so they are gone.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/parts.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/parts.py
@@ -53,7 +53,7 @@
             self.exchange,
             evidence,
         )
-        self._driver = TransferDriver(log, store, registry, evidence)
+        self._driver = TransferDriver(mesh, log, store, registry, evidence)
 
     def running(self) -> AbstractAsyncContextManager[None]:
         """Run the parts for the length of a block."""
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/schedule.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/schedule.py
@@ -2,10 +2,10 @@
 
 from typing import Final
 
-# Part of the calls that a version gets until it is known to work. It stays
-# below the tenth that a bad version may get in all, with room for the calls
-# of the steps after it.
-FIRST_SHARE: Final = 0.05
+# Part of the calls that a version gets until it is known to work, as a part of
+# what a bad version may get in all: the rest is for calls that are on their
+# way when the fault shows, and for faults that show after the first step.
+EXPOSED_PART: Final = 0.5
 # Faults that show only some seconds after a start are waited for.
 FIRST_STEP_END: Final = 0.4
 # Shares by the part of the time after which they hold.
@@ -22,7 +22,11 @@
 MIN_RUNS: Final = 25
 
 
-def planned_share(progress: float, runs: int) -> float:
+def planned_share(
+    progress: float,
+    runs: int,
+    exposure_share: float,
+) -> float:
     """Return the share at a point of the time.
 
     Parameters
@@ -31,8 +35,10 @@
         Part of the time that has passed.
     runs : int
         Calls that the new version has answered.
+    exposure_share : float
+        Part of the calls that a bad version may get.
     """
-    share = FIRST_SHARE
+    share = EXPOSED_PART * exposure_share
     if runs < MIN_RUNS:
         return share
     for begins, step_share in STEPS:
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
@@ -14,6 +14,7 @@
     TransferState,
 )
 from mustardspur_core.record import Record
+from mustardspur_core.settings import MeshSettings
 from mustardspur_core.units import MS_PER_S
 from mustardspur_core.wire import encode_frame
 
@@ -40,6 +41,8 @@
 
     Parameters
     ----------
+    mesh : MeshSettings
+        How many calls a bad version may get.
     log : ReplicatedLog
         Commits the steps.
     store : MeshStore
@@ -50,16 +53,25 @@
         Outcomes by version and route.
     """
 
-    __slots__ = ('_clocks', '_evidence', '_log', '_registry', '_store')
+    __slots__ = (
+        '_clocks',
+        '_evidence',
+        '_log',
+        '_mesh',
+        '_registry',
+        '_store',
+    )
 
     def __init__(
         self,
+        mesh: MeshSettings,
         log: ReplicatedLog,
         store: MeshStore,
         registry: MeshRegistry,
         evidence: EvidenceBook,
     ) -> None:
         """Start without a transfer."""
+        self._mesh = mesh
         self._log = log
         self._store = store
         self._registry = registry
@@ -149,7 +161,11 @@
             _log_decision(transfer, 'completed', verdict, progress)
             return TransferState.COMPLETED.value, 1.0
         share = min(
-            planned_share(progress, verdict.runs),
+            planned_share(
+                progress,
+                verdict.runs,
+                self._mesh.exposure_share,
+            ),
             self._possible_share(transfer),
         )
         if share >= transfer.share + MIN_SHARE_STEP:
--- a/packages/mustardspur_core/src/mustardspur_core/settings/loading.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/loading.py
@@ -33,12 +33,9 @@
 )
 _MESH_DURATIONS: Final = frozenset(
     (
-        'drain',
         'grace',
-        'apply',
         'contact',
         'retry_window',
-        'rollback',
     ),
 )
 _DEFAULT_MESH: Final[Mapping[str, Any]] = MappingProxyType(
@@ -46,16 +43,12 @@
         'seeds': [],
         'first_start': False,
         'target_address': None,
-        'drain_s': 2.5,
         'grace_s': 6.0,
-        'apply_s': 2.5,
         'contact_s': 3.0,
         'retry_ratio': 0.2,
         'retry_slack': 60,
         'retry_window_s': 10.0,
         'exposure_share': 0.1,
-        'exposure_slack': 50,
-        'rollback_s': 5.0,
     }
 )
 _DEFAULT_INTERVALS: Final = MappingProxyType(
--- a/packages/mustardspur_core/src/mustardspur_core/settings/model.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/model.py
@@ -84,51 +84,37 @@
         Whether the whole system starts for the first time.
     target_address : str or None
         ``ip:port`` of the target beside a node.
-    drain_s : float
-        Time after an acknowledged leave in which a target still takes calls.
     grace_s : float
         Time between the signal to stop and the kill.
-    apply_s : float
-        Time within which an accepted table is in force.
     contact_s : float
         Time without trouble after which a process counts as connected.
     retry_ratio, retry_slack : float, int
         Repeated calls that all nodes together may send to a service within
         `retry_window_s`: a part of its calls and a fixed number.
-    exposure_share, exposure_slack : float, int
-        Calls that a bad version may get: a part of all and a fixed number.
-    rollback_s : float
-        Time within which a version that fails gets no more calls.
+    exposure_share : float
+        Part of a service's calls that a bad version may get, 0 to 1.
     """
 
     __slots__ = (
         'seeds',
         'first_start',
         'target_address',
-        'drain_s',
         'grace_s',
-        'apply_s',
         'contact_s',
         'retry_ratio',
         'retry_slack',
         'retry_window_s',
         'exposure_share',
-        'exposure_slack',
-        'rollback_s',
     )
     seeds: list[str]
     first_start: bool
     target_address: str | None
-    drain_s: float
     grace_s: float
-    apply_s: float
     contact_s: float
     retry_ratio: float
     retry_slack: int
     retry_window_s: float
     exposure_share: float
-    exposure_slack: int
-    rollback_s: float
 
 
 class Settings(Record):
--- a/tests/control/mesh/test_judging.py
+++ b/tests/control/mesh/test_judging.py
@@ -60,16 +60,17 @@
 
 def test_share_waits_for_answers() -> None:
     """Guards against a step up on a version that has answered nothing."""
-    assert planned_share(0.7, 0) == planned_share(0, 0)
-    assert planned_share(0.7, 1000) == pytest.approx(1)
+    assert planned_share(0.7, 0, 0.1) == planned_share(0, 0, 0.1)
+    assert planned_share(0.7, 1000, 0.1) == pytest.approx(1)
 
 
 def test_whole_share_comes_before_the_end() -> None:
     """Guards against a good version that is in too late."""
-    assert planned_share(COMPLETE_AT - 0.1, 1000) == pytest.approx(1)
+    assert planned_share(COMPLETE_AT - 0.1, 1000, 0.1) == pytest.approx(1)
     assert COMPLETE_AT < 1
 
 
-def test_first_share_stays_below_the_exposure() -> None:
-    """Guards against a bad version that gets over a tenth of the calls."""
-    assert round(100 * planned_share(0.39, 1000)) <= 10
+@pytest.mark.parametrize('exposure_share', [0.02, 0.1, 0.3])
+def test_first_share_stays_below_the_exposure(exposure_share: float) -> None:
+    """Guards against a bad version that gets more calls than it may."""
+    assert planned_share(0.39, 1000, exposure_share) < exposure_share
--- a/tests/control/mesh/test_transfers.py
+++ b/tests/control/mesh/test_transfers.py
@@ -18,7 +18,7 @@
 from mustardspur_core.tasks import background
 from mustardspur_core.wire import encode_frame
 
-from tests.core.mesh.builders import target
+from tests.core.mesh.builders import mesh_settings, target
 from tests.support.virtual_time import in_virtual_time
 
 _DURATION_S = 12.0
@@ -56,6 +56,7 @@
 
     def driver(self) -> TransferDriver:
         return TransferDriver(
+            mesh_settings(),
             cast(Any, self.log),
             self.store,
             self.registry,
--- a/tests/core/mesh/builders.py
+++ b/tests/core/mesh/builders.py
@@ -10,6 +10,7 @@
     RoutingTable,
     ServiceRule,
 )
+from mustardspur_core.settings import MeshSettings
 
 LIMITS = CallerLimits(
     header_bytes=4096,
@@ -68,3 +69,18 @@
         'sequence': 1,
     }
     return MeshTarget(**(fields | changes))
+
+
+def mesh_settings() -> MeshSettings:
+    """Return settings with the usual bounds."""
+    return MeshSettings(
+        seeds=[],
+        first_start=False,
+        target_address=None,
+        grace_s=6.0,
+        contact_s=3.0,
+        retry_ratio=0.2,
+        retry_slack=60,
+        retry_window_s=10.0,
+        exposure_share=0.1,
+    )
--- a/tests/node/mesh/test_retry_budget.py
+++ b/tests/node/mesh/test_retry_budget.py
@@ -2,31 +2,12 @@
 
 import asyncio
 
-from mustardspur_core.settings import MeshSettings
 from mustardspur_node.mesh.retry_budget import RetryBudget
 
+from tests.core.mesh.builders import mesh_settings
 from tests.support.virtual_time import in_virtual_time, ticks
 
 
-def mesh_settings() -> MeshSettings:
-    """Return settings with the usual bounds."""
-    return MeshSettings(
-        seeds=[],
-        first_start=False,
-        target_address=None,
-        drain_s=2.5,
-        grace_s=6.0,
-        apply_s=2.5,
-        contact_s=3.0,
-        retry_ratio=0.2,
-        retry_slack=60,
-        retry_window_s=10.0,
-        exposure_share=0.1,
-        exposure_slack=50,
-        rollback_s=5.0,
-    )
-
-
 @in_virtual_time
 async def test_all_nodes_together_stay_within_the_bound() -> None:
     """Guards against repeats that overload a service that fails."""
