--- a/packages/mustardspur_daemon/src/mustardspur_daemon/mesh_processes.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/mesh_processes.py
@@ -43,9 +43,10 @@
     async with running_mesh_node(settings, mesh, OWN_NAMES, metrics) as node:
         api = NodeApi(node)
         async with (
-            serving_app(api.ready_app(), settings.listen.ready),
             serving_app(api.targets_app(), settings.listen.targets),
             serving_metrics(settings.listen.metrics, metrics),
+            # The last one: who is answered here finds the others as well.
+            serving_app(api.ready_app(), settings.listen.ready),
         ):
             _LOG.info('started', extra={'role': settings.role})
             await stopped.wait()
