--- a/packages/mustardspur_core/src/mustardspur_core/conversion.py
+++ b/packages/mustardspur_core/src/mustardspur_core/conversion.py
@@ -17,6 +17,7 @@
 
 _RecordT = TypeVar('_RecordT', bound=Record)
 _SCALARS: tuple[type, ...] = (int, str, bool, float, bytes)
+_SCALAR_TYPES = frozenset(_SCALARS)
 
 
 def encode_row(source: Any) -> Any:
@@ -26,6 +27,9 @@
     --------
     decode_row : the way back.
     """
+    # Most parts of a frame are scalars, so they come first.
+    if type(source) in _SCALAR_TYPES:
+        return source
     if isinstance(source, Record):
         return [encode_row(getattr(source, name)) for name in source.__slots__]
     if isinstance(source, list | tuple):
