Keep the usual timeout at a first start; report when a vote counts

Cause: test_table_outlives_the_loss_of_disks failed twice beside load (one of three runs of the platform's tests). The earlier election at a start left behind the third voter, which started later on the loaded machine: an instance that missed the first election has no vote until it is refilled, so the loss of another one was a second loss.

Change: only an instance with a log stands early. The event vote_counts tells when an instance counts towards a quorum, and the test waits for it at all three, since one that starts very late may still miss the election.

--- a/packages/mustardspur_agreement/src/mustardspur_agreement/election.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/election.py
@@ -13,9 +13,11 @@
 
 # A full disk mostly stays full for a while, and another voter can lead.
 _DISK_PAUSE_ELECTIONS: Final = 10
-# Part of the usual timeout until a leader was heard for the first time. Voters
-# that hear a leader refuse the pre-vote, so an instance that starts among them
-# disturbs nobody; after a restart of all, nobody is waited for.
+# Part of the usual timeout until a leader was heard for the first time after a
+# restart. Voters that hear a leader refuse the pre-vote, so an instance that
+# starts among them disturbs nobody; after a restart of all, nobody is waited
+# for. An empty log keeps the usual timeout: an instance that misses the first
+# election has to be refilled before its vote counts.
 _COLD_START_PART: Final = 0.4
 
 
@@ -87,9 +89,10 @@
         # most voters usually stands first.
         outside = membership.preferred_region() not in {region, ''}
         timeout_s = (1 + chance + outside) * election_s
-        if self._replica.contact.heard_s > float('-inf'):
-            return timeout_s
-        return _COLD_START_PART * timeout_s
+        restarted = self._replica.entries.last_index > 0
+        if restarted and self._replica.contact.heard_s == float('-inf'):
+            return _COLD_START_PART * timeout_s
+        return timeout_s
 
     async def _stand(self) -> None:
         handover = self._summoned
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/replica.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/replica.py
@@ -106,7 +106,10 @@
         if ballot.term > self.ballot.term:
             self.step_down('a higher term was seen')
             self.leader = None
+        begins = ballot.trusted and not self.ballot.trusted
         await self.journal.record_ballot(ballot)
+        if begins:
+            self.context.report('vote_counts', term=ballot.term)
         self.changed.notify()
 
     async def adopt_term(self, term: int) -> None:
--- a/tests/agreement/test_elections.py
+++ b/tests/agreement/test_elections.py
@@ -102,6 +102,20 @@
     assert any(one.running.is_leader for one in cluster.live())
 
 
+def test_first_election_waits_for_late_starts(
+    make_cluster: MakeCluster,
+) -> None:
+    """Guards against a voter without a vote that starts a moment later."""
+    cluster = make_cluster(VOTERS)
+    cluster.start('c1', 'c2')
+    cluster.advance(cluster.instances['c1'].election_s / 2)
+    cluster.start('c3')
+    cluster.propose(b'entry')
+    cluster.advance(5)
+    assert cluster.history.count('vote_counts') == 3
+    assert not cluster.history.count('refilled')
+
+
 def test_wait_for_leader_ends_with_the_election(
     make_cluster: MakeCluster,
 ) -> None:
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -90,6 +90,10 @@
     async with running_mesh(tmp_path) as mesh:
         await _start_controls(mesh)
         await _put(mesh, CONTROLS[0], 3, 0)
+        # One that started after the first election has no vote at first, and
+        # would be a second loss.
+        for host in CONTROLS:
+            await mesh.until_logged(host, 'vote_counts')
         await mesh.kill(CONTROLS[0])
         mesh.wipe(CONTROLS[0])
         await _put(mesh, CONTROLS[1], 5, 3)
