Take the price of bytes apart from the time of the way; name soon returns

Cause: the time of a way to another region was counted as 100 ms so that calls stay near, and so calls in time were refused there while late ones passed; within a region a call left its data centre for 3 ms of expected time though its bytes are paid for. A refused caller was told 0.3 s, after which its answer is late.

--- a/packages/mustardspur_core/src/mustardspur_core/conversion.py
+++ b/packages/mustardspur_core/src/mustardspur_core/conversion.py
@@ -28,7 +28,7 @@
     decode_row : the way back.
     """
     # Most parts of a frame are scalars, so they come first.
-    if type(source) in _SCALAR_TYPES:
+    if source.__class__ in _SCALAR_TYPES:
         return source
     if isinstance(source, Record):
         return [encode_row(getattr(source, name)) for name in source.__slots__]
--- a/packages/mustardspur_core/src/mustardspur_core/readers.py
+++ b/packages/mustardspur_core/src/mustardspur_core/readers.py
@@ -67,7 +67,7 @@
         self._scalar = scalar
 
     def __call__(self, part: Any, path: str) -> Any:
-        if type(part) is self._scalar:
+        if part.__class__ is self._scalar:
             return part
         if isinstance(part, self._scalar) and self._fits(part):
             return part
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
@@ -24,13 +24,9 @@
     CallerConnection,
     ReadBody,
 )
-from mustardspur_node.mesh.calls import Headers, MeshCall
+from mustardspur_node.mesh.calls import Headers, MeshCall, Placement
 from mustardspur_node.mesh.names import HOP_BY_HOP, HeaderNames
-from mustardspur_node.mesh.placing import (
-    UNKNOWN_RETRY_AFTER_S,
-    Placement,
-    Placer,
-)
+from mustardspur_node.mesh.placing import Placer
 from mustardspur_node.mesh.view import MeshView, RouteIndex
 
 _LOG: Final = logging.getLogger(__name__)
@@ -193,11 +189,8 @@
         if reason:
             return own_answer(HTTPStatus.BAD_REQUEST, reason, closes=True)
         if self._view.routes is None:
-            raise Placement(
-                HTTPStatus.SERVICE_UNAVAILABLE,
-                'no routing table is known yet',
-                UNKNOWN_RETRY_AFTER_S,
-            )
+            request_id = message.headers.get(self._names.request_id)
+            raise self._placer.without_table(request_id)
         host = message.headers['host'].partition(':')[0].lower()
         route = self._view.routes.find(host, message.path)
         if route is None:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/calls.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/calls.py
@@ -1,5 +1,7 @@
 """A call on its way, its answer and its faults."""
 
+from http import HTTPStatus
+
 from mustardspur_core.mesh.messages import TargetLoad
 from mustardspur_core.mesh.model import MeshRoute
 from mustardspur_core.record import Record
@@ -91,6 +93,32 @@
         self.arrived = arrived
 
 
+class Placement(Exception):
+    """The call ends without a target's answer.
+
+    Parameters
+    ----------
+    status : HTTPStatus
+        For the caller; 503 only if the call certainly did not run.
+    reason : str
+        Description for the caller and the log.
+    retry_after_s : float
+        When to come back, for a call that did not run.
+    """
+
+    def __init__(
+        self,
+        status: HTTPStatus,
+        reason: str,
+        retry_after_s: float,
+    ) -> None:
+        """Keep what the caller is told."""
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
 def never_sent(kind: str, detail: str) -> PlaceFault:
     """Return the fault of a call that no target was sent."""
     return PlaceFault(kind, detail, not_run=True, arrived=False)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
@@ -9,12 +9,9 @@
 from mustardspur_core.mesh.model import MeshTarget
 from mustardspur_core.settings import Settings
 
+from mustardspur_node.mesh.distances import Distances
 from mustardspur_node.mesh.run_times import FIRST_RUN_MS
 
-# Added to the expected time of a call by the distance of the target. Bytes
-# between regions are paid for, and dearer than bytes between data centres.
-OTHER_DATA_CENTRE_MS: Final = 3.0
-OTHER_REGION_MS: Final = 100.0
 # Expected time that a target costs whose runs all fail.
 FAILING_MS: Final = 400.0
 # Rise of the time of a run when all slots of a target are in use.
@@ -23,11 +20,6 @@
 COLD_FACTOR: Final = 2.0
 # A node that could not be reached is tried again after this time.
 SUSPECT_S: Final = 0.7
-# A report of a target's load is relied on for this time.
-FRESH_S: Final = 0.25
-# One of another region that was full is asked again after this time only: a
-# refused call has crossed the link between regions for nothing.
-FRESH_OTHER_REGION_S: Final = 1.0
 # Targets that are compared for a call; more would all find the same one.
 COMPARED: Final = 3
 
@@ -55,12 +47,19 @@
         Source of the samples that are compared.
     """
 
-    __slots__ = ('_choice', '_cold_until_s', '_settings', '_states')
+    __slots__ = (
+        '_choice',
+        '_cold_until_s',
+        '_settings',
+        '_states',
+        'distances',
+    )
 
     def __init__(self, settings: Settings, choice: random.Random) -> None:
         """Start without reports."""
         self._settings = settings
         self._choice = choice
+        self.distances = Distances(settings)
         self._states: dict[str, _NodeState] = {}
         self._cold_until_s: dict[str, float] = {}
 
@@ -138,7 +137,8 @@
         failing = state.load.failing if state.load else 0
         return (
             run_ms * (1 + FULL_SLOWDOWN * full * full + queued)
-            + self.distance_ms(row)
+            + self.distances.way_ms(row)
+            + self.distances.price_ms(row)
             + failing * FAILING_MS
         )
 
@@ -147,14 +147,6 @@
         load = self._state(row.node).load
         return load.run_ms if load else FIRST_RUN_MS
 
-    def distance_ms(self, row: MeshTarget) -> float:
-        """Return what the distance of a target adds to a call."""
-        if row.data_centre == self._settings.data_centre:
-            return 0
-        if row.region == self._settings.region:
-            return OTHER_DATA_CENTRE_MS
-        return OTHER_REGION_MS
-
     def _sample(self, rows: list[MeshTarget]) -> list[MeshTarget]:
         if len(rows) <= COMPARED:
             return rows
@@ -173,9 +165,7 @@
     ) -> bool:
         state = self._state(row.node)
         load = state.load
-        fresh_s = FRESH_S
-        if row.region != self._settings.region:
-            fresh_s = FRESH_OTHER_REGION_S
+        fresh_s = self.distances.fresh_s(row)
         if load is None or _now() - state.load_s > fresh_s:
             return True
         slots = max(load.slots, 1)
@@ -185,7 +175,7 @@
         wait_ms = ahead * load.run_ms / slots
         if wait_ms > longest_wait_ms:
             return False
-        return wait_ms + load.run_ms + self.distance_ms(row) <= useful_ms
+        return wait_ms + load.run_ms + self.distances.way_ms(row) <= useful_ms
 
     def _is_usable(self, row: MeshTarget) -> bool:
         state = self._state(row.node)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/journey.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/journey.py
@@ -7,6 +7,7 @@
 from mustardspur_core.mesh.model import MeshTarget
 from mustardspur_core.units import MS_PER_S
 
+from mustardspur_node.mesh.call_value import longest_wait_ms
 from mustardspur_node.mesh.calls import MeshCall, PlaceFault, TargetAnswer
 from mustardspur_node.mesh.versions import eligible_targets
 from mustardspur_node.mesh.view import MeshView
@@ -55,6 +56,11 @@
             self._rows = eligible_targets(view, self.service, choice)
         return self._rows
 
+    @property
+    def knew_targets(self) -> bool:
+        """Whether there was a target that the call could go to."""
+        return bool(self._rows)
+
     def note_sent(self) -> None:
         """Note that the call may run from now on."""
         self.sent_on = True
@@ -81,13 +87,21 @@
         """Return the time within which an answer has most of its value."""
         return (self.call.useful_s - _now()) * MS_PER_S
 
+    def longest_wait_ms(self) -> float:
+        """Return the longest useful wait for a slot."""
+        return longest_wait_ms(self.call.route)
+
     def held_ms(self) -> float:
         """Return the time since the call was read."""
         return (_now() - self.call.started_s) * MS_PER_S
 
     def last_reason(self) -> str:
         """Return why the last target gave no answer."""
-        return str(self.faults[-1]) if self.faults else 'no target is known'
+        if self.faults:
+            return str(self.faults[-1])
+        if self.knew_targets:
+            return 'busy: all targets that are known are full'
+        return 'no target is known'
 
 
 def _now() -> float:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -11,16 +11,20 @@
 from mustardspur_core.settings import MeshSettings, Settings
 
 from mustardspur_node.mesh.call_log import CallLog
-from mustardspur_node.mesh.call_value import longest_wait_ms
 from mustardspur_node.mesh.calls import (
     MeshCall,
     PlaceFault,
+    Placement,
     TargetAnswer,
 )
 from mustardspur_node.mesh.chooser import TargetChooser
 from mustardspur_node.mesh.journey import Journey
 from mustardspur_node.mesh.local_target import LocalTarget
 from mustardspur_node.mesh.peer_link import PeerLink
+from mustardspur_node.mesh.retry_after import (
+    UNKNOWN_RETRY_AFTER_S,
+    retry_after_s,
+)
 from mustardspur_node.mesh.retry_budget import RetryBudget
 from mustardspur_node.mesh.shares import ShareChooser
 from mustardspur_node.mesh.view import MeshView
@@ -29,40 +33,6 @@
 MAX_PLACEMENTS: Final = 4
 # A call with less time than this is not placed again.
 MIN_LEFT_MS: Final = 15.0
-# Times after which a refused caller is asked to come back: about the time in
-# which full targets work off a part of their queues, and a moment where
-# targets refused the call though they have slots.
-BUSY_RETRY_AFTER_S: Final = 0.3
-REFUSED_RETRY_AFTER_S: Final = 0.05
-# A node that knows no table or no target learns of them from a control
-# instance; after a restart of all, that takes about an election.
-UNKNOWN_RETRY_AFTER_S: Final = 0.5
-
-
-class Placement(Exception):
-    """The call ends without a target's answer.
-
-    Parameters
-    ----------
-    status : HTTPStatus
-        For the caller; 503 only if the call certainly did not run.
-    reason : str
-        Description for the caller and the log.
-    retry_after_s : float
-        When to come back, for a call that did not run.
-    """
-
-    def __init__(
-        self,
-        status: HTTPStatus,
-        reason: str,
-        retry_after_s: float = BUSY_RETRY_AFTER_S,
-    ) -> None:
-        """Keep what the caller is told."""
-        super().__init__(reason)
-        self.status = status
-        self.reason = reason
-        self.retry_after_s = retry_after_s
 
 
 class Placer:
@@ -130,6 +100,15 @@
         except TimeoutError as error:
             raise self._ended(journey, 'no answer in time') from error
 
+    def without_table(self, request_id: str | None) -> Placement:
+        """Return the refusal of a call that came before the first table."""
+        self.log.decisions.note('no table', request=request_id)
+        return Placement(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'no routing table is known yet',
+            UNKNOWN_RETRY_AFTER_S,
+        )
+
     def check_links(self) -> None:
         """Close streams that are silent or unused."""
         for link in self._links.values():
@@ -165,7 +144,7 @@
         return self.chooser.choose(
             rows,
             journey.useful_ms(),
-            longest_wait_ms(journey.call.route),
+            journey.longest_wait_ms(),
         )
 
     async def _try(
@@ -176,7 +155,7 @@
         journey.placements += 1
         journey.tried.add(target.node)
         journey.sent_on = False
-        opened = self._opened(journey, target)
+        opened = _opened(journey, target, self.chooser)
         self.chooser.note_sent(target.node)
         try:
             answer = await self._run(journey, target, opened)
@@ -210,29 +189,6 @@
             self._links[target.node] = link
         return await link.run(opened, journey.note_sent)
 
-    def _opened(self, journey: Journey, target: MeshTarget) -> CallOpen:
-        call = journey.call
-        left_ms = journey.left_ms() - self.chooser.distance_ms(target)
-        useful_ms = journey.useful_ms() - self.chooser.distance_ms(target)
-        patience_ms = min(
-            min(useful_ms, left_ms) - self.chooser.run_ms(target),
-            longest_wait_ms(call.route),
-        )
-        return CallOpen(
-            target=target.id,
-            service=target.service,
-            route=call.route.name,
-            priority=call.rank,
-            method=call.method,
-            path=call.path,
-            headers=call.headers,
-            deadline_ms=left_ms,
-            patience_ms=max(patience_ms, 0),
-            confirm=not call.route.idempotent,
-            body=call.body,
-            more=False,
-        )
-
     def _note_fault(
         self,
         journey: Journey,
@@ -276,13 +232,32 @@
             if journey.left_ms() <= 0:
                 status = HTTPStatus.GATEWAY_TIMEOUT
         self.log.note_end(journey, status, reason)
-        return Placement(status, reason, _retry_after_s(journey))
+        return Placement(status, reason, retry_after_s(journey))
 
 
-def _retry_after_s(journey: Journey) -> float:
-    """Return when a call that did not run may find a target."""
-    if not journey.faults:
-        return UNKNOWN_RETRY_AFTER_S
-    if journey.faults[-1].kind == 'busy':
-        return BUSY_RETRY_AFTER_S
-    return REFUSED_RETRY_AFTER_S
+def _opened(
+    journey: Journey,
+    target: MeshTarget,
+    chooser: TargetChooser,
+) -> CallOpen:
+    call = journey.call
+    left_ms = journey.left_ms() - chooser.distances.way_ms(target)
+    useful_ms = journey.useful_ms() - chooser.distances.way_ms(target)
+    patience_ms = min(
+        min(useful_ms, left_ms) - chooser.run_ms(target),
+        journey.longest_wait_ms(),
+    )
+    return CallOpen(
+        target=target.id,
+        service=target.service,
+        route=call.route.name,
+        priority=call.rank,
+        method=call.method,
+        path=call.path,
+        headers=call.headers,
+        deadline_ms=left_ms,
+        patience_ms=max(patience_ms, 0),
+        confirm=not call.route.idempotent,
+        body=call.body,
+        more=False,
+    )
--- a/tests/node/mesh/test_chooser.py
+++ b/tests/node/mesh/test_chooser.py
@@ -6,11 +6,8 @@
 
 from mustardspur_core.mesh import MeshTarget
 from mustardspur_core.mesh.messages import TargetLoad
-from mustardspur_node.mesh.chooser import (
-    FRESH_OTHER_REGION_S,
-    FRESH_S,
-    TargetChooser,
-)
+from mustardspur_node.mesh.chooser import TargetChooser
+from mustardspur_node.mesh.distances import FRESH_OTHER_REGION_S, FRESH_S
 
 from tests.core.mesh.builders import target
 from tests.node.mesh.builders import node_settings
