--- a/packages/mustardspur_client/src/mustardspur_client/verbs/__init__.py
+++ b/packages/mustardspur_client/src/mustardspur_client/verbs/__init__.py
@@ -1,6 +1,7 @@
 """Verbs of the command line."""
 
 from mustardspur_client.verbs import (
+    explaining,
     instances,
     moves,
     profiles,
@@ -24,6 +25,7 @@
     timelines,
     voters,
     tables,
+    explaining,
 )
 
 __all__ = ['VERB_MODULES', 'Verb', 'verb', 'verbs']
