--- a/packages/mustardspur_node/src/mustardspur_node/mesh/journey.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/journey.py
@@ -61,6 +61,15 @@
         """Whether there was a target that the call could go to."""
         return bool(self._rows)
 
+    @property
+    def timed_out(self) -> bool:
+        """Whether the call ends since its time is over.
+
+        The target's node ends it a moment earlier than the caller's one.
+        """
+        last = self.faults[-1].kind if self.faults else ''
+        return self.left_ms() <= 0 or last == 'timeout'
+
     def note_sent(self) -> None:
         """Note that the call may run from now on."""
         self.sent_on = True
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -229,7 +229,7 @@
         status = HTTPStatus.SERVICE_UNAVAILABLE
         if journey.runs or journey.sent_on:
             status = HTTPStatus.BAD_GATEWAY
-            if journey.left_ms() <= 0:
+            if journey.timed_out:
                 status = HTTPStatus.GATEWAY_TIMEOUT
         self.log.note_end(journey, status, reason)
         return Placement(status, reason, retry_after_s(journey))
--- a/tests/daemon/processes.py
+++ b/tests/daemon/processes.py
@@ -4,7 +4,7 @@
 import json
 import sys
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import ExitStack, asynccontextmanager
 from pathlib import Path
 from typing import Any, Final
 
@@ -59,8 +59,23 @@
 async def running_daemon(
     folder: Path,
     document: dict[str, Any],
+    log: Path | None = None,
+) -> AsyncIterator[asyncio.subprocess.Process]:
+    """Run the daemon for the length of a block, with its log in a file."""
+    with ExitStack() as stack:
+        output: Any = asyncio.subprocess.PIPE
+        if log is not None:
+            output = stack.enter_context(log.open('wb'))
+        async with _running(folder, document, output) as process:
+            yield process
+
+
+@asynccontextmanager
+async def _running(
+    folder: Path,
+    document: dict[str, Any],
+    output: Any,
 ) -> AsyncIterator[asyncio.subprocess.Process]:
-    """Run the daemon for the length of a block."""
     name = document['id']
     path = folder / f'{name}.json'
     path.write_text(json.dumps(document), encoding='utf-8')
@@ -68,7 +83,7 @@
         str(BINARY),
         '--settings',
         str(path),
-        stdout=asyncio.subprocess.PIPE,
+        stdout=output,
         stderr=asyncio.subprocess.PIPE,
     )
     try:
--- a/tests/daemon/test_mesh.py
+++ b/tests/daemon/test_mesh.py
@@ -20,7 +20,8 @@
 Documents = tuple[dict[str, Any], dict[str, Any]]
 
 
-def _documents(folder: Path, target_address: str) -> Documents:
+def mesh_documents(folder: Path, target_address: str) -> Documents:
+    """Return the settings of a control instance and of a node."""
     # The stream of a control instance is found by the port of the own one.
     stream_port = free_address().rpartition(':')[2]
     place = {'data_centre': 'split-a', 'region': 'dalmacija'}
@@ -63,7 +64,7 @@
     path = tmp_path / 'table.json'
     path.write_text(json.dumps(encode_mapping(table(3, route('drafts')))))
     async with run_scripted() as (target_address, _):
-        control, node = _documents(tmp_path, target_address)
+        control, node = mesh_documents(tmp_path, target_address)
         async with (
             running_daemon(tmp_path, control),
             running_daemon(tmp_path, node),
@@ -76,7 +77,7 @@
             path.write_text(json.dumps(encode_mapping(table(4, route('x')))))
             assert (await _client(control, *put)).startswith('4 ')
             assert '"drafts"' in await _client(control, 'table')
-            await _report(session, node, target_address)
+            await report_target(session, node, target_address)
             assert await _call(session, node) == b'good'
             metrics = node['listen']['metrics']
             async with session.get(f'http://{metrics}/metrics') as figures:
@@ -84,11 +85,23 @@
     assert 'mustardspur_calls_answered_200 1' in text
 
 
-async def _report(
+async def put_table(
+    folder: Path,
+    control: dict[str, Any],
+    document: Any,
+) -> str:
+    """Put the first table with the client; return its exit code and text."""
+    path = folder / 'table.json'
+    path.write_text(json.dumps(document))
+    return await _client(control, 'put-table', str(path), '--base', '0')
+
+
+async def report_target(
     session: ClientSession,
     node: dict[str, Any],
     target_address: str,
 ) -> None:
+    """Report a target to a node, once the node listens."""
     await answer_of('http://{ready}{0}'.format(READY_PATH, **node['listen']))
     report = encode_mapping(target_report(address=target_address))
     url = 'http://{targets}{0}'.format(ANNOUNCEMENTS_PATH, **node['listen'])
