Rank waiting calls by priority and length of their runs

Change: the node beside the target ranks waiting calls by priority plus the binary logarithm of their route's mean run, so a call of a third of the length is not behind one that is a step more urgent.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/gate.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/gate.py
@@ -11,6 +11,7 @@
 
 from mustardspur_node.mesh.call_value import LATE_RANK
 from mustardspur_node.mesh.calls import never_sent
+from mustardspur_node.mesh.run_costs import RunCosts
 from mustardspur_node.mesh.run_times import RunTimes
 
 # Waiting calls of the same or a better rank for each slot; what waits behind
@@ -39,6 +40,7 @@
         '_running',
         '_sequence',
         '_waiters',
+        'costs',
         'open',
         'runs',
         'slots',
@@ -51,6 +53,7 @@
         self._sequence = 0
         self._running = 0
         self.runs = RunTimes()
+        self.costs = RunCosts()
         self._closed_until_s: float = 0
         self.open = False
         self.slots = 0
@@ -79,6 +82,7 @@
     def renew(self) -> None:
         """Forget the runs of the target before this one."""
         self.runs = RunTimes()
+        self.costs = RunCosts()
 
     def close_for_a_while(self) -> None:
         """Refuse calls for a moment, as the target takes no connections."""
@@ -88,14 +92,14 @@
     @asynccontextmanager
     async def admitted(
         self,
-        priority: int,
+        rank: int,
         patience_ms: float,
     ) -> AsyncIterator[None]:
         """Hold a slot for the length of a block.
 
         Parameters
         ----------
-        priority : int
+        rank : int
             Rank among the waiting calls, 0 goes first.
         patience_ms : float
             Longest useful wait.
@@ -110,7 +114,7 @@
         if self._running < self.slots:
             self._running += 1
         else:
-            await self._wait(priority, patience_ms)
+            await self._wait(rank, patience_ms)
         try:
             yield
         finally:
@@ -120,8 +124,8 @@
     def _is_open(self) -> bool:
         return self.open and self._loop.time() >= self._closed_until_s
 
-    def _expected_wait_ms(self, priority: int) -> float:
-        ahead = self._ahead_of(priority)
+    def _expected_wait_ms(self, rank: int) -> float:
+        ahead = self._ahead_of(rank)
         run_ms = self.runs.expected_ms
         return (ahead + 1) * run_ms / max(self.slots, 1)
 
@@ -129,13 +133,13 @@
         """Return the calls that get a slot before a new one of a rank."""
         return sum(1 for waiter in self._waiters if waiter[0] <= rank)
 
-    async def _wait(self, priority: int, patience_ms: float) -> None:
-        full = self._ahead_of(priority) >= WAITING_PER_SLOT * self.slots
-        if full or self._expected_wait_ms(priority) > patience_ms:
+    async def _wait(self, rank: int, patience_ms: float) -> None:
+        full = self._ahead_of(rank) >= WAITING_PER_SLOT * self.slots
+        if full or self._expected_wait_ms(rank) > patience_ms:
             raise never_sent('busy', f'{len(self._waiters)} calls wait')
         self._sequence += 1
         turn: asyncio.Future[None] = self._loop.create_future()
-        waiter = (priority, self._sequence, turn)
+        waiter = (rank, self._sequence, turn)
         heapq.heappush(self._waiters, waiter)
         try:
             async with asyncio.timeout(patience_ms / MS_PER_S):
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -100,7 +100,8 @@
         """
         deadline_s = _now() + (call.deadline_ms - MARGIN_MS) / MS_PER_S
         self._checked(call)
-        async with self.gate.admitted(call.priority, call.patience_ms):
+        rank = self.gate.costs.rank(call.route, call.priority)
+        async with self.gate.admitted(rank, call.patience_ms):
             try:
                 answer = await self._run_admitted(call, deadline_s, hand_over)
             except PlaceFault as fault:
@@ -198,6 +199,8 @@
         run_ms = (time.monotonic_ns() - started_ns) / NS_PER_MS
         cold = self.book.is_cold
         self.gate.runs.note(run_ms, failed=failed)
+        if not failed:
+            self.gate.costs.note(call.route, run_ms)
         self.tally.note(
             (report.service, report.version, call.route),
             run_ms,
