--- a/packages/mustardspur_node/src/mustardspur_node/mesh/call_log.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_log.py
@@ -82,6 +82,11 @@
             status=answer.status,
         )
 
+    def note_repeat(self, *, granted: bool) -> None:
+        """Count a question to the budget for repeated calls."""
+        outcome = 'granted' if granted else 'refused'
+        self._metrics.incr(f'calls.repeat.{outcome}')
+
     def _details(self, journey: Journey) -> dict[str, Any]:
         """Return what every line about a call has."""
         return {
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -49,6 +49,7 @@
 
     __slots__ = (
         '_mesh',
+        '_metrics',
         '_stopping',
         'book',
         'callers',
@@ -70,6 +71,7 @@
         """Connect to nothing yet."""
         self.settings = settings
         self._mesh = mesh
+        self._metrics = metrics
         self._stopping = False
         self.view = MeshView()
         self.book = ReportBook(mesh.target_address or settings.listen.http)
@@ -139,10 +141,20 @@
         )
 
     def check(self) -> None:
-        """Close what is silent or has been idle for too long."""
+        """Close what is silent or has been idle for too long; set gauges."""
         self.placer.check_links()
         self.local.prune()
         self.callers.forget_routes()
+        self._set_gauges()
+
+    def _set_gauges(self) -> None:
+        load = self.local.gate.load
+        self._metrics.gauge('target.running', load.running)
+        self._metrics.gauge('target.waiting', load.waiting)
+        self._metrics.gauge('target.slots', load.slots)
+        self._metrics.gauge('target.run_ms', load.run_ms)
+        self._metrics.gauge('table.index', self.view.table_index)
+        self._metrics.gauge('callers.in_flight', self.callers.in_flight)
 
     def _is_busy(self) -> bool:
         self.callers.leave()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -213,7 +213,9 @@
         if journey.left_ms() < MIN_LEFT_MS:
             return False
         nodes = len(self._view.rows_by_node)
-        return self.budget.take(journey.service, nodes)
+        granted = self.budget.take(journey.service, nodes)
+        self.log.note_repeat(granted=granted)
+        return granted
 
     def _is_final(self, journey: Journey, answer: TargetAnswer) -> bool:
         if answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
--- a/tests/daemon/test_mesh.py
+++ b/tests/daemon/test_mesh.py
@@ -1,5 +1,6 @@
 """Tests of a mesh of daemons, edited with the operators' client."""
 
+import asyncio
 import io
 import json
 from pathlib import Path
@@ -12,7 +13,7 @@
 from mustardspur_node.calls.serving import READY_PATH
 
 from tests.core.mesh.builders import route, table
-from tests.daemon.processes import answer_of, running_daemon
+from tests.daemon.processes import POLL_S, answer_of, running_daemon
 from tests.node.mesh.builders import target_report
 from tests.node.stand_ins.scripted import run_scripted
 from tests.support.ports import free_address
@@ -79,9 +80,7 @@
             assert '"drafts"' in await _client(control, 'table')
             await report_target(session, node, target_address)
             assert await _call(session, node) == b'good'
-            metrics = node['listen']['metrics']
-            async with session.get(f'http://{metrics}/metrics') as figures:
-                text = await figures.text()
+            text = await _figures_with(session, node, 'target_slots 9')
     assert 'mustardspur_calls_answered_200 1' in text
 
 
@@ -111,6 +110,21 @@
         assert refusal.status == 422
 
 
+async def _figures_with(
+    session: ClientSession,
+    node: dict[str, Any],
+    wanted: str,
+) -> str:
+    """Return the metrics of a node once a figure is among them."""
+    url = 'http://{metrics}/metrics'.format(**node['listen'])
+    while True:
+        async with session.get(url) as response:
+            text = await response.text()
+        if wanted in text:
+            return text
+        await asyncio.sleep(POLL_S)
+
+
 async def _call(session: ClientSession, node: dict[str, Any]) -> bytes:
     url = 'http://{http}/drafts/1'.format(**node['listen'])
     while True:
