--- a/tests/platform/mesh_processes.py
+++ b/tests/platform/mesh_processes.py
@@ -213,8 +213,8 @@
     return web.Response(text=f'answer of {host}', headers=headers)
 
 
-def manifest(number: int) -> dict[str, Any]:
-    """Return a manifest with one route."""
+def configuration(number: int) -> dict[str, Any]:
+    """Return a configuration with one route."""
     return {
         'version': f'r{number}',
         'routes': {
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -9,7 +9,7 @@
     POLL_S,
     Mesh,
     body_of,
-    manifest,
+    configuration,
     running_mesh,
     running_target,
 )
@@ -28,7 +28,7 @@
     await mesh.until(
         'PUT',
         mesh.url(host, 'http', '/api/config'),
-        json=manifest(number),
+        json=configuration(number),
         headers={'If-Match': f'r{base}'},
     )
 
@@ -92,18 +92,19 @@
         await _put(mesh, CONTROLS[0], 3, 0)
         # One that started after the first election has no vote at first, and
         # would be a second loss.
-        for host in CONTROLS:
-            await mesh.until_logged(host, 'vote_counts')
+        await asyncio.gather(
+            *(mesh.until_logged(host, 'vote_counts') for host in CONTROLS),
+        )
         await mesh.kill(CONTROLS[0])
         mesh.wipe(CONTROLS[0])
         await _put(mesh, CONTROLS[1], 5, 3)
         await mesh.start_control(CONTROLS[0], first_start=False)
-        assert await _read(mesh, CONTROLS[0]) == manifest(5)
+        assert await _read(mesh, CONTROLS[0]) == configuration(5)
         # A loss right behind it is borne once it holds all again; from then
         # on it carries the quorum.
         await mesh.until_logged(CONTROLS[0], 'refilled')
         await mesh.kill(CONTROLS[1])
-        assert await _read(mesh, CONTROLS[2]) == manifest(5)
+        assert await _read(mesh, CONTROLS[2]) == configuration(5)
         await _put(mesh, CONTROLS[2], 8, 5)
 
 
@@ -117,7 +118,9 @@
             *(mesh.start_control(host, first_start=False) for host in CONTROLS),
         )
         read = [_read(mesh, host) for host in CONTROLS]
-        assert await asyncio.gather(*read) == [manifest(3) for _ in CONTROLS]
+        assert await asyncio.gather(*read) == [
+            configuration(3) for _ in CONTROLS
+        ]
 
 
 async def test_new_instance_replaces_a_lost_one(tmp_path: Path) -> None:
@@ -126,7 +129,7 @@
         await _start_controls(mesh)
         await _put(mesh, CONTROLS[0], 3, 0)
         await mesh.start_control('127.0.7.4', first_start=False)
-        assert await _read(mesh, '127.0.7.4') == manifest(3)
+        assert await _read(mesh, '127.0.7.4') == configuration(3)
 
 
 async def test_stopped_processes_end_cleanly(tmp_path: Path) -> None:
--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_translation.py
@@ -1,16 +1,16 @@
-"""Tests of the translation of manifests and heartbeats."""
+"""Tests of the translation of configurations and heartbeats."""
 
 import json
 from typing import Any
 
 import pytest
 from mustardspur_core.mesh import RouteShare
-from mustardspur_platform.fields import BadField, manifest_number
-from mustardspur_platform.manifest import decode_manifest
-from mustardspur_platform.status_reports import decode_report
+from mustardspur_platform.fields import BadField, table_number
+from mustardspur_platform.heartbeats import decode_heartbeat
+from mustardspur_platform.routing_table import decode_table
 
 
-def _manifest() -> dict[str, Any]:
+def _configuration() -> dict[str, Any]:
     return {
         'version': 'r7',
         'routes': {
@@ -70,9 +70,9 @@
     }
 
 
-def test_manifest_becomes_a_table() -> None:
+def test_configuration_becomes_a_table() -> None:
     """Guards against fields that are read under the wrong meaning."""
-    table = decode_manifest(json.dumps(_manifest()).encode())
+    table = decode_table(json.dumps(_configuration()).encode())
     weighted, plain = table.routes['r-1'], table.routes['r-2']
     assert table.number == 7
     assert weighted.idempotent
@@ -99,39 +99,39 @@
     ],
 )
 def test_unreadable_field_is_named(place: tuple[str, ...], found: Any) -> None:
-    """Guards against a manifest that is put in force in part."""
-    manifest = _manifest()
-    table: Any = manifest
+    """Guards against a configuration that is put in force in part."""
+    configuration = _configuration()
+    table: Any = configuration
     for name in place[:-1]:
         table = table[name]
     table[place[-1]] = found
     with pytest.raises(BadField, match=place[-1]):
-        decode_manifest(json.dumps(manifest).encode())
+        decode_table(json.dumps(configuration).encode())
 
 
-def test_cut_manifest_is_refused() -> None:
-    """Guards against the first half of a manifest."""
-    content = json.dumps(_manifest()).encode()
+def test_cut_configuration_is_refused() -> None:
+    """Guards against the first half of a configuration."""
+    content = json.dumps(_configuration()).encode()
     with pytest.raises(BadField):
-        decode_manifest(content[: len(content) // 2])
+        decode_table(content[: len(content) // 2])
 
 
 @pytest.mark.parametrize(('text', 'number'), [('r12', 12), ('0', 0), ('r0', 0)])
-def test_manifest_number(text: str, number: int) -> None:
+def test_table_number(text: str, number: int) -> None:
     """Guards against versions that are compared as texts."""
-    assert manifest_number(text) == number
+    assert table_number(text) == number
 
 
 @pytest.mark.parametrize('text', ['', 'r', 'r-1', 'v3', None, 4])
-def test_bad_manifest_number(text: object) -> None:
+def test_bad_table_number(text: object) -> None:
     """Guards against an edit that builds on a guessed number."""
     with pytest.raises(BadField):
-        manifest_number(text)
+        table_number(text)
 
 
 def test_heartbeat_becomes_a_report() -> None:
     """Guards against fields that are read under the wrong meaning."""
-    report = decode_report('i-1', json.dumps(_report()).encode())
+    report = decode_heartbeat('i-1', json.dumps(_report()).encode())
     assert (report.id, report.service, report.slots) == ('i-1', 'one', 9)
     assert report.cold_ms == 250
     assert report.born == 1_700_000_000_000
@@ -155,11 +155,11 @@
     """Guards against a target made up from another writer's entry."""
     body = {**_report(), name: found}
     with pytest.raises(BadField, match=name):
-        decode_report('i-1', json.dumps(body).encode())
+        decode_heartbeat('i-1', json.dumps(body).encode())
 
 
 @pytest.mark.parametrize('content', [b'', b'\xff\xfe', b'[]', b'{"a":1,"a":2}'])
 def test_bytes_that_cannot_be_read(content: bytes) -> None:
     """Guards against an exception of another type."""
     with pytest.raises(BadField):
-        decode_report('i-1', content)
+        decode_heartbeat('i-1', content)
