--- a/packages/mustardspur_control/src/mustardspur_control/mesh/changes.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/changes.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from mustardspur_core.mesh.messages import MeshTargets
+from mustardspur_core.mesh.control_messages import MeshTargets
 from mustardspur_core.mesh.model import MeshTarget
 
 
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/evidence.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/evidence.py
@@ -4,7 +4,10 @@
 from collections import deque
 from typing import Final
 
-from mustardspur_core.mesh.messages import EvidenceRow, MeshEvidence
+from mustardspur_core.mesh.control_messages import (
+    EvidenceRow,
+    MeshEvidence,
+)
 
 # Time that the recent evidence covers. A fault that begins late must not be
 # outweighed by the good answers before it.
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/exchange.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/exchange.py
@@ -10,7 +10,7 @@
 from contextlib import contextmanager
 from typing import Final
 
-from mustardspur_core.mesh.messages import (
+from mustardspur_core.mesh.control_messages import (
     ControlHello,
     MeshBeat,
     MeshEvidence,
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/instance.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/instance.py
@@ -4,7 +4,10 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 
 from mustardspur_agreement import PeerGreeting, running_log
-from mustardspur_core.mesh.messages import ControlHello, MeshHello
+from mustardspur_core.mesh.control_messages import (
+    ControlHello,
+    MeshHello,
+)
 from mustardspur_core.metrics import Metrics
 from mustardspur_core.settings import MeshSettings, Settings
 from mustardspur_core.timeline import Timeline
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/machines.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/machines.py
@@ -3,17 +3,17 @@
 from typing import Any, Final
 
 import msgpack
-from mustardspur_core.mesh import messages
+from mustardspur_core.mesh import entries
 from mustardspur_core.wire import MalformedFrame, decode_frame
 
 from mustardspur_control.mesh.store import MeshStore
 from mustardspur_control.store import Store
 
 _MESH_ENTRIES: Final = (
-    messages.PublishTable,
-    messages.StartTransfer,
-    messages.StepTransfer,
-    messages.SetBaseVersion,
+    entries.PublishTable,
+    entries.StartTransfer,
+    entries.StepTransfer,
+    entries.SetBaseVersion,
 )
 
 
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from mustardspur_agreement import ReplicatedLog
-from mustardspur_core.mesh.messages import (
+from mustardspur_core.mesh.control_messages import (
     MeshAnnounce,
     MeshBeat,
     MeshEvidence,
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/operations.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/operations.py
@@ -10,7 +10,7 @@
 from mustardspur_agreement import ProposalError, ReplicatedLog
 from mustardspur_core.findings import Finding
 from mustardspur_core.mesh.checks import check_table
-from mustardspur_core.mesh.messages import (
+from mustardspur_core.mesh.entries import (
     MeshAnswer,
     PublishTable,
     StartTransfer,
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/registry.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/registry.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from mustardspur_core.mesh.messages import MeshTargets
+from mustardspur_core.mesh.control_messages import MeshTargets
 from mustardspur_core.mesh.model import MeshTarget
 
 # Source of the rows of nodes that are attached to this instance.
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/store.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/store.py
@@ -5,7 +5,7 @@
 
 import msgpack
 from mustardspur_core.conversion import decode_row, encode_row
-from mustardspur_core.mesh.messages import (
+from mustardspur_core.mesh.entries import (
     MeshAnswer,
     PublishTable,
     SetBaseVersion,
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
@@ -6,7 +6,10 @@
 from typing import Final
 
 from mustardspur_agreement import ReplicatedLog
-from mustardspur_core.mesh.messages import SetBaseVersion, StepTransfer
+from mustardspur_core.mesh.entries import (
+    SetBaseVersion,
+    StepTransfer,
+)
 from mustardspur_core.mesh.model import (
     MeshTarget,
     TargetState,
--- /dev/null
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/entries.py
@@ -0,0 +1,90 @@
+"""Entries of the replicated log of a mesh; type codes 180 to 199."""
+
+from mustardspur_core.record import Record
+from mustardspur_core.wire.codec import message
+
+
+@message(180)
+class PublishTable(Record):
+    """Replaces the routing table.
+
+    Parameters
+    ----------
+    number, base : int
+        Number of the table and of the one that it builds on, 0 for none.
+    digest : str
+        Digest of the document with its numbers.
+    packed : bytes
+        Rows of the table, by `pack_rows`.
+    document : bytes
+        The operator's document as it was sent, compressed.
+    """
+
+    __slots__ = ('number', 'base', 'digest', 'packed', 'document')
+    number: int
+    base: int
+    digest: str
+    packed: bytes
+    document: bytes
+
+
+@message(181)
+class StartTransfer(Record):
+    """An operator's order to move a service to a version."""
+
+    __slots__ = ('service', 'version', 'duration_ms', 'at_s')
+    service: str
+    version: str
+    duration_ms: float
+    at_s: float
+
+
+@message(182)
+class StepTransfer(Record):
+    """A step of a transfer that the leader decided.
+
+    Parameters
+    ----------
+    expected_step : int
+        Step that this one follows; it has no effect after any other.
+    """
+
+    __slots__ = (
+        'service',
+        'version',
+        'expected_step',
+        'state',
+        'share',
+        'elapsed_ms',
+    )
+    service: str
+    version: str
+    expected_step: int
+    state: str
+    share: float
+    elapsed_ms: float
+
+
+@message(183)
+class SetBaseVersion(Record):
+    """Records the version that a service has before any transfer."""
+
+    __slots__ = ('service', 'version')
+    service: str
+    version: str
+
+
+class MeshAnswer(Record):
+    """Answer to an entry.
+
+    Parameters
+    ----------
+    status : str
+        ``accepted``, ``conflict`` or ``invalid``.
+    number : int
+        Number of the table in force.
+    """
+
+    __slots__ = ('status', 'number')
+    status: str
+    number: int
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/calls.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/calls.py
@@ -2,7 +2,7 @@
 
 from http import HTTPStatus
 
-from mustardspur_core.mesh.messages import TargetLoad
+from mustardspur_core.mesh.call_messages import TargetLoad
 from mustardspur_core.mesh.model import MeshRoute
 from mustardspur_core.record import Record
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from mustardspur_core.mesh.messages import TargetLoad
+from mustardspur_core.mesh.call_messages import TargetLoad
 from mustardspur_core.mesh.model import MeshTarget
 from mustardspur_core.settings import Settings
 from mustardspur_core.units import MS_PER_S
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
@@ -4,7 +4,7 @@
 import logging
 from typing import Final
 
-from mustardspur_core.mesh.messages import (
+from mustardspur_core.mesh.control_messages import (
     MeshAnnounce,
     MeshBeat,
     MeshEvidence,
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/gate.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/gate.py
@@ -6,7 +6,7 @@
 from contextlib import asynccontextmanager
 from typing import Final
 
-from mustardspur_core.mesh.messages import TargetLoad
+from mustardspur_core.mesh.call_messages import TargetLoad
 from mustardspur_core.units import MS_PER_S
 
 from mustardspur_node.mesh.call_value import LATE_RANK
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/journey.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/journey.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from mustardspur_core.mesh.messages import TargetLoad
+from mustardspur_core.mesh.call_messages import TargetLoad
 from mustardspur_core.mesh.model import MeshTarget
 from mustardspur_core.units import MS_PER_S
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -9,7 +9,10 @@
 from typing import Final
 
 from aiohttp.http_parser import RawResponseMessage
-from mustardspur_core.mesh.messages import CallOpen, TargetLoad
+from mustardspur_core.mesh.call_messages import (
+    CallOpen,
+    TargetLoad,
+)
 from mustardspur_core.units import MS_PER_S, NS_PER_MS
 
 from mustardspur_node.mesh.answer_parser import BrokenAnswer, RawAnswer
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_link.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_link.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from mustardspur_core.mesh.messages import (
+from mustardspur_core.mesh.call_messages import (
     CallAnswer,
     CallCancel,
     CallFailed,
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_server.py
@@ -7,7 +7,7 @@
 from functools import partial
 from typing import Final
 
-from mustardspur_core.mesh.messages import (
+from mustardspur_core.mesh.call_messages import (
     CallAnswer,
     CallCancel,
     CallFailed,
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 from typing import Final
 
-from mustardspur_core.mesh.messages import CallOpen
+from mustardspur_core.mesh.call_messages import CallOpen
 from mustardspur_core.mesh.model import MeshTarget
 from mustardspur_core.metrics import Metrics
 from mustardspur_core.settings import MeshSettings, Settings
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/tally.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/tally.py
@@ -1,6 +1,6 @@
 """Counts of a node's calls by version and route, for running transfers."""
 
-from mustardspur_core.mesh.messages import EvidenceRow
+from mustardspur_core.mesh.control_messages import EvidenceRow
 
 Key = tuple[str, str, str]
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/view.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/view.py
@@ -4,7 +4,10 @@
 import logging
 from typing import Final
 
-from mustardspur_core.mesh.messages import MeshTargets, MeshTransfers
+from mustardspur_core.mesh.control_messages import (
+    MeshTargets,
+    MeshTransfers,
+)
 from mustardspur_core.mesh.model import (
     MeshRoute,
     MeshTarget,
--- a/tests/control/mesh/test_evidence.py
+++ b/tests/control/mesh/test_evidence.py
@@ -3,7 +3,10 @@
 import asyncio
 
 from mustardspur_control.mesh.evidence import WINDOW_S, EvidenceBook
-from mustardspur_core.mesh.messages import EvidenceRow, MeshEvidence
+from mustardspur_core.mesh.control_messages import (
+    EvidenceRow,
+    MeshEvidence,
+)
 
 from tests.support.virtual_time import in_virtual_time
 
--- a/tests/control/mesh/test_registry.py
+++ b/tests/control/mesh/test_registry.py
@@ -8,7 +8,7 @@
     SOURCE_LINGER_S,
     MeshRegistry,
 )
-from mustardspur_core.mesh.messages import MeshTargets
+from mustardspur_core.mesh.control_messages import MeshTargets
 
 from tests.core.mesh.builders import target
 from tests.support.virtual_time import in_virtual_time
--- a/tests/control/mesh/test_store.py
+++ b/tests/control/mesh/test_store.py
@@ -4,7 +4,7 @@
 
 import pytest
 from mustardspur_control.mesh.store import MeshStore
-from mustardspur_core.mesh.messages import (
+from mustardspur_core.mesh.entries import (
     PublishTable,
     SetBaseVersion,
     StartTransfer,
--- a/tests/control/mesh/test_tables.py
+++ b/tests/control/mesh/test_tables.py
@@ -2,7 +2,7 @@
 
 from mustardspur_control.mesh.store import MeshStore
 from mustardspur_control.mesh.tables import KEPT_TABLES, TableFeed
-from mustardspur_core.mesh.messages import PublishTable
+from mustardspur_core.mesh.entries import PublishTable
 from mustardspur_core.mesh.packing import pack_rows, table_rows
 from mustardspur_core.wire import encode_frame
 
--- a/tests/control/mesh/test_transfers.py
+++ b/tests/control/mesh/test_transfers.py
@@ -10,11 +10,11 @@
 from mustardspur_control.mesh.store import MeshStore
 from mustardspur_control.mesh.transfers import TransferDriver
 from mustardspur_core.mesh import Transfer
-from mustardspur_core.mesh.messages import (
+from mustardspur_core.mesh.control_messages import (
     EvidenceRow,
     MeshEvidence,
-    StartTransfer,
 )
+from mustardspur_core.mesh.entries import StartTransfer
 from mustardspur_core.tasks import background
 from mustardspur_core.wire import encode_frame
 
--- a/tests/node/mesh/builders.py
+++ b/tests/node/mesh/builders.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Any
 
-from mustardspur_core.mesh.messages import CallOpen
+from mustardspur_core.mesh.call_messages import CallOpen
 from mustardspur_core.settings import Settings, parse_settings
 from mustardspur_node.mesh.calls import MeshCall
 from mustardspur_node.mesh.local_target import LocalTarget
--- a/tests/node/mesh/test_chooser.py
+++ b/tests/node/mesh/test_chooser.py
@@ -5,7 +5,7 @@
 from collections import Counter
 
 from mustardspur_core.mesh import MeshTarget
-from mustardspur_core.mesh.messages import TargetLoad
+from mustardspur_core.mesh.call_messages import TargetLoad
 from mustardspur_node.mesh.chooser import TargetChooser
 from mustardspur_node.mesh.distances import FRESH_OTHER_REGION_S, FRESH_S
 
--- a/tests/node/mesh/test_peer_streams.py
+++ b/tests/node/mesh/test_peer_streams.py
@@ -7,7 +7,11 @@
 from typing import Any
 
 import pytest
-from mustardspur_core.mesh.messages import CallOpen, CallReady, TargetLoad
+from mustardspur_core.mesh.call_messages import (
+    CallOpen,
+    CallReady,
+    TargetLoad,
+)
 from mustardspur_core.wire import FrameStream
 from mustardspur_node.mesh.calls import PlaceFault, TargetAnswer
 from mustardspur_node.mesh.local_target import LocalTarget
--- a/tests/node/mesh/test_placing.py
+++ b/tests/node/mesh/test_placing.py
@@ -5,7 +5,8 @@
 from typing import Final
 
 import pytest
-from mustardspur_core.mesh.messages import MeshTargets, TargetLoad
+from mustardspur_core.mesh.call_messages import TargetLoad
+from mustardspur_core.mesh.control_messages import MeshTargets
 from mustardspur_core.metrics import NullMetrics
 from mustardspur_core.settings import MeshSettings
 from mustardspur_node.mesh.calls import Placement
--- a/tests/node/mesh/test_target_connection.py
+++ b/tests/node/mesh/test_target_connection.py
@@ -7,7 +7,7 @@
 
 import pytest
 from aiohttp.http_parser import RawResponseMessage
-from mustardspur_core.mesh.messages import TargetLoad
+from mustardspur_core.mesh.call_messages import TargetLoad
 from mustardspur_node.mesh.answer_parser import BrokenAnswer
 from mustardspur_node.mesh.calls import PlaceFault, TargetAnswer
 from mustardspur_node.mesh.local_target import LocalTarget
--- a/tests/node/mesh/test_view.py
+++ b/tests/node/mesh/test_view.py
@@ -5,7 +5,10 @@
 
 import pytest
 from mustardspur_core.mesh import MeshTarget, RouteShare, Transfer
-from mustardspur_core.mesh.messages import MeshTargets, MeshTransfers
+from mustardspur_core.mesh.control_messages import (
+    MeshTargets,
+    MeshTransfers,
+)
 from mustardspur_core.mesh.packing import difference, table_rows
 from mustardspur_node.mesh.shares import ShareChooser
 from mustardspur_node.mesh.versions import eligible_targets
