--- a/benchmarks/mesh/processes.py
+++ b/benchmarks/mesh/processes.py
@@ -91,6 +91,7 @@
         mesh = BenchMesh(session, dict(zip(_PORTS, _free_ports(), strict=True)))
         app = web.Application()
         app.router.add_get('/drafts/{number}', _answer)
+        app.router.add_get('/health', _answer)
         target = f'{NEAR}:{mesh.ports["target"]}'
         await stack.enter_async_context(serving_app(app, target))
         await stack.enter_async_context(_daemon(folder, _control(mesh)))
--- a/tests/platform/mesh_processes.py
+++ b/tests/platform/mesh_processes.py
@@ -21,6 +21,7 @@
 POLL_S: Final = 0.05
 HOST: Final = 'forms.example'
 _PORTS: Final = ('stream', 'http', 'ready', 'targets', 'target')
+_HEALTH_PATH: Final = '/healthz'
 
 
 class Mesh:
@@ -205,6 +206,8 @@
     paths: list[str],
     request: web.BaseRequest,
 ) -> web.Response:
+    if request.path == _HEALTH_PATH:
+        return web.Response()
     paths.append(request.path)
     headers = {
         'Request-Id': request.headers['Request-Id'],
@@ -230,7 +233,7 @@
             },
         },
         'services': {
-            'forms': {'health_path': '/healthz', 'max_connections': 50},
+            'forms': {'health_path': _HEALTH_PATH, 'max_connections': 50},
         },
         'limits': {
             'max_header_bytes': 16384,
