--- a/packages/mustardspur_core/src/mustardspur_core/settings/loading.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/loading.py
@@ -46,7 +46,7 @@
         'grace_s': 6.0,
         'contact_s': 3.0,
         'retry_ratio': 0.2,
-        'retry_slack': 60,
+        'retry_slack': 60.0,
         'retry_window_s': 10.0,
         'exposure_share': 0.1,
     }
