--- a/benchmarks/calls/roles/node.py
+++ b/benchmarks/calls/roles/node.py
@@ -3,15 +3,12 @@
 from typing import Any
 
 from aiohttp import web
+from mustardspur_core.garbage_collection import tune_garbage_collector
 from mustardspur_core.metrics import NullMetrics
 from mustardspur_core.settings import parse_settings
 from mustardspur_core.state import Target
 from mustardspur_core.timeline import Timeline
-from mustardspur_node.calls import (
-    CallForwarder,
-    run_forwarder,
-    tune_garbage_collector,
-)
+from mustardspur_node.calls import CallForwarder, run_forwarder
 from mustardspur_node.views import ServiceView
 
 from benchmarks.calls.roles.registry import role
--- a/benchmarks/mesh/processes.py
+++ b/benchmarks/mesh/processes.py
@@ -14,8 +14,7 @@
 
 from aiohttp import ClientError, ClientSession, web
 from mustardspur_core.http_serving import serving_app
-from mustardspur_node.announcements import ANNOUNCEMENTS_PATH
-from mustardspur_node.calls.serving import READY_PATH
+from mustardspur_node.paths import ANNOUNCEMENTS_PATH, READY_PATH
 
 from benchmarks.capacity.processes import read_usage
 from benchmarks.mesh.calling import Call
--- a/packages/mustardspur_core/src/mustardspur_core/event_loop.py
+++ b/packages/mustardspur_core/src/mustardspur_core/event_loop.py
@@ -10,6 +10,20 @@
 _ReturnT = TypeVar('_ReturnT')
 
 
+def skip_certificates() -> None:
+    """Make `aiohttp` load no certificates of authorities at its import.
+
+    Explanation
+    ===========
+
+    No process of mustardspur speaks TLS. The import of `aiohttp` builds a TLS
+    context, and reading the certificates takes about a sixth of the processor
+    time of a start. The function must be called before that import.
+    """
+    os.environ['SSL_CERT_FILE'] = os.devnull
+    os.environ['SSL_CERT_DIR'] = os.devnull
+
+
 def run_in_loop(main: Coroutine[Any, Any, _ReturnT]) -> _ReturnT:
     """Run a coroutine in a new uvloop event loop without io_uring.
 
--- a/packages/mustardspur_core/src/mustardspur_core/metrics.py
+++ b/packages/mustardspur_core/src/mustardspur_core/metrics.py
@@ -1,9 +1,8 @@
 """Metrics sent to statsd."""
 
+import importlib
 from typing import Protocol
 
-import statsd
-
 from mustardspur_core.settings.model import Settings
 
 
@@ -40,6 +39,8 @@
     if settings.statsd is None:
         return NullMetrics()
     host, _, port = settings.statsd.rpartition(':')
+    # Imported on use, since the nodes of a mesh have no statsd address.
+    statsd = importlib.import_module('statsd')
     client: Metrics = statsd.StatsClient(
         host,
         int(port),
--- a/packages/mustardspur_node/src/mustardspur_node/announcements.py
+++ b/packages/mustardspur_node/src/mustardspur_node/announcements.py
@@ -13,7 +13,6 @@
 from mustardspur_core.settings import Settings
 from mustardspur_core.state import Target
 
-ANNOUNCEMENTS_PATH: Final = '/mustardspur/v1/targets'
 _SOURCE: Final = 'announcement'
 _VALIDATOR = load_schema('mustardspur_node', 'announcement.schema.json')
 
--- a/packages/mustardspur_node/src/mustardspur_node/calls/__init__.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/__init__.py
@@ -1,6 +1,6 @@
 """Call forwarding: routing, balancing, limits, retries and ejection."""
 
 from mustardspur_node.calls.forwarder import CallForwarder
-from mustardspur_node.calls.serving import run_forwarder, tune_garbage_collector
+from mustardspur_node.calls.serving import run_forwarder
 
-__all__ = ['CallForwarder', 'run_forwarder', 'tune_garbage_collector']
+__all__ = ['CallForwarder', 'run_forwarder']
--- a/packages/mustardspur_node/src/mustardspur_node/calls/forwarder.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/forwarder.py
@@ -21,8 +21,8 @@
 from mustardspur_node.calls.headers import forwarded_request_headers
 from mustardspur_node.calls.in_flight import InFlightCalls
 from mustardspur_node.calls.maintenance import Maintenance
-from mustardspur_node.calls.request_validation import invalid_request_fault
 from mustardspur_node.calls.services import ServiceDirectory
+from mustardspur_node.request_validation import invalid_request_reason
 from mustardspur_node.views import OutcomeSink, ViewSource
 
 # After these responses the rest of the caller's bytes may not be a request,
@@ -145,7 +145,7 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if not self.in_flight.accepting:
             raise not_run(HTTPStatus.SERVICE_UNAVAILABLE, 'node is draining')
-        fault = invalid_request_fault(request)
+        fault = _invalid_request_fault(request)
         if fault is not None:
             raise fault
         call = route_call(request, self.directory, self._loop.time())
@@ -169,3 +169,16 @@
         if fault.status in _CLOSING_STATUSES or not self.in_flight.accepting:
             response.force_close()
         return response
+
+
+def _invalid_request_fault(request: web.BaseRequest) -> CallFault | None:
+    """Return the fault of an invalid request, None for a valid one."""
+    reason = invalid_request_reason(
+        request.method,
+        request.raw_path,
+        request.version,
+        request.headers,
+    )
+    if reason:
+        return not_run(HTTPStatus.BAD_REQUEST, reason)
+    return None
--- a/packages/mustardspur_node/src/mustardspur_node/calls/serving.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/serving.py
@@ -1,7 +1,6 @@
 """HTTP server for the callers of a node."""
 
 import asyncio
-import gc
 import logging
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import asynccontextmanager
@@ -18,11 +17,11 @@
     unknown,
 )
 from mustardspur_node.calls.forwarder import CallForwarder
+from mustardspur_node.paths import READY_PATH
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 NODE_API_PREFIX: Final = '/mustardspur/'
-READY_PATH: Final = '/mustardspur/v1/ready'
 MAX_HEADER_BYTES: Final = 8 * BYTES_PER_KIB
 MAX_HEADERS: Final = 100
 # Time for a caller to read an early error response while it sends its body.
@@ -30,9 +29,6 @@
 _BACKLOG: Final = 512
 # The drain has already waited for calls; aiohttp would wait 60 s more.
 _CLEANUP_S: Final = 0.5
-# Objects of a call live for milliseconds, and a full collection takes longer
-# than a call may be delayed. Higher thresholds make collections rare.
-_GC_THRESHOLDS: Final = (50_000, 50, 100)
 
 _logger = logging.getLogger(__name__)
 
@@ -126,16 +122,6 @@
     await forwarder.close()
 
 
-def tune_garbage_collector() -> None:
-    """Exclude the objects of start-up from garbage collection.
-
-    The thresholds for later collections are raised too.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*_GC_THRESHOLDS)
-
-
 def _dispatch(
     forwarder: CallForwarder,
     own_handlers_by_path: Mapping[str, Handler],
--- a/packages/mustardspur_node/src/mustardspur_node/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/instance.py
@@ -4,23 +4,17 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from functools import partial
 
+from mustardspur_core.garbage_collection import tune_garbage_collector
 from mustardspur_core.metrics import Metrics
 from mustardspur_core.settings import Settings
 from mustardspur_core.timeline import Timeline
 
-from mustardspur_node.announcements import (
-    ANNOUNCEMENTS_PATH,
-    Announcements,
-    post_target,
-)
-from mustardspur_node.calls import (
-    CallForwarder,
-    run_forwarder,
-    tune_garbage_collector,
-)
+from mustardspur_node.announcements import Announcements, post_target
+from mustardspur_node.calls import CallForwarder, run_forwarder
 from mustardspur_node.config_store import ConfigStore
 from mustardspur_node.control_link import ControlLink
 from mustardspur_node.move_guard import running_guard
+from mustardspur_node.paths import ANNOUNCEMENTS_PATH
 from mustardspur_node.status import STATUS_PATH, NodeStatus
 
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
@@ -12,7 +12,6 @@
 from mustardspur_core.metrics import Metrics
 from mustardspur_core.units import MS_PER_S
 
-from mustardspur_node.calls.request_validation import invalid_request_reason
 from mustardspur_node.mesh.call_value import CallEvaluator
 from mustardspur_node.mesh.caller_answers import (
     CallerAnswer,
@@ -28,6 +27,7 @@
 from mustardspur_node.mesh.names import HOP_BY_HOP, HeaderNames
 from mustardspur_node.mesh.placing import Placer
 from mustardspur_node.mesh.view import MeshView, RouteIndex
+from mustardspur_node.request_validation import invalid_request_reason
 
 _LOG: Final = logging.getLogger(__name__)
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/http_api.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/http_api.py
@@ -9,10 +9,9 @@
 from mustardspur_core.readers import DecodeError
 from mustardspur_core.strict_json import parse_json
 
-from mustardspur_node.announcements import ANNOUNCEMENTS_PATH
-from mustardspur_node.calls.serving import READY_PATH
 from mustardspur_node.mesh.instance import MeshNode
 from mustardspur_node.mesh.reports import TargetReport
+from mustardspur_node.paths import ANNOUNCEMENTS_PATH, READY_PATH
 
 _LOG: Final = logging.getLogger(__name__)
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -6,11 +6,11 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import Final
 
+from mustardspur_core.garbage_collection import tune_garbage_collector
 from mustardspur_core.metrics import Metrics
 from mustardspur_core.settings import MeshSettings, Settings
 from mustardspur_core.tasks import background, run_periodically
 
-from mustardspur_node.calls.serving import tune_garbage_collector
 from mustardspur_node.mesh.caller_server import CallerServer
 from mustardspur_node.mesh.confirmation import confirm_target
 from mustardspur_node.mesh.control_link import MeshControlLink
--- a/packages/mustardspur_node/src/mustardspur_node/calls/request_validation.py
+++ b/packages/mustardspur_node/src/mustardspur_node/request_validation.py
@@ -1,29 +1,17 @@
 """Validation of requests that two HTTP parsers could read differently."""
 
-from http import HTTPStatus
 from typing import Final
 
-from aiohttp import HttpVersion, HttpVersion11, web
-from multidict import MultiMapping
-
-from mustardspur_node.calls import names
-from mustardspur_node.calls.error_responses import CallFault, not_run
+from aiohttp import HttpVersion, HttpVersion11
+from multidict import MultiMapping, istr
 
+CONTENT_LENGTH: Final = istr('content-length')
+HOST: Final = istr('host')
+TRANSFER_ENCODING: Final = istr('transfer-encoding')
 _REFUSED_METHODS: Final = frozenset(('CONNECT', 'TRACE'))
 _DOT_SEGMENTS: Final = frozenset(('.', '..'))
 
 
-def invalid_request_fault(request: web.BaseRequest) -> CallFault | None:
-    """Return the fault of an invalid request, None for a valid one."""
-    reason = invalid_request_reason(
-        request.method,
-        request.raw_path,
-        request.version,
-        request.headers,
-    )
-    return _refusal(reason) if reason else None
-
-
 def invalid_request_reason(
     method: str,
     target: str,
@@ -42,13 +30,13 @@
     """
     if method in _REFUSED_METHODS:
         return 'method is not forwarded'
-    if len(headers.getall(names.HOST, ())) != 1:
+    if len(headers.getall(HOST, ())) != 1:
         return 'not exactly one host header'
     if not target.startswith('/') or _has_dot_segment(target):
         return 'request target is not a plain path'
-    if names.TRANSFER_ENCODING in headers:
+    if TRANSFER_ENCODING in headers:
         return _transfer_encoding_reason(version, headers)
-    if len(headers.getall(names.CONTENT_LENGTH, ())) > 1:
+    if len(headers.getall(CONTENT_LENGTH, ())) > 1:
         return 'more than one content-length header'
     return ''
 
@@ -56,8 +44,8 @@
 def _transfer_encoding_reason(
     version: HttpVersion, headers: MultiMapping[str]
 ) -> str:
-    encodings = headers.getall(names.TRANSFER_ENCODING)
-    if names.CONTENT_LENGTH in headers:
+    encodings = headers.getall(TRANSFER_ENCODING)
+    if CONTENT_LENGTH in headers:
         return 'both content-length and transfer-encoding'
     if len(encodings) > 1 or encodings[0].strip().lower() != 'chunked':
         return 'transfer-encoding other than chunked'
@@ -72,7 +60,3 @@
         return False
     path = target.partition('?')[0].lower().replace('%2e', '.')
     return not _DOT_SEGMENTS.isdisjoint(path.replace('%2f', '/').split('/'))
-
-
-def _refusal(reason: str) -> CallFault:
-    return not_run(HTTPStatus.BAD_REQUEST, reason)
--- a/tests/daemon/test_mesh.py
+++ b/tests/daemon/test_mesh.py
@@ -9,8 +9,7 @@
 from aiohttp import ClientSession
 from mustardspur_client.main import run
 from mustardspur_core.conversion import encode_mapping
-from mustardspur_node.announcements import ANNOUNCEMENTS_PATH
-from mustardspur_node.calls.serving import READY_PATH
+from mustardspur_node.paths import ANNOUNCEMENTS_PATH, READY_PATH
 
 from tests.core.mesh.builders import route, table
 from tests.daemon.processes import POLL_S, answer_of, running_daemon
