Keep a process running after an unexpected error

Cause: an error that a task does not expect, for example an OverflowError over an integer of more than 64 bits in a target's report, ended the process; one in the answer to a request left its caller waiting for ever, as did a route whose weights are all 0; one in a call of another node ended the stream with all its other calls. Result: tests for each, among them a report with slots 10**30, a route without any weight, and an error within one of two calls of a stream.

--- a/packages/mustardspur_control/src/mustardspur_control/control_stream.py
+++ b/packages/mustardspur_control/src/mustardspur_control/control_stream.py
@@ -73,6 +73,9 @@
                 'stream ended',
                 extra={'peer': stream.peer_address, 'reason': repr(error)},
             )
+        except Exception:
+            # The error ends this connection only; the process goes on.
+            _LOG.exception('stream failed', extra={'peer': stream.peer_address})
         finally:
             stream.close()
 
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/components.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/components.py
@@ -4,7 +4,7 @@
 
 from mustardspur_agreement import ReplicatedLog
 from mustardspur_core.settings import MeshSettings, Settings
-from mustardspur_core.tasks import background
+from mustardspur_core.tasks import background, supervised
 
 from mustardspur_control.mesh.evidence import EvidenceAggregator
 from mustardspur_control.mesh.exchange import ControlExchange
@@ -60,7 +60,7 @@
     def running(self) -> AbstractAsyncContextManager[None]:
         """Return a context manager that runs the components in its block."""
         return background(
-            self.members.run(),
-            self.exchange.run(),
-            self._driver.run(),
+            supervised('membership', self.members.run),
+            supervised('exchange', self.exchange.run),
+            supervised('transfers', self._driver.run),
         )
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/exchange.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/exchange.py
@@ -18,7 +18,7 @@
 )
 from mustardspur_core.record import Record
 from mustardspur_core.settings import Peer, Settings
-from mustardspur_core.tasks import run_until_first_end
+from mustardspur_core.tasks import run_until_first_end, supervised
 from mustardspur_core.wire import (
     FrameStream,
     MalformedFrame,
@@ -77,6 +77,7 @@
 
     async def run(self) -> None:
         """Keep a stream open to every other instance until cancelled."""
+        self._links = {}
         async with asyncio.TaskGroup() as group:
             while True:
                 for peer_id in (
@@ -89,7 +90,9 @@
                         self._registry,
                     )
                     self._links[peer_id] = link
-                    group.create_task(link.run())
+                    group.create_task(
+                        supervised(f'link to {peer_id}', link.run)
+                    )
                 await asyncio.sleep(PEER_SCAN_INTERVAL_S)
 
     async def serve(self, stream: FrameStream, hello: ControlHello) -> None:
--- a/packages/mustardspur_core/src/mustardspur_core/tasks.py
+++ b/packages/mustardspur_core/src/mustardspur_core/tasks.py
@@ -1,12 +1,19 @@
 """Background tasks with a limited lifetime."""
 
 import asyncio
+import logging
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
-from typing import Any
+from typing import Any, Final
 
 BackgroundCoroutine = Coroutine[Any, Any, None]
 
+_LOG: Final = logging.getLogger(__name__)
+
+# Delay before a failed task runs again; it bounds the log lines of a task that
+# fails each time.
+RESTART_DELAY_S: Final = 0.5
+
 
 @asynccontextmanager
 async def background(*coroutines: BackgroundCoroutine) -> AsyncIterator[None]:
@@ -40,6 +47,30 @@
         task.result()
 
 
+async def supervised(name: str, run: Callable[[], BackgroundCoroutine]) -> None:
+    """Run a task, and run it again after each unexpected error.
+
+    Explanation
+    ===========
+
+    An error in one task, for example over a message that nobody expected,
+    neither ends the process nor silently the task that others depend on.
+
+    Parameters
+    ----------
+    name : str
+        Name of the task in the log.
+    run : callable
+        Coroutine function of the task; it must be able to start again.
+    """
+    while True:
+        try:
+            return await run()
+        except Exception:
+            _LOG.exception('task failed', extra={'task': name})
+        await asyncio.sleep(RESTART_DELAY_S)
+
+
 async def run_periodically(
     interval_s: float, action: Callable[[], None]
 ) -> None:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
@@ -150,6 +150,17 @@
             answer = node_answer(fault.status, fault.reason, closes=True)
         except UnansweredCall as unanswered:
             answer = self._refusal_answer(unanswered)
+        except Exception:
+            # Whether the call has run is unknown, so the answer promises
+            # nothing.
+            _LOG.exception(
+                'call failed unexpectedly',
+                extra={'request': message.headers.get(self._names.request_id)},
+            )
+            answer = node_answer(
+                HTTPStatus.INTERNAL_SERVER_ERROR,
+                'unexpected error of the node',
+            )
         finally:
             self.in_flight -= 1
         self._metrics.incr(f'calls.answered.{answer.status}')
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/service_choice.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/service_choice.py
@@ -24,10 +24,15 @@
         self._credits_by_route: dict[str, dict[str, float]] = {}
 
     def next_service(self, route: MeshRoute) -> str:
-        """Return the service of the next call of a route."""
+        """Return the service of the next call of a route.
+
+        It is empty if no service of the route has a weight.
+        """
         if len(route.shares) == 1:
             return route.shares[0].service
         total = sum(share.weight for share in route.shares)
+        if not total:
+            return ''
         credit = self._credits_by_route.get(route.name)
         if credit is None or credit.keys() != {
             each.service for each in route.shares
--- a/tests/core/test_tasks.py
+++ b/tests/core/test_tasks.py
@@ -3,7 +3,13 @@
 import asyncio
 
 import pytest
-from mustardspur_core.tasks import background, run_until_first_end
+from mustardspur_core.tasks import (
+    background,
+    run_until_first_end,
+    supervised,
+)
+
+from tests.support.virtual_time import in_virtual_time
 
 
 class _BrokenError(Exception):
@@ -54,3 +60,30 @@
     ended: list[str] = []
     with pytest.raises(_BrokenError):
         await run_until_first_end(_break(), _wait_for_ever(ended))
+
+
+@in_virtual_time
+async def test_supervised_task_runs_again_after_an_error() -> None:
+    """Guards against a process that ends, or goes on without one of its
+    tasks, because of one unexpected error.
+    """
+    runs: list[int] = []
+
+    async def fail_twice() -> None:
+        runs.append(len(runs))
+        if len(runs) <= 2:
+            await _break()
+
+    async with background(supervised('failing', fail_twice)):
+        await asyncio.sleep(10)
+    assert len(runs) == 3
+
+
+async def test_supervised_task_can_be_cancelled() -> None:
+    """Guards against a process that cannot stop."""
+    ended: list[str] = []
+    async with background(
+        supervised('waiting', lambda: _wait_for_ever(ended)),
+    ):
+        await asyncio.sleep(0)
+    assert ended == ['waiting']
--- /dev/null
+++ b/tests/node/mesh/test_caller_server.py
@@ -0,0 +1,80 @@
+"""Tests of the server for callers as a whole."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import pytest
+from mustardspur_core.mesh.control_messages import MeshTargets
+from mustardspur_core.mesh.model import RouteShare
+from mustardspur_core.mesh.packing import encode_table, table_delta
+from mustardspur_core.metrics import NullMetrics
+from mustardspur_core.record import replaced
+from mustardspur_core.settings import MeshSettings
+from mustardspur_node.mesh.caller_server import CallerServer
+from mustardspur_node.mesh.names import HEADER_NAMES
+from mustardspur_node.mesh.placing import Placer
+from mustardspur_node.mesh.view import MeshView
+
+from tests.core.mesh.builders import route, table, target
+from tests.node.mesh.builders import local_target, node_settings
+from tests.support.ports import free_address
+
+_REQUEST = b'GET /drafts/1 HTTP/1.1\r\nhost: forms.example\r\n\r\n'
+
+
+@asynccontextmanager
+async def _serving(**changes: Any) -> AsyncIterator[tuple[str, Placer]]:
+    """Serve callers with one route that has some fields changed."""
+    view = MeshView()
+    rows = encode_table(table(1, replaced(route('drafts'), **changes)))
+    view.apply_table(table_delta(None, 0, rows, 1))
+    view.apply_targets(
+        MeshTargets(full=True, upserts=[target('1')], removed=[]),
+    )
+    settings = node_settings()
+    assert isinstance(settings.mesh, MeshSettings)
+    local = local_target('127.0.0.1:9')
+    placer = Placer(settings, settings.mesh, view, local, NullMetrics())
+    server = CallerServer(view, placer, HEADER_NAMES, NullMetrics())
+    address = free_address()
+    async with server.serving(address):
+        yield address, placer
+
+
+async def _status(address: str) -> str:
+    host, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(_REQUEST)
+    async with asyncio.timeout(5):
+        line = await reader.readline()
+    writer.close()
+    return line.split()[1].decode()
+
+
+async def test_unexpected_error_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a caller that waits for ever, and against a refusal that
+    says that the call did not run, after an unexpected error.
+    """
+
+    def fail(*_: Any) -> None:
+        raise KeyError('unexpected')
+
+    async with _serving() as (address, placer):
+        monkeypatch.setattr(type(placer.chooser), 'choose', fail)
+        assert await _status(address) == '500'
+    assert 'call failed unexpectedly' in caplog.text
+
+
+async def test_route_without_any_weight_refuses() -> None:
+    """Guards against callers that hang on a route whose weights are all 0."""
+    shares = [
+        RouteShare(service='forms', weight=0),
+        RouteShare(service='other', weight=0),
+    ]
+    async with _serving(shares=shares) as (address, _):
+        assert await _status(address) == '503'
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -96,6 +96,9 @@
         (('routes', 'r-1', 'weighted_services'), 'one'),
         (('services', 'one', 'max_connections'), None),
         (('limits', 'max_body_bytes'), '64'),
+        (('limits', 'max_body_bytes'), 10**30),
+        (('version',), f'r{"9" * 5000}'),
+        (('routes', 'r-1', 'priority'), -(10**30)),
     ],
 )
 def test_unreadable_field_is_named(path: tuple[str, ...], found: Any) -> None:
@@ -109,6 +112,15 @@
         decode_table(json.dumps(configuration).encode())
 
 
+def test_weight_beyond_any_number_is_refused() -> None:
+    """Guards against an exception for a number that no float can hold."""
+    configuration = _configuration()
+    weighted = configuration['routes']['r-1']['weighted_services']
+    weighted[0]['weight'] = 10**400
+    with pytest.raises(BadField, match='weight'):
+        decode_table(json.dumps(configuration).encode())
+
+
 def test_cut_configuration_is_refused() -> None:
     """Guards against a truncated configuration being accepted."""
     content = json.dumps(_configuration()).encode()
@@ -145,6 +157,9 @@
         ('state', 'asleep'),
         ('slots', '9'),
         ('slots', 0),
+        ('slots', 10**30),
+        ('sequence', 10**30),
+        ('born', -(10**30)),
         ('sequence', 'four'),
         ('address', 'somewhere'),
         ('cold_remaining', 250),
