Wait for the answer of a silent node, and bound what answers may hold

Cause: a node that was silent for 1.2 s lost its stream, and with it the answers of calls that were running and may not run again. A late copy of an answer without an identifier was taken for the answer to the next request. An answer without end was held up to 64 MiB for each call, its head without any bound if it began with empty lines, and the parts of calls and answers between nodes without a bound. A deadline that passed while the instance was suspended was taken as ahead. A stopping node closed its listening socket, and reset connections in the backlog, before its callers were gone. Change: a silent stream gets no further calls but stays open for those that only its answer can end; the others are cancelled and placed elsewhere. An answer without identifier on a used connection is an unknown outcome, and no connection is used after one. A target is confirmed by its health or by a further report. Deadlines include suspended time. The node listens until it is idle. Result: a test for each, with endless heads, bodies and empty lines.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/answer_parser.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/answer_parser.py
@@ -9,15 +9,15 @@
 from aiohttp.http_parser import HttpResponseParser, RawResponseMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
+from mustardspur_node.mesh.answer_budget import AnswerBudget, AnswerTooLong
 from mustardspur_node.mesh.calls import Headers
 from mustardspur_node.mesh.names import HOP_BY_HOP
 
 READ_BUFFER_BYTES: Final = 65_536
 MAX_HEADER_BYTES: Final = 65_536
 MAX_HEADERS: Final = 256
-# Answers are buffered in full, so that a truncated one is never forwarded as
-# complete.
-MAX_ANSWER_BYTES: Final = 67_108_864
+# Status line and headers of an answer together, with what comes before them.
+MAX_HEAD_BYTES: Final = 131_072
 _CONNECTION_HEADERS: Final = ('content-length', 'transfer-encoding')
 _STATUSES_WITHOUT_BODY: Final = frozenset(
     (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
@@ -98,6 +98,8 @@
 
     def feed(self, received: bytes) -> None:
         """Parse received bytes; fail if they are not a valid answer."""
+        if self._failure is not None:
+            return
         if self._payload is None:
             self._raw += received
         try:
@@ -105,6 +107,11 @@
         except HttpProcessingError as error:
             self._recover_first_answer(error)
             return
+        if not messages and len(self._raw) > MAX_HEAD_BYTES:
+            # The parser limits each line only, and skips empty lines before
+            # the status line without a limit.
+            self.fail(BrokenAnswer('head of the answer is too long'))
+            return
         if upgraded:
             self.fail(BrokenAnswer('answer switches the protocol'))
             return
@@ -153,6 +160,7 @@
 
     def _add_messages(self, messages: list[Message]) -> None:
         if messages:
+            self._raw = b''
             self._payload = messages[-1][1]
             self.messages.extend(messages)
             self._changed.set()
@@ -189,28 +197,25 @@
         )
 
 
-async def read_body(payload: StreamReader) -> bytes:
+async def read_body(payload: StreamReader, budget: AnswerBudget) -> bytes:
     """Return the complete body of an answer.
 
     Raises
     ------
     BrokenAnswer
-        If the body is truncated or exceeds `MAX_ANSWER_BYTES`.
+        If the body is truncated or exceeds the budget.
     """
     if payload is EMPTY_PAYLOAD:
         return b''
-    parts: list[bytes] = []
-    size = 0
-    while not payload.at_eof():
-        try:
-            part = await payload.readany()
-        except (BrokenAnswer, HttpProcessingError, OSError) as error:
-            raise BrokenAnswer(f'answer broke off: {error!r}') from error
-        size += len(part)
-        if size > MAX_ANSWER_BYTES:
-            raise BrokenAnswer('answer is too long')
-        parts.append(part)
-    return b''.join(parts)
+    with budget.receiving() as held:
+        while not payload.at_eof():
+            try:
+                held.add(await payload.readany())
+            except (BrokenAnswer, HttpProcessingError, OSError) as error:
+                raise BrokenAnswer(f'answer broke off: {error!r}') from error
+            except AnswerTooLong as error:
+                raise BrokenAnswer(str(error)) from error
+        return held.body
 
 
 def _answer_end(raw: bytes) -> int:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
@@ -5,6 +5,7 @@
 
 from mustardspur_core.mesh.call_messages import TargetLoad
 from mustardspur_core.mesh.model import MeshTarget
+from mustardspur_core.suspension import suspended_s
 from mustardspur_core.units import MS_PER_S
 
 from mustardspur_node.mesh.call_value import max_wait_ms
@@ -43,6 +44,7 @@
 
     __slots__ = (
         '_candidates',
+        '_suspended_s',
         'arrivals',
         'call',
         'failed_answer',
@@ -66,6 +68,8 @@
         self.faults: list[PlacementFault] = []
         self.failed_answer: TargetAnswer | None = None
         self._candidates: list[MeshTarget] | None = None
+        # Suspended time of the instance when the call was received.
+        self._suspended_s = suspended_s()
 
     def candidates(
         self,
@@ -120,11 +124,11 @@
 
     def left_ms(self) -> float:
         """Return the time until the deadline in milliseconds."""
-        return (self.call.deadline_s - _now()) * MS_PER_S
+        return (self.call.deadline_s - self._elapsed_clock_s()) * MS_PER_S
 
     def useful_ms(self) -> float:
         """Return the time in which an answer keeps most of its value."""
-        return (self.call.useful_s - _now()) * MS_PER_S
+        return (self.call.useful_s - self._elapsed_clock_s()) * MS_PER_S
 
     def max_wait_ms(self) -> float:
         """Return the longest useful wait for a slot in milliseconds."""
@@ -134,6 +138,10 @@
         """Return the time since the request was received."""
         return (_now() - self.call.started_s) * MS_PER_S
 
+    def _elapsed_clock_s(self) -> float:
+        """Return the loop's time, plus the suspended time since the start."""
+        return _now() + suspended_s() - self._suspended_s
+
     def failure_reason(self) -> str:
         """Return why the call has no answer of a target."""
         if self.faults:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -29,6 +29,8 @@
 # Time for the caller to read the last answer and close its side. Closing with
 # unread bytes would reset the connection and lose the answer.
 LINGER_S: Final = 1.0
+# Time after the connect within which a caller sends its first request.
+FIRST_REQUEST_S: Final = 0.5
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 _Message = tuple[RawRequestMessage, StreamReader]
@@ -81,12 +83,14 @@
 
     __slots__ = (
         '_answer',
+        '_connected_s',
         '_draining',
         '_is_closing',
         '_limits',
         '_node_is_draining',
         '_pending',
         '_pending_added',
+        '_received_any',
         '_timers',
         '_writer',
     )
@@ -107,6 +111,8 @@
         self._pending_added = asyncio.Event()
         self._is_closing = False
         self._draining = False
+        self._connected_s: float = loop.time()
+        self._received_any = False
         self._writer: asyncio.Task[None] | None = None
         self._timers = CallerTimers(
             limits,
@@ -138,6 +144,7 @@
         """Start the requests whose heads are complete."""
         if self._is_closing:
             return
+        self._received_any = True
         try:
             messages, _, _ = self._parser.feed_data(received)
         except HttpProcessingError as error:
@@ -168,7 +175,14 @@
             self._close_gracefully()
 
     def drain(self) -> None:
-        """Accept no further requests; close now if none is in flight."""
+        """Accept no further requests; close now if none is in flight.
+
+        A new connection is left open for `FIRST_REQUEST_S`, since its first
+        request is on its way.
+        """
+        age_s = self._loop.time() - self._connected_s
+        if not self._received_any and age_s < FIRST_REQUEST_S:
+            return
         self._draining = True
         self.close_idle()
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/confirmation.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/confirmation.py
@@ -23,13 +23,15 @@
 
 
 async def confirm_target(local: LocalTarget, view: MeshView) -> None:
-    """Confirm the target after a health check or `MAX_REPORT_DELAY_S`.
+    """Confirm the target once it is healthy, or once it reports again.
 
     Explanation
     ===========
 
     Until then it gets no calls: a report that the node receives just after
-    its start may be a late one of a target that was removed.
+    its start may be a late one of a target that was removed. If no health
+    check succeeds within `MAX_REPORT_DELAY_S`, a further report shows that
+    the target is still there, since late ones have arrived by then.
 
     Parameters
     ----------
@@ -38,6 +40,14 @@
     view : MeshView
         View whose table contains the health path of the service.
     """
+    by_target = await _is_healthy_in_time(local, view)
+    if not by_target:
+        await _wait_for_further_report(local)
+    _LOG.info('target confirmed', extra={'by_target': by_target})
+    local.confirm()
+
+
+async def _is_healthy_in_time(local: LocalTarget, view: MeshView) -> bool:
     loop = asyncio.get_running_loop()
     deadline_s = loop.time() + MAX_REPORT_DELAY_S
     while loop.time() < deadline_s:
@@ -45,14 +55,16 @@
         if path is None:
             await asyncio.sleep(CHECK_S)
         elif await _is_healthy(local, path):
-            break
+            return True
         else:
             await asyncio.sleep(RETRY_S)
-    _LOG.info(
-        'target confirmed',
-        extra={'by_target': loop.time() < deadline_s},
-    )
-    local.confirm()
+    return False
+
+
+async def _wait_for_further_report(local: LocalTarget) -> None:
+    previous = local.reports.current
+    while local.reports.current in {None, previous}:
+        await asyncio.sleep(CHECK_S)
 
 
 def _health_path(local: LocalTarget, view: MeshView) -> str | None:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -4,12 +4,13 @@
 import logging
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
 from typing import Final
 
 from mustardspur_core.garbage_collection import tune_garbage_collector
 from mustardspur_core.metrics import Metrics
 from mustardspur_core.settings import MeshSettings, Settings
-from mustardspur_core.tasks import background, run_periodically
+from mustardspur_core.tasks import background, run_periodically, supervised
 
 from mustardspur_node.mesh.caller_server import CallerServer
 from mustardspur_node.mesh.confirmation import confirm_target
@@ -117,8 +118,9 @@
         ===========
 
         The node still serves callers for `READINESS_DELAY_S`, until their
-        readiness checks have failed. It then accepts no new connections and no
-        calls of other nodes, and waits until no connection or call is open.
+        readiness checks have failed. It then takes no calls of other nodes, and
+        waits until no connection or call is open. It listens until then, since
+        closing the socket resets connections that wait to be accepted.
         """
         self._stopping = True
         self.callers.draining = True
@@ -126,11 +128,11 @@
         self.link.announcement_changed.set()
         started_s = _now()
         await asyncio.sleep(READINESS_DELAY_S)
-        self.callers.stop_listening()
         self.local.admission.close_permanently()
         deadline_s = started_s + self._mesh.grace_s * (1 - EXIT_RESERVE_PART)
         while self._is_busy() and _now() < deadline_s:
             await asyncio.sleep(CHECK_INTERVAL_S)
+        self.callers.stop_listening()
         _LOG.info(
             'drained',
             extra={
@@ -199,9 +201,15 @@
         )
         await stack.enter_async_context(
             background(
-                node.link.run(),
-                run_periodically(CHECK_INTERVAL_S, node.check),
-                confirm_target(node.local, node.view),
+                supervised('control link', node.link.run),
+                supervised(
+                    'checks',
+                    partial(run_periodically, CHECK_INTERVAL_S, node.check),
+                ),
+                supervised(
+                    'target confirmation',
+                    partial(confirm_target, node.local, node.view),
+                ),
             ),
         )
         await stack.enter_async_context(
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -13,9 +13,11 @@
     CallOpen,
     TargetLoad,
 )
+from mustardspur_core.suspension import suspended_s
 from mustardspur_core.units import MS_PER_S, NS_PER_MS
 
 from mustardspur_node.mesh.admission import AdmissionControl
+from mustardspur_node.mesh.answer_budget import AnswerBudget
 from mustardspur_node.mesh.answer_parser import BrokenAnswer, RawAnswer
 from mustardspur_node.mesh.calls import (
     PlacementFault,
@@ -56,6 +58,7 @@
         '_identity',
         '_names',
         'admission',
+        'budget',
         'reports',
         'evidence',
         'pool',
@@ -69,7 +72,8 @@
         """Initialise without a target, and closed until it is confirmed."""
         self._confirmed = False
         self._names = names
-        self.pool = TargetPool(reports.address)
+        self.budget = AnswerBudget()
+        self.pool = TargetPool(reports.address, self.budget)
         self._identity: tuple[str, int] | None = None
         self.reports = reports
         self.admission = AdmissionControl()
@@ -87,7 +91,7 @@
         if self._identity != (report.id, report.born):
             self._identity = (report.id, report.born)
             self.pool.close()
-            self.pool = TargetPool(report.address)
+            self.pool = TargetPool(report.address, self.budget)
             self.admission.reset_statistics()
         self.admission.resize(report.slots)
 
@@ -116,7 +120,10 @@
         PlacementFault
             If the target gives no usable answer.
         """
-        deadline_s = _now() + (call.deadline_ms - DEADLINE_MARGIN_MS) / MS_PER_S
+        left_s = (call.deadline_ms - DEADLINE_MARGIN_MS) / MS_PER_S
+        # The suspended time is part of the sum, so that a deadline that passed
+        # while the instance was suspended is seen to have passed.
+        deadline_s = _now() + suspended_s() + left_s
         self._current_report(call)
         rank = self.admission.ranks.rank(call.route, call.priority)
         async with self.admission.admitted(rank, call.max_wait_ms):
@@ -149,7 +156,7 @@
         await before_send(self.admission.load)
         # The target may have changed while the call waited.
         self._current_report(call)
-        left_ms = (deadline_s - _now()) * MS_PER_S
+        left_ms = (deadline_s - _now() - suspended_s()) * MS_PER_S
         if left_ms < MIN_SENT_MS:
             raise not_sent_fault('timeout', 'no time was left')
         return left_ms
@@ -179,7 +186,7 @@
                     call.method,
                     self._head(call, report, left_ms),
                     call.body,
-                    partial(self._matches, call),
+                    partial(self._identify, call),
                 )
         except TimeoutError as error:
             raise maybe_run_fault('timeout', 'no answer in time') from error
@@ -191,11 +198,20 @@
         self._record_run(call, report, started_ns, failed=failed)
         return answer
 
-    def _matches(self, call: CallOpen, message: RawResponseMessage) -> bool:
-        """Return whether an answer has the request ID of a call, if any."""
+    def _identify(
+        self,
+        call: CallOpen,
+        message: RawResponseMessage,
+    ) -> bool | None:
+        """Return whether an answer has the request ID of a call.
+
+        None if the call or the answer has no request ID.
+        """
         echoed = message.headers.get(self._names.request_id)
         sent = _header(call, self._names.request_id)
-        return echoed is None or echoed == sent
+        if not sent or echoed is None:
+            return None
+        return echoed == sent
 
     def _raise_if_refused(self, answer: RawAnswer) -> None:
         refused = answer.header(self._names.not_run) is not None
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_connection.py
@@ -0,0 +1,255 @@
+"""Client side of one stream that carries calls to another node."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Final
+
+from mustardspur_core.mesh.call_messages import (
+    CallAnswer,
+    CallCancel,
+    CallConfirm,
+    CallFailed,
+    CallOpen,
+    CallReserved,
+    NodeHeartbeat,
+    NodeHello,
+    TargetLoad,
+)
+from mustardspur_core.settings import Settings
+from mustardspur_core.wire import (
+    Frame,
+    FrameStream,
+    MalformedFrame,
+    connect_stream,
+)
+
+from mustardspur_node.mesh.answer_budget import AnswerBudget
+from mustardspur_node.mesh.body_parts import send_call
+from mustardspur_node.mesh.call_in_flight import CallInFlight
+from mustardspur_node.mesh.calls import TargetAnswer, not_sent_fault
+
+_LOG: Final = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT_S: Final = 0.5
+# While calls are in flight the other node sends a heartbeat every HEARTBEAT_S;
+# a stream without a frame for longer than SILENCE_S gets no further calls.
+HEARTBEAT_S: Final = 0.3
+SILENCE_S: Final = 1.2
+# A stream without calls in flight is closed after this time.
+IDLE_TIMEOUT_S: Final = 20.0
+STREAM_ERRORS: Final = (OSError, EOFError, TimeoutError, MalformedFrame)
+
+_FRAMES_WITH_LOAD: Final = (NodeHeartbeat, CallReserved, CallAnswer, CallFailed)
+
+LoadCallback = Callable[[str, TargetLoad], None]
+
+
+class PeerConnection:
+    """A stream to another node and the calls in flight on it.
+
+    Parameters
+    ----------
+    node : str
+        ``ip:port`` of the other node's stream.
+    settings : Settings
+        Settings of this node.
+    on_load : callable
+        Called with the node and the load of its target on each report.
+    """
+
+    __slots__ = (
+        '_budget',
+        '_in_flight_by_id',
+        '_last_received_s',
+        '_last_used_s',
+        '_next_id',
+        '_node',
+        '_on_load',
+        '_ready',
+        '_settings',
+        '_task',
+    )
+
+    def __init__(
+        self,
+        node: str,
+        settings: Settings,
+        on_load: LoadCallback,
+    ) -> None:
+        """Start to connect."""
+        self._node = node
+        self._settings = settings
+        self._on_load = on_load
+        self._budget = AnswerBudget()
+        self._in_flight_by_id: dict[int, CallInFlight] = {}
+        self._next_id = 0
+        self._last_received_s: float = 0
+        self._last_used_s = _now()
+        self._ready: asyncio.Future[FrameStream] = asyncio.Future()
+        self._task = asyncio.create_task(self._run_stream())
+        self._task.add_done_callback(_log_failure)
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the stream has ended."""
+        return self._task.done()
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether calls are in flight and no frame arrives."""
+        if not self._in_flight_by_id or not self._ready.done():
+            return False
+        return _now() - self._last_received_s > SILENCE_S
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the stream has carried no call for `IDLE_TIMEOUT_S`."""
+        idle_s = _now() - self._last_used_s
+        return not self._in_flight_by_id and idle_s > IDLE_TIMEOUT_S
+
+    @property
+    def calls_in_flight(self) -> int:
+        """Number of calls in flight."""
+        return len(self._in_flight_by_id)
+
+    async def run(
+        self,
+        call: CallOpen,
+        on_may_run: Callable[[], None],
+    ) -> TargetAnswer:
+        """Run a call at the other node's target and return the answer.
+
+        Raises
+        ------
+        PlacementFault
+            If the target gives no usable answer.
+        """
+        stream = await self._connected()
+        with self._budget.receiving() as held:
+            call_in_flight = CallInFlight(call, held, on_may_run)
+            return await self._exchange(stream, call, call_in_flight)
+
+    def end_waits(self, reason: str) -> None:
+        """Fail the calls whose outcome does not depend on this stream.
+
+        Explanation
+        ===========
+
+        A node that is only silent for a while may still answer. A call that
+        may have run and may not run again waits for that answer; the others
+        can be placed elsewhere, and are cancelled at the node.
+        """
+        stream = self._ready.result()
+        for call_id, call_in_flight in list(self._in_flight_by_id.items()):
+            if not call_in_flight.must_wait:
+                call_in_flight.fail_on_disconnect(reason)
+                stream.enqueue(CallCancel(reason=reason), call_id)
+
+    def close(self, reason: str) -> None:
+        """Close the stream and fail the calls in flight."""
+        self._task.cancel()
+        self._fail_all(reason)
+
+    async def _connected(self) -> FrameStream:
+        try:
+            return await asyncio.shield(self._ready)
+        except STREAM_ERRORS as error:
+            raise not_sent_fault('unreachable', repr(error)) from error
+
+    async def _exchange(
+        self,
+        stream: FrameStream,
+        call: CallOpen,
+        call_in_flight: CallInFlight,
+    ) -> TargetAnswer:
+        if self._task.done():
+            raise not_sent_fault('unreachable', 'stream ended')
+        self._next_id += 1
+        call_id = self._next_id
+        if not self._in_flight_by_id:
+            self._last_received_s = _now()
+        self._in_flight_by_id[call_id] = call_in_flight
+        self._last_used_s = _now()
+        if not call.confirm:
+            call_in_flight.allow_run()
+        try:
+            await send_call(stream, call_id, call)
+            return await call_in_flight.answer
+        except OSError as error:
+            call_in_flight.fail_on_disconnect(repr(error))
+            return await call_in_flight.answer
+        except asyncio.CancelledError:
+            stream.enqueue(CallCancel(reason='caller is gone'), call_id)
+            raise
+        finally:
+            self._in_flight_by_id.pop(call_id, None)
+
+    async def _run_stream(self) -> None:
+        try:
+            async with connect_stream(self._node, CONNECT_TIMEOUT_S) as stream:
+                stream.enqueue(
+                    NodeHello(
+                        node=self._settings.listen.stream or '',
+                        data_centre=self._settings.data_centre,
+                        region=self._settings.region,
+                    ),
+                )
+                self._last_received_s = _now()
+                self._ready.set_result(stream)
+                await self._receive(stream)
+        except STREAM_ERRORS as error:
+            self._record_end(error)
+        finally:
+            self._fail_all('stream ended')
+
+    def _record_end(self, error: Exception) -> None:
+        if not self._ready.done():
+            self._ready.set_exception(error)
+            return
+        _LOG.info(
+            'stream to node ended',
+            extra={'node': self._node, 'reason': repr(error)},
+        )
+
+    async def _receive(self, stream: FrameStream) -> None:
+        while True:
+            frame = await stream.receive()
+            self._last_received_s = _now()
+            if isinstance(frame.body, _FRAMES_WITH_LOAD):
+                self._on_load(self._node, frame.body.load)
+            call_in_flight = self._in_flight_by_id.get(frame.request_id)
+            if call_in_flight is not None:
+                _apply(stream, frame, call_in_flight)
+
+    def _fail_all(self, reason: str) -> None:
+        if not self._ready.done():
+            self._ready.set_exception(ConnectionError(reason))
+            # The error is read by calls only if any waits for the stream.
+            self._ready.exception()
+        interrupted = self._in_flight_by_id
+        self._in_flight_by_id = {}
+        for call_in_flight in interrupted.values():
+            call_in_flight.fail_on_disconnect(reason)
+
+
+def _apply(
+    stream: FrameStream,
+    frame: Frame,
+    call_in_flight: CallInFlight,
+) -> None:
+    if not isinstance(frame.body, CallReserved):
+        call_in_flight.apply(frame.body)
+    elif not call_in_flight.answer.done():
+        # A call that was ended meanwhile is not confirmed, so it never runs.
+        stream.enqueue(CallConfirm(confirmed=True), frame.request_id)
+        call_in_flight.allow_run()
+
+
+def _log_failure(task: 'asyncio.Task[None]') -> None:
+    if not task.cancelled() and task.exception() is not None:
+        _LOG.error('stream task failed', exc_info=task.exception())
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_server.py
@@ -22,26 +22,26 @@
 from mustardspur_core.record import replaced
 from mustardspur_core.wire import FrameStream, MalformedFrame, MessageDispatcher
 
+from mustardspur_node.mesh.body_parts import send_parts, split_body
 from mustardspur_node.mesh.calls import (
     PlacementFault,
     TargetAnswer,
+    maybe_run_fault,
     not_sent_fault,
 )
 from mustardspur_node.mesh.local_target import LocalTarget
-from mustardspur_node.mesh.peer_link import (
-    HEARTBEAT_S,
-    send_parts,
-    split_body,
-)
+from mustardspur_node.mesh.peer_connection import HEARTBEAT_S, STREAM_ERRORS
 
 _LOG: Final = logging.getLogger(__name__)
 
 HELLO_TIMEOUT_S: Final = 2.0
 # A reachable node confirms within one round trip between regions.
 CONFIRM_TIMEOUT_S: Final = 0.5
+# Bodies of calls on one stream whose last part has not arrived. The longest
+# body that a caller may send fits.
+MAX_PARTIAL_BYTES: Final = 67_108_864
 _PartialCall = tuple[CallOpen, list[bytes]]
 _FROM_NODES: Final = MessageDispatcher('a node')
-_STREAM_ERRORS: Final = (OSError, EOFError, TimeoutError, MalformedFrame)
 
 
 class PeerServer:
@@ -83,7 +83,7 @@
         self._streams.add(stream)
         try:
             await self._serve_stream(stream)
-        except* _STREAM_ERRORS as group:
+        except* STREAM_ERRORS as group:
             _LOG.info(
                 'stream of node ended',
                 extra={
@@ -116,6 +116,7 @@
         '_confirmed',
         '_group',
         '_local',
+        '_partial_bytes',
         '_partial_calls',
         '_server',
         '_stream',
@@ -135,6 +136,7 @@
         self._group = group
         self._server = server
         self._partial_calls: dict[int, _PartialCall] = {}
+        self._partial_bytes = 0
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._confirmed: dict[int, asyncio.Future[None]] = {}
 
@@ -171,6 +173,7 @@
     def _receive_call(self, call_id: int, call: CallOpen) -> None:
         if call.more:
             self._partial_calls[call_id] = (call, [call.body])
+            self._partial_bytes += len(call.body)
         else:
             self._start(call_id, call)
 
@@ -180,10 +183,19 @@
             return
         call, parts = self._partial_calls[call_id]
         parts.append(part.body)
+        self._partial_bytes += len(part.body)
+        if self._partial_bytes > MAX_PARTIAL_BYTES:
+            raise MalformedFrame(
+                'length', f'{self._partial_bytes} bytes of unfinished calls'
+            )
         if not part.more:
-            self._partial_calls.pop(call_id)
-            complete = replaced(call, body=b''.join(parts), more=False)
-            self._start(call_id, complete)
+            body = b''.join(parts)
+            self._discard_partial(call_id)
+            self._start(call_id, replaced(call, body=body, more=False))
+
+    def _discard_partial(self, call_id: int) -> None:
+        _, parts = self._partial_calls.pop(call_id, (None, []))
+        self._partial_bytes -= sum(len(part) for part in parts)
 
     def _start(self, call_id: int, call: CallOpen) -> None:
         task = self._group.create_task(self._run(call_id, call))
@@ -192,7 +204,7 @@
 
     @_FROM_NODES.handles(CallCancel)
     def _cancel(self, call_id: int, _: CallCancel) -> None:
-        self._partial_calls.pop(call_id, None)
+        self._discard_partial(call_id)
         task = self._tasks.get(call_id)
         if task is not None:
             task.cancel()
@@ -212,19 +224,34 @@
             )
             await self._send_answer(call_id, answer)
         except PlacementFault as fault:
-            self._stream.enqueue(
-                CallFailed(
-                    kind=fault.kind,
-                    not_run=fault.not_run,
-                    detail=fault.detail,
-                    load=self._local.admission.load,
-                ),
+            self._send_fault(call_id, fault)
+        except STREAM_ERRORS:
+            raise
+        except Exception:
+            # An unexpected error ends this call only, not the stream with the
+            # other calls.
+            _LOG.exception(
+                'call failed unexpectedly', extra={'target': call.target}
+            )
+            self._send_fault(
                 call_id,
+                maybe_run_fault('broken', 'unexpected error of the node'),
             )
         finally:
             self._confirmed.pop(call_id, None)
             self._server.running -= 1
 
+    def _send_fault(self, call_id: int, fault: PlacementFault) -> None:
+        self._stream.enqueue(
+            CallFailed(
+                kind=fault.kind,
+                not_run=fault.not_run,
+                detail=fault.detail,
+                load=self._local.admission.load,
+            ),
+            call_id,
+        )
+
     async def _await_confirmation(
         self,
         call_id: int,
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -113,6 +113,11 @@
         """Close streams to other nodes that are silent or unused."""
         for link in self._links.values():
             link.check()
+        self._links = {
+            node: link
+            for node, link in self._links.items()
+            if not link.is_unused
+        }
 
     def close(self) -> None:
         """Close all streams to other nodes."""
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_connection.py
@@ -10,6 +10,7 @@
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http_parser import RawResponseMessage
 
+from mustardspur_node.mesh.answer_budget import AnswerBudget
 from mustardspur_node.mesh.answer_parser import (
     AnswerParser,
     BrokenAnswer,
@@ -28,21 +29,43 @@
 MAX_SKIPPED_ANSWERS: Final = 4
 
 
+# Returns whether an answer belongs to the request; None if it has no
+# identifier.
+Identify = Callable[[RawResponseMessage], bool | None]
+
+
 class TargetConnection(BaseProtocol):
-    """Connection to the target that carries one request at a time."""
+    """Connection to the target that carries one request at a time.
+
+    Parameters
+    ----------
+    loop : AbstractEventLoop
+        The running event loop.
+    budget : AnswerBudget
+        Bytes of all answers that the node receives.
+    """
 
     __slots__ = (
         '_answers',
+        '_budget',
+        '_carried',
         '_idle_timeout_s',
         '_in_flight',
         'idle_since_s',
         'reusable',
     )
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        budget: AnswerBudget,
+    ) -> None:
         """Initialise the connection without a request."""
         super().__init__(loop)
         self._answers = AnswerParser(self)
+        self._budget = budget
+        # Requests that this connection has carried.
+        self._carried = 0
         self._in_flight = False
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.idle_since_s: float = 0
@@ -97,15 +120,15 @@
         method: str,
         head: bytes,
         body: bytes,
-        is_own: Callable[[RawResponseMessage], bool],
+        identify: Identify,
     ) -> RawAnswer:
         """Send a request and return its complete answer.
 
         Parameters
         ----------
-        is_own : callable
-            Whether an answer belongs to the request. Late and surplus
-            answers are read and discarded.
+        identify : callable
+            Returns whether an answer belongs to the request, None if it has
+            no identifier. Late and surplus answers are read and discarded.
 
         Raises
         ------
@@ -118,9 +141,10 @@
         self._answers.begin(method)
         self._parser = self._answers.parser
         self._in_flight = True
+        self._carried += 1
         transport.write(head + body if body else head)
         try:
-            answer = await self._matching_answer(is_own)
+            answer = await self._matching_answer(identify)
         except BaseException:
             self.abort()
             raise
@@ -145,15 +169,15 @@
 
     async def _matching_answer(
         self,
-        is_own: Callable[[RawResponseMessage], bool],
+        identify: Identify,
     ) -> RawAnswer:
         skipped_statuses: deque[int] = deque(maxlen=MAX_SKIPPED_ANSWERS)
         while len(skipped_statuses) < MAX_SKIPPED_ANSWERS:
             message, payload = await self._answers.next_message()
-            body = await read_body(payload)
+            body = await read_body(payload, self._budget)
             self._apply_connection_headers(message)
             if message.code >= HTTPStatus.OK:
-                if is_own(message):
+                if self._is_own(message, identify):
                     check_delimiters(message)
                     return RawAnswer(message, body)
                 self.reusable = False
@@ -161,6 +185,29 @@
             self._answers.discard_first(payload)
         raise BrokenAnswer('answers belong to other requests')
 
+    def _is_own(self, message: RawResponseMessage, identify: Identify) -> bool:
+        """Return whether an answer belongs to the request in flight.
+
+        Explanation
+        ===========
+
+        On a connection that has carried another request, an answer without
+        an identifier can be a late copy of an earlier one. Its connection is
+        not used again, so that no copy of it can follow.
+
+        Raises
+        ------
+        BrokenAnswer
+            If the request that the answer belongs to cannot be determined.
+        """
+        is_own = identify(message)
+        if is_own is None:
+            self.reusable = False
+            if self._carried > 1:
+                raise BrokenAnswer('answer has no identifier')
+            return True
+        return is_own
+
     def _apply_connection_headers(self, message: RawResponseMessage) -> None:
         if message.should_close:
             self.reusable = False
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_pool.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_pool.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager
 from typing import Final
 
+from mustardspur_node.mesh.answer_budget import AnswerBudget
 from mustardspur_node.mesh.calls import not_sent_fault
 from mustardspur_node.mesh.target_connection import TargetConnection
 
@@ -20,13 +21,21 @@
 
     A new connection briefly occupies a slot of the target and counts towards
     its connection limit, so as few as possible are opened.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of the target.
+    budget : AnswerBudget
+        Bytes of all answers that the node receives.
     """
 
-    __slots__ = ('_address', '_closed', '_idle', '_loop')
+    __slots__ = ('_address', '_budget', '_closed', '_idle', '_loop')
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, budget: AnswerBudget) -> None:
         """Initialise an empty pool."""
         self._address = address
+        self._budget = budget
         self._closed = False
         self._idle: list[TargetConnection] = []
         self._loop = asyncio.get_running_loop()
@@ -99,7 +108,7 @@
 
     async def _create(self, host: str, port: int) -> TargetConnection:
         _, connection = await self._loop.create_connection(
-            lambda: TargetConnection(self._loop),
+            lambda: TargetConnection(self._loop, self._budget),
             host,
             port,
         )
--- a/tests/node/mesh/test_caller_connection.py
+++ b/tests/node/mesh/test_caller_connection.py
@@ -155,6 +155,22 @@
     assert node.paths == ['/slow']
 
 
+async def test_first_request_on_a_new_connection_is_answered() -> None:
+    """Guards against a request that is cut off without an answer because a
+    planned stop closes its connection just after it was accepted.
+    """
+    node = _Node()
+    async with _connected(node) as (reader, writer):
+        while not node.connections:
+            await asyncio.sleep(0.005)
+        node.closing = True
+        node.connections[0].drain()
+        writer.write(_get('/late'))
+        head, body = await _answer(reader)
+        assert body == b'/late'
+        assert 'connection: close' in head
+
+
 @pytest.mark.parametrize(
     ('name', 'sent', 'status'),
     [
--- a/tests/node/mesh/test_confirmation.py
+++ b/tests/node/mesh/test_confirmation.py
@@ -8,7 +8,7 @@
 from mustardspur_node.mesh.confirmation import confirm_target
 from mustardspur_node.mesh.local_target import LocalTarget
 from mustardspur_node.mesh.names import HEADER_NAMES
-from mustardspur_node.mesh.reports import ReportStore
+from mustardspur_node.mesh.reports import MAX_REPORT_DELAY_S, ReportStore
 from mustardspur_node.mesh.view import MeshView
 
 from tests.core.mesh.builders import route, table
@@ -72,5 +72,22 @@
     no routing table, which has the health path.
     """
     local = _unconfirmed('127.0.0.1:9')
-    await confirm_target(local, MeshView())
+    task = asyncio.create_task(confirm_target(local, MeshView()))
+    await asyncio.sleep(MAX_REPORT_DELAY_S + 1)
+    local.reports.accept(target_report(address='127.0.0.1:9', sequence=5))
+    async with asyncio.timeout(1):
+        await task
     assert local.admission.load.open
+
+
+@in_virtual_time
+async def test_removed_target_is_not_confirmed_by_its_late_report() -> None:
+    """Guards against calls to a target that left before the node restarted:
+    its late report is the only one, and its health check never succeeds.
+    """
+    local = _unconfirmed('127.0.0.1:9')
+    task = asyncio.create_task(confirm_target(local, _view()))
+    await asyncio.sleep(10 * MAX_REPORT_DELAY_S)
+    assert not local.admission.load.open
+    assert not task.done()
+    task.cancel()
--- a/tests/node/mesh/test_peer_streams.py
+++ b/tests/node/mesh/test_peer_streams.py
@@ -8,13 +8,19 @@
 
 import pytest
 from mustardspur_core.mesh.call_messages import (
+    CallAnswer,
     CallOpen,
+    CallPart,
     CallReserved,
+    NodeHello,
     TargetLoad,
 )
-from mustardspur_core.wire import FrameStream
+from mustardspur_core.wire import FrameStream, connect_stream
 from mustardspur_node.mesh.calls import PlacementFault, TargetAnswer
 from mustardspur_node.mesh.local_target import LocalTarget
+from mustardspur_node.mesh.answer_budget import MAX_HELD_BYTES
+from mustardspur_node.mesh.body_parts import PART_BYTES
+from mustardspur_node.mesh.peer_connection import SILENCE_S
 from mustardspur_node.mesh.peer_link import PeerCallLink
 from mustardspur_node.mesh.peer_server import PeerServer
 
@@ -27,6 +33,7 @@
     """A node with a target and the link from another node to it."""
 
     def __init__(self, address: str, local: LocalTarget) -> None:
+        self.address = address
         self.local = local
         self.server = PeerServer(local)
         self.loads: list[TargetLoad] = []
@@ -162,3 +169,162 @@
         with pytest.raises(PlacementFault) as fault:
             await link.run(call_open(confirm=confirm), _ignore_sent)
     assert fault.value.not_run is not_run, name
+
+
+class _SilentNode:
+    """A node that reserves and confirms calls, then is silent for a while."""
+
+    def __init__(self) -> None:
+        self.streams = 0
+        self.awake = asyncio.Event()
+        self.received = asyncio.Event()
+
+    async def serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        stream = FrameStream(reader, writer)
+        self.streams += 1
+        load = local_target('127.0.0.1:1').admission.load
+        await stream.receive()
+        opened = await stream.receive()
+        if opened.body.confirm:
+            await stream.send(CallReserved(load=load), opened.request_id)
+            await stream.receive()
+        self.received.set()
+        await self.awake.wait()
+        answer = CallAnswer(
+            status=200,
+            reason='OK',
+            headers=[],
+            body=b'late',
+            more=False,
+            load=load,
+        )
+        await stream.send(answer, opened.request_id)
+        writer.close()
+
+
+@asynccontextmanager
+async def _silent_node(
+    monkeypatch: pytest.MonkeyPatch,
+) -> AsyncIterator[tuple[_SilentNode, PeerCallLink]]:
+    """Run a silent node; the link to it takes it for silent at once."""
+    monkeypatch.setattr(
+        'mustardspur_node.mesh.peer_connection.SILENCE_S', -SILENCE_S
+    )
+    node = _SilentNode()
+    server = await asyncio.start_server(node.serve, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    link = PeerCallLink(f'{host}:{port}', node_settings(), _ignore_load)
+    try:
+        yield node, link
+    finally:
+        link.close()
+        server.close()
+
+
+async def test_running_call_outlives_the_silence_of_its_node(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against running work that is given up, or whose answer is lost,
+    because its node was only silent for a while.
+    """
+    async with _silent_node(monkeypatch) as (node, link):
+        call = asyncio.create_task(
+            link.run(call_open(confirm=True), _ignore_sent)
+        )
+        await node.received.wait()
+        link.check()
+        node.awake.set()
+        async with asyncio.timeout(5):
+            answer = await call
+    assert answer.body == b'late'
+
+
+async def test_call_that_may_run_again_leaves_a_silent_node(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an idempotent call that waits for a node that may never
+    answer, and against further calls on the silent stream.
+    """
+    async with _silent_node(monkeypatch) as (node, link):
+        call = asyncio.create_task(link.run(call_open(), _ignore_sent))
+        await node.received.wait()
+        link.check()
+        with pytest.raises(PlacementFault, match='broken'):
+            await call
+        node.awake.set()
+        async with asyncio.timeout(5):
+            assert (await link.run(call_open(), _ignore_sent)).body == b'late'
+        assert node.streams == 2
+
+
+async def test_unexpected_error_ends_its_call_only(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against one unexpected error that ends the stream with all other
+    calls, or that reports a call as not run.
+    """
+
+    def fail(*_: Any) -> None:
+        raise KeyError('unexpected')
+
+    async with _pair((b'', KEEP)) as (pair, target):
+        running = asyncio.create_task(pair.run())
+        while not target.requests:
+            await asyncio.sleep(0.005)
+        monkeypatch.setattr(LocalTarget, '_current_report', fail)
+        with pytest.raises(PlacementFault, match='unexpected') as fault:
+            await pair.run()
+        assert not fault.value.not_run
+        assert not running.done()
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+
+async def test_unfinished_calls_are_bounded() -> None:
+    """Guards against a peer that fills the memory of the node with a body
+    that never ends.
+    """
+    async with _pair() as (pair, target):
+        async with connect_stream(pair.address, 1) as stream:
+            hello = NodeHello(node='n2', data_centre='a', region='b')
+            await stream.send(hello)
+            await stream.send(call_open(more=True), 1)
+            with pytest.raises(OSError):
+                while True:
+                    part = CallPart(body=bytes(PART_BYTES), more=True)
+                    await stream.send(part, 1)
+                    await asyncio.sleep(0)
+        assert target.requests == 0
+        assert (await pair.run()).body == b'good'
+
+
+async def test_answer_without_end_is_bounded() -> None:
+    """Guards against a node whose answer fills the memory of the caller's
+    node.
+    """
+    sent: list[int] = []
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        stream = FrameStream(reader, writer)
+        await stream.receive()
+        opened = await stream.receive()
+        while not writer.is_closing():
+            part = CallPart(body=bytes(PART_BYTES), more=True)
+            sent.append(PART_BYTES)
+            await stream.send(part, opened.request_id)
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    link = PeerCallLink(f'{host}:{port}', node_settings(), _ignore_load)
+    async with asyncio.timeout(20):
+        with pytest.raises(PlacementFault, match='broken'):
+            await link.run(call_open(), _ignore_sent)
+    link.close()
+    server.close()
+    assert sum(sent) < 2 * MAX_HELD_BYTES
--- a/tests/node/mesh/test_target_connection.py
+++ b/tests/node/mesh/test_target_connection.py
@@ -8,6 +8,7 @@
 import pytest
 from aiohttp.http_parser import RawResponseMessage
 from mustardspur_core.mesh.call_messages import TargetLoad
+from mustardspur_node.mesh.answer_budget import MAX_HELD_BYTES, AnswerBudget
 from mustardspur_node.mesh.answer_parser import BrokenAnswer
 from mustardspur_node.mesh.calls import PlacementFault, TargetAnswer
 from mustardspur_node.mesh.local_target import LocalTarget
@@ -16,6 +17,7 @@
 from tests.node.mesh.builders import call_open, local_target, target_report
 from tests.node.stand_ins.scripted import (
     CLOSE,
+    ENDLESS,
     GOOD,
     KEEP,
     REFUSAL,
@@ -97,6 +99,98 @@
         assert second.body == b'good', name
 
 
+_COPY_WITHOUT_ID: Final = b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstale'
+_REFUSAL_WITHOUT_ID: Final = (
+    b'HTTP/1.1 503 Service Unavailable\r\nx-mustardspur-refused: 1\r\n'
+    b'content-length: 0\r\n\r\n'
+)
+
+
+@pytest.mark.parametrize('late', [_COPY_WITHOUT_ID, _REFUSAL_WITHOUT_ID])
+async def test_copy_without_identifier_is_no_answer(late: bytes) -> None:
+    """Guards against a late copy of an earlier answer that is returned to the
+    next caller, or that says that its call did not run although it did.
+    """
+    async with run_scripted((GOOD, KEEP), (late + GOOD, KEEP)) as (address, _):
+        local = local_target(address)
+        await _run(local, 'r1')
+        with pytest.raises(PlacementFault) as fault:
+            await _run(local, 'r2')
+        assert fault.value.kind == 'broken'
+        assert not fault.value.not_run
+
+
+async def test_answer_without_identifier_ends_its_connection() -> None:
+    """Guards against a copy of an answer without an identifier that follows
+    on the same connection.
+    """
+    async with run_scripted((_COPY_WITHOUT_ID, KEEP)) as (address, target):
+        local = local_target(address)
+        first = await _run(local, 'r1')
+        second = await _run(local, 'r2')
+        assert (first.body, second.body) == (b'stale', b'good')
+        assert target.connections == 2
+
+
+@pytest.mark.parametrize(
+    ('name', 'sent', 'endless'),
+    [
+        (
+            'body by length',
+            b'HTTP/1.1 200 OK\r\ncontent-length: 9999999999\r\n\r\n',
+            b'x',
+        ),
+        (
+            'body to the end',
+            b'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n',
+            b'x',
+        ),
+        ('header', b'HTTP/1.1 200 OK\r\nx-long: ', b'x'),
+        ('status line', b'HTTP/1.1 200 ', b'x'),
+        ('empty lines first', b'', b'\n'),
+        ('no HTTP', b'', b'x'),
+    ],
+)
+async def test_answer_without_end_is_bounded(
+    name: str, sent: bytes, endless: bytes
+) -> None:
+    """Guards against a target that fills the memory of the node with bytes
+    that never end, and against any of them reaching the next caller.
+    """
+    async with run_scripted((sent, ENDLESS)) as (address, target):
+        target.endless_byte = endless
+        local = local_target(address)
+        with pytest.raises(PlacementFault) as fault:
+            await _run(local, 'r1')
+        assert fault.value.kind == 'broken', name
+        assert target.endless_bytes < 2 * MAX_HELD_BYTES
+        assert local.budget.held_bytes == 0
+        assert (await _run(local, 'r2')).body == b'good'
+
+
+async def test_deadline_that_passed_while_suspended(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a call that is sent after its deadline, because the
+    clock of the deadline stood still while the instance was suspended.
+    """
+    suspended: list[float] = []
+    monkeypatch.setattr(
+        'mustardspur_node.mesh.local_target.suspended_s',
+        lambda: sum(suspended),
+    )
+
+    async def suspend(_: TargetLoad) -> None:
+        suspended.append(3.0)
+
+    async with run_scripted() as (address, target):
+        local = local_target(address)
+        with pytest.raises(PlacementFault, match='timeout') as fault:
+            await local.run(call_open(), suspend)
+        assert fault.value.not_run
+        assert target.requests == 0
+
+
 async def test_unexpected_bytes_close_the_connection() -> None:
     """Guards against a late answer that is returned to the next call."""
     async with run_scripted() as (address, target):
@@ -225,7 +319,7 @@
 
 async def test_reset_reported_as_eof_is_detected() -> None:
     """Guards against a truncated answer that counts as complete."""
-    connection = TargetConnection(asyncio.get_running_loop())
+    connection = TargetConnection(asyncio.get_running_loop(), AnswerBudget())
     connection.transport = _EndedTransport()
     exchange = asyncio.create_task(
         connection.exchange('GET', b'', b'', _is_own),
--- a/tests/node/stand_ins/scripted.py
+++ b/tests/node/stand_ins/scripted.py
@@ -19,9 +19,11 @@
 HEALTHY: Final = b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n'
 REFUSAL: Final = (
     b'HTTP/1.1 503 Service Unavailable\r\nx-mustardspur-refused: 1\r\n'
-    b'content-length: 0\r\n\r\n'
+    b'x-request-id: {id}\r\ncontent-length: 0\r\n\r\n'
 )
 KEEP: Final = 'keep'
+ENDLESS: Final = 'endless'
+ENDLESS_PART: Final = bytes(65_536)
 CLOSE: Final = 'close'
 RESET: Final = 'reset'
 Step = tuple[bytes, str]
@@ -45,6 +47,8 @@
         self.requests = 0
         self.health_checks = 0
         self.health = HEALTHY
+        self.endless_byte = b'x'
+        self.endless_bytes = 0
         self.connections = 0
         self._writers: list[asyncio.StreamWriter] = []
 
@@ -74,10 +78,23 @@
             found = _REQUEST_ID.search(head)
             request_id = found.group(1) if found else b''
             writer.write(sent.replace(b'{id}', request_id))
+        if after == ENDLESS:
+            await self._send_until_closed(writer)
         if after == RESET:
             _reset_at_close(writer)
         writer.close()
 
+    async def _send_until_closed(self, writer: asyncio.StreamWriter) -> None:
+        """Repeat bytes until the caller closes its side."""
+        part = ENDLESS_PART.replace(b'\0', self.endless_byte)
+        while not writer.is_closing():
+            writer.write(part)
+            self.endless_bytes += len(part)
+            try:
+                await writer.drain()
+            except ConnectionError:
+                return
+
 
 def _reset_at_close(writer: asyncio.StreamWriter) -> None:
     linger = struct.pack('ii', 1, 0)
