Replicate edits of the table as changes

Cause: each edit committed the whole table and document. Change: an edit of the table in force becomes an entry with the table and the document compressed relative to the one before, checked by its log index and a checksum. Entries of the earlier type are still read. Followers choose their upstream by the regions of the voters; the first voters in the settings have none.

--- a/packages/mustardspur_agreement/src/mustardspur_agreement/following.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/following.py
@@ -56,7 +56,11 @@
         """Follow while no leader is in contact, until cancelled."""
         replica = self._replica
         while True:
-            candidates = upstreams(replica.context.settings, replica.leader)
+            candidates = upstreams(
+                replica.context.settings,
+                replica.membership.voters_by_id,
+                replica.leader,
+            )
             if candidates and self._should_follow():
                 peer = candidates[self._upstream_rank % len(candidates)]
                 await self._follow(peer)
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/upstreams.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/upstreams.py
@@ -1,9 +1,15 @@
 """Order in which an instance tries upstreams."""
 
+from collections.abc import Mapping
+
 from mustardspur_core.settings import Peer, Settings
 
 
-def upstreams(settings: Settings, leader: str | None) -> list[Peer]:
+def upstreams(
+    settings: Settings,
+    voters: Mapping[str, Peer],
+    leader: str | None,
+) -> list[Peer]:
     """Return the candidate upstreams, most preferred first.
 
     Explanation
@@ -18,18 +24,20 @@
     ----------
     settings : Settings
         Settings of the instance that follows.
+    voters : mapping of Peer
+        Voters by identifier. Their regions are known, while the settings may
+        list peers without one.
     leader : str or None
         Identifier of the leader, if known.
     """
-    leader_region = next(
-        (peer.region for peer in settings.peers if peer.id == leader),
-        None,
-    )
+    known = {peer.id: peer for peer in settings.peers} | dict(voters)
+    known.pop(settings.id, None)
+    leader_region = known[leader].region if leader in known else None
     same_region = [
-        peer for peer in settings.peers if _is_regional_upstream(peer, settings)
+        peer for peer in known.values() if _is_regional_upstream(peer, settings)
     ]
     other_regions = [
-        peer for peer in settings.peers if peer.region != settings.region
+        peer for peer in known.values() if peer.region != settings.region
     ]
     same_region.sort(key=lambda peer: (not peer.voter, peer.id))
     other_regions.sort(
@@ -43,7 +51,7 @@
 
 
 def _is_regional_upstream(peer: Peer, settings: Settings) -> bool:
-    if peer.region != settings.region or peer.id == settings.id:
+    if peer.region != settings.region:
         return False
     # Only lower identifiers, so that no two instances follow each other.
     return peer.voter or peer.id < settings.id
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/operations.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/operations.py
@@ -8,20 +8,21 @@
 import xxhash
 from expression import Error, Ok, Result
 from mustardspur_agreement import ProposalError, ReplicatedLog
+from mustardspur_core.compression import (
+    compress_bytes,
+    compress_change,
+    decompress_bytes,
+)
 from mustardspur_core.findings import Finding
 from mustardspur_core.mesh.checks import check_table
 from mustardspur_core.mesh.entries import (
+    ChangeTable,
     MeshAnswer,
     PublishTable,
     StartTransfer,
 )
 from mustardspur_core.mesh.model import RoutingTable, Transfer
-from mustardspur_core.mesh.packing import (
-    compress_bytes,
-    decompress_bytes,
-    encode_table,
-    pack_table,
-)
+from mustardspur_core.mesh.packing import encode_packed, encode_table
 from mustardspur_core.record import Record
 from mustardspur_core.wire import encode_frame
 
@@ -134,13 +135,7 @@
         if findings and digest not in self._store.state.accepted:
             _log_edit(table, base, INVALID, str(findings[0]))
             return Ok(self._outcome(INVALID, findings))
-        entry = PublishTable(
-            number=table.number,
-            base=base,
-            digest=digest,
-            packed=pack_table(encode_table(table)),
-            document=compress_bytes(document),
-        )
+        entry = self._edit(table, base, digest, document)
         answer = await self._propose(entry)
         if answer.is_error():
             _log_edit(table, base, 'unanswered', answer.error.reason)
@@ -148,6 +143,35 @@
         _log_edit(table, base, answer.ok.status, '')
         return Ok(self._outcome(answer.ok.status, []))
 
+    def _edit(
+        self,
+        table: RoutingTable,
+        base: int,
+        digest: str,
+        document: bytes,
+    ) -> PublishTable | ChangeTable:
+        """Return the entry of an edit, the smaller one where it applies."""
+        state = self._store.state
+        packed = encode_packed(encode_table(table))
+        if not base or base != state.number:
+            return PublishTable(
+                number=table.number,
+                base=base,
+                digest=digest,
+                packed=compress_bytes(packed),
+                document=compress_bytes(document),
+            )
+        return ChangeTable(
+            number=table.number,
+            base=base,
+            base_index=state.table_index,
+            digest=digest,
+            packed=compress_change(packed, decompress_bytes(state.packed)),
+            document=compress_change(
+                document, decompress_bytes(state.document)
+            ),
+        )
+
     async def read(self) -> Result[PublishedTable | None, OperationError]:
         """Return the table in force, None before the first one.
 
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/state_machine.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/state_machine.py
@@ -11,6 +11,7 @@
 
 _MESH_ENTRY_TYPES: Final = (
     entries.PublishTable,
+    entries.ChangeTable,
     entries.StartTransfer,
     entries.StepTransfer,
     entries.SetBaseVersion,
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/store.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/store.py
@@ -4,8 +4,14 @@
 from typing import Any, Final, TypeVar
 
 import msgpack
+from mustardspur_core.compression import (
+    compress_bytes,
+    decompress_bytes,
+    decompress_change,
+)
 from mustardspur_core.conversion import decode_array, encode_array
 from mustardspur_core.mesh.entries import (
+    ChangeTable,
     MeshAnswer,
     PublishTable,
     SetBaseVersion,
@@ -183,19 +189,30 @@
     An entry whose digest has been accepted before is a retry: it is accepted
     again without effect.
     """
-    if entry.digest in state.accepted:
-        return answer(state, ACCEPTED)
-    if entry.base != state.number:
+    settled = _settled_status(state, entry)
+    if settled is not None:
+        return answer(state, settled)
+    _replace_table(state, entry, entry.packed, entry.document)
+    return answer(state, ACCEPTED)
+
+
+@register_applier(ChangeTable)
+def apply_change_table(state: MeshState, entry: ChangeTable) -> MeshAnswer:
+    """Change the table if it is the one that the entry is based on.
+
+    A retry is recognised as in `apply_publish_table`.
+    """
+    settled = _settled_status(state, entry)
+    if settled is not None:
+        return answer(state, settled)
+    if entry.base_index != state.table_index:
         return answer(state, CONFLICT)
-    if entry.number <= state.number:
+    try:
+        packed = _changed(state.packed, entry.packed)
+        document = _changed(state.document, entry.document)
+    except ValueError:
         return answer(state, INVALID)
-    state.number = entry.number
-    state.table_index = state.index
-    state.packed = entry.packed
-    state.document = entry.document
-    state.accepted[entry.digest] = entry.number
-    if len(state.accepted) > MAX_ACCEPTED_DIGESTS:
-        state.accepted.pop(next(iter(state.accepted)))
+    _replace_table(state, entry, packed, document)
     return answer(state, ACCEPTED)
 
 
@@ -249,6 +266,41 @@
     return answer(state, ACCEPTED)
 
 
+def _settled_status(
+    state: MeshState,
+    entry: PublishTable | ChangeTable,
+) -> str | None:
+    """Return the status of an edit that has no effect, None for others."""
+    if entry.digest in state.accepted:
+        return ACCEPTED
+    if entry.base != state.number:
+        return CONFLICT
+    if entry.number <= state.number:
+        return INVALID
+    return None
+
+
+def _replace_table(
+    state: MeshState,
+    entry: PublishTable | ChangeTable,
+    packed: bytes,
+    document: bytes,
+) -> None:
+    state.number = entry.number
+    state.table_index = state.index
+    state.packed = packed
+    state.document = document
+    state.accepted[entry.digest] = entry.number
+    if len(state.accepted) > MAX_ACCEPTED_DIGESTS:
+        state.accepted.pop(next(iter(state.accepted)))
+
+
+def _changed(compressed: bytes, change: bytes) -> bytes:
+    """Return a stored content after a change, compressed again."""
+    content = decompress_change(change, decompress_bytes(compressed))
+    return compress_bytes(content)
+
+
 def _is_retry(
     state: MeshState,
     latest: Transfer,
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/entries.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/entries.py
@@ -74,6 +74,46 @@
     version: str
 
 
+@message(184)
+class ChangeTable(Record):
+    """Replaces the routing table by a change of the table in force.
+
+    A table differs from the one before in few places, so the entry is far
+    smaller than a `PublishTable` of the same table.
+
+    Parameters
+    ----------
+    number, base : int
+        Number of the table and of the one that it is based on.
+    base_index : int
+        Log index of the table that it is based on; the entry has no effect on
+        another one.
+    digest : str
+        Digest of the base number and the document.
+    packed : bytes
+        The table, compressed relative to the packed table that it is based
+        on.
+    document : bytes
+        The operator's document, compressed relative to the document of the
+        table that it is based on.
+    """
+
+    __slots__ = (
+        'number',
+        'base',
+        'base_index',
+        'digest',
+        'packed',
+        'document',
+    )
+    number: int
+    base: int
+    base_index: int
+    digest: str
+    packed: bytes
+    document: bytes
+
+
 class MeshAnswer(Record):
     """Result of applying an entry.
 
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/packing.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/packing.py
@@ -1,10 +1,10 @@
 """Encoding and compression of routing tables, and deltas between them."""
 
-from typing import Any, Final
+from typing import Any
 
 import msgpack
-import zstandard
 
+from mustardspur_core.compression import compress_bytes, decompress_bytes
 from mustardspur_core.conversion import decode_array, encode_array
 from mustardspur_core.mesh.model import (
     CallerLimits,
@@ -14,9 +14,6 @@
 )
 from mustardspur_core.record import Record
 
-# Enough for a table of several hundred thousand routes.
-MAX_UNPACKED_BYTES: Final = 67_108_864
-
 EncodedByName = dict[str, Any]
 
 
@@ -80,12 +77,17 @@
     )
 
 
-def pack_table(table: EncodedTable) -> bytes:
-    """Return an encoded table as compressed msgpack."""
-    packed = msgpack.packb(
+def encode_packed(table: EncodedTable) -> bytes:
+    """Return an encoded table as msgpack."""
+    packed: bytes = msgpack.packb(
         [table.number, table.routes, table.services, table.limits],
     )
-    return compress_bytes(packed)
+    return packed
+
+
+def pack_table(table: EncodedTable) -> bytes:
+    """Return an encoded table as compressed msgpack."""
+    return compress_bytes(encode_packed(table))
 
 
 def unpack_table(packed: bytes) -> EncodedTable:
@@ -154,16 +156,3 @@
         },
         limits=decode_array(CallerLimits, delta.limits),
     )
-
-
-def compress_bytes(content: bytes) -> bytes:
-    """Return bytes compressed by zstandard."""
-    return zstandard.ZstdCompressor().compress(content)
-
-
-def decompress_bytes(content: bytes) -> bytes:
-    """Return the bytes that `compress_bytes` compressed."""
-    return zstandard.ZstdDecompressor().decompress(
-        content,
-        max_output_size=MAX_UNPACKED_BYTES,
-    )
--- a/tests/agreement/test_following.py
+++ b/tests/agreement/test_following.py
@@ -4,6 +4,7 @@
 
 import pytest
 from mustardspur_agreement.upstreams import upstreams
+from mustardspur_core.record import replaced
 
 from tests.agreement.cluster import instance_settings, peer_settings
 from tests.agreement.conftest import MakeCluster
@@ -35,11 +36,28 @@
         for peer_id, region in {**VOTERS, **OTHERS}.items()
     ]
     order = [
-        peer.id for peer in upstreams(instance_settings(name, peers), leader)
+        peer.id
+        for peer in upstreams(instance_settings(name, peers), {}, leader)
     ]
     assert order[: len(first_ids)] == first_ids
 
 
+def test_region_of_a_voter_is_known_from_the_membership() -> None:
+    """Guards against a follower that gets its entries from another region,
+    because its settings list the first voters without a region.
+    """
+    peers = [
+        peer_settings(name, voter=True, region=region)
+        for name, region in {**VOTERS, 'c4': OTHERS['c4']}.items()
+    ]
+    settings = instance_settings('c4', peers)
+    voters = {peer.id: peer for peer in settings.peers if peer.id in VOTERS}
+    unknown = [replaced(peer, region='') for peer in settings.peers]
+    settings = replaced(settings, peers=unknown)
+    order = upstreams(settings, voters, 'c1')
+    assert order[0].region == settings.region
+
+
 @pytest.mark.parametrize('snapshot_entries', [10, 1000])
 def test_follower_resumes(
     make_cluster: MakeCluster,
--- a/tests/control/mesh/test_store.py
+++ b/tests/control/mesh/test_store.py
@@ -1,16 +1,24 @@
 """Tests of the replicated state of a mesh."""
 
+import random
 from typing import Any
 
 import pytest
+import xxhash
 from mustardspur_control.mesh.store import MeshStore
+from mustardspur_core.compression import (
+    compress_bytes,
+    compress_change,
+    decompress_bytes,
+)
 from mustardspur_core.mesh.entries import (
+    ChangeTable,
     PublishTable,
     SetBaseVersion,
     StartTransfer,
     StepTransfer,
 )
-from mustardspur_core.record import Record
+from mustardspur_core.record import Record, replaced
 from mustardspur_core.wire import encode_frame
 
 
@@ -79,6 +87,61 @@
     assert log.store.state.document == b'two'
 
 
+def _change(log: _Log, number: int, document: bytes) -> ChangeTable:
+    """Return a change of the table in force to a document."""
+    state = log.store.state
+    return ChangeTable(
+        number=number,
+        base=state.number,
+        base_index=state.table_index,
+        digest=xxhash.xxh3_128_hexdigest(document),
+        packed=compress_change(document, decompress_bytes(state.packed)),
+        document=compress_change(document, decompress_bytes(state.document)),
+    )
+
+
+def _log_with_table(document: bytes) -> _Log:
+    log = _Log()
+    entry = replaced(
+        _publish(3, 0, 'one'),
+        packed=compress_bytes(document),
+        document=compress_bytes(document),
+    )
+    assert log.apply(entry) == 'accepted'
+    return log
+
+
+def test_change_yields_the_whole_document() -> None:
+    """Guards against replicas whose documents differ from the edit, and
+    against an entry that grows with the table.
+    """
+    document = random.Random(1).randbytes(100_000)
+    log = _log_with_table(document)
+    changed = document[:50_000] + b'changed' + document[50_000:]
+    entry = _change(log, 8, changed)
+    assert log.apply(entry) == 'accepted'
+    assert decompress_bytes(log.store.state.document) == changed
+    assert decompress_bytes(log.store.state.packed) == changed
+    assert len(encode_frame(entry)) < 1000
+    assert log.apply(entry) == 'accepted'
+
+
+def test_change_of_another_table_has_no_effect() -> None:
+    """Guards against a change that is applied to a table it is not based on,
+    for example one of a rival with the same number.
+    """
+    log = _log_with_table(b'first document')
+    rival = _change(log, 8, b'first document, edited')
+    assert log.apply(_change(log, 8, b'first document, also')) == 'accepted'
+    assert log.apply(rival) == 'conflict'
+    moved = replaced(rival, base=8, number=9)
+    assert log.apply(moved) == 'conflict'
+    damaged = replaced(moved, base_index=log.store.state.table_index)
+    assert log.apply(damaged) == 'invalid'
+    document = decompress_bytes(log.store.state.document)
+    assert document == b'first document, also'
+
+
 def test_lower_number_is_refused() -> None:
     """The number of the table must increase."""
     log = _Log()
