Attach nodes to near control instances first, and keep their targets

Cause: all nodes attached to the first seed by name, received table and targets over the link between regions, and moved to a near instance up to 15 s later. A full update of an instance that had just started removed all targets whose nodes had not reached it yet. Change: equal instances are ranked by a hash of node and address; a node moves as soon as its first list names a nearer instance. Targets that a full update does not contain are kept for 5 s; the node beside a target that left refuses.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
@@ -58,6 +58,10 @@
     """The control instance has no leader or another one is preferred."""
 
 
+class NearerInstanceKnown(StreamAbandoned):
+    """A nearer control instance is available."""
+
+
 class MeshControlLink:
     """Maintains a stream to the nearest current control instance.
 
@@ -114,8 +118,11 @@
         """Maintain a stream until cancelled."""
         while True:
             # An instance that fails is ranked behind the others.
-            await self._run_stream(self._ranking.ranked()[0])
+            address = self._ranking.ranked()[0]
+            await self._run_stream(address)
             wait_s = RETRY_S if self.attached else FAILED_RETRY_S
+            if self._ranking.nearer(address):
+                wait_s = 0
             self.attached = ''
             await asyncio.sleep(wait_s)
 
@@ -134,8 +141,10 @@
                         stream,
                         self._settings.intervals.silence_s,
                     ),
-                    self._watch_for_nearer(stream_address),
+                    self._watch_for_nearer(),
                 )
+        except NearerInstanceKnown as moved:
+            _LOG.info('moving to a nearer instance', extra={'to': str(moved)})
         except _LINK_ERRORS as error:
             self._ranking.record_failure(stream_address)
             self._log_failure(stream_address, error)
@@ -183,13 +192,25 @@
 
     @_FROM_CONTROL.handles(MeshHeartbeat)
     def _apply_heartbeat(self, heartbeat: MeshHeartbeat) -> None:
-        self._ranking.update(heartbeat.controls)
+        if heartbeat.controls:
+            self._ranking.update(heartbeat.controls)
+            self._move_if_nearer_known()
         self._stale_heartbeats = (
             0 if heartbeat.current else self._stale_heartbeats + 1
         )
         if self._stale_heartbeats >= MAX_STALE_HEARTBEATS:
             raise StreamAbandoned('the control instance has no leader')
 
+    def _move_if_nearer_known(self) -> None:
+        """End the stream if a nearer control instance is available.
+
+        A node starts with the seeds, which may be far; it moves before the
+        table and the targets are sent to it over that distance.
+        """
+        nearer = self._ranking.nearer(self.attached)
+        if nearer is not None:
+            raise NearerInstanceKnown(nearer)
+
     @_FROM_CONTROL.handles(MeshTable)
     def _apply_table(self, update: MeshTable) -> None:
         wait_s = self._started_s + UNCONFIRMED_DELAY_S - _now()
@@ -245,13 +266,11 @@
                     ),
                 )
 
-    async def _watch_for_nearer(self, address: str) -> None:
-        """Close the stream once a nearer control instance is available."""
+    async def _watch_for_nearer(self) -> None:
+        """End the stream once a nearer instance has not failed recently."""
         while True:
             await asyncio.sleep(NEARER_CHECK_S)
-            nearer = self._ranking.nearer(address)
-            if nearer is not None:
-                raise StreamAbandoned(f'control instance {nearer} is nearer')
+            self._move_if_nearer_known()
 
 
 def _now() -> float:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/control_ranking.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/control_ranking.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Sequence
 
+import xxhash
 from mustardspur_core.settings import MeshSettings, Peer, Settings
 
 
@@ -53,14 +54,24 @@
             return best
         return None
 
-    def _rank(self, stream: str) -> tuple[bool, int, str]:
+    def _rank(self, stream: str) -> tuple[bool, int, int]:
         failed_s = self._failed_s.get(stream, float('-inf'))
         recently = _now() - failed_s < self._mesh.contact_s
         peer = self._by_stream.get(stream)
         distance = 2
         if peer is not None and peer.region == self._settings.region:
             distance = int(peer.data_centre != self._settings.data_centre)
-        return recently, distance, stream
+        return recently, distance, self._spread(stream)
+
+    def _spread(self, stream: str) -> int:
+        """Return a rank among equals that differs from node to node.
+
+        The nodes thereby spread over the instances, also when all return at
+        the same moment.
+        """
+        return xxhash.xxh3_64_intdigest(
+            f'{self._settings.id} {stream}'.encode()
+        )
 
 
 def _now() -> float:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -147,6 +147,7 @@
         self.placer.check_links()
         self.local.pool.prune()
         self.callers.discard_route_values()
+        self.view.discard_retained()
         self._set_gauges()
 
     def _set_gauges(self) -> None:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/view.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/view.py
@@ -20,6 +20,10 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
+# After a restart of all control instances the nodes reach them within this
+# time.
+RETENTION_S: Final = 5.0
+
 
 class RouteIndex:
     """Routes of a table by host and path prefix.
@@ -66,6 +70,7 @@
     """
 
     __slots__ = (
+        '_retained_until_s',
         '_transfers_index',
         'base_versions',
         'changed',
@@ -86,6 +91,8 @@
         self.targets_by_service: dict[str, list[MeshTarget]] = {}
         self.changed = asyncio.Event()
         self._transfers_index = -1
+        # Targets that the last full update did not contain, by node.
+        self._retained_until_s: dict[str, float] = {}
 
     def apply_table(self, delta: TableDelta) -> None:
         """Put a table in force if it is newer.
@@ -130,13 +137,47 @@
         return started
 
     def apply_targets(self, update: MeshTargets) -> None:
-        """Apply added, changed and removed targets."""
+        """Apply added, changed and removed targets.
+
+        Explanation
+        ===========
+
+        A control instance that has just started knows only the nodes that
+        have reached it so far. Targets that its full update does not contain
+        are therefore kept for `RETENTION_S`; the node beside a target that
+        left refuses its calls.
+        """
         if update.full:
-            self.targets_by_node = {}
+            self._retain_missing(update)
         for node in update.removed:
             self.targets_by_node.pop(node, None)
         for target in update.upserts:
+            self._retained_until_s.pop(target.node, None)
             self.targets_by_node[target.node] = target
+        self._index_targets()
+
+    def discard_retained(self) -> None:
+        """Remove the targets that no update has contained for a while."""
+        now_s = _now()
+        expired = [
+            node
+            for node, until_s in self._retained_until_s.items()
+            if until_s <= now_s
+        ]
+        for node in expired:
+            self._retained_until_s.pop(node)
+            self.targets_by_node.pop(node, None)
+        if expired:
+            _LOG.info('targets not reported again', extra={'nodes': expired})
+            self._index_targets()
+
+    def _retain_missing(self, update: MeshTargets) -> None:
+        contained = {target.node for target in update.upserts}
+        until_s = _now() + RETENTION_S
+        for node in self.targets_by_node.keys() - contained:
+            self._retained_until_s.setdefault(node, until_s)
+
+    def _index_targets(self) -> None:
         self.targets_by_service = {}
         for stored in self.targets_by_node.values():
             if stored.id:
@@ -166,3 +207,7 @@
             or previous.version != transfer.version
             or previous.state != TransferState.RUNNING
         )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/tests/node/mesh/test_view.py
+++ b/tests/node/mesh/test_view.py
@@ -1,5 +1,6 @@
 """Tests of the view of routes, transfers and targets."""
 
+import asyncio
 import random
 from collections import Counter
 
@@ -12,9 +13,10 @@
 from mustardspur_core.mesh.packing import encode_table, table_delta
 from mustardspur_node.mesh.service_choice import WeightedServiceChooser
 from mustardspur_node.mesh.versions import eligible_targets
-from mustardspur_node.mesh.view import MeshView
+from mustardspur_node.mesh.view import RETENTION_S, MeshView
 
 from tests.core.mesh.builders import route, table, target
+from tests.support.virtual_time import in_virtual_time
 
 
 def _view(*rows: MeshTarget) -> MeshView:
@@ -74,6 +76,41 @@
         view.apply_table(table_delta(newer, 4, newer, 6))
 
 
+@in_virtual_time
+async def test_full_update_keeps_targets_for_a_while() -> None:
+    """Guards against a node without targets: a control instance that has just
+    started knows only the nodes that have reached it so far.
+    """
+    view = _view(target('1'), target('2'), target('3'))
+    view.apply_targets(
+        MeshTargets(full=True, upserts=[target('1')], removed=['127.0.0.1:3']),
+    )
+    view.discard_retained()
+    assert sorted(view.targets_by_node) == ['127.0.0.1:1', '127.0.0.1:2']
+    await asyncio.sleep(RETENTION_S / 2)
+    view.apply_targets(
+        MeshTargets(full=False, upserts=[target('1')], removed=[]),
+    )
+    await asyncio.sleep(RETENTION_S)
+    view.discard_retained()
+    assert [each.node for each in view.ready_targets('forms')] == [
+        '127.0.0.1:1'
+    ]
+
+
+@in_virtual_time
+async def test_retained_target_that_reports_again_stays() -> None:
+    """Guards against removing a target that reached control again."""
+    view = _view(target('1'))
+    view.apply_targets(MeshTargets(full=True, upserts=[], removed=[]))
+    view.apply_targets(
+        MeshTargets(full=False, upserts=[target('1')], removed=[]),
+    )
+    await asyncio.sleep(2 * RETENTION_S)
+    view.discard_retained()
+    assert len(view.ready_targets('forms')) == 1
+
+
 def _transfer(state: str, share: float) -> MeshTransfers:
     return MeshTransfers(
         index=1,
