Stop listening when the readiness checks have failed

Cause: since a stopping node listened until it was idle. Change: the node stops listening after the delay of the readiness checks, as before, once the connections in its backlog are accepted.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -118,9 +118,9 @@
         ===========
 
         The node still serves callers for `READINESS_DELAY_S`, until their
-        readiness checks have failed. It then takes no calls of other nodes, and
-        waits until no connection or call is open. It listens until then, since
-        closing the socket resets connections that wait to be accepted.
+        readiness checks have failed. It then accepts no new connections and no
+        calls of other nodes, and waits until no connection or call is open.
+        Callers that went on to connect until the end would be cut off there.
         """
         self._stopping = True
         self.callers.draining = True
@@ -128,11 +128,14 @@
         self.link.announcement_changed.set()
         started_s = _now()
         await asyncio.sleep(READINESS_DELAY_S)
+        # Connections that wait in the backlog are accepted first, since closing
+        # the socket resets them.
+        await asyncio.sleep(0)
+        self.callers.stop_listening()
         self.local.admission.close_permanently()
         deadline_s = started_s + self._mesh.grace_s * (1 - EXIT_RESERVE_PART)
         while self._is_busy() and _now() < deadline_s:
             await asyncio.sleep(CHECK_INTERVAL_S)
-        self.callers.stop_listening()
         _LOG.info(
             'drained',
             extra={
