Send tables to nodes compressed, and hold older ones packed

Change: nodes of this build attach with a message that says that they accept packed tables, which are packed once for all nodes; those of earlier builds get the plain form. Only the table in force and the one before are held unpacked.

--- a/packages/mustardspur_control/src/mustardspur_control/control_stream.py
+++ b/packages/mustardspur_control/src/mustardspur_control/control_stream.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
-from contextlib import suppress
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
 from typing import Any, Final
 
 from mustardspur_core.messages import ProtocolFault
@@ -104,3 +104,17 @@
                 await stream.send(
                     ProtocolFault(kind=fault.kind, detail=str(fault)),
                 )
+
+
+@asynccontextmanager
+async def serving_streams(
+    settings: Settings,
+    streams: ControlStreams,
+) -> AsyncIterator[None]:
+    """Serve nodes and peers on the stream address."""
+    host, _, port = (settings.listen.stream or '').rpartition(':')
+    server = await asyncio.start_server(streams.serve, host, int(port))
+    try:
+        yield
+    finally:
+        server.close()
--- a/packages/mustardspur_control/src/mustardspur_control/instance.py
+++ b/packages/mustardspur_control/src/mustardspur_control/instance.py
@@ -9,6 +9,7 @@
 from mustardspur_core.settings import Settings
 from mustardspur_core.timeline import Timeline
 
+from mustardspur_control.control_stream import serving_streams
 from mustardspur_control.driving import running_driver
 from mustardspur_control.expiry import expiring
 from mustardspur_control.hub import Hub
@@ -16,7 +17,7 @@
 from mustardspur_control.operator_sources import operators_context
 from mustardspur_control.registry import Registry
 from mustardspur_control.relay import Relay, RelayHello
-from mustardspur_control.serving import serving_operators, serving_streams
+from mustardspur_control.serving import serving_operators
 from mustardspur_control.store import Store
 from mustardspur_control.timelines import ChangeRecorder, RecordedLog
 
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/instance.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/instance.py
@@ -6,19 +6,19 @@
 from mustardspur_agreement import PeerGreeting, running_log
 from mustardspur_core.mesh.control_messages import (
     ControlHello,
+    MeshAttach,
     MeshHello,
 )
 from mustardspur_core.metrics import Metrics
 from mustardspur_core.settings import MeshSettings, Settings
 from mustardspur_core.timeline import Timeline
 
-from mustardspur_control.control_stream import ControlStreams
+from mustardspur_control.control_stream import ControlStreams, serving_streams
 from mustardspur_control.mesh.components import MeshComponents
 from mustardspur_control.mesh.formation import settings_with_first_voters
 from mustardspur_control.mesh.operations import MeshOperations
 from mustardspur_control.mesh.state_machine import MeshStateMachine
 from mustardspur_control.mesh.store import MeshStore
-from mustardspur_control.serving import serving_streams
 from mustardspur_control.store import Store
 
 
@@ -87,6 +87,7 @@
         streams.add(PeerGreeting, log.serve)
         streams.add(ControlHello, components.exchange.serve)
         streams.add(MeshHello, components.feeds.serve)
+        streams.add(MeshAttach, components.feeds.serve)
         await stack.enter_async_context(serving_streams(settings, streams))
         await stack.enter_async_context(components.running())
         yield MeshControl(MeshOperations(log, store), mesh)
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
@@ -9,12 +9,15 @@
 from mustardspur_agreement import ReplicatedLog
 from mustardspur_core.mesh.control_messages import (
     MeshAnnounce,
+    MeshAttach,
     MeshEvidence,
     MeshHeartbeat,
     MeshHello,
+    MeshPackedTable,
     MeshTable,
     MeshTransfers,
 )
+from mustardspur_core.mesh.packing import TableDelta
 from mustardspur_core.settings import Peer, Settings
 from mustardspur_core.tasks import run_until_first_end
 from mustardspur_core.wire import FrameStream, raise_on_silence
@@ -93,7 +96,11 @@
         store.on_change(self._wake_all)
         registry.on_change(self._mark_changed)
 
-    async def serve(self, stream: FrameStream, hello: MeshHello) -> None:
+    async def serve(
+        self,
+        stream: FrameStream,
+        hello: MeshHello | MeshAttach,
+    ) -> None:
         """Serve a node until its stream ends."""
         feed = NodeFeed(self, stream, hello)
         with self._attached(feed):
@@ -135,11 +142,12 @@
         State that all feeds share.
     stream : FrameStream
         The node's stream.
-    hello : MeshHello
+    hello : MeshHello or MeshAttach
         First frame of the node.
     """
 
     __slots__ = (
+        '_accepts_packed',
         '_confirmed',
         '_quorum_wait',
         '_sent_controls',
@@ -156,12 +164,13 @@
         self,
         shared: NodeFeedServer,
         stream: FrameStream,
-        hello: MeshHello,
+        hello: MeshHello | MeshAttach,
     ) -> None:
         """Initialise the feed with nothing sent."""
         self._shared = shared
         self._stream = stream
         self._table_index = hello.table_index
+        self._accepts_packed = isinstance(hello, MeshAttach)
         self._transfers_index = -1
         self._confirmed = False
         self._sent_controls: list[Peer] = []
@@ -252,9 +261,15 @@
         delta = self._shared.tables.delta(self._table_index)
         if delta is not None:
             self._table_index = delta.index
-            self._stream.enqueue(
-                MeshTable(delta=delta, confirmed=self._confirmed),
+            self._stream.enqueue(self._table_message(delta))
+
+    def _table_message(self, delta: TableDelta) -> MeshTable | MeshPackedTable:
+        if self._accepts_packed:
+            return MeshPackedTable(
+                packed=self._shared.tables.packed(delta),
+                confirmed=self._confirmed,
             )
+        return MeshTable(delta=delta, confirmed=self._confirmed)
 
     def _send_transfers(self) -> None:
         state = self._shared.store.state
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/table_deltas.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/table_deltas.py
@@ -6,6 +6,7 @@
 from mustardspur_core.mesh.packing import (
     EncodedTable,
     TableDelta,
+    pack_delta,
     table_delta,
     unpack_table,
 )
@@ -15,6 +16,10 @@
 # Number of the latest tables from which a node is updated by a delta; a node
 # with an older table receives a full copy.
 MAX_CACHED_TABLES: Final = 32
+# Tables that are held unpacked: the one in force and the one before, from
+# which most deltas are made. An unpacked table takes about a hundred times
+# the memory of a packed one.
+MAX_UNPACKED_TABLES: Final = 2
 
 
 class TableDeltas:
@@ -29,15 +34,19 @@
     __slots__ = (
         '_deltas_by_base',
         '_newest_index',
+        '_packed_deltas_by_base',
+        '_packed_by_index',
         '_store',
-        '_tables_by_index',
+        '_unpacked_by_index',
     )
 
     def __init__(self, store: MeshStore) -> None:
         """Initialise without tables."""
         self._store = store
-        self._tables_by_index: OrderedDict[int, EncodedTable] = OrderedDict()
+        self._packed_by_index: OrderedDict[int, bytes] = OrderedDict()
+        self._unpacked_by_index: OrderedDict[int, EncodedTable] = OrderedDict()
         self._deltas_by_base: dict[int, TableDelta] = {}
+        self._packed_deltas_by_base: dict[int, bytes] = {}
         self._newest_index = 0
 
     @property
@@ -62,24 +71,40 @@
         self._refresh()
         if base_index >= self._newest_index:
             return None
-        base = self._tables_by_index.get(base_index)
-        key = base_index if base else 0
+        key = base_index if base_index in self._packed_by_index else 0
         if key not in self._deltas_by_base:
             self._deltas_by_base[key] = table_delta(
-                base,
+                self._table(key) if key else None,
                 key,
-                self._tables_by_index[self._newest_index],
+                self._table(self._newest_index),
                 self._newest_index,
             )
         return self._deltas_by_base[key]
 
+    def packed(self, delta: TableDelta) -> bytes:
+        """Return a delta from `delta` packed, once for all nodes."""
+        packed = self._packed_deltas_by_base.get(delta.base_index)
+        if packed is None:
+            packed = pack_delta(delta)
+            self._packed_deltas_by_base[delta.base_index] = packed
+        return packed
+
+    def _table(self, index: int) -> EncodedTable:
+        table = self._unpacked_by_index.get(index)
+        if table is None:
+            table = unpack_table(self._packed_by_index[index])
+        return table
+
     def _refresh(self) -> None:
         if self.index == self._newest_index:
             return
         self._newest_index = self.index
         self._deltas_by_base.clear()
-        self._tables_by_index[self.index] = unpack_table(
-            self._store.state.packed
-        )
-        while len(self._tables_by_index) > MAX_CACHED_TABLES:
-            self._tables_by_index.popitem(last=False)
+        self._packed_deltas_by_base.clear()
+        packed = self._store.state.packed
+        self._packed_by_index[self.index] = packed
+        self._unpacked_by_index[self.index] = unpack_table(packed)
+        while len(self._packed_by_index) > MAX_CACHED_TABLES:
+            self._packed_by_index.popitem(last=False)
+        while len(self._unpacked_by_index) > MAX_UNPACKED_TABLES:
+            self._unpacked_by_index.popitem(last=False)
--- a/packages/mustardspur_core/src/mustardspur_core/compression.py
+++ b/packages/mustardspur_core/src/mustardspur_core/compression.py
@@ -14,11 +14,14 @@
 
 
 def decompress_bytes(content: bytes) -> bytes:
-    """Return the bytes that `compress_bytes` compressed."""
-    return zstandard.ZstdDecompressor().decompress(
-        content,
-        max_output_size=MAX_UNPACKED_BYTES,
-    )
+    """Return the bytes that `compress_bytes` compressed.
+
+    Raises
+    ------
+    ValueError
+        If the bytes are damaged.
+    """
+    return _decompress(zstandard.ZstdDecompressor(), content)
 
 
 def compress_change(content: bytes, base: bytes) -> bytes:
@@ -53,10 +56,17 @@
     ValueError
         If the bytes are damaged or were compressed relative to another base.
     """
-    dictionary = _dictionary(base)
+    decompressor = zstandard.ZstdDecompressor(dict_data=_dictionary(base))
+    return _decompress(decompressor, change)
+
+
+def _decompress(
+    decompressor: zstandard.ZstdDecompressor,
+    content: bytes,
+) -> bytes:
     try:
-        return zstandard.ZstdDecompressor(dict_data=dictionary).decompress(
-            change,
+        return decompressor.decompress(
+            content,
             max_output_size=MAX_UNPACKED_BYTES,
         )
     except zstandard.ZstdError as error:
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/control_messages.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/control_messages.py
@@ -152,6 +152,37 @@
     rows: list[RouteOutcomeCounts]
 
 
+@message(127)
+class MeshAttach(Record):
+    """First frame of a node that accepts `MeshPackedTable`.
+
+    Nodes of earlier builds send `MeshHello`, with the same fields.
+    """
+
+    __slots__ = ('node', 'data_centre', 'region', 'table_index')
+    node: str
+    data_centre: str
+    region: str
+    table_index: int
+
+
+@message(128)
+class MeshPackedTable(Record):
+    """Update of the routing table, compressed.
+
+    Parameters
+    ----------
+    packed : bytes
+        The delta, as `pack_delta` returns it.
+    confirmed : bool
+        As in `MeshTable`.
+    """
+
+    __slots__ = ('packed', 'confirmed')
+    packed: bytes
+    confirmed: bool
+
+
 @message(140)
 class ControlHello(Record):
     """First frame on a stream between two control instances."""
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/packing.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/packing.py
@@ -124,6 +124,26 @@
     )
 
 
+def pack_delta(delta: TableDelta) -> bytes:
+    """Return a delta as compressed msgpack."""
+    packed: bytes = msgpack.packb(encode_array(delta))
+    return compress_bytes(packed)
+
+
+def unpack_delta(packed: bytes) -> TableDelta:
+    """Return the delta that `pack_delta` packed.
+
+    Raises
+    ------
+    ValueError
+        If the bytes are no packed delta.
+    """
+    return decode_array(
+        TableDelta,
+        msgpack.unpackb(decompress_bytes(packed)),
+    )
+
+
 def apply_delta(
     table: RoutingTable | None,
     delta: TableDelta,
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
@@ -6,13 +6,15 @@
 
 from mustardspur_core.mesh.control_messages import (
     MeshAnnounce,
+    MeshAttach,
     MeshEvidence,
     MeshHeartbeat,
-    MeshHello,
+    MeshPackedTable,
     MeshTable,
     MeshTargets,
     MeshTransfers,
 )
+from mustardspur_core.mesh.packing import unpack_delta
 from mustardspur_core.record import Record
 from mustardspur_core.settings import MeshSettings, Settings
 from mustardspur_core.tasks import run_until_first_end
@@ -166,7 +168,7 @@
 
     async def _receive(self, stream: FrameStream, address: str) -> None:
         stream.enqueue(
-            MeshHello(
+            MeshAttach(
                 node=self._settings.listen.stream or '',
                 data_centre=self._settings.data_centre,
                 region=self._settings.region,
@@ -225,6 +227,15 @@
                 update.delta,
             )
 
+    @_FROM_CONTROL.handles(MeshPackedTable)
+    def _apply_packed_table(self, update: MeshPackedTable) -> None:
+        self._apply_table(
+            MeshTable(
+                delta=unpack_delta(update.packed),
+                confirmed=update.confirmed,
+            ),
+        )
+
     @_FROM_CONTROL.handles(MeshTransfers)
     def _apply_transfers(self, update: MeshTransfers) -> None:
         for service in self._view.apply_transfers(update):
--- a/tests/control/mesh/test_table_deltas.py
+++ b/tests/control/mesh/test_table_deltas.py
@@ -1,9 +1,15 @@
 """Tests of the deltas of the routing table for nodes."""
 
+import pytest
 from mustardspur_control.mesh.store import MeshStore
 from mustardspur_control.mesh.table_deltas import MAX_CACHED_TABLES, TableDeltas
+from mustardspur_core.compression import compress_bytes
 from mustardspur_core.mesh.entries import PublishTable
-from mustardspur_core.mesh.packing import encode_table, pack_table
+from mustardspur_core.mesh.packing import (
+    encode_table,
+    pack_table,
+    unpack_delta,
+)
 from mustardspur_core.wire import encode_frame
 
 from tests.core.mesh.builders import route, table
@@ -60,3 +66,39 @@
     tables = _PublishedTables()
     tables.publish(1)
     assert tables.deltas.delta(7) is None
+
+
+def test_node_some_tables_behind_is_sent_a_delta() -> None:
+    """Guards against full copies for nodes whose table is held packed."""
+    tables = _PublishedTables()
+    for number in range(1, 6):
+        tables.publish(number)
+    delta = tables.deltas.delta(1)
+    assert delta is not None
+    assert delta.base_index == 1
+    assert list(delta.routes) == ['r5']
+    assert delta.removed == ['r1']
+
+
+def test_packed_delta_is_the_same_delta() -> None:
+    """Guards against a node whose table differs from the table in force, and
+    against packing a table anew for each node.
+    """
+    tables = _PublishedTables()
+    tables.publish(1)
+    delta = tables.deltas.delta(0)
+    assert delta is not None
+    packed = tables.deltas.packed(delta)
+    assert unpack_delta(packed) == delta
+    assert tables.deltas.packed(delta) is packed
+    tables.publish(2)
+    newer = tables.deltas.delta(0)
+    assert newer is not None
+    assert unpack_delta(tables.deltas.packed(newer)) == newer
+
+
+@pytest.mark.parametrize('damaged', [b'', b'no delta', compress_bytes(b'\x93')])
+def test_damaged_delta_is_an_error_of_its_stream(damaged: bytes) -> None:
+    """Guards against an exception that ends the process of the node."""
+    with pytest.raises(ValueError):
+        unpack_delta(damaged)
--- a/tests/node/mesh/test_caller_server.py
+++ b/tests/node/mesh/test_caller_server.py
@@ -53,6 +53,10 @@
     return line.split()[1].decode()
 
 
+def _fail(*_: Any) -> None:
+    raise KeyError('unexpected')
+
+
 async def test_unexpected_error_is_answered(
     monkeypatch: pytest.MonkeyPatch,
     caplog: pytest.LogCaptureFixture,
@@ -61,11 +65,8 @@
     says that the call did not run, after an unexpected error.
     """
 
-    def fail(*_: Any) -> None:
-        raise KeyError('unexpected')
-
     async with _serving() as (address, placer):
-        monkeypatch.setattr(type(placer.chooser), 'choose', fail)
+        monkeypatch.setattr(type(placer.chooser), 'choose', _fail)
         assert await _status(address) == '500'
     assert 'call failed unexpectedly' in caplog.text
 
--- a/tests/node/mesh/test_confirmation.py
+++ b/tests/node/mesh/test_confirmation.py
@@ -81,7 +81,7 @@
 
 
 @in_virtual_time
-async def test_removed_target_is_not_confirmed_by_its_late_report() -> None:
+async def test_late_report_alone_confirms_nothing() -> None:
     """Guards against calls to a target that left before the node restarted:
     its late report is the only one, and its health check never succeeds.
     """
--- a/tests/node/mesh/test_control_ranking.py
+++ b/tests/node/mesh/test_control_ranking.py
@@ -8,11 +8,11 @@
 from tests.node.mesh.builders import node_settings
 from tests.support.virtual_time import in_virtual_time
 
-_SEEDS = ['10.1.0.1:80', '10.2.0.1:80', '10.3.0.1:80']
+_SEEDS = ('10.1.0.1:80', '10.2.0.1:80', '10.3.0.1:80')
 
 
 def _mesh() -> MeshSettings:
-    return replaced(mesh_settings(), seeds=_SEEDS)
+    return replaced(mesh_settings(), seeds=list(_SEEDS))
 
 
 def _peer(stream: str, data_centre: str, region: str) -> Peer:
--- a/tests/node/mesh/test_peer_streams.py
+++ b/tests/node/mesh/test_peer_streams.py
@@ -16,10 +16,10 @@
     TargetLoad,
 )
 from mustardspur_core.wire import FrameStream, connect_stream
-from mustardspur_node.mesh.calls import PlacementFault, TargetAnswer
-from mustardspur_node.mesh.local_target import LocalTarget
 from mustardspur_node.mesh.answer_budget import MAX_HELD_BYTES
 from mustardspur_node.mesh.body_parts import PART_BYTES
+from mustardspur_node.mesh.calls import PlacementFault, TargetAnswer
+from mustardspur_node.mesh.local_target import LocalTarget
 from mustardspur_node.mesh.peer_connection import SILENCE_S
 from mustardspur_node.mesh.peer_link import PeerCallLink
 from mustardspur_node.mesh.peer_server import PeerServer
@@ -189,6 +189,7 @@
         load = local_target('127.0.0.1:1').admission.load
         await stream.receive()
         opened = await stream.receive()
+        assert isinstance(opened.body, CallOpen)
         if opened.body.confirm:
             await stream.send(CallReserved(load=load), opened.request_id)
             await stream.receive()
@@ -261,21 +262,21 @@
         assert node.streams == 2
 
 
+def _fail(*_: Any) -> None:
+    raise KeyError('unexpected')
+
+
 async def test_unexpected_error_ends_its_call_only(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against one unexpected error that ends the stream with all other
     calls, or that reports a call as not run.
     """
-
-    def fail(*_: Any) -> None:
-        raise KeyError('unexpected')
-
     async with _pair((b'', KEEP)) as (pair, target):
         running = asyncio.create_task(pair.run())
         while not target.requests:
             await asyncio.sleep(0.005)
-        monkeypatch.setattr(LocalTarget, '_current_report', fail)
+        monkeypatch.setattr(LocalTarget, '_current_report', _fail)
         with pytest.raises(PlacementFault, match='unexpected') as fault:
             await pair.run()
         assert not fault.value.not_run
@@ -302,24 +303,28 @@
         assert (await pair.run()).body == b'good'
 
 
+async def _send_without_end(
+    sent: list[int],
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    stream = FrameStream(reader, writer)
+    await stream.receive()
+    opened = await stream.receive()
+    while not writer.is_closing():
+        part = CallPart(body=bytes(PART_BYTES), more=True)
+        sent.append(PART_BYTES)
+        await stream.send(part, opened.request_id)
+
+
 async def test_answer_without_end_is_bounded() -> None:
     """Guards against a node whose answer fills the memory of the caller's
     node.
     """
     sent: list[int] = []
-
-    async def serve(
-        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        stream = FrameStream(reader, writer)
-        await stream.receive()
-        opened = await stream.receive()
-        while not writer.is_closing():
-            part = CallPart(body=bytes(PART_BYTES), more=True)
-            sent.append(PART_BYTES)
-            await stream.send(part, opened.request_id)
-
-    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    server = await asyncio.start_server(
+        partial(_send_without_end, sent), '127.0.0.1', 0
+    )
     host, port = server.sockets[0].getsockname()
     link = PeerCallLink(f'{host}:{port}', node_settings(), _ignore_load)
     async with asyncio.timeout(20):
--- a/tests/node/mesh/test_target_connection.py
+++ b/tests/node/mesh/test_target_connection.py
@@ -168,25 +168,34 @@
         assert (await _run(local, 'r2')).body == b'good'
 
 
+class _SuspendedTime:
+    """Time in which the instance was suspended."""
+
+    def __init__(self) -> None:
+        self._total_s: float = 0
+
+    def total_s(self) -> float:
+        return self._total_s
+
+    async def suspend(self, _: TargetLoad) -> None:
+        self._total_s += 3
+
+
 async def test_deadline_that_passed_while_suspended(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a call that is sent after its deadline, because the
     clock of the deadline stood still while the instance was suspended.
     """
-    suspended: list[float] = []
+    suspended = _SuspendedTime()
     monkeypatch.setattr(
         'mustardspur_node.mesh.local_target.suspended_s',
-        lambda: sum(suspended),
+        suspended.total_s,
     )
-
-    async def suspend(_: TargetLoad) -> None:
-        suspended.append(3.0)
-
     async with run_scripted() as (address, target):
         local = local_target(address)
         with pytest.raises(PlacementFault, match='timeout') as fault:
-            await local.run(call_open(), suspend)
+            await local.run(call_open(), suspended.suspend)
         assert fault.value.not_run
         assert target.requests == 0
 
--- a/tests/node/stand_ins/scripted.py
+++ b/tests/node/stand_ins/scripted.py
@@ -78,6 +78,9 @@
             found = _REQUEST_ID.search(head)
             request_id = found.group(1) if found else b''
             writer.write(sent.replace(b'{id}', request_id))
+        await self._end(writer, after)
+
+    async def _end(self, writer: asyncio.StreamWriter, after: str) -> None:
         if after == ENDLESS:
             await self._send_until_closed(writer)
         if after == RESET:
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -97,7 +97,7 @@
         (('services', 'one', 'max_connections'), None),
         (('limits', 'max_body_bytes'), '64'),
         (('limits', 'max_body_bytes'), 10**30),
-        (('version',), f'r{"9" * 5000}'),
+        (('version',), 'r'.ljust(5000, '9')),
         (('routes', 'r-1', 'priority'), -(10**30)),
     ],
 )
