--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -44,9 +44,10 @@
             await _until_served_by_all(world)
             await world.mesh.stop(NODES[0])
         observations = world.observations
-    assert not [
+    cut = [
         name
         for name, outcome in observations.outcomes_by_id.items()
         if outcome.status == LOST and observations.runs_by_id[name]
     ]
+    assert not cut
     assert not observations.findings()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -159,10 +159,14 @@
     async with AsyncExitStack() as stack:
         mesh = await stack.enter_async_context(running_mesh(folder))
         world = World(mesh, {})
-        for host in NODES:
-            world.proxies[host] = await stack.enter_async_context(
-                running_target(host, mesh.ports['target'], world.observations),
-            )
+        port = mesh.ports['target']
+        targets = [
+            running_target(node, port, world.observations) for node in NODES
+        ]
+        proxies = await asyncio.gather(
+            *map(stack.enter_async_context, targets),
+        )
+        world.proxies = dict(zip(NODES, proxies, strict=True))
         await asyncio.gather(
             *(mesh.start_control(each, first_start=True) for each in CONTROLS),
             *map(mesh.start_node, NODES),
