Pass over missing targets, and ask closed ones again

Cause: a call was placed on four targets at most, and those whose nodes were gone or just restarted counted. A target that was closed once got no call of that node until a newer report, which only a call brings. Change: placements at missing or closed targets do not count up to twelve in all; a node without its target is avoided for 0.7 s, a closed one for 0.5 s.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from typing import Final
 
 from mustardspur_core.mesh.call_messages import TargetLoad
 from mustardspur_core.mesh.model import MeshTarget
@@ -14,6 +15,10 @@
 from mustardspur_node.mesh.view import MeshView
 
 
+# Faults of a target that is missing or takes no calls.
+TURNED_AWAY_KINDS: Final = frozenset(('unreachable', 'moved', 'closed'))
+
+
 class CallProgress:
     """State of a call over its placements on targets.
 
@@ -28,6 +33,8 @@
     ----------
     placements : int
         Number of targets that the call was placed on.
+    turned_away : int
+        Number of placements at which the target was missing or closed.
     arrivals : int
         Number of placements at which the call was sent to the target.
     possible_runs : int
@@ -54,6 +61,7 @@
         'possible_runs',
         'service',
         'tried_nodes',
+        'turned_away',
     )
 
     def __init__(self, call: MeshCall, service: str) -> None:
@@ -61,6 +69,7 @@
         self.call = call
         self.service = service
         self.placements = 0
+        self.turned_away = 0
         self.arrivals = 0
         self.possible_runs = 0
         self.may_run = False
@@ -115,6 +124,8 @@
     def record_fault(self, fault: PlacementFault) -> None:
         """Record the fault of a placement and update the counts."""
         self.faults.append(fault)
+        if fault.kind in TURNED_AWAY_KINDS:
+            self.turned_away += 1
         if fault.arrived:
             self.arrivals += 1
         if fault.not_run:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
@@ -21,6 +21,10 @@
 COLD_FACTOR: Final = 2.0
 # Time for which a node is avoided after it could not be reached.
 AVOID_UNREACHABLE_S: Final = 0.7
+# Time for which a target is avoided after its node reported that it takes no
+# calls. Without calls no further report comes, so a later call asks again; a
+# target that leaves is announced as such.
+AVOID_CLOSED_S: Final = 0.5
 # Targets whose start is stored, so that a target that is announced again does
 # not count as cold a second time.
 MAX_COLD_TARGETS: Final = 8192
@@ -89,7 +93,7 @@
         self._state_of(node).sent_since_report += 1
 
     def mark_unreachable(self, node: str) -> None:
-        """Avoid a node for `AVOID_UNREACHABLE_S`."""
+        """Avoid a node without a reachable target for a short time."""
         state = self._state_of(node)
         state.avoided_until_s = _now() + AVOID_UNREACHABLE_S
 
@@ -213,7 +217,9 @@
         state = self._state_of(target.node)
         if _now() < state.avoided_until_s:
             return False
-        return state.load is None or state.load.open
+        if state.load is None or state.load.open:
+            return True
+        return _now() - state.load_s > AVOID_CLOSED_S
 
     def _state_of(self, node: str) -> _NodeState:
         state = self._states_by_node.get(node)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -29,8 +29,13 @@
 from mustardspur_node.mesh.service_choice import WeightedServiceChooser
 from mustardspur_node.mesh.view import MeshView
 
-# Maximum number of targets that a call is placed on.
+# Maximum number of targets that a call waits at or is sent to.
 MAX_PLACEMENTS: Final = 4
+# Maximum number of targets that a call is placed on in all. After a restart of
+# many nodes, several in a row refuse at once, while others have free slots.
+MAX_TRIED: Final = 12
+# Faults of nodes whose target is missing; they take no more than a round trip.
+_MISSING_KINDS: Final = frozenset(('unreachable', 'moved'))
 # Minimum time until the deadline for another placement or a retry.
 MIN_LEFT_MS: Final = 15.0
 
@@ -138,7 +143,9 @@
                 return answer
 
     def _next_target(self, progress: CallProgress) -> MeshTarget | None:
-        if progress.placements >= MAX_PLACEMENTS:
+        if progress.placements >= MAX_TRIED:
+            return None
+        if progress.placements - progress.turned_away >= MAX_PLACEMENTS:
             return None
         if progress.left_ms() < MIN_LEFT_MS:
             return None
@@ -210,7 +217,7 @@
         fault: PlacementFault,
     ) -> None:
         progress.record_fault(fault)
-        if fault.kind == 'unreachable':
+        if fault.kind in _MISSING_KINDS:
             self.chooser.mark_unreachable(target.node)
         self.log.record_fault(progress, target, fault)
 
--- a/tests/node/mesh/test_chooser.py
+++ b/tests/node/mesh/test_chooser.py
@@ -6,7 +6,8 @@
 
 from mustardspur_core.mesh import MeshTarget
 from mustardspur_core.mesh.call_messages import TargetLoad
-from mustardspur_node.mesh.chooser import TargetChooser
+from mustardspur_core.record import replaced
+from mustardspur_node.mesh.chooser import AVOID_CLOSED_S, TargetChooser
 from mustardspur_node.mesh.distances import (
     LOAD_MAX_AGE_S,
     OTHER_REGION_LOAD_MAX_AGE_S,
@@ -117,3 +118,18 @@
     assert chooser.choose(targets, 300.0, 200.0) is None
     await asyncio.sleep(OTHER_REGION_LOAD_MAX_AGE_S)
     assert chooser.choose(targets, 300.0, 200.0) is not None
+
+
+@in_virtual_time
+async def test_closed_target_is_tried_again() -> None:
+    """Guards against a target that was closed just after its restart and gets
+    no calls of this node any more, since no call brings a newer report.
+    """
+    chooser, targets = _chooser(_load(0), _load(0))
+    closed = replaced(_load(0), open=False)
+    chooser.record_load(targets[0].node, closed)
+    chosen = chooser.choose(targets, 300.0, 200.0)
+    assert chosen is targets[1]
+    await asyncio.sleep(2 * AVOID_CLOSED_S)
+    chooser.record_load(targets[1].node, _load(4, 2))
+    assert chooser.choose(targets, 300.0, 200.0) is targets[0]
--- a/tests/node/mesh/test_placing.py
+++ b/tests/node/mesh/test_placing.py
@@ -8,6 +8,7 @@
 from mustardspur_core.mesh.call_messages import TargetLoad
 from mustardspur_core.mesh.control_messages import MeshTargets
 from mustardspur_core.metrics import NullMetrics
+from mustardspur_core.record import replaced
 from mustardspur_core.settings import MeshSettings
 from mustardspur_node.mesh.calls import UnansweredCall
 from mustardspur_node.mesh.placing import Placer
@@ -18,8 +19,9 @@
 )
 from mustardspur_node.mesh.view import MeshView
 
-from tests.core.mesh.builders import target
+from tests.core.mesh.builders import route, target
 from tests.node.mesh.builders import local_target, mesh_call, node_settings
+from tests.node.stand_ins.scripted import run_scripted
 from tests.support.virtual_time import in_virtual_time
 
 FULL_LOAD: Final = TargetLoad(
@@ -32,10 +34,14 @@
 )
 
 
-def _placer(view: MeshView) -> Placer:
+# Its calls may wait for a slot, so that a target in use is eligible.
+_PATIENT_ROUTE: Final = route('drafts', objective_ms=1000.0)
+
+
+def _placer(view: MeshView, address: str = '127.0.0.1:9') -> Placer:
     settings = node_settings()
     assert isinstance(settings.mesh, MeshSettings)
-    local = local_target('127.0.0.1:9')
+    local = local_target(address)
     return Placer(settings, settings.mesh, view, local, NullMetrics())
 
 
@@ -77,3 +83,20 @@
     with pytest.raises(UnansweredCall, match='busy') as refusal:
         await placer.place(call)
     assert refusal.value.retry_after_s == pytest.approx(after_s)
+
+
+async def test_call_passes_over_missing_targets() -> None:
+    """Guards against calls that are refused while a target has free slots,
+    because the first ones that are tried were lost or restarted.
+    """
+    missing = [target(str(number)) for number in range(21, 28)]
+    own = target('2', id='t1')
+    view = MeshView()
+    view.apply_targets(
+        MeshTargets(full=True, upserts=[*missing, own], removed=[]),
+    )
+    async with run_scripted() as (address, _):
+        placer = _placer(view, address)
+        placer.chooser.record_load(own.node, replaced(FULL_LOAD, waiting=0))
+        answer = await placer.place(mesh_call(route=_PATIENT_ROUTE))
+    assert answer.body == b'good'
