Let a replaced voter stop counting sooner

Cause: a voter that is gone for good counted for 12 s after its successor had joined. In a group of three, a second lost disk in that time left two of four voters, and no quorum ever: the empty one needs a quorum to be refilled. Change: a voter that fell silent before an instance joined is removed after 4 s.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/membership.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/membership.py
@@ -19,6 +19,10 @@
 # A voter that is silent for this long is removed. Restarts and freezes are
 # shorter, and an instance that returns is added again.
 REMOVE_AFTER_S: Final = 12.0
+# A voter that is silent for this long is removed sooner once an instance has
+# joined during its silence: that one probably takes its place. As long as the
+# lost voter counts, a further loss can leave no quorum.
+REMOVE_REPLACED_AFTER_S: Final = 4.0
 # An instance that does not catch up within this time is retried later.
 CATCH_UP_TIMEOUT_S: Final = 6.0
 CHECK_INTERVAL_S: Final = 0.5
@@ -39,7 +43,14 @@
         Log whose voters are read and changed.
     """
 
-    __slots__ = ('_last_seen_s', '_log', '_mesh', '_peers_by_id', '_settings')
+    __slots__ = (
+        '_last_joined_s',
+        '_last_seen_s',
+        '_log',
+        '_mesh',
+        '_peers_by_id',
+        '_settings',
+    )
 
     def __init__(
         self,
@@ -52,6 +63,8 @@
         self._log = log
         self._peers_by_id: dict[str, Peer] = {}
         self._last_seen_s: dict[str, float] = {}
+        # Time at which this leader last added a voter that was none before.
+        self._last_joined_s = float('-inf')
         self._mesh = mesh
 
     @property
@@ -118,21 +131,27 @@
         silent = [
             voter
             for voter in voters
-            if voter != self._settings.id
-            and self.silent_for_s(voter, since_s) > REMOVE_AFTER_S
+            if voter != self._settings.id and self._is_lost(voter, since_s)
         ]
         if to_add:
-            await self._add(to_add[0])
+            await self._add(to_add[0], voters)
         elif silent:
             await self._remove(silent[0], len(voters))
 
+    def _is_lost(self, voter: str, since_s: float) -> bool:
+        silent_s = self.silent_for_s(voter, since_s)
+        replaced = self._last_joined_s > _now() - silent_s
+        limit_s = REMOVE_REPLACED_AFTER_S if replaced else REMOVE_AFTER_S
+        return silent_s > limit_s
+
     def _peers_to_add(self, voters: dict[str, Peer]) -> list[Peer]:
         live = [peer for peer in self.controls if voters.get(peer.id) != peer]
         if len(voters) < MAX_VOTERS:
             return live
         return [peer for peer in live if peer.id in voters]
 
-    async def _add(self, peer: Peer) -> None:
+    async def _add(self, peer: Peer, voters: dict[str, Peer]) -> None:
+        is_new = peer.id not in voters
         try:
             async with asyncio.timeout(CATCH_UP_TIMEOUT_S):
                 outcome = await self._log.add_voter(peer)
@@ -140,6 +159,8 @@
             _LOG.warning('voter did not catch up', extra={'peer': peer.id})
             return
         failure = outcome.error.detail if outcome.is_error() else ''
+        if is_new and not failure:
+            self._last_joined_s = _now()
         _LOG.info('voter added', extra={'peer': peer.id, 'failure': failure})
 
     async def _remove(self, peer_id: str, voter_count: int) -> None:
--- /dev/null
+++ b/tests/control/mesh/test_membership.py
@@ -0,0 +1,118 @@
+"""Tests of the changes of voters by the leader."""
+
+import asyncio
+from typing import Any
+
+import pytest
+from expression import Ok, Result
+from mustardspur_agreement import Committed, ProposalError
+from mustardspur_control.mesh.formation import own_peer
+from mustardspur_control.mesh.membership import (
+    REMOVE_AFTER_S,
+    REMOVE_REPLACED_AFTER_S,
+    Membership,
+)
+from mustardspur_core.record import replaced
+from mustardspur_core.settings import Peer, Settings, parse_settings
+
+from tests.core.mesh.builders import mesh_settings
+from tests.support.virtual_time import in_virtual_time
+
+_HEARTBEAT_S = 0.5
+
+
+def _settings() -> Settings:
+    document = {
+        'role': 'control',
+        'id': 'c1',
+        'data_centre': 'split-a',
+        'region': 'dalmacija',
+        'data_dir': 'unused',
+        'peers': [],
+        'listen': {'stream': '10.0.0.1:7000', 'http': '10.0.0.1:8000'},
+    }
+    return parse_settings(document, 'settings').ok
+
+
+def _peer(name: str) -> Peer:
+    own = own_peer(_settings())
+    if name == own.id:
+        return own
+    return replaced(own, id=name, stream=f'{name}:7000')
+
+
+class _Log:
+    """A log of which this instance is the leader; each change commits."""
+
+    is_leader = True
+
+    def __init__(self, *voters: str) -> None:
+        self.voter_peers = {name: _peer(name) for name in voters}
+
+    async def add_voter(self, peer: Peer) -> Result[Any, ProposalError]:
+        self.voter_peers[peer.id] = peer
+        return Ok(Committed(index=1, answer=None))
+
+    async def remove_voter(self, peer_id: str) -> Result[Any, ProposalError]:
+        self.voter_peers.pop(peer_id)
+        return Ok(Committed(index=1, answer=None))
+
+
+class _Group:
+    """Membership on a log, with instances that are heard or silent."""
+
+    def __init__(self, *voters: str) -> None:
+        self.log = _Log(*voters)
+        log: Any = self.log
+        self.members = Membership(_settings(), mesh_settings(), log)
+        self.task = asyncio.create_task(self.members.run())
+
+    async def hear(self, length_s: float, *names: str) -> list[str]:
+        """Hear instances for a while, and return the voters after it."""
+        end_s = asyncio.get_running_loop().time() + length_s
+        while asyncio.get_running_loop().time() < end_s:
+            for name in names:
+                self.members.record_seen(_peer(name))
+            await asyncio.sleep(_HEARTBEAT_S)
+        return sorted(self.log.voter_peers)
+
+
+@in_virtual_time
+async def test_silent_voter_is_removed_late() -> None:
+    """Guards against removing a voter that only restarts or freezes."""
+    group = _Group('c1', 'c2', 'c3', 'c4')
+    await group.hear(2, 'c2', 'c3', 'c4')
+    voters = await group.hear(REMOVE_AFTER_S - 4, 'c2', 'c3')
+    assert voters == ['c1', 'c2', 'c3', 'c4']
+    assert await group.hear(8, 'c2', 'c3') == ['c1', 'c2', 'c3']
+
+
+@pytest.mark.parametrize('others', [('c2',), ('c2', 'c3')])
+@in_virtual_time
+async def test_replaced_voter_is_removed_soon(others: tuple[str, ...]) -> None:
+    """Guards against a lost quorum when an instance is replaced for good and
+    another loses its disk before the former one stops counting.
+    """
+    group = _Group('c1', *others, 'lost')
+    await group.hear(2, *others, 'lost')
+    voters = await group.hear(REMOVE_REPLACED_AFTER_S + 3, *others, 'successor')
+    assert voters == sorted(['c1', *others, 'successor'])
+
+
+@in_virtual_time
+async def test_instances_are_replaced_one_after_the_other() -> None:
+    """Guards against a group that shrinks, or keeps voters that are gone, when
+    instances are replaced twice in a row.
+    """
+    group = _Group('c1', 'c2', 'c3')
+    await group.hear(2, 'c2', 'c3')
+    await group.hear(8, 'c2', 'c4')
+    assert await group.hear(8, 'c4', 'c5') == ['c1', 'c4', 'c5']
+
+
+@in_virtual_time
+async def test_three_voters_stay() -> None:
+    """Guards against fewer than three voters, which bear no loss."""
+    group = _Group('c1', 'c2', 'c3')
+    await group.hear(2, 'c2', 'c3')
+    assert await group.hear(20, 'c2') == ['c1', 'c2', 'c3']
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,6 +12,7 @@
 FaultFunction = Callable[[World, PlannedFault], Coroutine[Any, Any, None]]
 
 faults_by_kind: dict[str, FaultFunction] = {}
+SUCCESSOR: Final = '127.0.7.4'
 _PROXY_MODES: Final = ('delay', 'reset', 'silent', 'one_way')
 
 
@@ -37,7 +38,7 @@
 @fault
 async def kill(world: World, planned: PlannedFault) -> None:
     """Kill a process and start it again."""
-    host = planned.choose(CONTROLS + NODES)
+    host = planned.choose(world.controls + NODES)
     async with _claimed(world, host) as free:
         if free:
             await world.mesh.kill(host)
@@ -58,7 +59,7 @@
 @fault
 async def pause(world: World, planned: PlannedFault) -> None:
     """Pause a process for a while."""
-    host = planned.choose(CONTROLS + NODES)
+    host = planned.choose(world.controls + NODES)
     async with _claimed(world, host) as free:
         if free:
             world.signal(host, signal.SIGSTOP)
@@ -69,8 +70,8 @@
 @fault
 async def wipe(world: World, planned: PlannedFault) -> None:
     """Take the disk of one control instance while all others keep theirs."""
-    host = planned.choose(CONTROLS)
-    if world.busy & set(CONTROLS):
+    host = planned.choose(world.controls)
+    if world.busy & set(world.controls):
         return
     async with _claimed(world, host):
         await world.mesh.kill(host)
@@ -81,10 +82,24 @@
         await asyncio.sleep(planned.length_s)
 
 
+@fault
+async def replace(world: World, planned: PlannedFault) -> None:
+    """Replace a control instance for good, once; the first one is read."""
+    host = planned.choose(CONTROLS[1:])
+    if world.busy & set(world.controls) or world.controls != CONTROLS:
+        return
+    async with _claimed(world, host), _claimed(world, SUCCESSOR):
+        await world.replace(host, SUCCESSOR)
+        # A second loss is borne once the successor has caught up and the lost
+        # one has stopped counting.
+        await world.mesh.until_logged(SUCCESSOR, 'leader_known')
+        await asyncio.sleep(planned.length_s)
+
+
 @fault
 async def reload(world: World, planned: PlannedFault) -> None:
     """Send a process settings that cannot be read, then the former ones."""
-    host = planned.choose(CONTROLS + NODES)
+    host = planned.choose(world.controls + NODES)
     async with _claimed(world, host) as free:
         if not free:
             return
@@ -111,7 +126,7 @@
     """Send two edits of the same number at the same time."""
     base = world.number
     await asyncio.gather(
-        world.edit(planned.choose(CONTROLS), base + 2, base),
+        world.edit(planned.choose(world.controls), base + 2, base),
         world.edit(CONTROLS[0], base + 2, base),
     )
 
@@ -120,4 +135,4 @@
 async def edit(world: World, planned: PlannedFault) -> None:
     """Send an edit, again until it is settled."""
     base = world.number
-    await world.edit(planned.choose(CONTROLS), base + 1, base)
+    await world.edit(planned.choose(world.controls), base + 1, base)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -43,16 +43,27 @@
         # A process that a fault stops or pauses is left alone by others.
         self.busy: set[str] = set()
         self.number = 0
+        self.controls: tuple[str, ...] = CONTROLS
         self._marks = count()
         self._reports = count(1)
 
     async def restart(self, host: str) -> None:
         """Start a process again after its end."""
-        if host in CONTROLS:
+        if host in self.controls:
             await self.mesh.start_control(host, first_start=False)
         else:
             await self.mesh.start_node(host)
 
+    async def replace(self, host: str, successor: str) -> None:
+        """Remove a control instance for good, and add its successor."""
+        await self.mesh.kill(host)
+        self.mesh.wipe(host)
+        self.controls = (
+            *(each for each in self.controls if each != host),
+            successor,
+        )
+        await self.mesh.start_control(successor, first_start=False)
+
     def signal(self, host: str, number: signal.Signals) -> None:
         """Send a signal to a process of this soak."""
         self.mesh.processes[host].send_signal(number)
