Limit one answer to half of what a node holds

Cause: an answer without end could take all of the 32 MiB, and the answers of other calls would fail until it ended. Change: one answer takes 16 MiB at most.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/answer_budget.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/answer_budget.py
@@ -8,10 +8,12 @@
 # that a truncated one never looks complete, and is copied once on the way; the
 # instances have 200 MB. A target that sends without end fails its call here.
 MAX_HELD_BYTES: Final = 33_554_432
+# One answer takes half at most, so that one without end leaves room for others.
+ANSWER_FRACTION: Final = 0.5
 
 
 class AnswerTooLong(Exception):
-    """The answers in flight exceed the bytes that a node holds."""
+    """An answer, or all in flight, exceed the bytes that a node holds."""
 
 
 class AnswerBudget:
@@ -23,11 +25,12 @@
         Bytes that may be held at a time.
     """
 
-    __slots__ = ('_limit_bytes', 'held_bytes')
+    __slots__ = ('_limit_bytes', 'answer_bytes', 'held_bytes')
 
     def __init__(self, limit_bytes: int = MAX_HELD_BYTES) -> None:
         """Initialise without answers."""
         self._limit_bytes = limit_bytes
+        self.answer_bytes = int(ANSWER_FRACTION * limit_bytes)
         self.held_bytes = 0
 
     @contextmanager
@@ -83,8 +86,11 @@
         Raises
         ------
         AnswerTooLong
-            If the answers would exceed the budget.
+            If the answer, or all answers, would exceed the budget.
         """
+        size = self.size + len(part)
+        if size > self._budget.answer_bytes:
+            raise AnswerTooLong(f'answer has more than {self.size} bytes')
         self._budget.take(len(part))
-        self.size += len(part)
+        self.size = size
         self._parts.append(part)
