--- a/packages/mustardspur_core/src/mustardspur_core/settings/loading.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/loading.py
@@ -61,6 +61,15 @@
     }
 )
 
+_DEFAULTS_BY_PART: Final = MappingProxyType(
+    {
+        '': _DEFAULTS,
+        'listen': _DEFAULT_LISTEN,
+        'mesh': _DEFAULT_MESH,
+        'intervals': _DEFAULT_INTERVALS,
+    }
+)
+
 
 def load_settings(path: Path) -> Result[Settings, Findings]:
     """Load and validate a settings file.
@@ -114,6 +123,16 @@
     return Ok(decode_mapping(Settings, completed))
 
 
+def default_of(path: str) -> Any:
+    """Return the default of a field such as ``mesh.grace``, None for none."""
+    part, _, name = path.rpartition('.')
+    defaults = _DEFAULTS_BY_PART[part]
+    if part == 'mesh' and name in _MESH_DURATIONS:
+        seconds = defaults[f'{name}_s']
+        return f'{seconds:g}s'
+    return defaults.get(name)
+
+
 def _mesh(document: dict[str, Any]) -> dict[str, Any] | None:
     mesh_document = document.get('mesh')
     if mesh_document is None:
