--- a/packages/mustardspur_core/src/mustardspur_core/settings/loading.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/loading.py
@@ -128,8 +128,8 @@
     part, _, name = path.rpartition('.')
     defaults = _DEFAULTS_BY_PART[part]
     if part == 'mesh' and name in _MESH_DURATIONS:
-        seconds = defaults[f'{name}_s']
-        return f'{seconds:g}s'
+        seconds = format(defaults[f'{name}_s'], 'g')
+        return f'{seconds}s'
     return defaults.get(name)
 
 
--- a/packages/mustardspur_core/src/mustardspur_core/settings/page.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/page.py
@@ -57,16 +57,20 @@
     default = default_of(path)
     shown = '' if default is None else f'`{json.dumps(default)}`'
     cells = (f'`{path}`', rule['description'], _values(rule), shown)
-    return f'| {" | ".join(cells)} |\n'
+    row = ' | '.join(cells)
+    return f'| {row} |\n'
 
 
 def _values(rule: Mapping[str, Any]) -> str:
-    if '$ref' in rule:
-        return str(rule['$ref']).rpartition('/')[2]
-    if 'enum' in rule:
-        return ', '.join(f'`{each}`' for each in rule['enum'])
-    if rule['type'] == 'array' and '$ref' in rule['items']:
-        return f'list of {_values(rule["items"])}'
+    reference = rule.get('$ref', '')
+    if reference:
+        return str(reference.rpartition('/')[2])
+    choices = rule.get('enum', ())
+    if choices:
+        return ', '.join(f'`{each}`' for each in choices)
+    listed = rule.get('items', {})
+    if '$ref' in listed:
+        return f'list of {_values(listed)}'
     bounds = [
         f'{text} {rule.get(key)}'
         for key, text in _BOUNDS.items()
