--- a/Makefile
+++ b/Makefile
@@ -54,7 +54,7 @@
 	$(BIN)/python -m demo.repair
 
 soak: $(STAMP) ## Play random faults on real processes: make soak SEED=1 COUNT=50
-	$(BIN)/python -m tests.soak --seed $(SEED) --count $(COUNT)
+	$(BIN)/python -m tests.platform.soak --seed $(SEED) --count $(COUNT)
 
 bench-capacity: $(STAMP) ## Measure the slopes behind docs/CAPACITY.md
 	$(BIN)/python -m benchmarks.capacity
--- a/tests/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -1,4 +1,4 @@
-"""Runs soaks: ``python -m tests.soak --seed 1 --count 50``."""
+"""Runs soaks: ``python -m tests.platform.soak --seed 1 --count 50``."""
 
 import argparse
 import asyncio
@@ -7,7 +7,7 @@
 import tempfile
 from pathlib import Path
 
-from tests.soak.run import soak
+from tests.platform.soak.run import soak
 
 
 def main() -> int:
--- a/tests/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -6,8 +6,8 @@
 from contextlib import asynccontextmanager
 from typing import Any, Final
 
-from tests.soak.plan import PlannedFault
-from tests.soak.world import CONTROLS, NODES, World
+from tests.platform.soak.plan import PlannedFault
+from tests.platform.soak.world import CONTROLS, NODES, World
 
 FaultFunction = Callable[[World, PlannedFault], Coroutine[Any, Any, None]]
 
--- a/tests/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -7,9 +7,9 @@
 
 from mustardspur_core.record import Record
 
-from tests.soak.faults import faults_by_kind
-from tests.soak.plan import PlannedFault, plan
-from tests.soak.world import (
+from tests.platform.soak.faults import faults_by_kind
+from tests.platform.soak.plan import PlannedFault, plan
+from tests.platform.soak.world import (
     CONTROLS,
     World,
     callers,
--- a/tests/soak/target.py
+++ b/tests/platform/soak/target.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from tests.soak.promises import Observations
+from tests.platform.soak.promises import Observations
 
 MAX_RUN_S: Final = 0.04
 _READ_BYTES: Final = 65_536
--- a/tests/soak/test_soak.py
+++ b/tests/platform/soak/test_soak.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from tests.soak.promises import LOST
-from tests.soak.run import soak
-from tests.soak.world import NODES, World, calling, running_world
+from tests.platform.soak.promises import LOST
+from tests.platform.soak.run import soak
+from tests.platform.soak.world import NODES, World, calling, running_world
 
 _LENGTH_S = 6.0
 
--- a/tests/soak/traffic.py
+++ b/tests/platform/soak/traffic.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from tests.platform.mesh_processes import HOST
-from tests.soak.promises import LOST, Observations, Outcome
+from tests.platform.soak.promises import LOST, Observations, Outcome
 
 DEADLINE_MS: Final = 1500
 _PAUSE_S: Final = 0.02
--- a/tests/soak/world.py
+++ b/tests/platform/soak/world.py
@@ -13,9 +13,9 @@
 from aiohttp import ClientError, ClientTimeout
 
 from tests.platform.mesh_processes import Mesh, configuration, running_mesh
-from tests.soak.promises import Observations
-from tests.soak.target import FaultyProxy, running_target
-from tests.soak.traffic import Caller
+from tests.platform.soak.promises import Observations
+from tests.platform.soak.target import FaultyProxy, running_target
+from tests.platform.soak.traffic import Caller
 
 CONTROLS: Final = ('127.0.7.1', '127.0.7.2', '127.0.7.3')
 NODES: Final = ('127.0.7.21', '127.0.7.22', '127.0.7.23')
