Attribute answers to calls without a request identifier

Cause: since a call whose caller sends no identifier took each answer on a used connection for one that cannot be attributed, and got an unknown outcome from the second call on. Change: only a call with an identifier requires one in the answer.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -201,13 +201,14 @@
     ) -> bool | None:
         """Return whether an answer has the request ID of a call.
 
-        None if the call or the answer has no request ID.
+        None if only the answer has none; a call without one accepts answers
+        without one.
         """
         echoed = message.headers.get(self._names.request_id)
         sent = _header(call, self._names.request_id)
-        if not sent or echoed is None:
+        if sent and echoed is None:
             return None
-        return echoed == sent
+        return (echoed or '') == sent
 
     def _raise_if_refused(self, answer: RawAnswer) -> None:
         refused = answer.header(self._names.not_run) is not None
--- a/tests/node/mesh/test_target_connection.py
+++ b/tests/node/mesh/test_target_connection.py
@@ -51,6 +51,20 @@
         assert target.connections == 1
 
 
+async def test_calls_without_identifier_share_a_connection() -> None:
+    """Guards against callers that send no request identifier and get an
+    unknown outcome from their second call on.
+    """
+    plain = b'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ngood'
+    async with run_scripted((plain, KEEP), (plain, KEEP)) as (address, target):
+        local = local_target(address)
+        call = call_open(headers=[['host', 'forms.example']])
+        first = await local.run(call, _ignore)
+        second = await local.run(call, _ignore)
+        assert (first.body, second.body) == (b'good', b'good')
+        assert target.connections == 1
+
+
 async def test_refused_call_keeps_the_connection() -> None:
     """Guards against a connection that leaks with each refusal, until the
     target reaches its connection limit.
