--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -6,7 +6,6 @@
 from http import HTTPStatus
 from typing import Final
 
-from aiohttp.http_parser import RawResponseMessage
 from mustardspur_core.mesh.call_messages import (
     CallOpen,
     TargetLoad,
@@ -27,6 +26,7 @@
 from mustardspur_node.mesh.reports import ReportStore, TargetReport, is_ready
 from mustardspur_node.mesh.target_connection import TargetConnection
 from mustardspur_node.mesh.target_pool import TargetPool
+from mustardspur_node.mesh.target_requests import TargetRequests
 from mustardspur_node.mesh.transfer_evidence import TransferEvidence
 
 # A call with less time left is not sent, since it could only time out.
@@ -53,6 +53,7 @@
         '_confirmed',
         '_identity',
         '_names',
+        '_requests',
         'admission',
         'budget',
         'reports',
@@ -68,6 +69,7 @@
         """Initialise without a target, and closed until it is confirmed."""
         self._confirmed = False
         self._names = names
+        self._requests = TargetRequests(names)
         self.budget = AnswerBudget()
         self.pool = TargetPool(reports.address, self.budget)
         self._identity: tuple[str, int] | None = None
@@ -180,9 +182,9 @@
             async with asyncio.timeout(left_ms / MS_PER_S):
                 answer = await connection.exchange(
                     call.method,
-                    self._head(call, report, left_ms),
+                    self._requests.head(call, report, left_ms),
                     call.body,
-                    lambda message: self._identify(call, message),
+                    lambda message: self._requests.identify(call, message),
                 )
         except TimeoutError as error:
             raise maybe_run_fault('timeout', 'no answer in time') from error
@@ -194,22 +196,6 @@
         self._record_run(call, report, started_ns, failed=failed)
         return answer
 
-    def _identify(
-        self,
-        call: CallOpen,
-        message: RawResponseMessage,
-    ) -> bool | None:
-        """Return whether an answer has the request ID of a call.
-
-        None if only the answer has none; a call without one accepts answers
-        without one.
-        """
-        echoed = message.headers.get(self._names.request_id)
-        sent = _header(call, self._names.request_id)
-        if sent and echoed is None:
-            return None
-        return (echoed or '') == sent
-
     def _raise_if_refused(self, answer: RawAnswer) -> None:
         refused = answer.header(self._names.not_run) is not None
         misdirected = answer.status == HTTPStatus.MISDIRECTED_REQUEST
@@ -241,22 +227,6 @@
             timed=not failed and not cold,
         )
 
-    def _head(
-        self,
-        call: CallOpen,
-        report: TargetReport,
-        left_ms: float,
-    ) -> bytes:
-        lines = [f'{call.method} {call.path} HTTP/1.1']
-        lines.extend(f'{name}: {text}' for name, text in call.headers)
-        names = self._names
-        lines.append(f'{names.deadline_ms}: {int(left_ms)}')
-        lines.append(f'{names.expected_target}: {report.id}')
-        if call.body or call.method not in _BODYLESS_METHODS:
-            lines.append(f'content-length: {len(call.body)}')
-        lines.append('\r\n')
-        return '\r\n'.join(lines).encode('utf-8', 'surrogateescape')
-
     def _target_answer(self, answer: RawAnswer) -> TargetAnswer:
         return TargetAnswer(
             status=answer.status,
@@ -267,16 +237,5 @@
         )
 
 
-_BODYLESS_METHODS: Final = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
-
-
-def _header(call: CallOpen, wanted: str) -> str:
-    lowered = wanted.lower()
-    for name, text in call.headers:
-        if name.lower() == lowered:
-            return text
-    return ''
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
