Log and measure the rate limit that a target states

Cause: nothing told whether a node had read a target's limit, or how many calls it admitted under it, so the hypotheses on targets above their limits looked alike. It limits nothing yet.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
@@ -12,6 +12,7 @@
 from mustardspur_node.mesh.call_ranks import CallRanks
 from mustardspur_node.mesh.call_value import LATE_RANK
 from mustardspur_node.mesh.calls import not_sent_fault
+from mustardspur_node.mesh.rate_limit import StatedRateLimit
 from mustardspur_node.mesh.run_times import RunTimes
 
 # Waiting calls of the same or a lower rank for each slot; a call behind more
@@ -44,6 +45,10 @@
         Run times and failure rate of the target.
     ranks : CallRanks
         Ranks of waiting calls.
+    rate_limit : StatedRateLimit
+        Rate limit that the target states.
+    admitted_count : int
+        Calls that were admitted since the start of the node.
     """
 
     __slots__ = (
@@ -52,8 +57,10 @@
         '_running',
         '_sequence',
         '_waiters',
+        'admitted_count',
         'open',
         'ranks',
+        'rate_limit',
         'run_times',
         'slots',
     )
@@ -66,6 +73,8 @@
         self._running = 0
         self.run_times = RunTimes()
         self.ranks = CallRanks()
+        self.rate_limit = StatedRateLimit()
+        self.admitted_count = 0
         self._closed_until_s: float = 0
         self.open = False
         self.slots = 0
@@ -95,9 +104,10 @@
         self._admit_next()
 
     def reset_statistics(self) -> None:
-        """Discard the run times of a target that was replaced."""
+        """Discard the run times and limit of a target that was replaced."""
         self.run_times = RunTimes()
         self.ranks = CallRanks()
+        self.rate_limit = StatedRateLimit()
 
     def close_temporarily(self) -> None:
         """Refuse calls for `UNREACHABLE_CLOSED_S`.
@@ -133,6 +143,7 @@
             self._running += 1
         else:
             await self._wait(rank, max_wait_ms)
+        self.admitted_count += 1
         try:
             yield
         finally:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/answer_parser.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/answer_parser.py
@@ -46,6 +46,11 @@
             if name.lower() not in HOP_BY_HOP
         ]
 
+    @property
+    def failed(self) -> bool:
+        """Whether the target failed the request."""
+        return self.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+
     def header(self, name: str) -> str | None:
         """Return the value of a header, None if it is absent."""
         wanted_name = name.lower()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/confirmation.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/confirmation.py
@@ -77,6 +77,8 @@
 
 async def _is_healthy(local: LocalTarget, path: str) -> bool:
     """Return whether the target passes its health check."""
+    report = local.reports.current
+    sent_s = asyncio.get_running_loop().time()
     head = _HEALTH_REQUEST.format(path=path, address=local.reports.address)
     try:
         async with (
@@ -92,4 +94,5 @@
     except (PlacementFault, BrokenAnswer, TimeoutError) as error:
         _LOG.info('health check failed', extra={'reason': repr(error)})
         return False
+    local.statements.apply(report.id if report else '', answer, sent_s)
     return answer.status == HTTPStatus.OK
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/decisions.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/decisions.py
@@ -14,12 +14,19 @@
 
 
 class DecisionLog:
-    """Writes a line for each decision on a call, rate-limited by event."""
+    """Writes a line for each decision on a call, rate-limited by event.
 
-    __slots__ = ('_count', '_omitted', '_second', '_written')
+    Parameters
+    ----------
+    logger : logging.Logger
+        Receives the lines.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ('_count', '_logger', '_omitted', '_second', '_written')
+
+    def __init__(self, logger: logging.Logger = _LOG) -> None:
         """Initialise with no lines written."""
+        self._logger = logger
         self._second = 0
         self._written: dict[str, int] = {}
         self._omitted: dict[str, int] = {}
@@ -33,7 +40,7 @@
             self._omitted[event] = self._omitted.get(event, 0) + 1
             return
         self._written[event] = written + 1
-        _LOG.info(event, extra=details)
+        self._logger.info(event, extra=details)
 
     def sample_next(self) -> bool:
         """Return whether to log a successful call; one in `SAMPLE_INTERVAL`."""
@@ -48,5 +55,7 @@
         self._second = second
         self._written.clear()
         if self._omitted:
-            _LOG.info('lines left out', extra={'by_event': self._omitted})
+            self._logger.info(
+                'lines left out', extra={'by_event': self._omitted}
+            )
             self._omitted = {}
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -3,7 +3,6 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
-from http import HTTPStatus
 from typing import Final
 
 from mustardspur_core.mesh.call_messages import (
@@ -24,6 +23,7 @@
 )
 from mustardspur_node.mesh.names import HeaderNames
 from mustardspur_node.mesh.reports import ReportStore, TargetReport, is_ready
+from mustardspur_node.mesh.statements import TargetStatements
 from mustardspur_node.mesh.target_connection import TargetConnection
 from mustardspur_node.mesh.target_pool import TargetPool
 from mustardspur_node.mesh.target_requests import TargetRequests
@@ -52,13 +52,13 @@
     __slots__ = (
         '_confirmed',
         '_identity',
-        '_names',
         '_requests',
         'admission',
         'budget',
         'reports',
         'evidence',
         'pool',
+        'statements',
     )
 
     def __init__(
@@ -68,13 +68,13 @@
     ) -> None:
         """Initialise without a target, and closed until it is confirmed."""
         self._confirmed = False
-        self._names = names
         self._requests = TargetRequests(names)
         self.budget = AnswerBudget()
         self.pool = TargetPool(reports.address, self.budget)
         self._identity: tuple[str, int] | None = None
         self.reports = reports
         self.admission = AdmissionControl()
+        self.statements = TargetStatements(names, self.admission)
         self.evidence = TransferEvidence()
 
     def refresh(self) -> None:
@@ -178,6 +178,7 @@
     ) -> RawAnswer:
         report = self._current_report(call)
         started_ns = time.monotonic_ns()
+        sent_s = _now()
         try:
             async with asyncio.timeout(left_ms / MS_PER_S):
                 answer = await connection.exchange(
@@ -191,22 +192,11 @@
         except BrokenAnswer as error:
             self._record_run(call, report, started_ns, failed=True)
             raise maybe_run_fault('broken', str(error)) from error
-        self._raise_if_refused(answer)
-        failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-        self._record_run(call, report, started_ns, failed=failed)
+        self.statements.apply(report.id, answer, sent_s)
+        self._requests.raise_if_refused(answer)
+        self._record_run(call, report, started_ns, failed=answer.failed)
         return answer
 
-    def _raise_if_refused(self, answer: RawAnswer) -> None:
-        refused = answer.header(self._names.not_run) is not None
-        misdirected = answer.status == HTTPStatus.MISDIRECTED_REQUEST
-        if refused or misdirected:
-            raise PlacementFault(
-                'refused',
-                f'target answered {answer.status}',
-                not_run=True,
-                arrived=True,
-            )
-
     def _record_run(
         self,
         call: CallOpen,
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/names.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/names.py
@@ -22,6 +22,9 @@
         Service on whose instance the call started.
     retry_after : str
         Seconds, possibly with a fraction, after which to retry.
+    rate_limit : str
+        On an answer of a target: calls a second that it accepts from all
+        nodes together, for as long as its answers state it.
     """
 
     __slots__ = (
@@ -31,6 +34,7 @@
         'not_run',
         'origin_service',
         'retry_after',
+        'rate_limit',
     )
     request_id: str
     deadline_ms: str
@@ -38,6 +42,7 @@
     not_run: str
     origin_service: str
     retry_after: str
+    rate_limit: str
 
 
 HEADER_NAMES: Final = HeaderNames(
@@ -47,6 +52,7 @@
     not_run='x-mustardspur-refused',
     origin_service='x-mustardspur-origin',
     retry_after='retry-after',
+    rate_limit='x-mustardspur-rate-limit',
 )
 
 # Headers that apply to a single connection and are not forwarded.
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_requests.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_requests.py
@@ -1,10 +1,13 @@
 """Requests to a target, and the answers that belong to them."""
 
+from http import HTTPStatus
 from typing import Final
 
 from aiohttp.http_parser import RawResponseMessage
 from mustardspur_core.mesh.call_messages import CallOpen
 
+from mustardspur_node.mesh.answer_parser import RawAnswer
+from mustardspur_node.mesh.calls import PlacementFault
 from mustardspur_node.mesh.names import HeaderNames
 from mustardspur_node.mesh.reports import TargetReport
 
@@ -67,6 +70,18 @@
             return None
         return (echoed or '') == sent
 
+    def raise_if_refused(self, answer: RawAnswer) -> None:
+        """Raise a `PlacementFault` if the target did not run the request."""
+        refused = answer.header(self._names.not_run) is not None
+        misdirected = answer.status == HTTPStatus.MISDIRECTED_REQUEST
+        if refused or misdirected:
+            raise PlacementFault(
+                'refused',
+                f'target answered {answer.status}',
+                not_run=True,
+                arrived=True,
+            )
+
 
 def _header(call: CallOpen, wanted: str) -> str:
     lowered = wanted.lower()
