Admit calls to a target within the rate that it states

Cause: a node admitted calls by the slots in the target's report only. What the target says about itself in its answers was passed on to the caller and not read. Evidence:; calls a second at the busiest targets were 195 and 194 before they stated limits of 97, and 179 and 194 after. Change: the admission beside the target, through which all calls to it pass, spaces them by the stated rate, with bursts of a quarter of a second. A call whose turn comes too late is refused at once, and waiting calls keep their ranks. Other nodes see the limit as fewer slots and longer runs in the load report, so the messages do not change. The health check after a restart of the node reads the limit again. A limit below 0.5 a second is used as 0.5, since only an answer can end it. Waiting calls and the capacity of the target are modules of their own now.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
@@ -1,7 +1,6 @@
 """Admission of calls to a target by the node on its instance."""
 
 import asyncio
-import heapq
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Final
@@ -12,8 +11,10 @@
 from mustardspur_node.mesh.call_ranks import CallRanks
 from mustardspur_node.mesh.call_value import LATE_RANK
 from mustardspur_node.mesh.calls import not_sent_fault
+from mustardspur_node.mesh.capacity import TargetCapacity
 from mustardspur_node.mesh.rate_limit import StatedRateLimit
 from mustardspur_node.mesh.run_times import RunTimes
+from mustardspur_node.mesh.waiting_calls import Waiter, WaitingCalls
 
 # Waiting calls of the same or a lower rank for each slot; a call behind more
 # of them would be late.
@@ -21,63 +22,51 @@
 # Time for which calls are refused after the target refused a connection.
 UNREACHABLE_CLOSED_S: Final = 0.3
 
-# Rank, sequence number and a future that is done once a slot is assigned.
-_Waiter = tuple[int, int, asyncio.Future[None]]
-
 
 class AdmissionControl:
-    """Admits as many concurrent calls to a target as it has slots.
+    """Admits calls to a target within its slots and its stated rate limit.
 
     Explanation
     ===========
 
-    All calls to a target pass through the node on its instance, so the count
-    of running calls is exact. A call that is refused here has certainly not run
-    and can be placed elsewhere at no cost but time.
+    All calls to a target pass through the node on its instance, so the counts
+    of running and of admitted calls are exact. A call that is refused here has
+    certainly not run and can be placed elsewhere at no cost but time.
 
     Attributes
     ----------
     open : bool
         Whether the target accepts calls, as it reports.
-    slots : int
-        Number of calls that may run at a time.
+    capacity : TargetCapacity
+        Slots and rate limit of the target, and the calls that use them.
     run_times : RunTimes
         Run times and failure rate of the target.
     ranks : CallRanks
         Ranks of waiting calls.
-    rate_limit : StatedRateLimit
-        Rate limit that the target states.
-    admitted_count : int
-        Calls that were admitted since the start of the node.
     """
 
     __slots__ = (
         '_closed_until_s',
         '_loop',
-        '_running',
-        '_sequence',
-        '_waiters',
-        'admitted_count',
+        '_timer',
+        '_waiting',
+        'capacity',
         'open',
         'ranks',
-        'rate_limit',
         'run_times',
-        'slots',
     )
 
     def __init__(self) -> None:
         """Initialise closed and without slots."""
         self._loop = asyncio.get_running_loop()
-        self._waiters: list[_Waiter] = []
-        self._sequence = 0
-        self._running = 0
+        self._waiting = WaitingCalls()
+        self.capacity = TargetCapacity()
         self.run_times = RunTimes()
         self.ranks = CallRanks()
-        self.rate_limit = StatedRateLimit()
-        self.admitted_count = 0
+        # Runs while the rate limit delays the first waiting call.
+        self._timer: asyncio.TimerHandle | None = None
         self._closed_until_s: float = 0
         self.open = False
-        self.slots = 0
 
     @property
     def load(self) -> TargetLoad:
@@ -85,11 +74,12 @@
 
         Late calls are not counted as waiting, since calls in time go first.
         """
+        reported = self.capacity.reported(self.run_times.expected_ms)
         return TargetLoad(
-            running=self._running,
-            waiting=self._count_ahead(LATE_RANK),
-            slots=self.slots,
-            run_ms=round(self.run_times.expected_ms, 1),
+            running=reported.running,
+            waiting=self._waiting.count_ahead(LATE_RANK),
+            slots=reported.slots,
+            run_ms=round(reported.run_ms, 1),
             failure_rate=round(self.run_times.failure_rate, 2),
             open=self._is_open(),
         )
@@ -100,14 +90,25 @@
 
     def resize(self, slots: int) -> None:
         """Change the number of slots and admit calls to new ones."""
-        self.slots = slots
+        self.capacity.slots = slots
         self._admit_next()
 
+    def apply_rate_limit(self, per_s: float | None, sent_s: float) -> bool:
+        """Apply the limit that an answer states, and admit calls within it.
+
+        Returns whether the limit changed; see `StatedRateLimit.record`.
+        """
+        changed = self.capacity.rate_limit.record(per_s, sent_s)
+        if changed and self._timer is not None:
+            self._timer.cancel()
+            self._admit_after_delay()
+        return changed
+
     def reset_statistics(self) -> None:
         """Discard the run times and limit of a target that was replaced."""
         self.run_times = RunTimes()
         self.ranks = CallRanks()
-        self.rate_limit = StatedRateLimit()
+        self.capacity.rate_limit = StatedRateLimit()
 
     def close_temporarily(self) -> None:
         """Refuse calls for `UNREACHABLE_CLOSED_S`.
@@ -139,59 +140,60 @@
         """
         if not self._is_open():
             raise not_sent_fault('closed', 'target takes no calls')
-        if self._running < self.slots:
-            self._running += 1
+        if self.capacity.can_start:
+            self.capacity.start()
         else:
             await self._wait(rank, max_wait_ms)
-        self.admitted_count += 1
         try:
             yield
         finally:
-            self._running -= 1
+            self.capacity.finish()
             self._admit_next()
 
     def _is_open(self) -> bool:
         return self.open and self._loop.time() >= self._closed_until_s
 
-    def _expected_wait_ms(self, rank: int) -> float:
-        ahead = self._count_ahead(rank)
-        run_ms = self.run_times.expected_ms
-        return (ahead + 1) * run_ms / max(self.slots, 1)
-
-    def _count_ahead(self, rank: int) -> int:
-        """Return the number of waiting calls ahead of a new one of a rank."""
-        return sum(1 for waiter in self._waiters if waiter[0] <= rank)
-
     async def _wait(self, rank: int, max_wait_ms: float) -> None:
-        full = self._count_ahead(rank) >= MAX_WAITING_PER_SLOT * self.slots
-        if full or self._expected_wait_ms(rank) > max_wait_ms:
-            raise not_sent_fault('busy', f'{len(self._waiters)} calls wait')
-        self._sequence += 1
-        assigned: asyncio.Future[None] = self._loop.create_future()
-        waiter = (rank, self._sequence, assigned)
-        heapq.heappush(self._waiters, waiter)
+        ahead = self._waiting.count_ahead(rank)
+        expected_ms = self.capacity.expected_wait_ms(
+            ahead,
+            self.run_times.expected_ms,
+        )
+        full = ahead >= MAX_WAITING_PER_SLOT * self.capacity.slots
+        if full or expected_ms > max_wait_ms:
+            raise not_sent_fault('busy', f'{len(self._waiting)} calls wait')
+        waiter = self._waiting.add(rank)
+        self._admit_next()
         try:
             async with asyncio.timeout(max_wait_ms / MS_PER_S):
-                await assigned
+                await waiter[2]
         except BaseException as error:
             self._cancel_wait(waiter)
             if isinstance(error, TimeoutError):
                 raise not_sent_fault('busy', 'no slot in time') from error
             raise
 
-    def _cancel_wait(self, waiter: _Waiter) -> None:
+    def _cancel_wait(self, waiter: Waiter) -> None:
         assigned = waiter[2]
         if assigned.done() and not assigned.cancelled():
             # The slot was assigned at the same time as the wait was cancelled.
-            self._running -= 1
+            self.capacity.finish()
             self._admit_next()
-        elif waiter in self._waiters:
-            self._waiters.remove(waiter)
-            heapq.heapify(self._waiters)
+        else:
+            self._waiting.discard(waiter)
 
     def _admit_next(self) -> None:
-        while self._waiters and self._running < self.slots:
-            assigned = heapq.heappop(self._waiters)[2]
+        while self._waiting and self.capacity.can_start:
+            assigned = self._waiting.pop()
             if not assigned.done():
-                self._running += 1
+                self.capacity.start()
                 assigned.set_result(None)
+        if self._waiting and self.capacity.has_slot and self._timer is None:
+            self._timer = self._loop.call_later(
+                self.capacity.rate_limit.delay_s,
+                self._admit_after_delay,
+            )
+
+    def _admit_after_delay(self) -> None:
+        self._timer = None
+        self._admit_next()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -157,11 +157,11 @@
         self._set_gauges()
 
     def _set_gauges(self) -> None:
-        admission = self.local.admission
-        load = admission.load
-        self._metrics.gauge('target.admitted', admission.admitted_count)
+        load = self.local.admission.load
+        capacity = self.local.admission.capacity
+        self._metrics.gauge('target.admitted', capacity.started)
         # 0 without a limit; a target that accepts calls states more.
-        limit_per_s = admission.rate_limit.per_s or 0
+        limit_per_s = capacity.rate_limit.per_s or 0
         self._metrics.gauge('target.rate_limit_per_s', limit_per_s)
         self._metrics.gauge('target.running', load.running)
         self._metrics.gauge('target.waiting', load.waiting)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/statements.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/statements.py
@@ -58,12 +58,12 @@
                 reason=str(error),
             )
             return
-        before_per_s = self._admission.rate_limit.per_s
-        if self._admission.rate_limit.record(per_s, sent_s):
+        before_per_s = self._admission.capacity.rate_limit.per_s
+        if self._admission.apply_rate_limit(per_s, sent_s):
             self._decisions.write(
                 'rate limit of the target changed',
                 target=target_id,
                 limit_per_s=per_s,
                 before_per_s=before_per_s,
-                admitted=self._admission.admitted_count,
+                admitted=self._admission.capacity.started,
             )
--- a/tests/node/mesh/test_admission.py
+++ b/tests/node/mesh/test_admission.py
@@ -168,6 +168,6 @@
 async def test_calls_stay_within_the_stated_rate() -> None:
     """Guards against a target that gets more calls than it says it accepts."""
     admission = _admission(9)
-    admission.rate_limit.record(20.0, 0)
+    admission.apply_rate_limit(20.0, 0)
     admitted_s = await _offer(admission, 200, 12.0)
     assert _most_within(4.0, admitted_s) <= 1.5 * 20 * 4 + 5
--- a/tests/node/mesh/test_confirmation.py
+++ b/tests/node/mesh/test_confirmation.py
@@ -66,6 +66,20 @@
         assert local.admission.load.open
 
 
+async def test_health_check_tells_the_rate_limit() -> None:
+    """Guards against a node that forgets the limit of its target when it
+    restarts, and sends it as many calls as it has slots.
+    """
+    async with run_scripted() as (address, target):
+        target.health = (
+            b'HTTP/1.1 200 OK\r\nx-mustardspur-rate-limit: 4\r\n'
+            b'content-length: 0\r\n\r\n'
+        )
+        local = _unconfirmed(address)
+        await confirm_target(local, _view())
+        assert local.admission.capacity.rate_limit.per_s == 4
+
+
 @in_virtual_time
 async def test_target_is_confirmed_without_health_check() -> None:
     """Guards against a target that receives no calls because the node has
