Close a target whose answers state that it leaves

A target that leaves says so in all its answers, but only its reports closed it, so that calls went on where the report came late or not at all. Cause: the header was passed on and not read. Change: an answer that states the leave, also to a health check, marks the target as draining at the node beside it, which refuses further calls and announces it. A late report that says "ready" does not undo it; a new start of the target does. Changes of the target reach the node by callbacks of the report store now, which replace an event that nothing waited for. Statements in answers of a target that was replaced since are ignored.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/confirmation.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/confirmation.py
@@ -94,5 +94,6 @@
     except (PlacementFault, BrokenAnswer, TimeoutError) as error:
         _LOG.info('health check failed', extra={'reason': repr(error)})
         return False
-    local.statements.apply(report.id if report else '', answer, sent_s)
+    if report is not None:
+        local.statements.apply(report, answer, sent_s)
     return answer.status == HTTPStatus.OK
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -87,6 +87,7 @@
             self.local,
             self.placer.chooser,
         )
+        self.reports.on_change(self._apply_target_change)
 
     @property
     def ready(self) -> bool:
@@ -95,13 +96,11 @@
 
     def accept_report(self, report: TargetReport) -> None:
         """Accept a report of the local target."""
-        if self.reports.accept(report):
-            self._apply_target_change()
+        self.reports.accept(report)
 
     def remove_target(self, target_id: str) -> None:
         """Remove a target that shuts down."""
-        if self.reports.remove(target_id):
-            self._apply_target_change()
+        self.reports.remove(target_id)
 
     def apply_settings(self, settings: Settings) -> None:
         """Apply the settings that can change while the node runs."""
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -74,7 +74,7 @@
         self._identity: tuple[str, int] | None = None
         self.reports = reports
         self.admission = AdmissionControl()
-        self.statements = TargetStatements(names, self.admission)
+        self.statements = TargetStatements(names, self.admission, reports)
         self.evidence = TransferEvidence()
 
     def refresh(self) -> None:
@@ -192,7 +192,7 @@
         except BrokenAnswer as error:
             self._record_run(call, report, started_ns, failed=True)
             raise maybe_run_fault('broken', str(error)) from error
-        self.statements.apply(report.id, answer, sent_s)
+        self.statements.apply(report, answer, sent_s)
         self._requests.raise_if_refused(answer)
         self._record_run(call, report, started_ns, failed=answer.failed)
         return answer
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/names.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/names.py
@@ -25,6 +25,8 @@
     rate_limit : str
         On an answer of a target: calls a second that it accepts from all
         nodes together, for as long as its answers state it.
+    leaving : str
+        On an answer of a target: ``1`` if it shuts down.
     """
 
     __slots__ = (
@@ -35,6 +37,7 @@
         'origin_service',
         'retry_after',
         'rate_limit',
+        'leaving',
     )
     request_id: str
     deadline_ms: str
@@ -43,6 +46,7 @@
     origin_service: str
     retry_after: str
     rate_limit: str
+    leaving: str
 
 
 HEADER_NAMES: Final = HeaderNames(
@@ -53,6 +57,7 @@
     origin_service='x-mustardspur-origin',
     retry_after='retry-after',
     rate_limit='x-mustardspur-rate-limit',
+    leaving='x-mustardspur-leaving',
 )
 
 # Headers that apply to a single connection and are not forwarded.
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/reports.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/reports.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from typing import Any, Final
 
 from mustardspur_core.mesh.model import MeshTargetState
@@ -65,9 +66,10 @@
 
     __slots__ = (
         '_born_by_removed_id',
+        '_callbacks',
+        '_leaving',
         '_unknown_removed_s',
         'address',
-        'changed',
         'cold_until_s',
         'current',
     )
@@ -77,7 +79,9 @@
         self.address = address
         self.current: TargetReport | None = None
         self.cold_until_s: float = 0
-        self.changed = asyncio.Event()
+        self._callbacks: list[Callable[[], None]] = []
+        # Report of a target that has stated since that it leaves.
+        self._leaving: TargetReport | None = None
         self._born_by_removed_id: dict[str, int] = {}
         self._unknown_removed_s: dict[str, float] = {}
 
@@ -86,6 +90,10 @@
         """Whether the target is still cold, as it reported at its start."""
         return _now() < self.cold_until_s
 
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Register a callback for changes of the target."""
+        self._callbacks.append(callback)
+
     def accept(self, report: TargetReport) -> bool:
         """Store a report unless it is outdated or invalid.
 
@@ -101,6 +109,9 @@
                 extra={'target': report.id, 'reason': reject_reason},
             )
             return False
+        if is_same_start(report, self._leaving):
+            # A report that was sent before the target began to leave.
+            report = _draining(report)
         current = self.current
         self.current = report
         self.cold_until_s = _now() + report.cold_ms / MS_PER_S
@@ -116,9 +127,25 @@
                 'sequence': report.sequence,
             },
         )
-        self.changed.set()
+        self._notify()
         return True
 
+    def mark_leaving(self) -> None:
+        """Mark the target as draining, since it has stated that it leaves.
+
+        It stays so until a target with another identity or start reports.
+        """
+        current = self.current
+        if current is None or not is_ready(current):
+            return
+        self._leaving = current
+        self.current = _draining(current)
+        _LOG.info(
+            'target states that it leaves',
+            extra={'target': current.id, 'sequence': current.sequence},
+        )
+        self._notify()
+
     def remove(self, target_id: str) -> bool:
         """Remove the target; return False if it is not the current one."""
         current = self.current
@@ -129,9 +156,13 @@
         _evict_oldest(self._born_by_removed_id)
         self.current = None
         _LOG.info('target left', extra={'target': target_id})
-        self.changed.set()
+        self._notify()
         return True
 
+    def _notify(self) -> None:
+        for callback in self._callbacks:
+            callback()
+
     def _record_unknown_removal(self, target_id: str) -> None:
         """Record the removal of an unknown target to ignore late reports."""
         _LOG.info('unknown target removed', extra={'target': target_id})
@@ -158,6 +189,17 @@
         return ''
 
 
+def is_same_start(report: TargetReport, other: TargetReport | None) -> bool:
+    """Return whether two reports are of the same start of one target."""
+    return other is not None and (
+        (report.id, report.born) == (other.id, other.born)
+    )
+
+
+def _draining(report: TargetReport) -> TargetReport:
+    return replaced(report, state=MeshTargetState.DRAINING.value)
+
+
 def _is_unchanged(current: TargetReport, report: TargetReport) -> bool:
     return current == replaced(
         report,
