Log crashes of a target with the calls that it had not answered

Cause: the logs named identifiers of attempts only, so a call that comes again and crashes targets looked like targets that fall over by themselves. Change: a call whose connection ends without an answer makes the node beside the target check whether it still accepts connections; a target that refuses them has crashed, and its unanswered calls are logged by fingerprint (method, host, path, body, origin service) and path, without those that it has answered before. The records of runs are a module of their own. Nothing is refused yet.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
@@ -229,7 +229,7 @@
     @_FROM_CONTROL.handles(MeshTransfers)
     def _apply_transfers(self, update: MeshTransfers) -> None:
         for service in self._view.apply_transfers(update):
-            self._local.evidence.reset(service)
+            self._local.runs.evidence.reset(service)
 
     @_FROM_CONTROL.handles(MeshTargets)
     def _apply_targets(self, update: MeshTargets) -> None:
@@ -256,7 +256,7 @@
     async def _send_evidence(self, stream: FrameStream) -> None:
         while True:
             await asyncio.sleep(EVIDENCE_INTERVAL_S)
-            evidence = self._local.evidence
+            evidence = self._local.runs.evidence
             if evidence.changed and self._view.has_running_transfer:
                 evidence.changed = False
                 stream.enqueue(
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/crashes.py
@@ -0,0 +1,178 @@
+"""Crashes of the local target, and the calls that may have caused them."""
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+from typing import Final
+
+from mustardspur_core.mesh.call_messages import CallOpen
+from mustardspur_core.record import Record
+
+from mustardspur_node.mesh.fingerprints import call_fingerprint
+from mustardspur_node.mesh.names import HeaderNames
+from mustardspur_node.mesh.target_pool import TargetPool
+
+_LOG: Final = logging.getLogger(__name__)
+
+# Time after a broken call in which the others at the target break off as well.
+SETTLE_S: Final = 0.02
+# Calls that broke off within this time before a connection was refused were
+# at the target when it crashed.
+CRASH_WINDOW_S: Final = 0.5
+# Fingerprints of answered calls that are remembered.
+MAX_ANSWERED: Final = 4096
+# Crashes that are reported again on a new stream to a control instance.
+MAX_REPORTED: Final = 64
+MAX_BROKEN: Final = 256
+
+
+class Crash(Record):
+    """A crash of the local target.
+
+    Parameters
+    ----------
+    number : int
+        Number of the crash since the start of the node.
+    at_s : float
+        Time on the event loop's clock.
+    fingerprints : list of bytes
+        Fingerprints of the calls that may have caused it.
+    """
+
+    __slots__ = ('number', 'at_s', 'fingerprints')
+    number: int
+    at_s: float
+    fingerprints: list[bytes]
+
+
+class BrokenCall(Record):
+    """A call whose connection ended before its answer."""
+
+    __slots__ = ('at_s', 'fingerprint', 'path')
+    at_s: float
+    fingerprint: bytes
+    path: str
+
+
+class CrashObserver:
+    """Tells crashes of the local target from single broken answers.
+
+    Explanation
+    ===========
+
+    A target that resets a connection still accepts others; one that crashed
+    ends all connections and refuses new ones. The calls without an answer at
+    that moment are suspects, except those that the target has answered
+    before: a call that crashes targets never gets an answer.
+
+    Parameters
+    ----------
+    names : HeaderNames
+        Names of the HTTP headers.
+
+    Attributes
+    ----------
+    crashes : deque of Crash
+        The latest crashes, oldest first.
+    on_crash : callable
+        Called after a crash was added.
+    """
+
+    __slots__ = (
+        '_answered',
+        '_broken',
+        '_check',
+        '_names',
+        '_number',
+        'crashes',
+        'on_crash',
+    )
+
+    def __init__(self, names: HeaderNames) -> None:
+        """Initialise without calls."""
+        self._names = names
+        # Ordered from the least to the most recently answered call.
+        self._answered: dict[bytes, None] = {}
+        self._broken: deque[BrokenCall] = deque(maxlen=MAX_BROKEN)
+        self._check: asyncio.Task[None] | None = None
+        self._number = 0
+        self.crashes: deque[Crash] = deque(maxlen=MAX_REPORTED)
+        self.on_crash: Callable[[], None] = _ignore
+
+    def record_answered(self, call: CallOpen) -> None:
+        """Record that the target answered a call."""
+        fingerprint = self._fingerprint(call)
+        self._answered.pop(fingerprint, None)
+        self._answered[fingerprint] = None
+        if len(self._answered) > MAX_ANSWERED:
+            self._answered.pop(next(iter(self._answered)))
+
+    def record_broken(self, call: CallOpen, pool: TargetPool) -> None:
+        """Record a call whose connection ended before its answer.
+
+        It is then checked whether the target still accepts connections.
+        """
+        broken = BrokenCall(
+            at_s=_now(),
+            fingerprint=self._fingerprint(call),
+            path=call.path,
+        )
+        self._broken.append(broken)
+        if self._check is None or self._check.done():
+            self._check = asyncio.create_task(self._check_target(call, pool))
+            self._check.add_done_callback(_log_failure)
+
+    async def _check_target(self, call: CallOpen, pool: TargetPool) -> None:
+        await asyncio.sleep(SETTLE_S)
+        if not await pool.accepts_connections():
+            self._record_crash(call.target)
+
+    def _record_crash(self, target_id: str) -> None:
+        oldest_s = _now() - CRASH_WINDOW_S
+        broken = [each for each in self._broken if each.at_s >= oldest_s]
+        self._broken.clear()
+        suspects = {
+            each.fingerprint: each.path
+            for each in broken
+            if each.fingerprint not in self._answered
+        }
+        self._number += 1
+        _LOG.warning(
+            'target crashed',
+            extra={
+                'target': target_id,
+                'number': self._number,
+                'unanswered': len(broken),
+                'suspects': {
+                    fingerprint.hex(): path
+                    for fingerprint, path in suspects.items()
+                },
+            },
+        )
+        self.crashes.append(
+            Crash(
+                number=self._number,
+                at_s=_now(),
+                fingerprints=list(suspects),
+            ),
+        )
+        self.on_crash()
+
+    def _fingerprint(self, call: CallOpen) -> bytes:
+        return call_fingerprint(
+            self._names, call.method, call.path, call.headers, call.body
+        )
+
+
+def _ignore() -> None:
+    """Do nothing on a crash."""
+
+
+def _log_failure(task: 'asyncio.Task[None]') -> None:
+    if not task.cancelled() and task.exception() is not None:
+        _LOG.error('check of the target failed', exc_info=task.exception())
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -10,7 +10,7 @@
     TargetLoad,
 )
 from mustardspur_core.suspension import suspended_s
-from mustardspur_core.units import MS_PER_S, NS_PER_MS
+from mustardspur_core.units import MS_PER_S
 
 from mustardspur_node.mesh.admission import AdmissionControl
 from mustardspur_node.mesh.answer_budget import AnswerBudget
@@ -23,11 +23,11 @@
 )
 from mustardspur_node.mesh.names import HeaderNames
 from mustardspur_node.mesh.reports import ReportStore, TargetReport, is_ready
+from mustardspur_node.mesh.run_recorder import RunRecorder
 from mustardspur_node.mesh.statements import TargetStatements
 from mustardspur_node.mesh.target_connection import TargetConnection
 from mustardspur_node.mesh.target_pool import TargetPool
 from mustardspur_node.mesh.target_requests import TargetRequests
-from mustardspur_node.mesh.transfer_evidence import TransferEvidence
 
 # A call with less time left is not sent, since it could only time out.
 MIN_SENT_MS: Final = 10.0
@@ -55,9 +55,9 @@
         '_requests',
         'admission',
         'budget',
-        'reports',
-        'evidence',
         'pool',
+        'reports',
+        'runs',
         'statements',
     )
 
@@ -75,7 +75,7 @@
         self.reports = reports
         self.admission = AdmissionControl()
         self.statements = TargetStatements(names, self.admission, reports)
-        self.evidence = TransferEvidence()
+        self.runs = RunRecorder(names, self.admission, reports)
 
     def refresh(self) -> None:
         """Apply the current report of the target.
@@ -190,33 +190,13 @@
         except TimeoutError as error:
             raise maybe_run_fault('timeout', 'no answer in time') from error
         except BrokenAnswer as error:
-            self._record_run(call, report, started_ns, failed=True)
+            self.runs.record_broken(call, report, started_ns, self.pool)
             raise maybe_run_fault('broken', str(error)) from error
         self.statements.apply(report, answer, sent_s)
         self._requests.raise_if_refused(answer)
-        self._record_run(call, report, started_ns, failed=answer.failed)
+        self.runs.record_answer(call, report, started_ns, failed=answer.failed)
         return answer
 
-    def _record_run(
-        self,
-        call: CallOpen,
-        report: TargetReport,
-        started_ns: int,
-        *,
-        failed: bool,
-    ) -> None:
-        run_ms = (time.monotonic_ns() - started_ns) / NS_PER_MS
-        cold = self.reports.is_cold
-        self.admission.run_times.record(run_ms, failed=failed)
-        if not failed:
-            self.admission.ranks.record(call.route, run_ms)
-        self.evidence.record(
-            (report.service, report.version, call.route),
-            run_ms,
-            failed=failed,
-            timed=not failed and not cold,
-        )
-
     def _target_answer(self, answer: RawAnswer) -> TargetAnswer:
         return TargetAnswer(
             status=answer.status,
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/run_recorder.py
@@ -0,0 +1,88 @@
+"""Records of the runs at the local target."""
+
+import time
+
+from mustardspur_core.mesh.call_messages import CallOpen
+from mustardspur_core.units import NS_PER_MS
+
+from mustardspur_node.mesh.admission import AdmissionControl
+from mustardspur_node.mesh.crashes import CrashObserver
+from mustardspur_node.mesh.names import HeaderNames
+from mustardspur_node.mesh.reports import ReportStore, TargetReport, is_ready
+from mustardspur_node.mesh.target_pool import TargetPool
+from mustardspur_node.mesh.transfer_evidence import TransferEvidence
+
+
+class RunRecorder:
+    """Records run times, evidence on transfers and crashes.
+
+    Parameters
+    ----------
+    names : HeaderNames
+        Names of the HTTP headers.
+    admission : AdmissionControl
+        Receives the run times.
+    reports : ReportStore
+        Reports of the target.
+    """
+
+    __slots__ = ('_admission', '_reports', 'crashes', 'evidence')
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        admission: AdmissionControl,
+        reports: ReportStore,
+    ) -> None:
+        """Initialise without runs."""
+        self._admission = admission
+        self._reports = reports
+        self.crashes = CrashObserver(names)
+        self.evidence = TransferEvidence()
+
+    def record_answer(
+        self,
+        call: CallOpen,
+        report: TargetReport,
+        started_ns: int,
+        *,
+        failed: bool,
+    ) -> None:
+        """Record a run that the target answered."""
+        self.crashes.record_answered(call)
+        self._record(call, report, started_ns, failed=failed)
+
+    def record_broken(
+        self,
+        call: CallOpen,
+        report: TargetReport,
+        started_ns: int,
+        pool: TargetPool,
+    ) -> None:
+        """Record a run whose connection ended before its answer.
+
+        Targets that leave end their connections without a crash.
+        """
+        if is_ready(self._reports.current):
+            self.crashes.record_broken(call, pool)
+        self._record(call, report, started_ns, failed=True)
+
+    def _record(
+        self,
+        call: CallOpen,
+        report: TargetReport,
+        started_ns: int,
+        *,
+        failed: bool,
+    ) -> None:
+        run_ms = (time.monotonic_ns() - started_ns) / NS_PER_MS
+        cold = self._reports.is_cold
+        self._admission.run_times.record(run_ms, failed=failed)
+        if not failed:
+            self._admission.ranks.record(call.route, run_ms)
+        self.evidence.record(
+            (report.service, report.version, call.route),
+            run_ms,
+            failed=failed,
+            timed=not failed and not cold,
+        )
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_pool.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_pool.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from mustardspur_node.mesh.answer_budget import AnswerBudget
-from mustardspur_node.mesh.calls import not_sent_fault
+from mustardspur_node.mesh.calls import PlacementFault, not_sent_fault
 from mustardspur_node.mesh.target_connection import TargetConnection
 
 # The target is on the same instance; a slower one is overloaded.
@@ -61,6 +61,20 @@
         finally:
             self._release(connection)
 
+    async def accepts_connections(self) -> bool:
+        """Return False if the target refuses connections.
+
+        Where no idle connection shows it, one is opened for the next call.
+        """
+        if self._closed or any(each.is_fresh for each in self._idle):
+            return True
+        try:
+            connection = await self._connect()
+        except PlacementFault as fault:
+            return not isinstance(fault.__cause__, ConnectionRefusedError)
+        self._release(connection)
+        return True
+
     def prune(self) -> None:
         """Close connections whose idle timeout has expired."""
         for connection in self._idle:
