Refuse a call everywhere once it has crashed three targets

Cause: attempts of a call were told apart by their identifiers, and each node judged its own attempts only. Nothing connected the crashes of one call over attempts, callers and nodes. Change: a node reports a crash of its target with the fingerprints of the unanswered calls to its control instance, which counts them, together with those that the other instances receive, and tells all nodes the calls that were at three crashed targets. These are refused before they are sent, by the caller's node and by the node beside the target, for 600 s after the last crash, with 503 (unless an attempt has run) and a Retry-After of 60 s. Calls that the target has answered before are no suspects, and calls that find a target down do not count. Crashes carry their age, so that they end although instances hand them on. Nodes that accept blocks say so by a new greeting, control instances in their heartbeats, so that older ones get no unknown frames.

--- /dev/null
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/crash_register.py
@@ -0,0 +1,131 @@
+"""Calls that crash targets, over all nodes and attempts."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Final
+
+from mustardspur_core.mesh.control_messages import (
+    BlockedCall,
+    MeshBlocks,
+    MeshCrash,
+)
+from mustardspur_core.record import replaced
+
+_LOG: Final = logging.getLogger(__name__)
+
+# Crashes after which a call is refused. Calls that were at the same target by
+# chance are rarely at two more targets when these crash.
+CRASHES_TO_BLOCK: Final = 3
+# Time for which crashes are remembered, and a call is refused after its last
+# one. A call that crashed targets for another reason gets another chance then.
+RETENTION_S: Final = 600.0
+# Crashes that are remembered; the oldest ones are dropped.
+MAX_CRASHES: Final = 1024
+
+# Node, incarnation of the node and number of the crash.
+CrashKey = tuple[str, int, int]
+
+
+class CrashRegister:
+    """Counts the crashes of each call and blocks those that cause them.
+
+    Explanation
+    ===========
+
+    Each control instance has a register. It receives the crashes that its
+    nodes observe, and those that the other instances know; a crash that is
+    reported again counts once. A call is blocked once targets have crashed
+    `CRASHES_TO_BLOCK` times while they ran it.
+    """
+
+    __slots__ = ('_at_s', '_blocked_until_s', '_callbacks', '_crashes')
+
+    def __init__(self) -> None:
+        """Initialise without crashes."""
+        self._callbacks: list[Callable[[], None]] = []
+        self._crashes: dict[CrashKey, MeshCrash] = {}
+        # Time of each crash on the clock of this instance.
+        self._at_s: dict[CrashKey, float] = {}
+        self._blocked_until_s: dict[bytes, float] = {}
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Register a callback for new crashes."""
+        self._callbacks.append(callback)
+
+    def record(self, crash: MeshCrash) -> None:
+        """Count a crash unless it is known or too old."""
+        key = crash_key(crash)
+        if key in self._crashes or crash.age_s >= RETENTION_S:
+            return
+        self._crashes[key] = crash
+        self._at_s[key] = _now() - crash.age_s
+        self._remove_expired()
+        for fingerprint in crash.fingerprints:
+            self._block_if_repeated(fingerprint)
+        for callback in self._callbacks:
+            callback()
+
+    def crashes_except(self, known: set[CrashKey]) -> list[MeshCrash]:
+        """Return the crashes whose keys are not among the known ones."""
+        self._remove_expired()
+        return [
+            replaced(crash, age_s=_now() - self._at_s[key])
+            for key, crash in self._crashes.items()
+            if key not in known
+        ]
+
+    def blocks_except(self, known: set[bytes]) -> MeshBlocks | None:
+        """Return the blocked calls not among the known ones, None if none."""
+        self._remove_expired()
+        now_s = _now()
+        blocked = [
+            BlockedCall(fingerprint=fingerprint, left_s=until_s - now_s)
+            for fingerprint, until_s in self._blocked_until_s.items()
+            if fingerprint not in known
+        ]
+        return MeshBlocks(blocked=blocked) if blocked else None
+
+    def _block_if_repeated(self, fingerprint: bytes) -> None:
+        times_s = [
+            self._at_s[key]
+            for key, crash in self._crashes.items()
+            if fingerprint in crash.fingerprints
+        ]
+        if len(times_s) < CRASHES_TO_BLOCK:
+            return
+        if fingerprint not in self._blocked_until_s:
+            _LOG.warning(
+                'call blocked',
+                extra={
+                    'fingerprint': fingerprint.hex(),
+                    'crashes': len(times_s),
+                },
+            )
+        self._blocked_until_s[fingerprint] = max(times_s) + RETENTION_S
+
+    def _remove_expired(self) -> None:
+        oldest_s = _now() - RETENTION_S
+        excess = max(len(self._crashes) - MAX_CRASHES, 0)
+        expired = [
+            key
+            for number, (key, at_s) in enumerate(self._at_s.items())
+            if at_s <= oldest_s or number < excess
+        ]
+        for key in expired:
+            self._crashes.pop(key)
+            self._at_s.pop(key)
+        self._blocked_until_s = {
+            fingerprint: until_s
+            for fingerprint, until_s in self._blocked_until_s.items()
+            if until_s > _now()
+        }
+
+
+def crash_key(crash: MeshCrash) -> CrashKey:
+    """Return what identifies a crash."""
+    return crash.node, crash.incarnation, crash.number
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/exchange.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/exchange.py
@@ -1,7 +1,8 @@
 """Streams between the control instances of a mesh.
 
 Each instance opens a stream to every other one. It sends the registrations of
-the nodes that are attached to it, and to the leader the evidence on transfers.
+the nodes that are attached to it, the crashes that it knows, and to the leader
+the evidence on transfers.
 """
 
 import asyncio
@@ -12,6 +13,7 @@
 
 from mustardspur_core.mesh.control_messages import (
     ControlHello,
+    MeshCrash,
     MeshEvidence,
     MeshHeartbeat,
     MeshTargets,
@@ -26,6 +28,11 @@
     raise_on_silence,
 )
 
+from mustardspur_control.mesh.crash_register import (
+    CrashKey,
+    CrashRegister,
+    crash_key,
+)
 from mustardspur_control.mesh.evidence import EvidenceAggregator
 from mustardspur_control.mesh.formation import own_peer
 from mustardspur_control.mesh.membership import Membership
@@ -56,9 +63,21 @@
         Registrations of all nodes.
     evidence : EvidenceAggregator
         Receives the evidence that other instances forward.
+
+    Attributes
+    ----------
+    crashes : CrashRegister
+        Crashes that the nodes of all instances have observed.
     """
 
-    __slots__ = ('_evidence', '_links', '_members', '_registry', '_settings')
+    __slots__ = (
+        '_evidence',
+        '_links',
+        '_members',
+        '_registry',
+        '_settings',
+        'crashes',
+    )
 
     def __init__(
         self,
@@ -73,7 +92,9 @@
         self._registry = registry
         self._evidence = evidence
         self._links: dict[str, OutgoingLink] = {}
+        self.crashes = CrashRegister()
         registry.on_change(self._mark_changed)
+        self.crashes.on_change(self._wake_links)
 
     async def run(self) -> None:
         """Keep a stream open to every other instance until cancelled."""
@@ -88,6 +109,7 @@
                         self._settings,
                         self._members,
                         self._registry,
+                        self.crashes,
                     )
                     self._links[peer_id] = link
                     group.create_task(
@@ -134,16 +156,26 @@
                 self._registry.apply_update(peer.id, body)
             elif isinstance(body, MeshEvidence):
                 self._evidence.record(body)
+            elif isinstance(body, MeshCrash):
+                self.crashes.record(body)
 
     async def _send_heartbeats(self, stream: FrameStream) -> None:
+        # Instances of earlier builds name no one.
+        accepts_crashes = [own_peer(self._settings)]
         while True:
-            stream.enqueue(MeshHeartbeat(current=True, controls=[]))
+            stream.enqueue(
+                MeshHeartbeat(current=True, controls=accepts_crashes),
+            )
             await asyncio.sleep(self._settings.intervals.heartbeat_s)
 
     def _mark_changed(self, node: str) -> None:
         for link in self._links.values():
             link.mark_changed(node)
 
+    def _wake_links(self) -> None:
+        for link in self._links.values():
+            link.wake()
+
 
 class OutgoingLink:
     """Stream that this instance opens to another one.
@@ -158,13 +190,18 @@
         Address of the other instance, by its identifier.
     registry : MeshRegistry
         Registrations to send.
+    crashes : CrashRegister
+        Crashes to send.
     """
 
     __slots__ = (
+        '_accepts_crashes',
+        '_crashes',
         '_members',
         '_peer_id',
         '_pending',
         '_registry',
+        '_sent_crashes',
         '_settings',
         '_stream',
         '_wake',
@@ -176,9 +213,13 @@
         settings: Settings,
         members: Membership,
         registry: MeshRegistry,
+        crashes: CrashRegister,
     ) -> None:
         """Initialise the link without a stream."""
         self._peer_id = peer_id
+        self._crashes = crashes
+        self._accepts_crashes = False
+        self._sent_crashes: set[CrashKey] = set()
         self._settings = settings
         self._members = members
         self._registry = registry
@@ -198,6 +239,10 @@
         """Mark the registration of a node as changed."""
         self._pending.mark_changed(node)
 
+    def wake(self) -> None:
+        """Send new crashes."""
+        self._wake.set()
+
     def send(self, body: Record) -> None:
         """Send a message if the stream is open; it is dropped otherwise."""
         if self._stream is not None:
@@ -209,7 +254,7 @@
                 self._stream = stream
                 await run_until_first_end(
                     self._send(stream),
-                    _discard_messages(stream),
+                    self._receive(stream),
                     raise_on_silence(
                         stream,
                         self._settings.intervals.silence_s,
@@ -226,8 +271,11 @@
     async def _send(self, stream: FrameStream) -> None:
         stream.enqueue(ControlHello(sender=own_peer(self._settings)))
         self._pending = PendingUpdates(self._wake)
+        self._accepts_crashes = False
+        self._sent_crashes = set()
         while True:
             self._wake.clear()
+            self._send_crashes(stream)
             update = self._pending.pop_update(
                 self._registry.registrations_from(LOCAL_SOURCE),
             )
@@ -244,7 +292,18 @@
         except TimeoutError:
             stream.enqueue(MeshHeartbeat(current=True, controls=[]))
 
-
-async def _discard_messages(stream: FrameStream) -> None:
-    while True:
-        await stream.receive()
+    async def _receive(self, stream: FrameStream) -> None:
+        while True:
+            body = (await stream.receive()).body
+            names_itself = isinstance(body, MeshHeartbeat) and body.controls
+            if names_itself and not self._accepts_crashes:
+                self._accepts_crashes = True
+                self._wake.set()
+
+    def _send_crashes(self, stream: FrameStream) -> None:
+        """Send the crashes that were not sent on this stream."""
+        if not self._accepts_crashes:
+            return
+        for crash in self._crashes.crashes_except(self._sent_crashes):
+            self._sent_crashes.add(crash_key(crash))
+            stream.enqueue(crash)
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/instance.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/instance.py
@@ -8,6 +8,7 @@
     ControlHello,
     MeshAttach,
     MeshHello,
+    MeshSubscribe,
 )
 from mustardspur_core.metrics import Metrics
 from mustardspur_core.settings import MeshSettings, Settings
@@ -88,6 +89,7 @@
         streams.add(ControlHello, components.exchange.serve)
         streams.add(MeshHello, components.feeds.serve)
         streams.add(MeshAttach, components.feeds.serve)
+        streams.add(MeshSubscribe, components.feeds.serve)
         await stack.enter_async_context(serving_streams(settings, streams))
         await stack.enter_async_context(components.running())
         yield MeshControl(MeshOperations(log, store), mesh)
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
@@ -10,10 +10,12 @@
 from mustardspur_core.mesh.control_messages import (
     MeshAnnounce,
     MeshAttach,
+    MeshCrash,
     MeshEvidence,
     MeshHeartbeat,
     MeshHello,
     MeshPackedTable,
+    MeshSubscribe,
     MeshTable,
     MeshTransfers,
 )
@@ -40,6 +42,9 @@
 CONFIRMATION_TIMEOUT_S: Final = 1.5
 
 
+NodeGreeting = MeshHello | MeshAttach | MeshSubscribe
+
+
 class NodeFeedServer:
     """Serves the nodes that are attached to this instance.
 
@@ -94,12 +99,13 @@
         self.tables = TableDeltas(store)
         self.feeds: set[NodeFeed] = set()
         store.on_change(self._wake_all)
+        exchange.crashes.on_change(self._wake_all)
         registry.on_change(self._mark_changed)
 
     async def serve(
         self,
         stream: FrameStream,
-        hello: MeshHello | MeshAttach,
+        hello: NodeGreeting,
     ) -> None:
         """Serve a node until its stream ends."""
         feed = NodeFeed(self, stream, hello)
@@ -142,14 +148,16 @@
         State that all feeds share.
     stream : FrameStream
         The node's stream.
-    hello : MeshHello or MeshAttach
+    hello : MeshHello, MeshAttach or MeshSubscribe
         First frame of the node.
     """
 
     __slots__ = (
+        '_accepts_blocks',
         '_accepts_packed',
         '_confirmed',
         '_quorum_wait',
+        '_sent_blocks',
         '_sent_controls',
         '_shared',
         '_stream',
@@ -164,13 +172,15 @@
         self,
         shared: NodeFeedServer,
         stream: FrameStream,
-        hello: MeshHello | MeshAttach,
+        hello: NodeGreeting,
     ) -> None:
         """Initialise the feed with nothing sent."""
         self._shared = shared
         self._stream = stream
         self._table_index = hello.table_index
-        self._accepts_packed = isinstance(hello, MeshAttach)
+        self._accepts_blocks = isinstance(hello, MeshSubscribe)
+        self._accepts_packed = not isinstance(hello, MeshHello)
+        self._sent_blocks: set[bytes] = set()
         self._transfers_index = -1
         self._confirmed = False
         self._sent_controls: list[Peer] = []
@@ -208,6 +218,8 @@
                 self._shared.registry.put(LOCAL_SOURCE, body.target)
             elif isinstance(body, MeshEvidence):
                 self._forward_evidence(body)
+            elif isinstance(body, MeshCrash):
+                self._shared.exchange.crashes.record(body)
 
     def _forward_evidence(self, evidence: MeshEvidence) -> None:
         log = self._shared.log
@@ -258,6 +270,7 @@
         if targets is not None:
             self._stream.enqueue(targets)
         self._send_transfers()
+        self._send_blocks()
         delta = self._shared.tables.delta(self._table_index)
         if delta is not None:
             self._table_index = delta.index
@@ -284,6 +297,14 @@
             ),
         )
 
+    def _send_blocks(self) -> None:
+        if not self._accepts_blocks:
+            return
+        blocks = self._shared.exchange.crashes.blocks_except(self._sent_blocks)
+        if blocks is not None:
+            self._sent_blocks |= {each.fingerprint for each in blocks.blocked}
+            self._stream.enqueue(blocks)
+
     async def _send_heartbeats(self) -> None:
         while True:
             await asyncio.sleep(self._shared.settings.intervals.heartbeat_s)
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/control_messages.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/control_messages.py
@@ -93,7 +93,8 @@
         from a node.
     controls : list of Peer
         Live control instances if they have changed since the previous
-        heartbeat, else empty; always empty from a node.
+        heartbeat, else empty; always empty from a node. On a stream between
+        two control instances, the receiver if it accepts `MeshCrash`.
     """
 
     __slots__ = ('current', 'controls')
@@ -183,6 +184,68 @@
     confirmed: bool
 
 
+@message(129)
+class MeshSubscribe(Record):
+    """First frame of a node that accepts `MeshPackedTable` and `MeshBlocks`.
+
+    Nodes of earlier builds send `MeshAttach`, with the same fields.
+    """
+
+    __slots__ = ('node', 'data_centre', 'region', 'table_index')
+    node: str
+    data_centre: str
+    region: str
+    table_index: int
+
+
+@message(130)
+class MeshCrash(Record):
+    """A target crashed while it ran calls.
+
+    Parameters
+    ----------
+    node : str
+        Stream address of the node beside the target.
+    incarnation : int
+        Incarnation of that node.
+    number : int
+        Number of the crash in that incarnation.
+    fingerprints : list of bytes
+        Fingerprints of the calls that the target had not answered.
+    age_s : float
+        Seconds since the crash.
+    """
+
+    __slots__ = ('node', 'incarnation', 'number', 'fingerprints', 'age_s')
+    node: str
+    incarnation: int
+    number: int
+    fingerprints: list[bytes]
+    age_s: float
+
+
+class BlockedCall(Record):
+    """A call that no target may run for some time.
+
+    Parameters
+    ----------
+    left_s : float
+        Seconds for which it is refused from now on.
+    """
+
+    __slots__ = ('fingerprint', 'left_s')
+    fingerprint: bytes
+    left_s: float
+
+
+@message(131)
+class MeshBlocks(Record):
+    """Calls that have crashed several targets and are refused by all nodes."""
+
+    __slots__ = ('blocked',)
+    blocked: list[BlockedCall]
+
+
 @message(140)
 class ControlHello(Record):
     """First frame on a stream between two control instances."""
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/calls.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/calls.py
@@ -1,5 +1,6 @@
 """Calls of callers, answers of targets and faults of placements."""
 
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
 from mustardspur_core.mesh.call_messages import TargetLoad
@@ -7,6 +8,8 @@
 from mustardspur_core.record import Record
 
 Headers = list[list[str]]
+# Awaited immediately before a call is sent to the target.
+BeforeSend = Callable[[TargetLoad], Awaitable[None]]
 
 
 class MeshCall(Record):
@@ -67,7 +70,7 @@
     ----------
     kind : str
         ``busy``, ``closed``, ``moved``, ``unreachable``, ``refused``,
-        ``broken`` or ``timeout``.
+        ``blocked``, ``broken`` or ``timeout``.
     not_run : bool
         Whether it is certain that the call did not run and will not run.
     arrived : bool
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
@@ -6,10 +6,10 @@
 
 from mustardspur_core.mesh.control_messages import (
     MeshAnnounce,
-    MeshAttach,
-    MeshEvidence,
+    MeshBlocks,
     MeshHeartbeat,
     MeshPackedTable,
+    MeshSubscribe,
     MeshTable,
     MeshTargets,
     MeshTransfers,
@@ -30,6 +30,7 @@
 from mustardspur_node.mesh.control_ranking import ControlRanking
 from mustardspur_node.mesh.local_target import LocalTarget
 from mustardspur_node.mesh.node_announcement import NodeAnnouncement
+from mustardspur_node.mesh.node_reports import NodeReports
 from mustardspur_node.mesh.view import MeshView
 
 _LOG: Final = logging.getLogger(__name__)
@@ -45,7 +46,6 @@
 UNCONFIRMED_DELAY_S: Final = 2.0
 # Interval of the checks whether a nearer control instance is available.
 NEARER_CHECK_S: Final = 15.0
-EVIDENCE_INTERVAL_S: Final = 0.4
 _LINK_ERRORS: Final = (
     OSError,
     EOFError,
@@ -86,6 +86,7 @@
         '_failures',
         '_local',
         '_ranking',
+        '_reports',
         '_settings',
         '_stale_heartbeats',
         '_started_s',
@@ -114,6 +115,7 @@
         self._started_s = _now()
         self.attached = ''
         self.announcement = NodeAnnouncement(settings, local.reports)
+        self._reports = NodeReports(settings, self.announcement, view, local)
         self.announcement_changed = asyncio.Event()
 
     async def run(self) -> None:
@@ -138,7 +140,8 @@
                 await run_until_first_end(
                     self._receive(stream, stream_address),
                     self._send(stream),
-                    self._send_evidence(stream),
+                    self._reports.send_evidence(stream),
+                    self._reports.send_crashes(stream),
                     raise_on_silence(
                         stream,
                         self._settings.intervals.silence_s,
@@ -158,7 +161,7 @@
 
     async def _receive(self, stream: FrameStream, address: str) -> None:
         stream.enqueue(
-            MeshAttach(
+            MeshSubscribe(
                 node=self._settings.listen.stream or '',
                 data_centre=self._settings.data_centre,
                 region=self._settings.region,
@@ -236,6 +239,10 @@
         self._chooser.record_cold_starts(update.upserts)
         self._view.apply_targets(update)
 
+    @_FROM_CONTROL.handles(MeshBlocks)
+    def _apply_blocks(self, update: MeshBlocks) -> None:
+        self._local.blocked.apply(update)
+
     async def _send(self, stream: FrameStream) -> None:
         while True:
             self.announcement_changed.clear()
@@ -253,20 +260,6 @@
             except TimeoutError:
                 stream.enqueue(MeshHeartbeat(current=True, controls=[]))
 
-    async def _send_evidence(self, stream: FrameStream) -> None:
-        while True:
-            await asyncio.sleep(EVIDENCE_INTERVAL_S)
-            evidence = self._local.runs.evidence
-            if evidence.changed and self._view.has_running_transfer:
-                evidence.changed = False
-                stream.enqueue(
-                    MeshEvidence(
-                        node=self._settings.listen.stream or '',
-                        incarnation=self.announcement.incarnation,
-                        rows=evidence.rows,
-                    ),
-                )
-
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/crashes.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/crashes.py
@@ -83,6 +83,7 @@
         '_answered',
         '_broken',
         '_check',
+        '_crashed_s',
         '_names',
         '_number',
         'crashes',
@@ -96,6 +97,7 @@
         self._answered: dict[bytes, None] = {}
         self._broken: deque[BrokenCall] = deque(maxlen=MAX_BROKEN)
         self._check: asyncio.Task[None] | None = None
+        self._crashed_s = float('-inf')
         self._number = 0
         self.crashes: deque[Crash] = deque(maxlen=MAX_REPORTED)
         self.on_crash: Callable[[], None] = _ignore
@@ -125,7 +127,11 @@
 
     async def _check_target(self, call: CallOpen, pool: TargetPool) -> None:
         await asyncio.sleep(SETTLE_S)
-        if not await pool.accepts_connections():
+        accepts = await pool.accepts_connections()
+        # A target that no connection reached since its crash is still down;
+        # calls on older connections find it so and are no suspects.
+        if not accepts and pool.connected_s > self._crashed_s:
+            self._crashed_s = _now()
             self._record_crash(call.target)
 
     def _record_crash(self, target_id: str) -> None:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -2,12 +2,10 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
 from typing import Final
 
 from mustardspur_core.mesh.call_messages import (
     CallOpen,
-    TargetLoad,
 )
 from mustardspur_core.suspension import suspended_s
 from mustardspur_core.units import MS_PER_S
@@ -15,7 +13,9 @@
 from mustardspur_node.mesh.admission import AdmissionControl
 from mustardspur_node.mesh.answer_budget import AnswerBudget
 from mustardspur_node.mesh.answer_parser import BrokenAnswer, RawAnswer
+from mustardspur_node.mesh.blocked_calls import BlockedCalls
 from mustardspur_node.mesh.calls import (
+    BeforeSend,
     PlacementFault,
     TargetAnswer,
     maybe_run_fault,
@@ -35,8 +35,6 @@
 # and its answer has to travel back.
 DEADLINE_MARGIN_MS: Final = 2.0
 
-BeforeSend = Callable[[TargetLoad], Awaitable[None]]
-
 
 class LocalTarget:
     """The target on the node's instance, its admission and connections.
@@ -54,6 +52,7 @@
         '_identity',
         '_requests',
         'admission',
+        'blocked',
         'budget',
         'pool',
         'reports',
@@ -75,6 +74,7 @@
         self.reports = reports
         self.admission = AdmissionControl()
         self.statements = TargetStatements(names, self.admission, reports)
+        self.blocked = BlockedCalls(names)
         self.runs = RunRecorder(names, self.admission, reports)
 
     def refresh(self) -> None:
@@ -152,8 +152,10 @@
     ) -> float:
         """Return the remaining milliseconds once a call may be sent."""
         await before_send(self.admission.load)
-        # The target may have changed while the call waited.
+        # The target may have changed while the call waited, and other targets
+        # may have crashed while they ran the call.
         self._current_report(call)
+        self.blocked.raise_if_blocked(call)
         left_ms = (deadline_s - _now() - suspended_s()) * MS_PER_S
         if left_ms < MIN_SENT_MS:
             raise not_sent_fault('timeout', 'no time was left')
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -177,7 +177,6 @@
         progress.tried_nodes.add(target.node)
         progress.may_run = False
         opened = _call_open(progress, target, self.chooser)
-        self.chooser.record_sent(target.node)
         try:
             answer = await self._run(progress, target, opened)
         except PlacementFault as fault:
@@ -198,6 +197,8 @@
         target: MeshTarget,
         opened: CallOpen,
     ) -> TargetAnswer:
+        self._local.blocked.raise_if_blocked(progress.call)
+        self.chooser.record_sent(target.node)
         if target.node == self._settings.listen.stream:
             return await self._local.run(opened, progress.before_send)
         link = self._links.get(target.node)
@@ -228,10 +229,13 @@
     ) -> bool:
         """Return whether a call may be placed again after a fault.
 
-        A call that was not sent to the target is placed again without the
-        retry budget. A call that may have run is placed again only if its
-        route is idempotent.
+        A blocked call is not, since all targets refuse it. A call that was
+        not sent to the target is placed again without the retry budget. A
+        call that may have run is placed again only if its route is
+        idempotent.
         """
+        if fault.kind == 'blocked':
+            return False
         if fault.not_run and not fault.arrived:
             return True
         if not fault.not_run and not progress.call.route.idempotent:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/retry_after.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/retry_after.py
@@ -17,6 +17,9 @@
 # control instance; after a restart of all instances this takes about as long
 # as an election.
 UNKNOWN_RETRY_AFTER_S: Final = 0.5
+# Delay for a call that is blocked, since it has crashed several targets. It
+# stays blocked for minutes; an earlier retry is refused as well.
+BLOCKED_RETRY_AFTER_S: Final = 60.0
 
 
 def retry_after_s(progress: CallProgress) -> float:
@@ -27,6 +30,8 @@
     progress : CallProgress
         State of the call, which did not run.
     """
+    if progress.faults and progress.faults[-1].kind == 'blocked':
+        return BLOCKED_RETRY_AFTER_S
     if not progress.had_candidates:
         return UNKNOWN_RETRY_AFTER_S
     if progress.faults and progress.faults[-1].kind != 'busy':
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_pool.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_pool.py
@@ -28,9 +28,21 @@
         ``ip:port`` of the target.
     budget : AnswerBudget
         Bytes of all answers that the node receives.
+
+    Attributes
+    ----------
+    connected_s : float
+        Time on the event loop's clock of the latest connect.
     """
 
-    __slots__ = ('_address', '_budget', '_closed', '_idle', '_loop')
+    __slots__ = (
+        '_address',
+        '_budget',
+        '_closed',
+        '_idle',
+        '_loop',
+        'connected_s',
+    )
 
     def __init__(self, address: str, budget: AnswerBudget) -> None:
         """Initialise an empty pool."""
@@ -39,6 +51,7 @@
         self._closed = False
         self._idle: list[TargetConnection] = []
         self._loop = asyncio.get_running_loop()
+        self.connected_s: float = 0
 
     @asynccontextmanager
     async def acquire(self) -> AsyncIterator[TargetConnection]:
@@ -126,7 +139,8 @@
             host,
             port,
         )
-        connection.idle_since_s = self._loop.time()
+        self.connected_s = self._loop.time()
+        connection.idle_since_s = self.connected_s
         return connection
 
 
--- /dev/null
+++ b/tests/control/mesh/test_crash_register.py
@@ -0,0 +1,88 @@
+"""Tests of the calls that are blocked since they crash targets."""
+
+import asyncio
+
+from mustardspur_control.mesh.crash_register import (
+    CRASHES_TO_BLOCK,
+    MAX_CRASHES,
+    RETENTION_S,
+    CrashRegister,
+    crash_key,
+)
+from mustardspur_core.mesh.control_messages import MeshCrash
+
+from tests.support.virtual_time import in_virtual_time
+
+DEADLY = b'deadly'
+
+
+def crash(number: int, *fingerprints: bytes, age_s: float = 0) -> MeshCrash:
+    """Return a crash with the deadly call and others."""
+    node = number % 5
+    return MeshCrash(
+        node=f'10.0.0.{node}:9000',
+        incarnation=1,
+        number=number,
+        fingerprints=[DEADLY, *fingerprints],
+        age_s=age_s,
+    )
+
+
+def _blocked(register: CrashRegister) -> set[bytes]:
+    update = register.blocks_except(set())
+    return {each.fingerprint for each in update.blocked} if update else set()
+
+
+@in_virtual_time
+async def test_call_that_crashed_three_targets_is_blocked() -> None:
+    """Guards against a call that crashes one target after the other, and
+    against refusing calls that were at the same targets by chance.
+    """
+    register = CrashRegister()
+    register.record(crash(1, b'a', b'b'))
+    register.record(crash(2, b'b', b'c'))
+    assert not _blocked(register)
+    register.record(crash(3, b'c'))
+    assert _blocked(register) == {DEADLY}
+
+
+@in_virtual_time
+async def test_repeated_report_counts_once() -> None:
+    """Guards against a call that is blocked after one crash, which several
+    instances report.
+    """
+    register = CrashRegister()
+    for _ in range(CRASHES_TO_BLOCK):
+        register.record(crash(1))
+    assert not _blocked(register)
+    assert not register.crashes_except({crash_key(crash(1))})
+
+
+@in_virtual_time
+async def test_block_ends_after_the_last_crash() -> None:
+    """Guards against crashes that instances hand on to each other for ever,
+    and against a block without an end.
+    """
+    register, other = CrashRegister(), CrashRegister()
+    for number in range(CRASHES_TO_BLOCK):
+        register.record(crash(number))
+    await asyncio.sleep(RETENTION_S - 1)
+    for known in register.crashes_except(set()):
+        other.record(known)
+    assert _blocked(register) == _blocked(other) == {DEADLY}
+    await asyncio.sleep(1)
+    assert not _blocked(register)
+    assert not other.crashes_except(set())
+    assert not _blocked(other)
+    other.record(crash(9, age_s=RETENTION_S))
+    assert not other.crashes_except(set())
+
+
+@in_virtual_time
+async def test_number_of_crashes_is_bounded() -> None:
+    """Guards against memory that grows with each crash."""
+    register = CrashRegister()
+    for number in range(MAX_CRASHES + 10):
+        register.record(crash(number))
+    assert len(register.crashes_except(set())) == MAX_CRASHES
+    assert _blocked(register) == {DEADLY}
--- a/tests/node/mesh/test_placing.py
+++ b/tests/node/mesh/test_placing.py
@@ -6,13 +6,20 @@
 
 import pytest
 from mustardspur_core.mesh.call_messages import TargetLoad
-from mustardspur_core.mesh.control_messages import MeshTargets
+from mustardspur_core.mesh.control_messages import (
+    BlockedCall,
+    MeshBlocks,
+    MeshTargets,
+)
 from mustardspur_core.metrics import NullMetrics
 from mustardspur_core.record import replaced
 from mustardspur_core.settings import MeshSettings
 from mustardspur_node.mesh.calls import UnansweredCall
+from mustardspur_node.mesh.fingerprints import call_fingerprint
+from mustardspur_node.mesh.names import HEADER_NAMES
 from mustardspur_node.mesh.placing import Placer
 from mustardspur_node.mesh.retry_after import (
+    BLOCKED_RETRY_AFTER_S,
     BUSY_RETRY_AFTER_S,
     RETRY_FRACTION,
     UNKNOWN_RETRY_AFTER_S,
@@ -38,10 +45,15 @@
 _PATIENT_ROUTE: Final = route('drafts', objective_ms=1000.0)
 
 
-def _placer(view: MeshView, address: str = '127.0.0.1:9') -> Placer:
+def _placer(
+    view: MeshView,
+    address: str = '127.0.0.1:9',
+    blocked: tuple[BlockedCall, ...] = (),
+) -> Placer:
     settings = node_settings()
     assert isinstance(settings.mesh, MeshSettings)
     local = local_target(address)
+    local.blocked.apply(MeshBlocks(blocked=list(blocked)))
     return Placer(settings, settings.mesh, view, local, NullMetrics())
 
 
@@ -100,3 +112,23 @@
         placer.chooser.record_load(own.node, replaced(FULL_LOAD, waiting=0))
         answer = await placer.place(mesh_call(route=_PATIENT_ROUTE))
     assert answer.body == b'good'
+
+
+async def test_blocked_caller_is_told_to_wait() -> None:
+    """Guards against retries of a call that all targets refuse."""
+    call = mesh_call(route=_PATIENT_ROUTE)
+    fingerprint = call_fingerprint(
+        HEADER_NAMES, call.method, call.path, call.headers, call.body
+    )
+    blocked = BlockedCall(fingerprint=fingerprint, left_s=60)
+    view = MeshView()
+    view.apply_targets(
+        MeshTargets(full=True, upserts=[target('2', id='t1')], removed=[]),
+    )
+    async with run_scripted() as (address, scripted):
+        placer = _placer(view, address, (blocked,))
+        with pytest.raises(UnansweredCall, match='crashed') as refusal:
+            await placer.place(call)
+        assert refusal.value.status == HTTPStatus.SERVICE_UNAVAILABLE
+        assert refusal.value.retry_after_s == BLOCKED_RETRY_AFTER_S
+        assert not scripted.requests
