Release calls that were at the same crashes as a deadly one

Cause: a block rested on the number of crashes alone. Change: while another call was at exactly the same crashes, a block lasts 30 s. A further crash tells the cause from the others: it alone is blocked for 600 s then. Changed blocks are sent to the nodes again.

--- a/packages/mustardspur_client/src/mustardspur_client/explain/causes.py
+++ b/packages/mustardspur_client/src/mustardspur_client/explain/causes.py
@@ -14,6 +14,7 @@
 CHANGES: Final = frozenset(
     (
         'attached',
+        'call blocked',
         'control instance lost',
         'drained',
         'leader_elected',
@@ -25,8 +26,11 @@
         'stream to node ended',
         'table edited',
         'table in force',
+        'rate limit of the target changed',
         'target changed',
+        'target crashed',
         'target left',
+        'target states that it leaves',
         'transfer decided',
         'voters_changed',
     )
@@ -40,6 +44,7 @@
         'moved': 'another target had replaced it',
         'unreachable': 'its node could not be reached; nothing was sent',
         'refused': 'the target refused the call and did not run it',
+        'blocked': 'the call has crashed several targets, so none runs it',
         'broken': 'the connection broke after the call was sent',
         'timeout': 'no answer came before the deadline',
     }
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/crash_register.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/crash_register.py
@@ -20,6 +20,9 @@
 # Time for which crashes are remembered, and a call is refused after its last
 # one. A call that crashed targets for another reason gets another chance then.
 RETENTION_S: Final = 600.0
+# Time of a block while other calls were at the same crashes. One of them is
+# the cause; a further crash tells it from the others.
+AMBIGUOUS_BLOCK_S: Final = 30.0
 # Crashes that are remembered; the oldest ones are dropped.
 MAX_CRASHES: Final = 1024
 
@@ -36,7 +39,8 @@
     Each control instance has a register. It receives the crashes that its
     nodes observe, and those that the other instances know; a crash that is
     reported again counts once. A call is blocked once targets have crashed
-    `CRASHES_TO_BLOCK` times while they ran it.
+    `CRASHES_TO_BLOCK` times while they ran it, for a short time only while
+    other calls were at the same crashes.
     """
 
     __slots__ = ('_at_s', '_blocked_until_s', '_callbacks', '_crashes')
@@ -75,34 +79,55 @@
             if key not in known
         ]
 
-    def blocks_except(self, known: set[bytes]) -> MeshBlocks | None:
-        """Return the blocked calls not among the known ones, None if none."""
+    @property
+    def blocked_until_s(self) -> dict[bytes, float]:
+        """End of each block by fingerprint, on this instance's clock."""
         self._remove_expired()
+        return dict(self._blocked_until_s)
+
+    def blocks_except(self, known: dict[bytes, float]) -> MeshBlocks | None:
+        """Return the blocks that differ from the known ones, None if none.
+
+        Parameters
+        ----------
+        known : dict of float
+            An earlier value of `blocked_until_s`.
+        """
         now_s = _now()
         blocked = [
             BlockedCall(fingerprint=fingerprint, left_s=until_s - now_s)
-            for fingerprint, until_s in self._blocked_until_s.items()
-            if fingerprint not in known
+            for fingerprint, until_s in self.blocked_until_s.items()
+            if known.get(fingerprint) != until_s
         ]
         return MeshBlocks(blocked=blocked) if blocked else None
 
     def _block_if_repeated(self, fingerprint: bytes) -> None:
-        times_s = [
-            self._at_s[key]
+        keys = self._keys_of(fingerprint)
+        if len(keys) < CRASHES_TO_BLOCK:
+            return
+        last_s = max(self._at_s[key] for key in keys)
+        is_ambiguous = any(
+            self._keys_of(other) == keys
+            for other in self._crashes[keys[-1]].fingerprints
+            if other != fingerprint
+        )
+        length_s = AMBIGUOUS_BLOCK_S if is_ambiguous else RETENTION_S
+        self._blocked_until_s[fingerprint] = last_s + length_s
+        _LOG.warning(
+            'call blocked',
+            extra={
+                'fingerprint': fingerprint.hex(),
+                'crashes': len(keys),
+                'ambiguous': is_ambiguous,
+            },
+        )
+
+    def _keys_of(self, fingerprint: bytes) -> list[CrashKey]:
+        return [
+            key
             for key, crash in self._crashes.items()
             if fingerprint in crash.fingerprints
         ]
-        if len(times_s) < CRASHES_TO_BLOCK:
-            return
-        if fingerprint not in self._blocked_until_s:
-            _LOG.warning(
-                'call blocked',
-                extra={
-                    'fingerprint': fingerprint.hex(),
-                    'crashes': len(times_s),
-                },
-            )
-        self._blocked_until_s[fingerprint] = max(times_s) + RETENTION_S
 
     def _remove_expired(self) -> None:
         oldest_s = _now() - RETENTION_S
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
@@ -180,7 +180,8 @@
         self._table_index = hello.table_index
         self._accepts_blocks = isinstance(hello, MeshSubscribe)
         self._accepts_packed = not isinstance(hello, MeshHello)
-        self._sent_blocks: set[bytes] = set()
+        # End of each block that was sent, by fingerprint.
+        self._sent_blocks: dict[bytes, float] = {}
         self._transfers_index = -1
         self._confirmed = False
         self._sent_controls: list[Peer] = []
@@ -300,9 +301,10 @@
     def _send_blocks(self) -> None:
         if not self._accepts_blocks:
             return
-        blocks = self._shared.exchange.crashes.blocks_except(self._sent_blocks)
+        crashes = self._shared.exchange.crashes
+        blocks = crashes.blocks_except(self._sent_blocks)
         if blocks is not None:
-            self._sent_blocks |= {each.fingerprint for each in blocks.blocked}
+            self._sent_blocks = crashes.blocked_until_s
             self._stream.enqueue(blocks)
 
     async def _send_heartbeats(self) -> None:
--- a/tests/control/mesh/test_crash_register.py
+++ b/tests/control/mesh/test_crash_register.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
+import pytest
 from mustardspur_control.mesh.crash_register import (
+    AMBIGUOUS_BLOCK_S,
     CRASHES_TO_BLOCK,
     MAX_CRASHES,
     RETENTION_S,
@@ -29,8 +31,7 @@
 
 
 def _blocked(register: CrashRegister) -> set[bytes]:
-    update = register.blocks_except(set())
-    return {each.fingerprint for each in update.blocked} if update else set()
+    return set(register.blocked_until_s)
 
 
 @in_virtual_time
@@ -78,6 +79,26 @@
     assert not other.crashes_except(set())
 
 
+@in_virtual_time
+async def test_companion_of_a_deadly_call_is_released() -> None:
+    """Guards against refusing a call for long that was at the same three
+    targets by chance, since its attempts followed those of the deadly one.
+    """
+    register = CrashRegister()
+    for number in range(CRASHES_TO_BLOCK):
+        register.record(crash(number, b'companion'))
+    assert _blocked(register) == {DEADLY, b'companion'}
+    sent = register.blocked_until_s
+    assert register.blocks_except(sent) is None
+    await asyncio.sleep(AMBIGUOUS_BLOCK_S)
+    assert not _blocked(register)
+    register.record(crash(9))
+    update = register.blocks_except(sent)
+    assert update is not None
+    assert [each.fingerprint for each in update.blocked] == [DEADLY]
+    assert update.blocked[0].left_s == pytest.approx(RETENTION_S)
+
+
 @in_virtual_time
 async def test_number_of_crashes_is_bounded() -> None:
     """Guards against memory that grows with each crash."""
