Add homes, accounts and cold bounds to the routing table

Cause: new deployments state allowed regions, keys of accounts, large bodies and bounds of cold targets, and their configuration was refused.

Change: fields of routes, services, accounts and settings. Records may have optional trailing fields that are left out of their encoding while they have their default, so tables without them keep their bytes.

--- a/packages/mustardspur_core/src/mustardspur_core/conversion.py
+++ b/packages/mustardspur_core/src/mustardspur_core/conversion.py
@@ -32,7 +32,7 @@
         return source
     if isinstance(source, Record):
         return [
-            encode_array(getattr(source, name)) for name in source.__slots__
+            encode_array(getattr(source, name)) for name in _sent_fields(source)
         ]
     if isinstance(source, list | tuple):
         return [encode_array(value) for value in source]
@@ -91,23 +91,35 @@
     return record
 
 
+def _sent_fields(source: Record) -> tuple[str, ...]:
+    """Return the fields without the trailing ones that have their default."""
+    names = source.__slots__
+    for name in reversed(tuple(source.optional)):
+        if getattr(source, name) != source.optional[name]():
+            return names
+        names = names[:-1]
+    return names
+
+
 def _read_array(
     record_type: Any,
     array: object,
     path: str,
 ) -> Any:
     names = record_type.__slots__
-    if not isinstance(array, list) or len(array) != len(names):
+    least = len(names) - len(record_type.optional)
+    if not isinstance(array, list) or not least <= len(array) <= len(names):
         raise DecodeError(
             path, f'a list of {len(names)} values', describe(array)
         )
     readers = _readers(record_type, _read_array)
-    return record_type(
-        **{
-            name: readers[name](value, f'{path}.{name}')
-            for name, value in zip(names, array, strict=True)
-        }
-    )
+    fields = {
+        name: readers[name](value, f'{path}.{name}')
+        for name, value in zip(names, array, strict=False)
+    }
+    for name in names[len(array) :]:
+        fields[name] = record_type.optional[name]()
+    return record_type(**fields)
 
 
 def _read_mapping(
@@ -119,7 +131,7 @@
         raise DecodeError(path, 'an object', describe(mapping))
     names = record_type.__slots__
     mismatched = set(mapping).symmetric_difference(names)
-    if mismatched:
+    if mismatched - (record_type.optional.keys() - mapping.keys()):
         raise DecodeError(
             path, f'fields {names}', f'{sorted(map(str, mismatched))}'
         )
@@ -127,6 +139,8 @@
     return record_type(
         **{
             name: readers[name](mapping[name], f'{path}.{name}')
+            if name in mapping
+            else record_type.optional[name]()
             for name in names
         }
     )
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/__init__.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/__init__.py
@@ -2,6 +2,7 @@
 
 from mustardspur_core.mesh.model import (
     CallerLimits,
+    ClientAccount,
     MeshRoute,
     MeshTarget,
     MeshTargetState,
@@ -14,6 +15,7 @@
 
 __all__ = [
     'CallerLimits',
+    'ClientAccount',
     'MeshRoute',
     'MeshTarget',
     'MeshTargetState',
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/control_messages.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/control_messages.py
@@ -4,9 +4,12 @@
 159 between control instances.
 """
 
+from types import MappingProxyType
+from typing import ClassVar
+
 from mustardspur_core.mesh.model import MeshTarget, Transfer
 from mustardspur_core.mesh.packing import TableDelta
-from mustardspur_core.record import Record
+from mustardspur_core.record import Defaults, Record
 from mustardspur_core.settings import Peer
 from mustardspur_core.wire.codec import message
 
@@ -74,12 +77,22 @@
 
 @message(124)
 class MeshTransfers(Record):
-    """Latest transfers, and the version of each service outside of one."""
+    """Latest transfers, and the version of each service outside of one.
+
+    Parameters
+    ----------
+    evacuated : list of str
+        Data centres whose targets receive no calls.
+    """
 
-    __slots__ = ('index', 'transfers', 'base_versions')
+    __slots__ = ('index', 'transfers', 'base_versions', 'evacuated')
+    optional: ClassVar[Defaults] = MappingProxyType(
+        {'evacuated': list},
+    )
     index: int
     transfers: list[Transfer]
     base_versions: dict[str, str]
+    evacuated: list[str]
 
 
 @message(125)
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/model.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/model.py
@@ -1,9 +1,10 @@
 """Routing table, targets and transfers of a mesh."""
 
 from enum import StrEnum
-from typing import Final
+from types import MappingProxyType
+from typing import ClassVar, Final
 
-from mustardspur_core.record import Record
+from mustardspur_core.record import Defaults, Record
 
 
 class RouteShare(Record):
@@ -35,6 +36,12 @@
         Priority, 0 is the highest.
     max_attempts : int
         Number of targets to which one call may be sent.
+    home_regions : list of str
+        Regions in which the calls may be served, empty for all.
+    public : bool
+        Whether calls need no key of a client account.
+    upload : bool
+        Whether the calls have large bodies.
     """
 
     __slots__ = (
@@ -47,6 +54,12 @@
         'priority',
         'max_attempts',
         'shares',
+        'home_regions',
+        'public',
+        'upload',
+    )
+    optional: ClassVar[Defaults] = MappingProxyType(
+        {'home_regions': list, 'public': bool, 'upload': bool},
     )
     name: str
     host: str
@@ -57,6 +70,9 @@
     priority: int
     max_attempts: int
     shares: list[RouteShare]
+    home_regions: list[str]
+    public: bool
+    upload: bool
 
 
 class ServiceRule(Record):
@@ -66,12 +82,28 @@
     ----------
     max_connections : int
         Maximum number of connections to a target from all callers.
+    cold_ms : float
+        Time for which a target is cold after its start.
+    cold_per_s : float
+        Calls a second that a cold target accepts from all nodes together, 0
+        without a limit.
     """
 
-    __slots__ = ('name', 'health_path', 'max_connections')
+    __slots__ = (
+        'name',
+        'health_path',
+        'max_connections',
+        'cold_ms',
+        'cold_per_s',
+    )
+    optional: ClassVar[Defaults] = MappingProxyType(
+        {'cold_ms': float, 'cold_per_s': float},
+    )
     name: str
     health_path: str
     max_connections: int
+    cold_ms: float
+    cold_per_s: float
 
 
 class CallerLimits(Record):
@@ -102,14 +134,48 @@
 )
 
 
+class ClientAccount(Record):
+    """Client account whose keys callers present.
+
+    Parameters
+    ----------
+    key_digests : list of str
+        Digests of the keys, as `key_digest` returns them.
+    priority : int or None
+        Priority of the account's calls, 0 is the highest; it goes before the
+        priority of the route. None for none.
+    rate_per_s, burst : float
+        Rate limit over all nodes together; no limit if the rate is 0.
+    home_regions : list of str
+        Regions in which the calls may be served, empty for all.
+    """
+
+    __slots__ = (
+        'name',
+        'key_digests',
+        'priority',
+        'rate_per_s',
+        'burst',
+        'home_regions',
+    )
+    name: str
+    key_digests: list[str]
+    priority: int | None
+    rate_per_s: float
+    burst: float
+    home_regions: list[str]
+
+
 class RoutingTable(Record):
-    """All routes and services, versioned as a whole by a number."""
+    """Routes, services and accounts, versioned as a whole by a number."""
 
-    __slots__ = ('number', 'routes', 'services', 'limits')
+    __slots__ = ('number', 'routes', 'services', 'limits', 'accounts')
+    optional: ClassVar[Defaults] = MappingProxyType({'accounts': dict})
     number: int
     routes: dict[str, MeshRoute]
     services: dict[str, ServiceRule]
     limits: CallerLimits
+    accounts: dict[str, ClientAccount]
 
 
 class MeshTargetState(StrEnum):
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/packing.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/packing.py
@@ -1,6 +1,8 @@
 """Encoding and compression of routing tables, and deltas between them."""
 
-from typing import Any
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any, ClassVar, TypeVar
 
 import msgpack
 
@@ -8,26 +10,32 @@
 from mustardspur_core.conversion import decode_array, encode_array
 from mustardspur_core.mesh.model import (
     CallerLimits,
+    ClientAccount,
     MeshRoute,
     RoutingTable,
     ServiceRule,
 )
-from mustardspur_core.record import Record
+from mustardspur_core.record import Defaults, Record
 
 EncodedByName = dict[str, Any]
+_RecordT = TypeVar('_RecordT', bound=Record)
 
 
 class EncodedTable(Record):
-    """A table with encoded routes and services by name.
+    """A table with encoded routes, services and accounts by name.
 
     This is the form in which tables are stored, sent and compared.
     """
 
-    __slots__ = ('number', 'routes', 'services', 'limits')
+    __slots__ = ('number', 'routes', 'services', 'limits', 'accounts')
+    optional: ClassVar[Defaults] = MappingProxyType(
+        {'accounts': dict},
+    )
     number: int
     routes: EncodedByName
     services: EncodedByName
     limits: list[Any]
+    accounts: EncodedByName
 
 
 class TableDelta(Record):
@@ -47,6 +55,10 @@
         All services of the resulting table, encoded.
     limits : list
         Limits of the resulting table, encoded.
+    accounts : dict
+        New and changed accounts, encoded.
+    removed_accounts : list of str
+        Names of the removed accounts.
     """
 
     __slots__ = (
@@ -57,6 +69,11 @@
         'removed',
         'services',
         'limits',
+        'accounts',
+        'removed_accounts',
+    )
+    optional: ClassVar[Defaults] = MappingProxyType(
+        {'accounts': dict, 'removed_accounts': list},
     )
     base_index: int
     index: int
@@ -65,6 +82,8 @@
     removed: list[str]
     services: EncodedByName
     limits: list[Any]
+    accounts: EncodedByName
+    removed_accounts: list[str]
 
 
 def encode_table(table: RoutingTable) -> EncodedTable:
@@ -74,14 +93,13 @@
         routes=encode_array(table.routes),
         services=encode_array(table.services),
         limits=encode_array(table.limits),
+        accounts=encode_array(table.accounts),
     )
 
 
 def encode_packed(table: EncodedTable) -> bytes:
     """Return an encoded table as msgpack."""
-    packed: bytes = msgpack.packb(
-        [table.number, table.routes, table.services, table.limits],
-    )
+    packed: bytes = msgpack.packb(encode_array(table))
     return packed
 
 
@@ -92,13 +110,7 @@
 
 def unpack_table(packed: bytes) -> EncodedTable:
     """Return the encoded table that `pack_table` packed."""
-    number, routes, services, limits = msgpack.unpackb(decompress_bytes(packed))
-    return EncodedTable(
-        number=number,
-        routes=routes,
-        services=services,
-        limits=limits,
-    )
+    return decode_array(EncodedTable, msgpack.unpackb(decompress_bytes(packed)))
 
 
 def table_delta(
@@ -109,18 +121,19 @@
 ) -> TableDelta:
     """Return the delta from a base table, or from none, to a table."""
     old = base.routes if base else {}
+    old_accounts = base.accounts if base else {}
     return TableDelta(
         base_index=base_index if base else 0,
         index=index,
         number=table.number,
-        routes={
-            name: route
-            for name, route in table.routes.items()
-            if old.get(name) != route
-        },
+        routes=_changed(old, table.routes),
         removed=[name for name in old if name not in table.routes],
         services=table.services,
         limits=table.limits,
+        accounts=_changed(old_accounts, table.accounts),
+        removed_accounts=[
+            name for name in old_accounts if name not in table.accounts
+        ],
     )
 
 
@@ -155,24 +168,46 @@
     DecodeError
         If a route, service or limit cannot be decoded.
     """
-    base_routes = table.routes if table and delta.base_index else {}
-    removed = set(delta.removed)
-    routes = {
-        name: route
-        for name, route in base_routes.items()
-        if name not in removed
-    }
-    changed = {
-        name: decode_array(MeshRoute, route)
-        for name, route in delta.routes.items()
-    }
-    routes.update(changed)
+    base = table if delta.base_index else None
+    routes = _without(base.routes if base else {}, delta.removed)
+    routes.update(_decoded(MeshRoute, delta.routes))
+    accounts = _without(
+        base.accounts if base else {},
+        delta.removed_accounts,
+    )
+    accounts.update(_decoded(ClientAccount, delta.accounts))
     return RoutingTable(
         number=delta.number,
         routes=routes,
-        services={
-            name: decode_array(ServiceRule, service)
-            for name, service in delta.services.items()
-        },
+        services=_decoded(ServiceRule, delta.services),
         limits=decode_array(CallerLimits, delta.limits),
+        accounts=accounts,
     )
+
+
+def _changed(old: EncodedByName, new: EncodedByName) -> EncodedByName:
+    return {
+        name: encoded
+        for name, encoded in new.items()
+        if old.get(name) != encoded
+    }
+
+
+def _without(
+    by_name: Mapping[str, _RecordT],
+    removed: list[str],
+) -> dict[str, _RecordT]:
+    names = set(removed)
+    return {
+        name: record for name, record in by_name.items() if name not in names
+    }
+
+
+def _decoded(
+    record_type: type[_RecordT],
+    by_name: EncodedByName,
+) -> dict[str, _RecordT]:
+    return {
+        name: decode_array(record_type, encoded)
+        for name, encoded in by_name.items()
+    }
--- a/packages/mustardspur_core/src/mustardspur_core/record.py
+++ b/packages/mustardspur_core/src/mustardspur_core/record.py
@@ -1,8 +1,12 @@
 """Base class of plain data classes with slots."""
 
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import Any, ClassVar, TypeVar, dataclass_transform
 
 _RecordT = TypeVar('_RecordT', bound='Record')
+# Factories of the defaults of optional fields, by field name.
+Defaults = Mapping[str, Callable[[], Any]]
 
 
 @dataclass_transform(kw_only_default=True, eq_default=False)
@@ -16,6 +20,15 @@
     Fields are passed by keyword and have no defaults, so that a new field
     cannot be forgotten where a record is created.
 
+    Encoded records leave out trailing fields listed in ``optional`` while
+    they have their default, so that a field can be added without a change of
+    the bytes that earlier builds exchange and store.
+
+    Attributes
+    ----------
+    optional : mapping of str to callable
+        Factories of the defaults of trailing fields, by field name.
+
     Examples
     ========
 
@@ -28,6 +41,7 @@
     """
 
     __slots__: ClassVar[tuple[str, ...]] = ()
+    optional: ClassVar[Defaults] = MappingProxyType({})
 
     def __init__(self, **fields: Any) -> None:
         """Initialise all fields from keyword arguments.
--- a/packages/mustardspur_core/src/mustardspur_core/settings/loading.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/loading.py
@@ -36,6 +36,7 @@
         'grace',
         'contact',
         'retry_window',
+        'limit_window',
     ),
 )
 _DEFAULT_MESH: Final[Mapping[str, Any]] = MappingProxyType(
@@ -49,6 +50,12 @@
         'retry_slack': 60.0,
         'retry_window_s': 10.0,
         'exposure_share': 0.1,
+        'data_centres': {},
+        'limit_window_s': 5.0,
+        'limit_tolerance': 0.1,
+        'limit_slack': 20.0,
+        'link_mbps': 0,
+        'balancing': 'least_expected',
     }
 )
 _DEFAULT_INTERVALS: Final = MappingProxyType(
--- a/packages/mustardspur_core/src/mustardspur_core/settings/model.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/model.py
@@ -94,6 +94,15 @@
     exposure_share : float
         Maximum share of a service's calls that a faulty version may get,
         0 to 1.
+    data_centres : dict of str
+        Region of each data centre of the mesh, empty if not stated.
+    limit_window_s, limit_tolerance, limit_slack : float
+        Tolerance of the rate limits of accounts over all nodes: within any
+        such window, a fraction of the limit plus a number of calls.
+    link_mbps : float
+        Bandwidth of the instance's own link, 0 if not stated.
+    balancing : str
+        Name of the policy that selects targets.
     """
 
     __slots__ = (
@@ -106,6 +115,12 @@
         'retry_slack',
         'retry_window_s',
         'exposure_share',
+        'data_centres',
+        'limit_window_s',
+        'limit_tolerance',
+        'limit_slack',
+        'link_mbps',
+        'balancing',
     )
     seeds: list[str]
     first_start: bool
@@ -116,6 +131,12 @@
     retry_slack: float
     retry_window_s: float
     exposure_share: float
+    data_centres: dict[str, str]
+    limit_window_s: float
+    limit_tolerance: float
+    limit_slack: float
+    link_mbps: float
+    balancing: str
 
 
 class Settings(Record):
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/names.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/names.py
@@ -27,6 +27,13 @@
         nodes together, for as long as its answers state it.
     leaving : str
         On an answer of a target: ``1`` if it shuts down.
+    authorization : str
+        Key of a client account, from callers; it is not sent to targets.
+    account : str
+        Name of the client account, to targets.
+    cold_ms : str
+        On an answer to a health check: milliseconds for which the target is
+        still cold.
     """
 
     __slots__ = (
@@ -38,6 +45,9 @@
         'retry_after',
         'rate_limit',
         'leaving',
+        'authorization',
+        'account',
+        'cold_ms',
     )
     request_id: str
     deadline_ms: str
@@ -47,6 +57,9 @@
     retry_after: str
     rate_limit: str
     leaving: str
+    authorization: str
+    account: str
+    cold_ms: str
 
 
 HEADER_NAMES: Final = HeaderNames(
@@ -58,6 +71,9 @@
     retry_after='retry-after',
     rate_limit='x-mustardspur-rate-limit',
     leaving='x-mustardspur-leaving',
+    authorization='authorization',
+    account='x-mustardspur-account',
+    cold_ms='x-mustardspur-cold-ms',
 )
 
 # Headers that apply to a single connection and are not forwarded.
--- a/tests/core/mesh/builders.py
+++ b/tests/core/mesh/builders.py
@@ -32,6 +32,9 @@
         'priority': 1,
         'max_attempts': 2,
         'shares': [RouteShare(service='forms', weight=100.0)],
+        'home_regions': [],
+        'public': False,
+        'upload': False,
     }
     return MeshRoute(**(fields | changes))
 
@@ -46,10 +49,13 @@
                 name=name,
                 health_path='/healthz',
                 max_connections=100,
+                cold_ms=0,
+                cold_per_s=0,
             )
             for name in ('forms', 'stamps')
         },
         limits=LIMITS,
+        accounts={},
     )
 
 
@@ -83,4 +89,10 @@
         retry_slack=60,
         retry_window_s=10.0,
         exposure_share=0.1,
+        data_centres={},
+        limit_window_s=5.0,
+        limit_tolerance=0.1,
+        limit_slack=20.0,
+        link_mbps=0,
+        balancing='least_expected',
     )
--- a/tests/node/mesh/test_view.py
+++ b/tests/node/mesh/test_view.py
@@ -127,6 +127,7 @@
             ),
         ],
         base_versions={'forms': 'v2' if state == 'completed' else 'v1'},
+        evacuated=[],
     )
 
 
