Add check-table: errors, warnings and differences of a table

Cause: an edit was checked only once it was sent, and a table whose entries have no effect was accepted without a word.

Change: the verb check-table applies the checks of the control instances offline, warns of entries that can never match and of limits that contradict each other, and lists what differs from the table in force.

Capacities of targets are not compared with limits of accounts.

--- a/packages/mustardspur_client/src/mustardspur_client/verbs/__init__.py
+++ b/packages/mustardspur_client/src/mustardspur_client/verbs/__init__.py
@@ -6,6 +6,7 @@
     moves,
     profiles,
     services,
+    table_checks,
     tables,
     timelines,
     voters,
@@ -25,6 +26,7 @@
     timelines,
     voters,
     tables,
+    table_checks,
     explaining,
 )
 
--- a/tests/client/test_command_line.py
+++ b/tests/client/test_command_line.py
@@ -1,6 +1,7 @@
 """Guards against misinterpreted options and files."""
 
 import io
+import json
 from pathlib import Path
 
 import pytest
@@ -10,10 +11,12 @@
 from mustardspur_client.numbers import last_numbers
 from mustardspur_client.verbs import verbs
 from mustardspur_control.operators_api import NodeInForce
+from mustardspur_core.conversion import encode_mapping
 
 from tests.client.sessions import Session, StartServer, start_session
 from tests.control.builders import PROFILE, SERVICE, document
 from tests.control.operators_api.fakes import FakeLog, failure
+from tests.core.mesh.builders import route, table
 
 
 async def _run(*line: str) -> tuple[int, str]:
@@ -36,6 +39,26 @@
             assert verb.summary.rstrip('.') in shown
 
 
+async def test_check_table(tmp_path: Path) -> None:
+    """Guards against a table that passes the check and is then refused."""
+    sound = table(1, route('drafts'))
+    faulty = table(2, route('drafts', max_attempts=0))
+    paths = []
+    for number, each in enumerate((sound, faulty)):
+        path = tmp_path / f'{number}.json'
+        path.write_text(json.dumps(encode_mapping(each)))
+        paths.append(str(path))
+    code, shown = await _run('check-table', paths[0])
+    assert code == ExitCode.OK
+    assert 'warning: routing table: services.stamps' in shown
+    code, shown = await _run('check-table', paths[1], '--against', paths[0])
+    assert code == ExitCode.FINDINGS
+    assert 'error: routing table: routes.drafts.attempts' in shown
+    assert 'change: route drafts: max_attempts 2 becomes 0' in shown
+    code, shown = await _run('check-table', str(tmp_path / 'absent.json'))
+    assert code == ExitCode.FINDINGS
+
+
 @pytest.mark.parametrize(
     'address',
     ['example.org:80', '127.0.0.1', '127.0.0.1:0', '127.0.0.1:x', ':80'],
