--- a/packages/mustardspur_core/src/mustardspur_core/mesh/table_warnings.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/table_warnings.py
@@ -136,7 +136,8 @@
 
 
 def _duration(duration_ms: float) -> str:
-    return f'{duration_ms:g} ms'
+    shown = format(duration_ms, 'g')
+    return f'{shown} ms'
 
 
 def _match(route: MeshRoute) -> tuple[str, str]:
