--- a/packages/mustardspur_client/src/mustardspur_client/verbs/table_checks.py
+++ b/packages/mustardspur_client/src/mustardspur_client/verbs/table_checks.py
@@ -69,7 +69,7 @@
     """Return the table of a file.
 
     The file has a table, or the document of the table in force that
-    ``mustardspur table --json`` shows.
+    ``mustardspur table --output json`` shows.
 
     Raises
     ------
