Serve calls in the regions that their rules allow only

Without such a target the call is refused at once with 503, and the log line and the answer name the regions.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
@@ -11,6 +11,7 @@
 
 from mustardspur_node.mesh.call_value import max_wait_ms
 from mustardspur_node.mesh.calls import MeshCall, PlacementFault, TargetAnswer
+from mustardspur_node.mesh.homes import Homes
 from mustardspur_node.mesh.versions import eligible_targets
 from mustardspur_node.mesh.view import MeshView
 
@@ -46,6 +47,8 @@
         Faults of the placements, oldest first.
     failed_answer : TargetAnswer or None
         Answer with a server error after which the call was placed again.
+    homes : Homes
+        Regions in which the call may be served.
     """
 
     __slots__ = (
@@ -55,6 +58,7 @@
         'call',
         'failed_answer',
         'faults',
+        'homes',
         'may_run',
         'placements',
         'possible_runs',
@@ -75,6 +79,7 @@
         self.tried_nodes: set[str] = set()
         self.faults: list[PlacementFault] = []
         self.failed_answer: TargetAnswer | None = None
+        self.homes = Homes(call.route.home_regions)
         self._candidates: list[MeshTarget] | None = None
         # Suspended time of the instance when the call was received.
         self._suspended_s = suspended_s()
@@ -94,6 +99,7 @@
                 view,
                 self.service,
                 random_source,
+                self.homes,
             )
         return self._candidates
 
@@ -154,7 +160,7 @@
             return str(self.faults[-1])
         if self.had_candidates:
             return 'busy: all targets that are known are full'
-        return 'no target is known'
+        return f'no target is known in {self.homes}'
 
     def _elapsed_clock_s(self) -> float:
         """Return the loop's time, plus the suspended time since the start."""
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/versions.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/versions.py
@@ -4,6 +4,7 @@
 
 from mustardspur_core.mesh.model import MeshTarget, Transfer, TransferState
 
+from mustardspur_node.mesh.homes import Homes
 from mustardspur_node.mesh.view import MeshView
 
 
@@ -11,6 +12,7 @@
     view: MeshView,
     service: str,
     random_source: random.Random,
+    homes: Homes,
 ) -> list[MeshTarget]:
     """Return the ready targets of the version that a call is assigned to.
 
@@ -21,9 +23,9 @@
     share and is not reassigned: calls that find no slot at the old version
     must not raise the share of the new one. Without a transfer a call goes
     to the base version of the service, or to any version if that has no
-    ready target.
+    ready target. Targets outside the homes of the call do not count.
     """
-    targets = view.ready_targets(service)
+    targets = homes.select(view.ready_targets(service))
     transfer = view.transfers.get(service)
     if transfer is not None and transfer.state == TransferState.RUNNING:
         return _targets_in_transfer(targets, transfer, random_source)
--- a/tests/node/mesh/test_placing.py
+++ b/tests/node/mesh/test_placing.py
@@ -114,6 +114,44 @@
     assert answer.body == b'good'
 
 
+async def _place_at_home(placer: Placer) -> UnansweredCall:
+    """Return the refusal of a call that may be served at home only."""
+    at_home = replaced(_PATIENT_ROUTE, home_regions=['dalmacija'])
+    try:
+        await placer.place(mesh_call(route=at_home))
+    except UnansweredCall as error:
+        return error
+    raise AssertionError('the call was answered')
+
+
+async def test_retry_stays_in_the_home_region() -> None:
+    """Guards against bodies that a retry sends to another region: the only
+    target at home cannot be reached, the other one has free slots.
+    """
+    abroad = target('2', id='t1', region='istra')
+    view = MeshView()
+    view.apply_targets(
+        MeshTargets(full=True, upserts=[target('21'), abroad], removed=[]),
+    )
+    async with run_scripted() as (address, scripted):
+        refusal = await _place_at_home(_placer(view, address))
+        assert refusal.status == HTTPStatus.SERVICE_UNAVAILABLE
+        assert not scripted.requests
+
+
+@in_virtual_time
+async def test_no_target_at_home_is_refused_at_once() -> None:
+    """Guards against calls that wait for a target in a lost region."""
+    view = MeshView()
+    abroad = target('2', region='istra')
+    view.apply_targets(MeshTargets(full=True, upserts=[abroad], removed=[]))
+    refusal = await _place_at_home(_placer(view))
+    assert refusal.status == HTTPStatus.SERVICE_UNAVAILABLE
+    assert refusal.retry_after_s == UNKNOWN_RETRY_AFTER_S
+    assert refusal.reason == 'no target is known in dalmacija'
+    assert asyncio.get_running_loop().time() == 0
+
+
 async def test_blocked_caller_is_told_to_wait() -> None:
     """Guards against retries of a call that all targets refuse."""
     call = mesh_call(route=_PATIENT_ROUTE)
--- a/tests/node/mesh/test_view.py
+++ b/tests/node/mesh/test_view.py
@@ -12,6 +12,7 @@
 )
 from mustardspur_core.mesh.packing import encode_table, table_delta
 from mustardspur_node.mesh.service_choice import WeightedServiceChooser
+from mustardspur_node.mesh.homes import Homes
 from mustardspur_node.mesh.versions import eligible_targets
 from mustardspur_node.mesh.view import RETENTION_S, MeshView
 
@@ -150,7 +151,8 @@
     view.apply_transfers(_transfer(state, share))
     choice = random.Random(1)
     counts = Counter(
-        eligible_targets(view, 'forms', choice)[0].version for _ in range(1000)
+        eligible_targets(view, 'forms', choice, Homes())[0].version
+        for _ in range(1000)
     )
     assert counts == expected
 
@@ -161,7 +163,7 @@
     update = _transfer('running', 0)
     update.transfers = []
     view.apply_transfers(update)
-    rows = eligible_targets(view, 'forms', random.Random(1))
+    rows = eligible_targets(view, 'forms', random.Random(1), Homes())
     assert [row.version for row in rows] == ['v1']
 
 
