Identify client accounts where calls enter

Cause: tables state accounts with keys, and nodes forwarded the keys to targets and served calls without one.

Change: the node of the caller looks up the digest of the key in the table in force for each call, removes the caller's key and account headers and states the account to the target. A call without a known key on a route that is not public is answered 401 after its body has been read. A node that starts puts a table with accounts in force only once a quorum has confirmed it, so that it accepts no withdrawn key.

--- a/packages/mustardspur_core/src/mustardspur_core/mesh/accounts.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/accounts.py
@@ -13,5 +13,6 @@
     Nodes store digests only, so that no key can be read from their memory,
     logs or messages.
     """
-    encoded = key.encode('utf-8', 'surrogateescape')
+    # Headers that are not UTF-8, and JSON escapes, contain lone surrogates.
+    encoded = key.encode('utf-8', 'surrogatepass')
     return hashlib.blake2b(encoded, digest_size=_DIGEST_BYTES).hexdigest()
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/checks.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/checks.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from mustardspur_core.findings import Finding
+from mustardspur_core.mesh.account_checks import account_findings
 from mustardspur_core.mesh.model import MeshRoute, RoutingTable
 
 # A longer timeout indicates a mistake in the unit.
@@ -13,11 +14,13 @@
 
 def check_table(table: RoutingTable) -> list[Finding]:
     """Return the findings on a table, an empty list for a valid one."""
-    return [
+    findings = [
         finding
         for route in table.routes.values()
         for finding in _route_findings(table, route)
     ]
+    findings.extend(account_findings(table))
+    return findings
 
 
 def _route_findings(
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -215,7 +215,9 @@
         status = HTTPStatus.BAD_REQUEST
         if isinstance(error, LineTooLong):
             status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-        self._refuse_with(status, f'request is malformed: {error.message}')
+        # The message of the error contains the line, which may have a key.
+        kind = type(error).__name__
+        self._refuse_with(status, f'request is malformed: {kind}')
 
     def _refuse_with(self, status: HTTPStatus, reason: str) -> None:
         self._is_closing = True
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_requests.py
@@ -0,0 +1,162 @@
+"""Calls made of the requests of callers."""
+
+import asyncio
+import logging
+from http import HTTPStatus
+from typing import Final
+
+from aiohttp.http_parser import RawRequestMessage
+from mustardspur_core.mesh.model import MeshRoute
+from mustardspur_core.units import MS_PER_S
+
+from mustardspur_node.mesh.call_value import CallEvaluator
+from mustardspur_node.mesh.caller_accounts import CallerAccounts, account_rank
+from mustardspur_node.mesh.caller_connection import CallerBodyError, ReadBody
+from mustardspur_node.mesh.calls import Headers, MeshCall
+from mustardspur_node.mesh.decisions import DecisionLog
+from mustardspur_node.mesh.names import HOP_BY_HOP, HeaderNames
+from mustardspur_node.mesh.view import MeshView, RouteIndex
+
+_LOG: Final = logging.getLogger(__name__)
+
+
+class CallBuilder:
+    """Reads requests and determines their account, deadline and value.
+
+    Parameters
+    ----------
+    view : MeshView
+        The routing table.
+    names : HeaderNames
+        Names of the headers.
+    decisions : DecisionLog
+        Receives the refusals of keys.
+    """
+
+    __slots__ = (
+        '_accounts',
+        '_evaluated_routes',
+        '_evaluator',
+        '_names',
+        '_node_header_names',
+        '_view',
+        'origin_service',
+    )
+
+    def __init__(
+        self,
+        view: MeshView,
+        names: HeaderNames,
+        decisions: DecisionLog,
+    ) -> None:
+        """Initialise without values of routes."""
+        self._view = view
+        self._names = names
+        self._accounts = CallerAccounts(names, decisions)
+        self._evaluator = CallEvaluator()
+        self._evaluated_routes: RouteIndex | None = None
+        # The node sets these headers itself; those of a caller are removed.
+        self._node_header_names = frozenset(
+            name.lower()
+            for name in (
+                names.deadline_ms,
+                names.expected_target,
+                names.origin_service,
+            )
+        )
+        self.origin_service = ''
+
+    def discard_route_values(self) -> None:
+        """Discard the call values of routes removed from the table."""
+        routes = self._view.routes
+        if routes is not None and routes is not self._evaluated_routes:
+            self._evaluated_routes = routes
+            self._evaluator.remove_routes_except(set(routes.table.routes))
+
+    async def build(
+        self,
+        message: RawRequestMessage,
+        read_body: ReadBody,
+        route: MeshRoute,
+        started_s: float,
+    ) -> MeshCall:
+        """Return a request as a call, with its whole body and its account.
+
+        Raises
+        ------
+        UnansweredCall
+            If the call needs a key and presents none that is known.
+        CallerBodyError
+            If the body does not arrive in time.
+        """
+        caller_timeout_ms = self._caller_timeout_ms(message, route)
+        wait_ms = min(caller_timeout_ms, route.timeout_ms)
+        deadline_s = started_s + wait_ms / MS_PER_S
+        body = await self._read_body_in_time(read_body, deadline_s)
+        # The table may have been replaced while the body arrived.
+        account = self._accounts.identify(
+            self._view.routes,
+            route,
+            message.headers,
+        )
+        value = self._evaluator.evaluate(route, caller_timeout_ms)
+        return MeshCall(
+            request_id=message.headers.get(self._names.request_id, ''),
+            route=route,
+            account=account,
+            method=message.method,
+            path=message.path,
+            headers=self._accounts.replace_headers(
+                account,
+                self._forwarded_headers(message),
+            ),
+            body=body,
+            started_s=started_s,
+            deadline_s=deadline_s,
+            useful_s=started_s + value.useful_ms / MS_PER_S,
+            rank=account_rank(account, value.rank),
+        )
+
+    async def _read_body_in_time(
+        self,
+        read_body: ReadBody,
+        deadline_s: float,
+    ) -> bytes:
+        try:
+            async with asyncio.timeout_at(deadline_s):
+                return await read_body()
+        except TimeoutError as error:
+            raise CallerBodyError(
+                HTTPStatus.REQUEST_TIMEOUT,
+                'request body did not arrive in time',
+            ) from error
+
+    def _caller_timeout_ms(
+        self,
+        message: RawRequestMessage,
+        route: MeshRoute,
+    ) -> float:
+        """Return the remaining time stated by the caller, in ms."""
+        stated = message.headers.get(self._names.deadline_ms)
+        if stated is None:
+            return route.timeout_ms
+        try:
+            return float(stated)
+        except ValueError:
+            _LOG.info(
+                'deadline header is not a number', extra={'deadline': stated}
+            )
+            return route.timeout_ms
+
+    def _forwarded_headers(self, message: RawRequestMessage) -> Headers:
+        listed = message.headers.get('connection', '').lower()
+        dropped = {name.strip() for name in listed.split(',')}
+        headers = [
+            [name, text]
+            for name, text in message.headers.items()
+            if name.lower() not in HOP_BY_HOP
+            and name.lower() not in self._node_header_names
+            and name.lower() not in dropped
+        ]
+        headers.append([self._names.origin_service, self.origin_service])
+        return headers
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
@@ -8,11 +8,10 @@
 from typing import Final
 
 from aiohttp.http_parser import RawRequestMessage
-from mustardspur_core.mesh.model import DEFAULT_LIMITS, MeshRoute
+from mustardspur_core.mesh.model import DEFAULT_LIMITS
 from mustardspur_core.metrics import Metrics
 from mustardspur_core.units import MS_PER_S
 
-from mustardspur_node.mesh.call_value import CallEvaluator
 from mustardspur_node.mesh.caller_answers import (
     CallerAnswer,
     forward_answer,
@@ -23,10 +22,11 @@
     CallerConnection,
     ReadBody,
 )
-from mustardspur_node.mesh.calls import Headers, MeshCall, UnansweredCall
-from mustardspur_node.mesh.names import HOP_BY_HOP, HeaderNames
+from mustardspur_node.mesh.caller_requests import CallBuilder
+from mustardspur_node.mesh.calls import Headers, UnansweredCall
+from mustardspur_node.mesh.names import HeaderNames
 from mustardspur_node.mesh.placing import Placer
-from mustardspur_node.mesh.view import MeshView, RouteIndex
+from mustardspur_node.mesh.view import MeshView
 from mustardspur_node.request_validation import invalid_request_reason
 
 _LOG: Final = logging.getLogger(__name__)
@@ -52,18 +52,15 @@
     """
 
     __slots__ = (
+        '_calls',
         '_connections',
-        '_evaluated_routes',
-        '_evaluator',
         '_metrics',
         '_names',
-        '_node_header_names',
         '_placer',
         '_server',
         '_view',
         'draining',
         'in_flight',
-        'origin_service',
     )
 
     def __init__(
@@ -78,22 +75,11 @@
         self._placer = placer
         self._names = names
         self._metrics = metrics
-        self._evaluator = CallEvaluator()
-        self._evaluated_routes: RouteIndex | None = None
+        self._calls = CallBuilder(view, names, placer.log.decisions)
         self._connections: set[CallerConnection] = set()
-        # The node sets these headers itself; those of a caller are removed.
-        self._node_header_names = frozenset(
-            name.lower()
-            for name in (
-                names.deadline_ms,
-                names.expected_target,
-                names.origin_service,
-            )
-        )
         self._server: asyncio.Server | None = None
         self.draining = False
         self.in_flight = 0
-        self.origin_service = ''
 
     @asynccontextmanager
     async def serving(self, address: str) -> AsyncIterator[None]:
@@ -125,10 +111,11 @@
 
     def discard_route_values(self) -> None:
         """Discard the call values of routes removed from the table."""
-        routes = self._view.routes
-        if routes is not None and routes is not self._evaluated_routes:
-            self._evaluated_routes = routes
-            self._evaluator.remove_routes_except(set(routes.table.routes))
+        self._calls.discard_route_values()
+
+    def set_origin(self, service: str) -> None:
+        """Set the service that forwarded calls state as their origin."""
+        self._calls.origin_service = service
 
     def drain_connections(self) -> None:
         """Close each connection once it has no request in flight."""
@@ -214,77 +201,19 @@
                 table_index=self._view.table_index,
             )
             return node_answer(HTTPStatus.NOT_FOUND, 'no route matches')
-        caller_timeout_ms = self._caller_timeout_ms(message, route)
-        wait_ms = min(caller_timeout_ms, route.timeout_ms)
-        deadline_s = started_s + wait_ms / MS_PER_S
-        value = self._evaluator.evaluate(route, caller_timeout_ms)
-        body = await self._read_body_in_time(read_body, deadline_s)
         return forward_answer(
             await self._placer.place(
-                MeshCall(
-                    request_id=message.headers.get(self._names.request_id, ''),
-                    route=route,
-                    method=message.method,
-                    path=message.path,
-                    headers=self._forwarded_headers(message),
-                    body=body,
-                    started_s=started_s,
-                    deadline_s=deadline_s,
-                    useful_s=started_s + value.useful_ms / MS_PER_S,
-                    rank=value.rank,
-                ),
+                await self._calls.build(message, read_body, route, started_s),
             ),
         )
 
-    async def _read_body_in_time(
-        self,
-        read_body: ReadBody,
-        deadline_s: float,
-    ) -> bytes:
-        try:
-            async with asyncio.timeout_at(deadline_s):
-                return await read_body()
-        except TimeoutError as error:
-            raise CallerBodyError(
-                HTTPStatus.REQUEST_TIMEOUT,
-                'request body did not arrive in time',
-            ) from error
-
-    def _caller_timeout_ms(
-        self,
-        message: RawRequestMessage,
-        route: MeshRoute,
-    ) -> float:
-        """Return the remaining time stated by the caller, in ms."""
-        stated = message.headers.get(self._names.deadline_ms)
-        if stated is None:
-            return route.timeout_ms
-        try:
-            return float(stated)
-        except ValueError:
-            _LOG.info(
-                'deadline header is not a number', extra={'deadline': stated}
-            )
-            return route.timeout_ms
-
-    def _forwarded_headers(self, message: RawRequestMessage) -> Headers:
-        listed = message.headers.get('connection', '').lower()
-        dropped = {name.strip() for name in listed.split(',')}
-        headers = [
-            [name, text]
-            for name, text in message.headers.items()
-            if name.lower() not in HOP_BY_HOP
-            and name.lower() not in self._node_header_names
-            and name.lower() not in dropped
-        ]
-        headers.append([self._names.origin_service, self.origin_service])
-        return headers
-
     def _refusal_answer(self, unanswered: UnansweredCall) -> CallerAnswer:
         headers: Headers = []
         if unanswered.status == HTTPStatus.SERVICE_UNAVAILABLE:
             after_s = unanswered.retry_after_s
             headers.append([self._names.retry_after, str(after_s)])
+        if unanswered.status == HTTPStatus.UNAUTHORIZED:
+            headers.append(['www-authenticate', 'Bearer'])
         return node_answer(unanswered.status, unanswered.reason, headers)
 
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/calls.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/calls.py
@@ -4,7 +4,7 @@
 from http import HTTPStatus
 
 from mustardspur_core.mesh.call_messages import TargetLoad
-from mustardspur_core.mesh.model import MeshRoute
+from mustardspur_core.mesh.model import ClientAccount, MeshRoute
 from mustardspur_core.record import Record
 
 Headers = list[list[str]]
@@ -17,6 +17,8 @@
 
     Parameters
     ----------
+    account : ClientAccount or None
+        Account of the caller, None for a call without one.
     started_s : float
         Time on the event loop's clock at which the request was received.
     deadline_s : float
@@ -31,6 +33,7 @@
     __slots__ = (
         'request_id',
         'route',
+        'account',
         'method',
         'path',
         'headers',
@@ -42,6 +45,7 @@
     )
     request_id: str
     route: MeshRoute
+    account: ClientAccount | None
     method: str
     path: str
     headers: Headers
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
@@ -209,7 +209,12 @@
     @_FROM_CONTROL.handles(MeshTable)
     def _apply_table(self, update: MeshTable) -> None:
         wait_s = self._started_s + UNCONFIRMED_DELAY_S - _now()
-        if update.confirmed or self._view.table_index or wait_s <= 0:
+        if not update.confirmed and _needs_confirmation(update, self._view):
+            _LOG.warning(
+                'waiting for a confirmed table',
+                extra={'index': update.delta.index},
+            )
+        elif update.confirmed or self._view.table_index or wait_s <= 0:
             self._view.apply_table(update.delta)
         else:
             # A confirmed table received earlier has at least the same index, so
@@ -265,6 +270,15 @@
     return asyncio.get_running_loop().time()
 
 
+def _needs_confirmation(update: MeshTable, view: MeshView) -> bool:
+    """Return whether a table is put in force only once it is confirmed.
+
+    An older table may contain a key that has been withdrawn, which a node that
+    restarts must not accept again.
+    """
+    return not view.table_index and bool(update.delta.accounts)
+
+
 def _log_lost(
     address: str,
     error: Exception,
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -177,7 +177,7 @@
         """Update the service that forwarded calls state as their origin."""
         report = self.reports.current
         service = report.service if report else self.settings.service
-        self.callers.origin_service = service or ''
+        self.callers.set_origin(service or '')
 
     def _apply_target_change(self) -> None:
         self.local.refresh()
--- a/tests/core/mesh/builders.py
+++ b/tests/core/mesh/builders.py
@@ -4,12 +4,14 @@
 
 from mustardspur_core.mesh import (
     CallerLimits,
+    ClientAccount,
     MeshRoute,
     MeshTarget,
     RouteShare,
     RoutingTable,
     ServiceRule,
 )
+from mustardspur_core.mesh.accounts import key_digest
 from mustardspur_core.settings import MeshSettings
 
 LIMITS = CallerLimits(
@@ -96,3 +98,16 @@
         link_mbps=0,
         balancing='least_expected',
     )
+
+
+def account(name: str, *keys: str, **changes: Any) -> ClientAccount:
+    """Return an account without a limit, with some fields changed."""
+    fields: dict[str, Any] = {
+        'name': name,
+        'key_digests': [key_digest(key) for key in keys],
+        'priority': None,
+        'rate_per_s': 0,
+        'burst': 0,
+        'home_regions': [],
+    }
+    return ClientAccount(**(fields | changes))
--- a/tests/node/mesh/builders.py
+++ b/tests/node/mesh/builders.py
@@ -62,6 +62,7 @@
     fields: dict[str, Any] = {
         'request_id': 'r1',
         'route': route('drafts'),
+        'account': None,
         'method': 'GET',
         'path': '/drafts/1',
         'headers': [],
