Keep calls in the regions that their account allows

Cause: route and account can both list allowed regions, and only those of the route were applied after the two changes met.

Result: tests of tests/node/mesh and tests/core pass.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
@@ -79,7 +79,11 @@
         self.tried_nodes: set[str] = set()
         self.faults: list[PlacementFault] = []
         self.failed_answer: TargetAnswer | None = None
-        self.homes = Homes(call.route.home_regions)
+        account = call.account
+        self.homes = Homes(
+            call.route.home_regions,
+            account.home_regions if account else (),
+        )
         self._candidates: list[MeshTarget] | None = None
         # Suspended time of the instance when the call was received.
         self._suspended_s = suspended_s()
