Share waiting places fairly between client accounts

Cause: waiting calls went by rank and arrival, so the calls of an account that calls many times its usual rate made those of others wait behind them.

Change: calls of one rank are ordered by start-time fair queueing over client accounts; calls without an account go first, as most are nested calls. The wait of a call is estimated from the calls that go before it in this order. CallOpen carries the account as an optional trailing field.

--- a/packages/mustardspur_core/src/mustardspur_core/mesh/call_messages.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/call_messages.py
@@ -1,6 +1,9 @@
 """Messages between nodes for forwarded calls; type codes 160 to 179."""
 
-from mustardspur_core.record import Record
+from types import MappingProxyType
+from typing import ClassVar
+
+from mustardspur_core.record import Defaults, Record
 from mustardspur_core.wire.codec import message
 
 
@@ -69,6 +72,8 @@
         target.
     more : bool
         Whether further parts of the body follow.
+    account : str
+        Client account of the call, empty for none.
     """
 
     __slots__ = (
@@ -84,7 +89,9 @@
         'confirm',
         'body',
         'more',
+        'account',
     )
+    optional: ClassVar[Defaults] = MappingProxyType({'account': str})
     target: str
     service: str
     route: str
@@ -97,6 +104,7 @@
     confirm: bool
     body: bytes
     more: bool
+    account: str
 
 
 @message(162)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
@@ -14,7 +14,11 @@
 from mustardspur_node.mesh.capacity import TargetCapacity
 from mustardspur_node.mesh.rate_limit import StatedRateLimit
 from mustardspur_node.mesh.run_times import RunTimes
-from mustardspur_node.mesh.waiting_calls import Waiter, WaitingCalls
+from mustardspur_node.mesh.waiting_calls import (
+    Waiter,
+    WaitingCalls,
+    WaitingRequest,
+)
 
 # Waiting calls of the same or a lower rank for each slot; a call behind more
 # of them would be late.
@@ -121,15 +125,15 @@
     @asynccontextmanager
     async def admitted(
         self,
-        rank: int,
+        request: WaitingRequest,
         max_wait_ms: float,
     ) -> AsyncIterator[None]:
         """Hold a slot for the duration of a block.
 
         Parameters
         ----------
-        rank : int
-            Rank among the waiting calls; lower ranks go first.
+        request : WaitingRequest
+            What decides the place of the call among those that wait.
         max_wait_ms : float
             Longest useful wait for a slot.
 
@@ -141,9 +145,10 @@
         if not self._is_open():
             raise not_sent_fault('closed', 'target takes no calls')
         if self.capacity.can_start:
+            self._waiting.record_immediate_start(request)
             self.capacity.start()
         else:
-            await self._wait(rank, max_wait_ms)
+            await self._wait(request, max_wait_ms)
         try:
             yield
         finally:
@@ -153,8 +158,8 @@
     def _is_open(self) -> bool:
         return self.open and self._loop.time() >= self._closed_until_s
 
-    async def _wait(self, rank: int, max_wait_ms: float) -> None:
-        ahead = self._waiting.count_ahead(rank)
+    async def _wait(self, request: WaitingRequest, max_wait_ms: float) -> None:
+        ahead = self._waiting.count_before(request)
         expected_ms = self.capacity.expected_wait_ms(
             ahead,
             self.run_times.expected_ms,
@@ -162,11 +167,11 @@
         full = ahead >= MAX_WAITING_PER_SLOT * self.capacity.slots
         if full or expected_ms > max_wait_ms:
             raise not_sent_fault('busy', f'{len(self._waiting)} calls wait')
-        waiter = self._waiting.add(rank)
+        waiter = self._waiting.add(request)
         self._admit_next()
         try:
             async with asyncio.timeout(max_wait_ms / MS_PER_S):
-                await waiter[2]
+                await waiter.assigned
         except BaseException as error:
             self._cancel_wait(waiter)
             if isinstance(error, TimeoutError):
@@ -174,7 +179,7 @@
             raise
 
     def _cancel_wait(self, waiter: Waiter) -> None:
-        assigned = waiter[2]
+        assigned = waiter.assigned
         if assigned.done() and not assigned.cancelled():
             # The slot was assigned at the same time as the wait was cancelled.
             self.capacity.finish()
@@ -184,7 +189,7 @@
 
     def _admit_next(self) -> None:
         while self._waiting and self.capacity.can_start:
-            assigned = self._waiting.pop()
+            assigned = self._waiting.pop().assigned
             if not assigned.done():
                 self.capacity.start()
                 assigned.set_result(None)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/call_ranks.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_ranks.py
@@ -3,8 +3,11 @@
 import math
 from typing import Final
 
+from mustardspur_core.mesh.call_messages import CallOpen
+
 from mustardspur_node.mesh.call_value import LATE_RANK
 from mustardspur_node.mesh.run_times import INITIAL_RUN_MS, RUN_TIME_WEIGHT
+from mustardspur_node.mesh.waiting_calls import WaitingRequest
 
 # Bounds the memory for mean run times; over a day a table can have many more
 # routes.
@@ -40,6 +43,18 @@
         mean_ms = means.get(route, INITIAL_RUN_MS)
         means[route] = mean_ms + RUN_TIME_WEIGHT * (run_ms - mean_ms)
 
+    def mean_ms(self, route: str) -> float:
+        """Return the mean run time of a route in milliseconds."""
+        return self._mean_ms_by_route.get(route, INITIAL_RUN_MS)
+
+    def waiting_request(self, call: CallOpen) -> WaitingRequest:
+        """Return what decides the place of a call among those that wait."""
+        return WaitingRequest(
+            rank=self.rank(call.route, call.priority),
+            account=call.account,
+            cost_ms=self.mean_ms(call.route),
+        )
+
     def rank(self, route: str, priority: int) -> int:
         """Return the rank of a call; waiting calls of lower rank go first.
 
@@ -50,7 +65,7 @@
         priority : int
             Priority of the route, plus `LATE_RANK` for a late call.
         """
-        mean_ms = self._mean_ms_by_route.get(route, INITIAL_RUN_MS)
+        mean_ms = self.mean_ms(route)
         late, urgency = divmod(priority, LATE_RANK)
         rank_in_group = round(math.log2(max(mean_ms, 1)) + urgency)
         return late * LATE_RANK + rank_in_group
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -123,8 +123,8 @@
         # while the instance was suspended is seen to have passed.
         deadline_s = _now() + suspended_s() + left_s
         self._current_report(call)
-        rank = self.admission.ranks.rank(call.route, call.priority)
-        async with self.admission.admitted(rank, call.max_wait_ms):
+        request = self.admission.ranks.waiting_request(call)
+        async with self.admission.admitted(request, call.max_wait_ms):
             try:
                 answer = await self._run_admitted(call, deadline_s, before_send)
             except PlacementFault as fault:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -315,4 +315,5 @@
         confirm=not call.route.idempotent,
         body=call.body,
         more=False,
+        account=call.account.name if call.account else '',
     )
--- a/tests/node/mesh/builders.py
+++ b/tests/node/mesh/builders.py
@@ -9,6 +9,7 @@
 from mustardspur_node.mesh.local_target import LocalTarget
 from mustardspur_node.mesh.names import HEADER_NAMES
 from mustardspur_node.mesh.reports import ReportStore, TargetReport
+from mustardspur_node.mesh.waiting_calls import WaitingRequest
 
 from tests.core.mesh.builders import route
 
@@ -90,5 +91,11 @@
         'confirm': False,
         'body': b'',
         'more': False,
+        'account': '',
     }
     return CallOpen(**(fields | changes))
+
+
+def waiting_request(rank: int, account: str = '') -> WaitingRequest:
+    """Return what decides the place of a waiting call of 50 ms."""
+    return WaitingRequest(rank=rank, account=account, cost_ms=50.0)
--- a/tests/node/mesh/test_admission.py
+++ b/tests/node/mesh/test_admission.py
@@ -8,6 +8,7 @@
 from mustardspur_node.mesh.call_value import LATE_RANK
 from mustardspur_node.mesh.calls import PlacementFault
 
+from tests.node.mesh.builders import waiting_request
 from tests.support.virtual_time import in_virtual_time, ticks
 
 
@@ -21,7 +22,7 @@
 async def _run_call(
     admission: AdmissionControl, priority: int, admitted: list[int]
 ) -> None:
-    async with admission.admitted(priority, 1000.0):
+    async with admission.admitted(waiting_request(priority), 1000.0):
         admitted.append(priority)
         await asyncio.sleep(0.05)
 
@@ -61,7 +62,7 @@
     await asyncio.sleep(0)
     began_s = asyncio.get_running_loop().time()
     with pytest.raises(PlacementFault) as refusal:
-        async with admission.admitted(1, 10.0):
+        async with admission.admitted(waiting_request(1), 10.0):
             pytest.fail('call was admitted to a full target')
     assert refusal.value.not_run
     assert not refusal.value.arrived
@@ -91,7 +92,7 @@
     admission = _admission(1)
     admission.close_permanently()
     with pytest.raises(PlacementFault, match='closed'):
-        async with admission.admitted(0, 1000.0):
+        async with admission.admitted(waiting_request(0), 1000.0):
             pytest.fail('call was admitted to a closed target')
 
 
@@ -141,7 +142,7 @@
     admission: AdmissionControl, admitted_s: list[float]
 ) -> None:
     with suppress(PlacementFault):
-        async with admission.admitted(1, 100.0):
+        async with admission.admitted(waiting_request(1), 100.0):
             admitted_s.append(asyncio.get_running_loop().time())
             await asyncio.sleep(0.005)
 
--- a/tests/node/mesh/test_rate_limit.py
+++ b/tests/node/mesh/test_rate_limit.py
@@ -7,7 +7,12 @@
 from mustardspur_node.mesh.capacity import TargetCapacity
 from mustardspur_node.mesh.rate_limit import StatedRateLimit, parse_rate
 
-from tests.node.mesh.builders import call_open, local_target, target_report
+from tests.node.mesh.builders import (
+    call_open,
+    local_target,
+    target_report,
+    waiting_request,
+)
 from tests.node.stand_ins.scripted import GOOD, KEEP, REFUSAL, run_scripted
 from tests.support.virtual_time import in_virtual_time, virtual_now_s
 
@@ -108,10 +113,10 @@
     """Guards against a call that waits although its turn comes too late."""
     local = local_target('127.0.0.1:9')
     local.admission.apply_rate_limit(2.0, 0)
-    async with local.admission.admitted(1, 100.0):
+    async with local.admission.admitted(waiting_request(1), 100.0):
         assert local.admission.load.running == local.admission.load.slots
     with pytest.raises(PlacementFault, match='busy'):
-        async with local.admission.admitted(1, 100.0):
+        async with local.admission.admitted(waiting_request(1), 100.0):
             pytest.fail('call was admitted beyond the limit')
     assert not virtual_now_s()
 
