Store evacuations of data centres and take orders for them

Cause: operators had no way to withdraw all targets of a data centre.

Change: log entries EvacuateDataCentre and ReadmitDataCentre, the optional trailing field MeshState.evacuated, operations under /v1/evacuations and /api/evacuations/{zone}, the verbs evacuate, readmit and evacuations, and MeshTransfers.evacuated to nodes. The entry carries the data centres that the leader knows, so that two orders at the same time cannot evacuate the last one. LogAccess is split off MeshOperations, since both groups of operations propose entries and confirm reads.

--- a/packages/mustardspur_client/src/mustardspur_client/answers.py
+++ b/packages/mustardspur_client/src/mustardspur_client/answers.py
@@ -33,6 +33,9 @@
 
 
 def _conflict(answer: ControlAnswer) -> VerbError:
+    reason = answer.body.get('reason')
+    if reason:
+        return VerbError(ExitCode.CONFLICT, reason)
     number = answer.body.get('current_number', 0)
     editor = answer.body.get('edited_by') or 'nobody'
     changes = answer.body.get('changes', [])
--- a/packages/mustardspur_client/src/mustardspur_client/verbs/__init__.py
+++ b/packages/mustardspur_client/src/mustardspur_client/verbs/__init__.py
@@ -1,6 +1,7 @@
 """Verbs of the command line."""
 
 from mustardspur_client.verbs import (
+    evacuations,
     explaining,
     instances,
     moves,
@@ -27,6 +28,7 @@
     voters,
     tables,
     table_checks,
+    evacuations,
     explaining,
 )
 
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/__init__.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/__init__.py
@@ -1,14 +1,20 @@
 """Control instances of a mesh that routes calls by host and path."""
 
+from mustardspur_control.mesh.evacuations import (
+    EvacuationOperations,
+    EvacuationOutcome,
+)
 from mustardspur_control.mesh.instance import running_mesh_control
+from mustardspur_control.mesh.log_access import OperationError
 from mustardspur_control.mesh.operations import (
     MeshOperations,
-    OperationError,
     PublishedTable,
     PublishOutcome,
 )
 
 __all__ = [
+    'EvacuationOperations',
+    'EvacuationOutcome',
     'MeshOperations',
     'OperationError',
     'PublishOutcome',
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/components.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/components.py
@@ -30,7 +30,7 @@
         State that the log is applied to.
     """
 
-    __slots__ = ('_driver', 'exchange', 'feeds', 'members')
+    __slots__ = ('_driver', 'exchange', 'feeds', 'members', 'registry')
 
     def __init__(
         self,
@@ -40,22 +40,22 @@
         store: MeshStore,
     ) -> None:
         """Create and connect the components without starting them."""
-        registry = MeshRegistry()
+        self.registry = MeshRegistry()
         evidence = EvidenceAggregator()
         self.members = Membership(settings, mesh, log)
         self.exchange = ControlExchange(
-            settings, self.members, registry, evidence
+            settings, self.members, self.registry, evidence
         )
         self.feeds = NodeFeedServer(
             settings,
             log,
             store,
-            registry,
+            self.registry,
             self.members,
             self.exchange,
             evidence,
         )
-        self._driver = TransferDriver(mesh, log, store, registry, evidence)
+        self._driver = TransferDriver(mesh, log, store, self.registry, evidence)
 
     def running(self) -> AbstractAsyncContextManager[None]:
         """Return a context manager that runs the components in its block."""
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/http_api.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/http_api.py
@@ -12,11 +12,13 @@
 from mustardspur_core.mesh import RoutingTable
 from mustardspur_core.strict_json import parse_json
 
-from mustardspur_control.mesh.operations import (
-    MeshOperations,
-    OperationError,
-    PublishOutcome,
+from mustardspur_control.mesh.evacuations import EvacuationOperations
+from mustardspur_control.mesh.evacuations_api import EvacuationsApi
+from mustardspur_control.mesh.http_errors import (
+    findings_response,
+    unavailable_response,
 )
+from mustardspur_control.mesh.operations import MeshOperations, PublishOutcome
 from mustardspur_control.mesh.store import ACCEPTED, CONFLICT, INVALID
 
 # Enough for a table of several tens of thousands of routes.
@@ -40,13 +42,20 @@
     ----------
     operations : MeshOperations
         Operations that the handlers call.
+    evacuations : EvacuationOperations
+        Operations of the handlers for evacuations.
     """
 
-    __slots__ = ('_operations',)
+    __slots__ = ('_evacuations', '_operations')
 
-    def __init__(self, operations: MeshOperations) -> None:
+    def __init__(
+        self,
+        operations: MeshOperations,
+        evacuations: EvacuationOperations,
+    ) -> None:
         """Initialise the handlers."""
         self._operations = operations
+        self._evacuations = EvacuationsApi(evacuations)
 
     def app(self) -> web.Application:
         """Return the application with the handlers by method and path."""
@@ -55,6 +64,7 @@
         app.router.add_get(TABLE_PATH, self.get_table)
         app.router.add_post(TRANSFERS_PATH, self.start_transfer)
         app.router.add_get(f'{TRANSFERS_PATH}/{{service}}', self.get_transfer)
+        self._evacuations.add_to(app)
         return app
 
     async def put_table(self, request: web.Request) -> web.Response:
@@ -62,20 +72,20 @@
         document = await request.read()
         decoded = _table(document)
         if decoded.is_error():
-            return _findings([decoded.error])
+            return findings_response([decoded.error])
         base, table = decoded.ok
         outcome = await self._operations.publish(table, base, document)
         if outcome.is_error():
-            return _unavailable(outcome.error)
+            return unavailable_response(outcome.error)
         return _published(outcome.ok)
 
     async def get_table(self, _: web.Request) -> web.Response:
         """Return the document of the table in force as it was sent."""
         outcome = await self._operations.read()
         if outcome.is_error():
-            return _unavailable(outcome.error)
+            return unavailable_response(outcome.error)
         if outcome.ok is None:
-            return _findings([], HTTPStatus.NOT_FOUND)
+            return findings_response([], HTTPStatus.NOT_FOUND)
         return web.Response(
             body=outcome.ok.document,
             content_type='application/json',
@@ -89,18 +99,18 @@
         """
         parsed = parse_json(await request.read(), 'request')
         if parsed.is_error():
-            return _findings(parsed.error.entries)
+            return findings_response(parsed.error.entries)
         try:
             service, version, within_ms = _order(parsed.ok)
         except (KeyError, TypeError, ValueError) as error:
-            return _findings([_finding(error)])
+            return findings_response([_finding(error)])
         outcome = await self._operations.start_transfer(
             service,
             version,
             within_ms,
         )
         if outcome.is_error():
-            return _unavailable(outcome.error)
+            return unavailable_response(outcome.error)
         status = _STATUS_BY_OUTCOME[outcome.ok]
         return web.json_response({'outcome': outcome.ok}, status=status)
 
@@ -109,9 +119,9 @@
         service = request.match_info['service']
         outcome = await self._operations.read_transfer(service)
         if outcome.is_error():
-            return _unavailable(outcome.error)
+            return unavailable_response(outcome.error)
         if outcome.ok is None:
-            return _findings([], HTTPStatus.NOT_FOUND)
+            return findings_response([], HTTPStatus.NOT_FOUND)
         return web.json_response(encode_mapping(outcome.ok))
 
 
@@ -144,16 +154,6 @@
     )
 
 
-def _findings(
-    findings: list[Finding],
-    status: HTTPStatus = HTTPStatus.UNPROCESSABLE_ENTITY,
-) -> web.Response:
-    return web.json_response(
-        {'findings': [encode_mapping(finding) for finding in findings]},
-        status=status,
-    )
-
-
 def _published(outcome: PublishOutcome) -> web.Response:
     return web.json_response(
         {
@@ -163,14 +163,3 @@
         },
         status=_STATUS_BY_OUTCOME[outcome.status],
     )
-
-
-def _unavailable(error: OperationError) -> web.Response:
-    return web.json_response(
-        {
-            'kind': 'not_leader' if error.leader_http else 'no_quorum',
-            'reason': error.reason,
-            'leader': error.leader_http,
-        },
-        status=HTTPStatus.SERVICE_UNAVAILABLE,
-    )
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/instance.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/instance.py
@@ -16,7 +16,13 @@
 
 from mustardspur_control.control_stream import ControlStreams, serving_streams
 from mustardspur_control.mesh.components import MeshComponents
+from mustardspur_control.mesh.evacuations import (
+    EvacuationOperations,
+    EvacuationReporter,
+    KnownDataCentres,
+)
 from mustardspur_control.mesh.formation import settings_with_first_voters
+from mustardspur_control.mesh.log_access import LogAccess
 from mustardspur_control.mesh.operations import MeshOperations
 from mustardspur_control.mesh.state_machine import MeshStateMachine
 from mustardspur_control.mesh.store import MeshStore
@@ -29,20 +35,24 @@
     Parameters
     ----------
     operations : MeshOperations
-        Operations for operators.
+        Operations for operators on the table and on transfers.
+    evacuations : EvacuationOperations
+        Operations for operators on evacuations.
     mesh : MeshSettings
         Settings of the mesh, updated when settings are reloaded.
     """
 
-    __slots__ = ('_mesh', 'operations')
+    __slots__ = ('_mesh', 'evacuations', 'operations')
 
     def __init__(
         self,
         operations: MeshOperations,
+        evacuations: EvacuationOperations,
         mesh: MeshSettings,
     ) -> None:
         """Initialise the handle."""
         self.operations = operations
+        self.evacuations = evacuations
         self._mesh = mesh
 
     def apply_settings(self, settings: Settings) -> None:
@@ -78,6 +88,7 @@
     """
     settings = settings_with_first_voters(settings, mesh)
     store = MeshStore()
+    EvacuationReporter(store, metrics)
     machine = MeshStateMachine(Store(), store)
     async with AsyncExitStack() as stack:
         log = await stack.enter_async_context(
@@ -92,4 +103,10 @@
         streams.add(MeshSubscribe, components.feeds.serve)
         await stack.enter_async_context(serving_streams(settings, streams))
         await stack.enter_async_context(components.running())
-        yield MeshControl(MeshOperations(log, store), mesh)
+        access = LogAccess(log)
+        known = KnownDataCentres(mesh, components.registry, components.members)
+        yield MeshControl(
+            MeshOperations(access, store),
+            EvacuationOperations(access, store, known),
+            mesh,
+        )
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
@@ -295,7 +295,7 @@
                 index=state.index,
                 transfers=list(state.transfers.values()),
                 base_versions=state.base_versions,
-                evacuated=[],
+                evacuated=state.evacuated,
             ),
         )
 
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/operations.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/operations.py
@@ -1,13 +1,11 @@
 """Operations that a control instance of a mesh offers to operators."""
 
-import asyncio
 import logging
 import time
 from typing import Final
 
 import xxhash
 from expression import Error, Ok, Result
-from mustardspur_agreement import ProposalError, ReplicatedLog
 from mustardspur_core.compression import (
     compress_bytes,
     compress_change,
@@ -17,43 +15,18 @@
 from mustardspur_core.mesh.checks import check_table
 from mustardspur_core.mesh.entries import (
     ChangeTable,
-    MeshAnswer,
     PublishTable,
     StartTransfer,
 )
 from mustardspur_core.mesh.model import RoutingTable, Transfer
 from mustardspur_core.mesh.packing import encode_packed, encode_table
 from mustardspur_core.record import Record
-from mustardspur_core.wire import encode_frame
 
-from mustardspur_control.mesh.store import (
-    INVALID,
-    MeshStore,
-)
+from mustardspur_control.mesh.log_access import LogAccess, OperationError
+from mustardspur_control.mesh.store import INVALID, MeshStore
 
 _LOG: Final = logging.getLogger(__name__)
 
-# Operators time out after about a second; an entry may still commit later.
-PROPOSE_TIMEOUT_S: Final = 3.0
-READ_TIMEOUT_S: Final = 1.5
-
-
-class OperationError(Record):
-    """Error of an operation that this instance cannot answer.
-
-    Parameters
-    ----------
-    reason : str
-        Text for the operator.
-    leader_http : str or None
-        HTTP address of the leader if the request belongs there and the leader
-        is known.
-    """
-
-    __slots__ = ('reason', 'leader_http')
-    reason: str
-    leader_http: str | None
-
 
 class PublishOutcome(Record):
     """Result of an edit of the routing table.
@@ -95,17 +68,17 @@
 
     Parameters
     ----------
-    log : ReplicatedLog
-        Log that commits the edits and confirms the reads.
+    access : LogAccess
+        Commits the edits and confirms the reads.
     store : MeshStore
         The applied state.
     """
 
-    __slots__ = ('_log', '_store')
+    __slots__ = ('_access', '_store')
 
-    def __init__(self, log: ReplicatedLog, store: MeshStore) -> None:
+    def __init__(self, access: LogAccess, store: MeshStore) -> None:
         """Initialise the operations on a log and its applied state."""
-        self._log = log
+        self._access = access
         self._store = store
 
     async def publish(
@@ -136,7 +109,7 @@
             _log_edit(table, base, INVALID, str(findings[0]))
             return Ok(self._outcome(INVALID, findings))
         entry = self._edit(table, base, digest, document)
-        answer = await self._propose(entry)
+        answer = await self._access.propose(entry)
         if answer.is_error():
             _log_edit(table, base, 'unanswered', answer.error.reason)
             return Error(answer.error)
@@ -151,7 +124,7 @@
         Result
             An error if no quorum confirms that the state is current.
         """
-        confirmed = await self._confirm()
+        confirmed = await self._access.confirm()
         if confirmed.is_error():
             return Error(confirmed.error)
         state = self._store.state
@@ -187,7 +160,7 @@
             duration_ms=duration_ms,
             at_s=time.time(),
         )
-        answer = await self._propose(entry)
+        answer = await self._access.propose(entry)
         if answer.is_error():
             return Error(answer.error)
         _LOG.info(
@@ -205,7 +178,7 @@
         service: str,
     ) -> Result[Transfer | None, OperationError]:
         """Return the latest transfer of a service, None if it has none."""
-        confirmed = await self._confirm()
+        confirmed = await self._access.confirm()
         if confirmed.is_error():
             return Error(confirmed.error)
         return Ok(self._store.state.transfers.get(service))
@@ -239,55 +212,6 @@
             ),
         )
 
-    async def _propose(
-        self,
-        entry: Record,
-    ) -> Result[MeshAnswer, OperationError]:
-        if not self._log.is_leader:
-            return Error(self._error('this instance is not the leader'))
-        try:
-            async with asyncio.timeout(PROPOSE_TIMEOUT_S):
-                outcome = await asyncio.shield(
-                    self._log.propose(encode_frame(entry)),
-                )
-        except TimeoutError:
-            return Error(
-                self._unavailable('no quorum answered before the timeout')
-            )
-        if outcome.is_error():
-            return Error(self._proposal_error(outcome.error))
-        answer = outcome.ok.answer
-        assert isinstance(answer, MeshAnswer)
-        return Ok(answer)
-
-    async def _confirm(self) -> Result[int, OperationError]:
-        try:
-            async with asyncio.timeout(READ_TIMEOUT_S):
-                barrier = await self._log.read_barrier()
-        except TimeoutError:
-            return Error(
-                self._unavailable('no quorum answered before the timeout')
-            )
-        if barrier.is_error():
-            return Error(self._unavailable(barrier.error.detail))
-        return Ok(barrier.ok)
-
-    def _proposal_error(self, error: ProposalError) -> OperationError:
-        if error.kind == 'not_leader':
-            return self._error(error.detail)
-        return self._unavailable(f'{error.kind}: {error.detail}')
-
-    def _error(self, reason: str) -> OperationError:
-        leader = self._log.leader
-        peer = self._log.voter_peers.get(leader or '')
-        return OperationError(
-            reason=reason,
-            leader_http=peer.http if peer else None,
-        )
-
-    def _unavailable(self, reason: str) -> OperationError:
-        return OperationError(reason=reason, leader_http=None)
-
     def _outcome(self, status: str, findings: list[Finding]) -> PublishOutcome:
         return PublishOutcome(
             status=status,
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/store.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/store.py
@@ -1,7 +1,8 @@
-"""Replicated state of a mesh: routing table, transfers, base versions."""
+"""Replicated state of a mesh: table, transfers, versions, evacuations."""
 
 from collections.abc import Callable
-from typing import Any, Final, TypeVar
+from types import MappingProxyType
+from typing import Any, ClassVar, Final, TypeVar
 
 import msgpack
 from mustardspur_core.compression import apply_change
@@ -15,7 +16,7 @@
     StepTransfer,
 )
 from mustardspur_core.mesh.model import Transfer, TransferState
-from mustardspur_core.record import Record
+from mustardspur_core.record import Defaults, Record
 from mustardspur_core.wire import MalformedFrame, decode_frame
 
 # Number of the latest accepted edits among which a retry is recognised.
@@ -54,6 +55,8 @@
         Wall clock time of the order of each transfer in seconds, by service.
     base_versions : dict of str
         Version of each service outside of a transfer.
+    evacuated : list of str
+        Names of the evacuated data centres, sorted.
     """
 
     __slots__ = (
@@ -66,7 +69,9 @@
         'transfers',
         'started_at',
         'base_versions',
+        'evacuated',
     )
+    optional: ClassVar[Defaults] = MappingProxyType({'evacuated': list})
     index: int
     number: int
     table_index: int
@@ -76,6 +81,7 @@
     transfers: dict[str, Transfer]
     started_at: dict[str, float]
     base_versions: dict[str, str]
+    evacuated: list[str]
 
 
 def empty_state() -> MeshState:
@@ -90,6 +96,7 @@
         transfers={},
         started_at={},
         base_versions={},
+        evacuated=[],
     )
 
 
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/entries.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/entries.py
@@ -114,6 +114,30 @@
     document: bytes
 
 
+@message(185)
+class EvacuateDataCentre(Record):
+    """Withdraws all targets of a data centre until it is readmitted.
+
+    Parameters
+    ----------
+    known : list of str
+        Data centres that the leader knows; the entry has no effect if it
+        would leave none of them.
+    """
+
+    __slots__ = ('data_centre', 'known')
+    data_centre: str
+    known: list[str]
+
+
+@message(186)
+class ReadmitDataCentre(Record):
+    """Ends the evacuation of a data centre."""
+
+    __slots__ = ('data_centre',)
+    data_centre: str
+
+
 class MeshAnswer(Record):
     """Result of applying an entry.
 
--- a/packages/mustardspur_daemon/src/mustardspur_daemon/mesh_processes.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/mesh_processes.py
@@ -27,7 +27,8 @@
         async with (
             running_mesh_control(settings, mesh, timeline, metrics) as control,
             serving_app(
-                MeshApi(control.operations).app(), settings.listen.http
+                MeshApi(control.operations, control.evacuations).app(),
+                settings.listen.http,
             ),
             serving_metrics(settings.listen.metrics, metrics),
         ):
