Withdraw the targets of an evacuated data centre

Cause: nodes ignored the evacuations that control instances send.

Change: candidates of evacuated data centres are left out at each placement, also of a call that has its candidates already. The node beside a target refuses calls that were not sent yet, and confirms the target by a health check after a readmission. A node confirms its target only once its first table is in force, which the evacuations precede on the stream.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
@@ -88,6 +88,16 @@
         """Refuse all further calls, as the node stops."""
         self._closed_until_s = float('inf')
 
+    def refuse_waiting(self, reason: str) -> int:
+        """Refuse all waiting calls as closed and return their number."""
+        refused = 0
+        while self._waiting:
+            assigned = self._waiting.pop()
+            if not assigned.done():
+                assigned.set_exception(not_sent_fault('closed', reason))
+                refused += 1
+        return refused
+
     def resize(self, slots: int) -> None:
         """Change the number of slots and admit calls to new ones."""
         self.capacity.slots = slots
@@ -175,7 +185,7 @@
 
     def _cancel_wait(self, waiter: Waiter) -> None:
         assigned = waiter[2]
-        if assigned.done() and not assigned.cancelled():
+        if _is_slot_assigned(assigned):
             # The slot was assigned at the same time as the wait was cancelled.
             self.capacity.finish()
             self._admit_next()
@@ -197,3 +207,9 @@
     def _admit_after_delay(self) -> None:
         self._timer = None
         self._admit_next()
+
+
+def _is_slot_assigned(assigned: asyncio.Future[None]) -> bool:
+    if not assigned.done() or assigned.cancelled():
+        return False
+    return assigned.exception() is None
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
@@ -96,7 +96,8 @@
         """Return the targets that the call may be placed on.
 
         The version of the service is chosen at the first use and does not
-        change afterwards.
+        change afterwards. Targets whose data centre has been evacuated since
+        are left out.
         """
         if self._candidates is None:
             self._candidates = eligible_targets(
@@ -105,7 +106,7 @@
                 random_source,
                 self.homes,
             )
-        return self._candidates
+        return view.evacuated.select(self._candidates)
 
     @property
     def had_candidates(self) -> bool:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/confirmation.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/confirmation.py
@@ -1,4 +1,4 @@
-"""Health check of the local target after the node starts."""
+"""Health check of the local target after a start or a readmission."""
 
 import asyncio
 import logging
@@ -29,7 +29,8 @@
     ===========
 
     Until then it gets no calls: a report that the node receives just after
-    its start may be a late one of a target that was removed. If no health
+    its start may be a late one of a target that was removed, and a target of
+    a data centre that was evacuated may be cold. If no health
     check succeeds within `MAX_REPORT_DELAY_S`, a further report shows that
     the target is still there, since late ones have arrived by then.
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -12,8 +12,8 @@
 from mustardspur_core.tasks import background, run_periodically, supervised
 
 from mustardspur_node.mesh.caller_server import CallerServer
-from mustardspur_node.mesh.confirmation import confirm_target
 from mustardspur_node.mesh.control_link import MeshControlLink
+from mustardspur_node.mesh.evacuation import TargetEvacuation
 from mustardspur_node.mesh.local_target import LocalTarget
 from mustardspur_node.mesh.names import HeaderNames
 from mustardspur_node.mesh.peer_server import PeerServer
@@ -52,6 +52,7 @@
         '_metrics',
         '_stopping',
         'callers',
+        'evacuation',
         'link',
         'local',
         'peers',
@@ -76,6 +77,11 @@
         self.view = MeshView()
         self.reports = ReportStore(mesh.target_address or settings.listen.http)
         self.local = LocalTarget(self.reports, names)
+        self.evacuation = TargetEvacuation(
+            settings.data_centre,
+            self.local,
+            self.view,
+        )
         self.peers = PeerServer(self.local)
         self.placer = Placer(settings, mesh, self.view, self.local, metrics)
         self.callers = CallerServer(self.view, self.placer, names, metrics)
@@ -166,6 +172,12 @@
         self._metrics.gauge('target.waiting', load.waiting)
         self._metrics.gauge('target.slots', load.slots)
         self._metrics.gauge('target.run_ms', load.run_ms)
+        evacuated = int(self.evacuation.is_evacuated)
+        self._metrics.gauge('target.evacuated', evacuated)
+        self._metrics.gauge(
+            'evacuated_data_centres',
+            len(self.view.evacuated.names),
+        )
         self._metrics.gauge('table.index', self.view.table_index)
         self._metrics.gauge('callers.in_flight', self.callers.in_flight)
 
@@ -214,10 +226,7 @@
             background(
                 supervised('control link', node.link.run),
                 supervised('checks', node.run_checks),
-                supervised(
-                    'target confirmation',
-                    lambda: confirm_target(node.local, node.view),
-                ),
+                supervised('target evacuation', node.evacuation.run),
             ),
         )
         await stack.enter_async_context(
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -34,6 +34,7 @@
 # Subtracted from the deadline: the target counts the time from the receipt,
 # and its answer has to travel back.
 DEADLINE_MARGIN_MS: Final = 2.0
+_WITHDRAWN_REASON: Final = 'data centre is evacuated'
 
 
 class LocalTarget:
@@ -51,6 +52,7 @@
         '_confirmed',
         '_identity',
         '_requests',
+        '_withdrawn',
         'admission',
         'blocked',
         'budget',
@@ -67,6 +69,8 @@
     ) -> None:
         """Initialise without a target, and closed until it is confirmed."""
         self._confirmed = False
+        # Whether the data centre is evacuated.
+        self._withdrawn = False
         self._requests = TargetRequests(names)
         self.budget = AnswerBudget()
         self.pool = TargetPool(reports.address, self.budget)
@@ -95,9 +99,27 @@
 
     def confirm(self) -> None:
         """Accept calls if the reports say that the target is ready."""
-        self._confirmed = True
+        self._confirmed = not self._withdrawn
         self.refresh()
 
+    def withdraw(self) -> int:
+        """Refuse all calls that were not sent to the target.
+
+        Returns
+        -------
+        int
+            Number of waiting calls that were refused.
+        """
+        self._withdrawn = True
+        self._confirmed = False
+        refused = self.admission.refuse_waiting(_WITHDRAWN_REASON)
+        self.refresh()
+        return refused
+
+    def readmit(self) -> None:
+        """Let the target accept calls again once it is confirmed."""
+        self._withdrawn = False
+
     async def run(
         self,
         call: CallOpen,
@@ -170,6 +192,8 @@
             raise not_sent_fault('moved', 'target is of another service')
         if not is_ready(report):
             raise not_sent_fault('closed', 'target is leaving')
+        if self._withdrawn:
+            raise not_sent_fault('closed', _WITHDRAWN_REASON)
         return report
 
     async def _exchange(
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/view.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/view.py
@@ -18,6 +18,8 @@
 )
 from mustardspur_core.mesh.packing import TableDelta, apply_delta
 
+from mustardspur_node.mesh.evacuated_data_centres import EvacuatedDataCentres
+
 _LOG: Final = logging.getLogger(__name__)
 
 # After a restart of all control instances the nodes reach them within this
@@ -67,13 +69,18 @@
 
     A table is replaced as a whole, so that a call uses one table throughout.
     A table whose index is not above the one in force is ignored.
+
+    Attributes
+    ----------
+    evacuated : EvacuatedDataCentres
+        Data centres whose targets receive no calls.
     """
 
     __slots__ = (
         '_retained_until_s',
         '_transfers_index',
         'base_versions',
-        'changed',
+        'evacuated',
         'routes',
         'table_index',
         'targets_by_node',
@@ -89,7 +96,7 @@
         self.base_versions: dict[str, str] = {}
         self.targets_by_node: dict[str, MeshTarget] = {}
         self.targets_by_service: dict[str, list[MeshTarget]] = {}
-        self.changed = asyncio.Event()
+        self.evacuated = EvacuatedDataCentres()
         self._transfers_index = -1
         # Targets that the last full update did not contain, by node.
         self._retained_until_s: dict[str, float] = {}
@@ -120,6 +127,7 @@
                 'routes': len(self.routes.table.routes),
             },
         )
+        self.evacuated.mark_known()
 
     def apply_transfers(self, update: MeshTransfers) -> list[str]:
         """Apply transfers and return the services with a new running one."""
@@ -134,6 +142,7 @@
         ]
         self.transfers = {each.service: each for each in update.transfers}
         self.base_versions = update.base_versions
+        self.evacuated.apply(update)
         return started
 
     def apply_targets(self, update: MeshTargets) -> None:
@@ -173,11 +182,12 @@
 
     def ready_targets(self, service: str) -> list[MeshTarget]:
         """Return the targets of a service that accept calls."""
-        return [
+        ready = [
             target
             for target in self.targets_by_service.get(service, ())
             if target.state == MeshTargetState.READY
         ]
+        return self.evacuated.select(ready)
 
     @property
     def has_running_transfer(self) -> bool:
