--- a/tests/platform/mesh_processes.py
+++ b/tests/platform/mesh_processes.py
@@ -61,13 +61,18 @@
             },
         )
 
-    async def start_node(self, host: str) -> None:
+    async def start_node(
+        self,
+        host: str,
+        data_centre: str = 'split-a',
+    ) -> None:
         """Start a node."""
         target = f'{host}:{self.ports["target"]}'
         await self._start(
             host,
             {
                 'role': 'node',
+                'data_centre': data_centre,
                 'service': 'forms',
                 'listen': self._listen(host, *_PORTS[:4]),
                 'mesh': {**self._seeds(), 'target_address': target},
@@ -136,10 +141,11 @@
 
     async def _start(self, host: str, document: dict[str, Any]) -> None:
         path = self.folder / f'{host}.json'
-        document |= {
+        document = {
             'id': host,
             'data_centre': 'split-a',
             'region': 'dalmacija',
+            **document,
         }
         path.write_text(json.dumps(document), encoding='utf-8')
         environment = {
