Bound the calls to a cold target beside it

The node beside a target applied the stated rate limit only; a target that had just started got its full load.

The admission spaces the calls of a cold target at cold_per_s with the algorithm of the stated limit, counts the calls of the last second when the target turns cold, and bounds the calls since the last statement of a warm target. Reports and Cold-Ms replace the cold time; a refused, reset or broken connection and an answer 421 count as a restart. Services without cold_per_s are not affected.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
@@ -12,6 +12,7 @@
 from mustardspur_node.mesh.call_value import LATE_RANK
 from mustardspur_node.mesh.calls import not_sent_fault
 from mustardspur_node.mesh.capacity import TargetCapacity
+from mustardspur_node.mesh.cold_state import ColdState
 from mustardspur_node.mesh.rate_limit import StatedRateLimit
 from mustardspur_node.mesh.run_times import RunTimes
 from mustardspur_node.mesh.waiting_calls import Waiter, WaitingCalls
@@ -24,7 +25,7 @@
 
 
 class AdmissionControl:
-    """Admits calls to a target within its slots and its stated rate limit.
+    """Admits calls to a target within its slots and rate limits.
 
     Explanation
     ===========
@@ -38,7 +39,7 @@
     open : bool
         Whether the target accepts calls, as it reports.
     capacity : TargetCapacity
-        Slots and rate limit of the target, and the calls that use them.
+        Slots and rate limits of the target, and the calls that use them.
     run_times : RunTimes
         Run times and failure rate of the target.
     ranks : CallRanks
@@ -56,14 +57,15 @@
         'run_times',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, cold: ColdState | None = None) -> None:
         """Initialise closed and without slots."""
         self._loop = asyncio.get_running_loop()
         self._waiting = WaitingCalls()
-        self.capacity = TargetCapacity()
+        self.capacity = TargetCapacity(cold)
+        self.capacity.cold.on_change = self._apply_limit_change
         self.run_times = RunTimes()
         self.ranks = CallRanks()
-        # Runs while the rate limit delays the first waiting call.
+        # Runs while a rate limit delays the first waiting call.
         self._timer: asyncio.TimerHandle | None = None
         self._closed_until_s: float = 0
         self.open = False
@@ -99,9 +101,8 @@
         Returns whether the limit changed; see `StatedRateLimit.record`.
         """
         changed = self.capacity.rate_limit.record(per_s, sent_s)
-        if changed and self._timer is not None:
-            self._timer.cancel()
-            self._admit_after_delay()
+        if changed:
+            self._apply_limit_change()
         return changed
 
     def reset_statistics(self) -> None:
@@ -190,10 +191,16 @@
                 assigned.set_result(None)
         if self._waiting and self.capacity.has_slot and self._timer is None:
             self._timer = self._loop.call_later(
-                self.capacity.rate_limit.delay_s,
+                self.capacity.delay_s,
                 self._admit_after_delay,
             )
 
+    def _apply_limit_change(self) -> None:
+        """Compute again when the first waiting call may start."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._admit_after_delay()
+
     def _admit_after_delay(self) -> None:
         self._timer = None
         self._admit_next()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -34,6 +34,8 @@
 # Subtracted from the deadline: the target counts the time from the receipt,
 # and its answer has to travel back.
 DEADLINE_MARGIN_MS: Final = 2.0
+# Faults after which the target may have restarted.
+_RESTART_KINDS: Final = frozenset(('unreachable', 'refused', 'broken'))
 
 
 class LocalTarget:
@@ -72,7 +74,7 @@
         self.pool = TargetPool(reports.address, self.budget)
         self._identity: tuple[str, int] | None = None
         self.reports = reports
-        self.admission = AdmissionControl()
+        self.admission = AdmissionControl(reports.cold)
         self.statements = TargetStatements(names, self.admission, reports)
         self.blocked = BlockedCalls(names)
         self.runs = RunRecorder(names, self.admission, reports)
@@ -84,6 +86,7 @@
         """
         report = self.reports.current
         self.admission.open = self._confirmed and is_ready(report)
+        self.apply_rule()
         if report is None:
             return
         if self._identity != (report.id, report.born):
@@ -93,6 +96,12 @@
             self.admission.reset_statistics()
         self.admission.resize(report.slots)
 
+    def apply_rule(self) -> None:
+        """Apply the rule of the target's service in the table in force."""
+        report = self.reports.current
+        if report is not None:
+            self.reports.cold.apply_rule(report.service)
+
     def confirm(self) -> None:
         """Accept calls if the reports say that the target is ready."""
         self._confirmed = True
@@ -123,16 +132,29 @@
         # while the instance was suspended is seen to have passed.
         deadline_s = _now() + suspended_s() + left_s
         self._current_report(call)
+        self.apply_rule()
         rank = self.admission.ranks.rank(call.route, call.priority)
         async with self.admission.admitted(rank, call.max_wait_ms):
             try:
                 answer = await self._run_admitted(call, deadline_s, before_send)
             except PlacementFault as fault:
-                if fault.kind == 'unreachable':
-                    self.admission.close_temporarily()
+                self._apply_fault(fault)
                 raise
         return self._target_answer(answer)
 
+    def _apply_fault(self, fault: PlacementFault) -> None:
+        """Apply what the fault of a call shows about the target.
+
+        A target whose connection was refused or reset, or ended before its
+        answer, may have restarted. One that refuses a call in an answer runs.
+        """
+        if fault.kind == 'unreachable':
+            self.admission.close_temporarily()
+        if fault.kind in _RESTART_KINDS and not (
+            fault.kind == 'refused' and fault.arrived
+        ):
+            self.reports.cold.suspect(fault.kind)
+
     async def _run_admitted(
         self,
         call: CallOpen,
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/rate_limit.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/rate_limit.py
@@ -1,11 +1,9 @@
-"""Rate of calls that a target accepts, as its answers state it."""
+"""Spacing of calls by a rate, and the rate that a target states."""
 
 import asyncio
 import math
 from typing import Final
 
-from mustardspur_core.units import MS_PER_S
-
 # Calls that may follow each other at once, as the time in which the limit
 # allows them. Callers do not call at even distances.
 BURST_S: Final = 0.25
@@ -14,6 +12,48 @@
 MIN_PER_S: Final = 0.5
 
 
+class CallSpacing:
+    """Spaces calls by a rate with the generic cell rate algorithm.
+
+    Each call moves the time up to which the rate is used up, which may be
+    `BURST_S` ahead.
+
+    Parameters
+    ----------
+    per_s : float
+        Calls a second; lower rates than `MIN_PER_S` are raised to it.
+    """
+
+    __slots__ = ('_used_up_to_s', 'interval_s')
+
+    def __init__(self, per_s: float) -> None:
+        """Initialise without calls."""
+        self._used_up_to_s: float = 0
+        self.interval_s = 1 / max(per_s, MIN_PER_S)
+
+    @property
+    def delay_s(self) -> float:
+        """Time until the next call may be sent, 0 if it may be sent now."""
+        return max(self._used_up_to_s - BURST_S - _now(), 0)
+
+    def change_rate(self, per_s: float) -> None:
+        """Space further calls by another rate."""
+        self.interval_s = 1 / max(per_s, MIN_PER_S)
+
+    def record_call(self, time_s: float) -> None:
+        """Count a call that is sent at a time."""
+        start_s = max(self._used_up_to_s, time_s)
+        self._used_up_to_s = start_s + self.interval_s
+
+    def use_up_to(self, time_s: float) -> None:
+        """Set the time up to which the rate is used up."""
+        self._used_up_to_s = time_s
+
+    def use_up_to_at_most(self, time_s: float) -> None:
+        """Lower the time up to which the rate is used up to a maximum."""
+        self._used_up_to_s = min(self._used_up_to_s, time_s)
+
+
 class StatedRateLimit:
     """Rate limit that the local target states in its answers.
 
@@ -24,9 +64,6 @@
     without a limit to a call that was sent before the limit was last stated
     says nothing about the time since.
 
-    Calls are spaced by the generic cell rate algorithm: each call moves the
-    time up to which the rate is used up, which may be `BURST_S` ahead.
-
     Attributes
     ----------
     per_s : float or None
@@ -34,12 +71,12 @@
         without a limit.
     """
 
-    __slots__ = ('_stated_s', '_used_up_to_s', 'per_s')
+    __slots__ = ('_spacing', '_stated_s', 'per_s')
 
     def __init__(self) -> None:
         """Initialise without a limit."""
+        self._spacing = CallSpacing(0)
         self._stated_s: float = 0
-        self._used_up_to_s: float = 0
         self.per_s: float | None = None
 
     def record(self, per_s: float | None, sent_s: float) -> bool:
@@ -63,48 +100,27 @@
         self.per_s = per_s
         if per_s is not None:
             self._stated_s = _now()
+            self._spacing.change_rate(per_s)
             if previous is None:
                 # The calls before the statement count as a burst.
-                self._used_up_to_s = self._stated_s + BURST_S
+                self._spacing.use_up_to(self._stated_s + BURST_S)
         return per_s != previous
 
     def record_call(self) -> None:
         """Count a call that is sent now."""
-        start_s = max(self._used_up_to_s, _now())
-        self._used_up_to_s = start_s + self.interval_s
-
-    @property
-    def interval_s(self) -> float:
-        """Mean time between two calls at the limit, 0 without a limit."""
-        if self.per_s is None:
-            return 0
-        return 1 / max(self.per_s, MIN_PER_S)
+        if self.per_s is not None:
+            self._spacing.record_call(_now())
 
     @property
     def delay_s(self) -> float:
         """Time until the next call may be sent, 0 if it may be sent now."""
-        if self.per_s is None:
-            return 0
-        return max(self._used_up_to_s - BURST_S - _now(), 0)
+        return 0 if self.per_s is None else self._spacing.delay_s
 
-    def wait_ms(self, ahead: int) -> float:
+    def wait_s(self, ahead: int) -> float:
         """Return how long a call waits behind a number of others."""
-        return (self.delay_s + ahead * self.interval_s) * MS_PER_S
-
-    def usable_slots(self, slots: int, run_ms: float) -> int:
-        """Return how many slots of the target the limit keeps in use.
-
-        Parameters
-        ----------
-        slots : int
-            Slots of the target.
-        run_ms : float
-            Mean run time in milliseconds.
-        """
         if self.per_s is None:
-            return slots
-        used = math.ceil(run_ms / (self.interval_s * MS_PER_S))
-        return min(max(used, 1), slots)
+            return 0
+        return self.delay_s + ahead * self._spacing.interval_s
 
 
 def _now() -> float:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/reports.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/reports.py
@@ -7,7 +7,8 @@
 
 from mustardspur_core.mesh.model import MeshTargetState
 from mustardspur_core.record import Record, replaced
-from mustardspur_core.units import MS_PER_S
+
+from mustardspur_node.mesh.cold_state import ColdState
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -62,6 +63,11 @@
     ----------
     address : str
         ``ip:port`` of the target from the settings.
+
+    Attributes
+    ----------
+    cold : ColdState
+        Whether the target at the address is cold.
     """
 
     __slots__ = (
@@ -70,7 +76,7 @@
         '_leaving',
         '_unknown_removed_s',
         'address',
-        'cold_until_s',
+        'cold',
         'current',
     )
 
@@ -78,7 +84,7 @@
         """Initialise the store without a target."""
         self.address = address
         self.current: TargetReport | None = None
-        self.cold_until_s: float = 0
+        self.cold = ColdState()
         self._callbacks: list[Callable[[], None]] = []
         # Report of a target that has stated since that it leaves.
         self._leaving: TargetReport | None = None
@@ -87,8 +93,8 @@
 
     @property
     def is_cold(self) -> bool:
-        """Whether the target is still cold, as it reported at its start."""
-        return _now() < self.cold_until_s
+        """Whether the target is cold."""
+        return self.cold.is_cold
 
     def on_change(self, callback: Callable[[], None]) -> None:
         """Register a callback for changes of the target."""
@@ -108,13 +114,14 @@
                 'report ignored',
                 extra={'target': report.id, 'reason': reject_reason},
             )
+            self._suspect_restart(report)
             return False
         if is_same_start(report, self._leaving):
             # A report that was sent before the target began to leave.
             report = _draining(report)
         current = self.current
         self.current = report
-        self.cold_until_s = _now() + report.cold_ms / MS_PER_S
+        self.cold.record_statement(report.cold_ms, _now(), 'report')
         if current is not None and _is_unchanged(current, report):
             return False
         _LOG.info(
@@ -163,6 +170,19 @@
         for callback in self._callbacks:
             callback()
 
+    def _suspect_restart(self, ignored: TargetReport) -> None:
+        """Suspect a restart if an ignored report states a longer cold time.
+
+        A target that states no start time restarts its sequence, so that its
+        first reports look older than the stored one.
+        """
+        remaining_ms = self.cold.remaining_ms
+        if (
+            is_same_start(ignored, self.current)
+            and ignored.cold_ms > remaining_ms
+        ):
+            self.cold.suspect('ignored report')
+
     def _record_unknown_removal(self, target_id: str) -> None:
         """Record the removal of an unknown target to ignore late reports."""
         _LOG.info('unknown target removed', extra={'target': target_id})
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/statements.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/statements.py
@@ -1,10 +1,12 @@
 """What a target states about itself in the headers of its answers."""
 
 import logging
+from http import HTTPStatus
 from typing import Final
 
 from mustardspur_node.mesh.admission import AdmissionControl
 from mustardspur_node.mesh.answer_parser import RawAnswer
+from mustardspur_node.mesh.cold_state import parse_cold_ms
 from mustardspur_node.mesh.decisions import DecisionLog
 from mustardspur_node.mesh.names import HeaderNames
 from mustardspur_node.mesh.rate_limit import parse_rate
@@ -68,6 +70,10 @@
             return
         if answer.header(self._names.leaving) == LEAVING:
             self._reports.mark_leaving()
+        if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
+            # Another target has started at the address.
+            self._reports.cold.suspect('misdirected')
+        self._apply_cold_time(report.id, answer, sent_s)
         stated = answer.header(self._names.rate_limit)
         try:
             per_s = None if stated is None else parse_rate(stated)
@@ -80,6 +86,27 @@
         else:
             self._apply_rate_limit(report.id, per_s, sent_s)
 
+    def _apply_cold_time(
+        self,
+        target_id: str,
+        answer: RawAnswer,
+        sent_s: float,
+    ) -> None:
+        """Apply the cold time; an answer without one says nothing about it."""
+        stated = answer.header(self._names.cold_ms)
+        if stated is None:
+            return
+        try:
+            cold_ms = parse_cold_ms(stated)
+        except ValueError as error:
+            self._decisions.write(
+                'cold time of the target cannot be read',
+                target=target_id,
+                reason=str(error),
+            )
+        else:
+            self._reports.cold.record_statement(cold_ms, sent_s, 'answer')
+
     def _apply_rate_limit(
         self,
         target_id: str,
