Query the status of a target that may have turned cold

A report is up to 1.5 s old, in which a target gets 120 calls at 80 a second. The node queries the health check after a suspicious event, and when the calls since the last statement reach two thirds of the bound. A query holds a slot of the admission. Gauges target.cold and target.status_queries.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/confirmation.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/confirmation.py
@@ -51,10 +51,10 @@
     loop = asyncio.get_running_loop()
     deadline_s = loop.time() + MAX_REPORT_DELAY_S
     while loop.time() < deadline_s:
-        path = _health_path(local, view)
+        path = health_path(local, view)
         if path is None:
             await asyncio.sleep(CHECK_S)
-        elif await _is_healthy(local, path):
+        elif await is_healthy(local, path):
             return True
         else:
             await asyncio.sleep(RETRY_S)
@@ -67,7 +67,8 @@
         await asyncio.sleep(CHECK_S)
 
 
-def _health_path(local: LocalTarget, view: MeshView) -> str | None:
+def health_path(local: LocalTarget, view: MeshView) -> str | None:
+    """Return the path of the target's health check, None if unknown."""
     report = local.reports.current
     if report is None or view.routes is None:
         return None
@@ -75,7 +76,7 @@
     return rule.health_path if rule else None
 
 
-async def _is_healthy(local: LocalTarget, path: str) -> bool:
+async def is_healthy(local: LocalTarget, path: str) -> bool:
     """Return whether the target passes its health check."""
     report = local.reports.current
     sent_s = asyncio.get_running_loop().time()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -12,13 +12,13 @@
 from mustardspur_core.tasks import background, run_periodically, supervised
 
 from mustardspur_node.mesh.caller_server import CallerServer
-from mustardspur_node.mesh.confirmation import confirm_target
 from mustardspur_node.mesh.control_link import MeshControlLink
 from mustardspur_node.mesh.local_target import LocalTarget
 from mustardspur_node.mesh.names import HeaderNames
 from mustardspur_node.mesh.peer_server import PeerServer
 from mustardspur_node.mesh.placing import Placer
 from mustardspur_node.mesh.reports import ReportStore, TargetReport
+from mustardspur_node.mesh.target_checks import TargetChecks
 from mustardspur_node.mesh.view import MeshView
 
 _LOG: Final = logging.getLogger(__name__)
@@ -52,6 +52,7 @@
         '_metrics',
         '_stopping',
         'callers',
+        'checks',
         'link',
         'local',
         'peers',
@@ -76,6 +77,7 @@
         self.view = MeshView()
         self.reports = ReportStore(mesh.target_address or settings.listen.http)
         self.local = LocalTarget(self.reports, names)
+        self.checks = TargetChecks(self.local, self.view)
         self.peers = PeerServer(self.local)
         self.placer = Placer(settings, mesh, self.view, self.local, metrics)
         self.callers = CallerServer(self.view, self.placer, names, metrics)
@@ -88,6 +90,7 @@
             self.placer.chooser,
         )
         self.reports.on_change(self._apply_target_change)
+        self.reports.cold.on_turned_cold = self.link.announcement_changed.set
 
     @property
     def ready(self) -> bool:
@@ -150,6 +153,7 @@
     def check(self) -> None:
         """Close silent and idle connections, discard old data, set gauges."""
         self.placer.check_links()
+        self.local.apply_rule()
         self.local.pool.prune()
         self.callers.discard_route_values()
         self.view.discard_retained()
@@ -162,6 +166,9 @@
         # 0 without a limit; a target that accepts calls states more.
         limit_per_s = capacity.rate_limit.per_s or 0
         self._metrics.gauge('target.rate_limit_per_s', limit_per_s)
+        cold = capacity.cold
+        self._metrics.gauge('target.cold', int(cold.is_cold))
+        self._metrics.gauge('target.status_queries', self.checks.queries)
         self._metrics.gauge('target.running', load.running)
         self._metrics.gauge('target.waiting', load.waiting)
         self._metrics.gauge('target.slots', load.slots)
@@ -214,10 +221,8 @@
             background(
                 supervised('control link', node.link.run),
                 supervised('checks', node.run_checks),
-                supervised(
-                    'target confirmation',
-                    lambda: confirm_target(node.local, node.view),
-                ),
+                supervised('status queries', node.checks.run),
+                supervised('target confirmation', node.checks.confirm),
             ),
         )
         await stack.enter_async_context(
