Share the bound of a cold target among the nodes near it

A node without a recent load report assumed that a cold target is free, so 60 nodes would try it four times a second each. The chooser's factor and cold times move to cold_targets.py: a cold target without a report has the capacity of its bound, and each node calls it at its part of the bound. A target that turns cold again is announced again. Without cold_per_s the factor of two stays.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
@@ -9,8 +9,8 @@
 from mustardspur_core.mesh.call_messages import TargetLoad
 from mustardspur_core.mesh.model import MeshTarget
 from mustardspur_core.settings import Settings
-from mustardspur_core.units import MS_PER_S
 
+from mustardspur_node.mesh.cold_targets import AnnouncedColdTargets
 from mustardspur_node.mesh.distances import Distances
 from mustardspur_node.mesh.run_times import INITIAL_RUN_MS
 
@@ -18,17 +18,12 @@
 FAILURE_PENALTY_MS: Final = 400.0
 # Relative increase of the run time when all slots of a target are in use.
 FULL_SLOWDOWN: Final = 0.6
-# Factor on the run time of a target that is still cold after its start.
-COLD_FACTOR: Final = 2.0
 # Time for which a node is avoided after it could not be reached.
 AVOID_UNREACHABLE_S: Final = 0.7
 # Time for which a target is avoided after its node reported that it takes no
 # calls. Without calls no further report comes, so a later call asks again; a
 # target that leaves is announced as such.
 AVOID_CLOSED_S: Final = 0.5
-# Targets whose start is stored, so that a target that is announced again does
-# not count as cold a second time.
-MAX_COLD_TARGETS: Final = 8192
 # Targets that are compared for a call in each of the groups by distance; with
 # more, concurrent calls would all select the same target.
 SAMPLE_SIZE: Final = 3
@@ -64,10 +59,10 @@
 
     __slots__ = (
         '_assumed_run_ms',
-        '_cold_until_s',
         '_random',
         '_settings',
         '_states_by_node',
+        'cold',
         'distances',
     )
 
@@ -81,7 +76,7 @@
         self._random = random_source
         self.distances = Distances(settings)
         self._states_by_node: dict[str, _NodeState] = {}
-        self._cold_until_s: dict[str, float] = {}
+        self.cold = AnnouncedColdTargets(random_source)
         # Mean run time of the known targets by service.
         self._assumed_run_ms: dict[str, float] = {}
 
@@ -103,12 +98,7 @@
 
     def record_cold_starts(self, targets: Iterable[MeshTarget]) -> None:
         """Record until when newly announced targets are cold."""
-        for target in targets:
-            key = f'{target.node}/{target.id}'
-            if key not in self._cold_until_s and target.cold_ms:
-                self._cold_until_s[key] = _now() + target.cold_ms / MS_PER_S
-        while len(self._cold_until_s) > MAX_COLD_TARGETS:
-            self._cold_until_s.pop(next(iter(self._cold_until_s)))
+        self.cold.record(targets)
 
     def choose(
         self,
@@ -154,7 +144,10 @@
             distance = self.distances.distance(target)
             groups.setdefault(distance, []).append(target)
         samples = [self._sample(group) for group in groups.values()]
-        return min(chain(*samples), key=self.expected_ms, default=None)
+        chosen = min(chain(*samples), key=self.expected_ms, default=None)
+        if chosen is not None:
+            self.cold.record_chosen(chosen)
+        return chosen
 
     def expected_ms(self, target: MeshTarget) -> float:
         """Return the expected time of a call at a target with penalties.
@@ -164,9 +157,12 @@
         """
         state = self._state_of(target.node)
         slots = max(target.slots, 1)
-        run_ms = self.run_ms(target)
-        if _now() < self._cold_until_s.get(f'{target.node}/{target.id}', 0):
-            run_ms *= COLD_FACTOR
+        reported = state.load is not None
+        run_ms = self.cold.run_ms(
+            target,
+            self.run_ms(target),
+            reported=reported,
+        )
         open_calls = self._open_calls(state)
         utilisation = min(open_calls / slots, 1.0)
         queued = max(open_calls + 1 - slots, 0) / slots
@@ -212,13 +208,14 @@
     ) -> bool:
         """Return whether a call would be answered in time at a target.
 
-        A target without a recent load report is assumed to have a free slot.
+        A target without a recent load report is assumed to have a free slot;
+        a cold one is called by each node at a part of its bound only.
         """
         state = self._state_of(target.node)
         load = state.load
         max_age_s = self.distances.load_max_age_s(target)
         if load is None or _now() - state.load_s > max_age_s:
-            return True
+            return self.cold.may_call(target)
         slots = max(load.slots, 1)
         ahead = self._open_calls(state) + 1 - slots
         if ahead <= 0:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/node_announcement.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/node_announcement.py
@@ -5,7 +5,7 @@
 from mustardspur_core.mesh.model import MeshTarget, MeshTargetState
 from mustardspur_core.settings import Settings
 
-from mustardspur_node.mesh.reports import ReportStore
+from mustardspur_node.mesh.reports import ReportStore, TargetReport
 
 
 class NodeAnnouncement:
@@ -49,7 +49,17 @@
             region=self._settings.region,
             slots=report.slots if report else 0,
             state=MeshTargetState.DRAINING.value if self.draining else state,
-            cold_ms=report.cold_ms if report else 0,
+            cold_ms=self._cold_ms(report),
             incarnation=self.incarnation,
             sequence=self._sequence,
         )
+
+    def _cold_ms(self, report: TargetReport | None) -> float:
+        """Return the reported cold time, or the remaining one if bounded.
+
+        A target with a bound is announced again when it turns cold again.
+        """
+        if report is None:
+            return 0
+        cold = self._reports.cold
+        return round(cold.remaining_ms) if cold.per_s else report.cold_ms
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -86,6 +86,7 @@
         self._links: dict[str, PeerCallLink] = {}
         self.budget = MeshRetryBudget(mesh)
         self.chooser = TargetChooser(settings, self._random)
+        self.chooser.cold.use_view(view)
         self.log = CallLog(view, metrics)
 
     async def place(self, call: MeshCall) -> TargetAnswer:
