--- a/packages/mustardspur_node/src/mustardspur_node/mesh/cold_state.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/cold_state.py
@@ -121,6 +121,7 @@
         '_spacing',
         '_start_ms',
         '_stated_s',
+        '_stated_until_s',
         '_suspected',
         '_unverified',
         '_until_s',
@@ -139,6 +140,8 @@
         self._spacing = CallSpacing(0)
         self._start_ms: float = 0
         self._stated_s: float = 0
+        # Stated end of the cold time; suspicions do not change it.
+        self._stated_until_s: float = 0
         # Whether the target has stated nothing since a suspicious event.
         self._suspected = False
         self._until_s: float = 0
@@ -224,7 +227,9 @@
         self.verify(sent_s)
         self._suspected = False
         self._stated_s = _now()
-        turned_cold = not self.is_cold and remaining_ms > 0
+        stated_warm = self._stated_until_s <= _now()
+        turned_cold = stated_warm and remaining_ms > 0
+        self._stated_until_s = until_s
         self._change(until_s, source)
         if turned_cold and self.per_s:
             self.on_turned_cold()
--- a/tests/node/mesh/test_cold_state.py
+++ b/tests/node/mesh/test_cold_state.py
@@ -208,13 +208,19 @@
     cold = ColdState()
     _bounded(cold)
     await asyncio.sleep(1)
+    announced: list[str] = []
+    cold.on_turned_cold = lambda: announced.append('cold')
     cold.suspect('broken')
     cold.record_statement(0, 0.9, 'answer')
     assert cold.remaining_ms == COLD_MS
     cold.record_statement(0, 1.0, 'report')
     assert not cold.is_cold
-    cold.record_statement(700, 0.5, 'answer')
-    assert cold.remaining_ms == pytest.approx(700)
+    cold.suspect('broken')
+    assert not announced
+    cold.record_statement(700, 1.0, 'answer')
+    cold.record_statement(900, 0.5, 'answer')
+    assert cold.remaining_ms == pytest.approx(900)
+    assert announced == ['cold']
 
 
 @in_virtual_time
