--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -13,12 +13,12 @@
 
 from mustardspur_node.mesh.caller_server import CallerServer
 from mustardspur_node.mesh.control_link import MeshControlLink
-from mustardspur_node.mesh.evacuation import TargetEvacuation
 from mustardspur_node.mesh.local_target import LocalTarget
 from mustardspur_node.mesh.names import HeaderNames
 from mustardspur_node.mesh.peer_server import PeerServer
 from mustardspur_node.mesh.placing import Placer
 from mustardspur_node.mesh.reports import ReportStore, TargetReport
+from mustardspur_node.mesh.target_supervision import TargetSupervision
 from mustardspur_node.mesh.view import MeshView
 
 _LOG: Final = logging.getLogger(__name__)
@@ -52,13 +52,13 @@
         '_metrics',
         '_stopping',
         'callers',
-        'evacuation',
         'link',
         'local',
         'peers',
         'placer',
         'reports',
         'settings',
+        'supervision',
         'view',
     )
 
@@ -77,7 +77,7 @@
         self.view = MeshView()
         self.reports = ReportStore(mesh.target_address or settings.listen.http)
         self.local = LocalTarget(self.reports, names)
-        self.evacuation = TargetEvacuation(
+        self.supervision = TargetSupervision(
             settings.data_centre,
             self.local,
             self.view,
@@ -94,6 +94,7 @@
             self.placer.chooser,
         )
         self.reports.on_change(self._apply_target_change)
+        self.reports.cold.on_turned_cold = self.link.announcement_changed.set
 
     @property
     def ready(self) -> bool:
@@ -136,7 +137,7 @@
         # the socket resets them.
         await asyncio.sleep(0)
         self.callers.stop_listening()
-        self.local.admission.close_permanently()
+        self.local.admission.close()
         deadline_s = started_s + self._mesh.grace_s * (1 - EXIT_RESERVE_PART)
         while self._is_busy() and _now() < deadline_s:
             await asyncio.sleep(CHECK_INTERVAL_S)
@@ -156,6 +157,7 @@
     def check(self) -> None:
         """Close silent and idle connections, discard old data, set gauges."""
         self.placer.check_links()
+        self.local.apply_rule()
         self.local.pool.prune()
         self.callers.discard_route_values()
         self.view.discard_retained()
@@ -172,12 +174,7 @@
         self._metrics.gauge('target.waiting', load.waiting)
         self._metrics.gauge('target.slots', load.slots)
         self._metrics.gauge('target.run_ms', load.run_ms)
-        evacuated = int(self.evacuation.is_evacuated)
-        self._metrics.gauge('target.evacuated', evacuated)
-        self._metrics.gauge(
-            'evacuated_data_centres',
-            len(self.view.evacuated.names),
-        )
+        self.supervision.set_gauges(self._metrics)
         self._metrics.gauge('table.index', self.view.table_index)
         self._metrics.gauge('callers.in_flight', self.callers.in_flight)
 
@@ -226,7 +223,7 @@
             background(
                 supervised('control link', node.link.run),
                 supervised('checks', node.run_checks),
-                supervised('target evacuation', node.evacuation.run),
+                supervised('target supervision', node.supervision.run),
             ),
         )
         await stack.enter_async_context(
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -10,7 +10,10 @@
 from mustardspur_core.suspension import suspended_s
 from mustardspur_core.units import MS_PER_S
 
-from mustardspur_node.mesh.admission import AdmissionControl
+from mustardspur_node.mesh.admission import (
+    UNREACHABLE_CLOSED_S,
+    AdmissionControl,
+)
 from mustardspur_node.mesh.answer_budget import AnswerBudget
 from mustardspur_node.mesh.answer_parser import BrokenAnswer, RawAnswer
 from mustardspur_node.mesh.blocked_calls import BlockedCalls
@@ -35,6 +38,8 @@
 # and its answer has to travel back.
 DEADLINE_MARGIN_MS: Final = 2.0
 _WITHDRAWN_REASON: Final = 'data centre is evacuated'
+# Faults after which the target may have restarted.
+_RESTART_KINDS: Final = frozenset(('unreachable', 'refused', 'broken'))
 
 
 class LocalTarget:
@@ -76,7 +81,7 @@
         self.pool = TargetPool(reports.address, self.budget)
         self._identity: tuple[str, int] | None = None
         self.reports = reports
-        self.admission = AdmissionControl()
+        self.admission = AdmissionControl(reports.cold)
         self.statements = TargetStatements(names, self.admission, reports)
         self.blocked = BlockedCalls(names)
         self.runs = RunRecorder(names, self.admission, reports)
@@ -88,6 +93,7 @@
         """
         report = self.reports.current
         self.admission.open = self._confirmed and is_ready(report)
+        self.apply_rule()
         if report is None:
             return
         if self._identity != (report.id, report.born):
@@ -97,6 +103,12 @@
             self.admission.reset_statistics()
         self.admission.resize(report.slots)
 
+    def apply_rule(self) -> None:
+        """Apply the rule of the target's service in the table in force."""
+        report = self.reports.current
+        if report is not None:
+            self.reports.cold.apply_rule(report.service)
+
     def confirm(self) -> None:
         """Accept calls if the reports say that the target is ready."""
         self._confirmed = not self._withdrawn
@@ -145,16 +157,29 @@
         # while the instance was suspended is seen to have passed.
         deadline_s = _now() + suspended_s() + left_s
         self._current_report(call)
+        self.apply_rule()
         request = self.admission.ranks.waiting_request(call)
         async with self.admission.admitted(request, call.max_wait_ms):
             try:
                 answer = await self._run_admitted(call, deadline_s, before_send)
             except PlacementFault as fault:
-                if fault.kind == 'unreachable':
-                    self.admission.close_temporarily()
+                self._apply_fault(fault)
                 raise
         return self._target_answer(answer)
 
+    def _apply_fault(self, fault: PlacementFault) -> None:
+        """Apply what the fault of a call shows about the target.
+
+        A target whose connection was refused or reset, or ended before its
+        answer, may have restarted. One that refuses a call in an answer runs.
+        """
+        if fault.kind == 'unreachable':
+            self.admission.close(UNREACHABLE_CLOSED_S)
+        if fault.kind in _RESTART_KINDS and not (
+            fault.kind == 'refused' and fault.arrived
+        ):
+            self.reports.cold.suspect(fault.kind)
+
     async def _run_admitted(
         self,
         call: CallOpen,
--- a/tests/node/mesh/test_admission.py
+++ b/tests/node/mesh/test_admission.py
@@ -90,7 +90,7 @@
 async def test_closed_target_refuses() -> None:
     """Guards against calls to a target that is shutting down."""
     admission = _admission(1)
-    admission.close_permanently()
+    admission.close()
     with pytest.raises(PlacementFault, match='closed'):
         async with admission.admitted(waiting_request(0), 1000.0):
             pytest.fail('call was admitted to a closed target')
--- a/tests/node/mesh/test_view.py
+++ b/tests/node/mesh/test_view.py
@@ -11,8 +11,8 @@
     MeshTransfers,
 )
 from mustardspur_core.mesh.packing import encode_table, table_delta
-from mustardspur_node.mesh.service_choice import WeightedServiceChooser
 from mustardspur_node.mesh.homes import Homes
+from mustardspur_node.mesh.service_choice import WeightedServiceChooser
 from mustardspur_node.mesh.versions import eligible_targets
 from mustardspur_node.mesh.view import RETENTION_S, MeshView
 
