Guard the wait for a table and the refusal of waiting calls

Cause: two changed copies of the code passed the tests: a target confirmed before the first table, and waiting calls that were refused only once a slot became free.

Change: a test of the start in virtual time, and a check of the order of refusals.

--- a/tests/node/mesh/test_evacuation.py
+++ b/tests/node/mesh/test_evacuation.py
@@ -16,6 +16,7 @@
 from mustardspur_node.mesh.evacuation import TargetEvacuation
 from mustardspur_node.mesh.local_target import LocalTarget
 from mustardspur_node.mesh.placing import Placer
+from mustardspur_node.mesh.reports import MAX_REPORT_DELAY_S
 from mustardspur_node.mesh.retry_after import UNKNOWN_RETRY_AFTER_S
 from mustardspur_node.mesh.view import MeshView
 
@@ -25,6 +26,7 @@
     local_target,
     mesh_call,
     node_settings,
+    target_report,
 )
 from tests.node.stand_ins.scripted import KEEP, ScriptedTarget, run_scripted
 from tests.support.virtual_time import in_virtual_time
@@ -115,6 +117,26 @@
         assert [*health_checks, scripted.health_checks] == [0, 1]
 
 
+@in_virtual_time
+async def test_report_alone_does_not_confirm_the_target() -> None:
+    """Guards against calls at a node that has just started and does not know
+    for certain whether its data centre is evacuated.
+    """
+    view = MeshView()
+    local = local_target('127.0.0.1:9')
+    local.withdraw()
+    local.readmit()
+    evacuation = TargetEvacuation('split-a', local, view)
+    task = asyncio.create_task(evacuation.run())
+    # Not confirmed by a quorum before the table is.
+    _apply(view, 1, 'split-b')
+    await asyncio.sleep(MAX_REPORT_DELAY_S + 1)
+    local.reports.accept(target_report(address='127.0.0.1:9', sequence=5))
+    await asyncio.sleep(1)
+    assert not local.admission.load.open
+    task.cancel()
+
+
 async def test_health_check_precedes_readmission() -> None:
     """Guards against calls to a target that has become cold or has failed
     during the evacuation, also if that was ended at once.
@@ -148,6 +170,9 @@
         while not (scripted.requests and local.admission.load.waiting):
             await asyncio.sleep(_POLL_S)
         _apply(view, 2, 'split-a')
+        # A waiting call does not wait for the end of the others.
+        await asyncio.wait(calls, return_when=asyncio.FIRST_COMPLETED)
+        assert not reservation.confirmed.is_set()
         reservation.confirmed.set()
         ended = await asyncio.gather(*calls[1:], return_exceptions=True)
         assert [_refusal(each) for each in ended] == [_CLOSED, _CLOSED]
