Answer edits at instances that do not lead before decoding them

Cause: of 30 edits within 7 s most first reached another instance, which decoded and checked the whole table with 73 accounts before it named the leader.

Change: the leadership is checked before the document is decoded.

Result: 123 tests of tests/control/mesh and tests/platform passed.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/operations.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/operations.py
@@ -81,6 +81,10 @@
         self._access = access
         self._store = store
 
+    def refusal(self) -> OperationError | None:
+        """Return the error of an edit if this instance does not lead."""
+        return self._access.refusal()
+
     async def publish(
         self,
         table: RoutingTable,
