Offer calls to free targets before they wait for a slot

Cause: 80 nodes choose by reports that are older than a run, so the same targets are overrun by all of them while others are idle.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
@@ -8,17 +8,19 @@
 from mustardspur_core.mesh.call_messages import TargetLoad
 from mustardspur_core.units import MS_PER_S
 
+from mustardspur_node.mesh.balancing import new_run_times
 from mustardspur_node.mesh.call_ranks import CallRanks
 from mustardspur_node.mesh.call_value import LATE_RANK
 from mustardspur_node.mesh.calls import not_sent_fault
 from mustardspur_node.mesh.capacity import TargetCapacity
 from mustardspur_node.mesh.rate_limit import StatedRateLimit
-from mustardspur_node.mesh.run_times import RunTimes
 from mustardspur_node.mesh.waiting_calls import Waiter, WaitingCalls
 
 # Waiting calls of the same or a lower rank for each slot; a call behind more
 # of them would be late.
 MAX_WAITING_PER_SLOT: Final = 6
+# Policy of a node whose settings name none.
+DEFAULT_BALANCING: Final = 'least_expected'
 # Time for which calls are refused after the target refused a connection.
 UNREACHABLE_CLOSED_S: Final = 0.3
 
@@ -26,6 +28,11 @@
 class AdmissionControl:
     """Admits calls to a target within its slots and its stated rate limit.
 
+    Parameters
+    ----------
+    balancing : str
+        Name of the policy that selects targets, see `new_run_times`.
+
     Explanation
     ===========
 
@@ -46,6 +53,7 @@
     """
 
     __slots__ = (
+        '_balancing',
         '_closed_until_s',
         '_loop',
         '_timer',
@@ -56,12 +64,16 @@
         'run_times',
     )
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        balancing: str = DEFAULT_BALANCING,
+    ) -> None:
         """Initialise closed and without slots."""
+        self._balancing = balancing
         self._loop = asyncio.get_running_loop()
         self._waiting = WaitingCalls()
         self.capacity = TargetCapacity()
-        self.run_times = RunTimes()
+        self.run_times = new_run_times(self._balancing)
         self.ranks = CallRanks()
         # Runs while the rate limit delays the first waiting call.
         self._timer: asyncio.TimerHandle | None = None
@@ -75,8 +87,12 @@
         Late calls are not counted as waiting, since calls in time go first.
         """
         reported = self.capacity.reported(self.run_times.expected_ms)
+        running = reported.running
+        if self.run_times.slow_factor > 1:
+            free_slots = self._free_slots(reported.slots)
+            running = max(running, reported.slots - free_slots)
         return TargetLoad(
-            running=reported.running,
+            running=running,
             waiting=self._waiting.count_ahead(LATE_RANK),
             slots=reported.slots,
             run_ms=round(reported.run_ms, 1),
@@ -106,7 +122,7 @@
 
     def reset_statistics(self) -> None:
         """Discard the run times and limit of a target that was replaced."""
-        self.run_times = RunTimes()
+        self.run_times = new_run_times(self._balancing)
         self.ranks = CallRanks()
         self.capacity.rate_limit = StatedRateLimit()
 
@@ -141,6 +157,8 @@
         if not self._is_open():
             raise not_sent_fault('closed', 'target takes no calls')
         if self.capacity.can_start:
+            if not max_wait_ms and not self._free_slots(self.capacity.slots):
+                raise not_sent_fault('busy', 'target is slow')
             self.capacity.start()
         else:
             await self._wait(rank, max_wait_ms)
@@ -153,6 +171,16 @@
     def _is_open(self) -> bool:
         return self.open and self._loop.time() >= self._closed_until_s
 
+    def _free_slots(self, slots: int) -> int:
+        """Return the free ones of some slots for calls that do not wait.
+
+        A target that is slow for a short period leaves these calls to others:
+        of its slots only as many count as would be in use at its usual speed.
+        Calls that wait were refused elsewhere and may use all slots.
+        """
+        usable = max(int(slots / self.run_times.slow_factor), 1)
+        return max(usable - self.capacity.running, 0)
+
     async def _wait(self, rank: int, max_wait_ms: float) -> None:
         ahead = self._waiting.count_ahead(rank)
         expected_ms = self.capacity.expected_wait_ms(
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/balancing/estimates.py
@@ -0,0 +1,134 @@
+"""Estimates of the state of targets now from their last reports."""
+
+import asyncio
+import math
+from typing import Final
+
+from mustardspur_core.mesh.model import MeshTarget
+from mustardspur_core.units import MS_PER_S
+
+from mustardspur_node.mesh.chooser import TargetChooser
+from mustardspur_node.mesh.node_states import NodeState
+from mustardspur_node.mesh.run_times import INITIAL_RUN_MS
+
+# Upper bound of the mean utilisation that the calls of other nodes are
+# assumed to cause. With a higher one, a target that was reported full would
+# count as full until its next report, which only a call brings.
+MAX_UTILISATION: Final = 0.9
+# Age from which on a report says nothing about the free slots: a service whose
+# reports were all full is asked again.
+REPORT_MAX_AGE_S: Final = 1.0
+# Expected free slots below which a target counts as full. An offer costs
+# processor time at two nodes, so it needs some chance of a slot.
+MIN_FREE_SLOTS: Final = 0.1
+
+
+class LoadEstimates:
+    """Estimates the free slots of targets and the wait for one.
+
+    Explanation
+    ===========
+
+    A report is old by up to seconds. Of the calls that it contains, a part
+    that falls exponentially with the run time still runs; the calls of other
+    nodes since then approach the mean utilisation of the service in the same
+    measure. Own calls that the report does not contain are added.
+
+    Parameters
+    ----------
+    chooser : TargetChooser
+        Last reports, own calls and run times of the targets.
+    """
+
+    __slots__ = ('_chooser',)
+
+    def __init__(self, chooser: TargetChooser) -> None:
+        """Initialise with the reports that the chooser receives."""
+        self._chooser = chooser
+
+    def weights(self, targets: list[MeshTarget]) -> list[float]:
+        """Return the weights of the targets of a service for an offer.
+
+        Explanation
+        ===========
+
+        The weight is the rate at which a target ends calls, less the part
+        that own calls in flight use. A target that is expected to have less
+        than one free slot has less weight, and a full one none.
+        """
+        if not targets:
+            return []
+        now_s = _now()
+        means = self._means(targets[0].service)
+        state_of = self._chooser.state_of
+        is_available = self._chooser.is_available
+        return [
+            _weight(target, state_of(target.node), now_s, means)
+            if is_available(target)
+            else 0
+            for target in targets
+        ]
+
+    def wait_ms(self, target: MeshTarget) -> float:
+        """Return the expected wait for a slot of a target."""
+        state = self._chooser.state_of(target.node)
+        means = self._means(target.service)
+        slots, run_ms, open_calls = _now_at(target, state, _now(), means)
+        return max(open_calls + 1 - slots, 0) * run_ms / slots
+
+    def answer_ms(self, target: MeshTarget) -> float:
+        """Return the expected time to the answer of a target."""
+        load = self._chooser.state_of(target.node).load
+        run_ms = load.run_ms if load else self._means(target.service)[1]
+        round_trip_ms = self._chooser.distances.round_trip_ms(target)
+        return self.wait_ms(target) + run_ms + round_trip_ms
+
+    def _means(self, service: str) -> tuple[float, float]:
+        """Return the utilisation and run time that are usual in a service."""
+        means = self._chooser.means_by_service.get(service)
+        if means is None:
+            return 0, INITIAL_RUN_MS
+        return min(means.utilisation, MAX_UTILISATION), max(means.run_ms, 1)
+
+
+def _weight(
+    target: MeshTarget,
+    state: NodeState,
+    now_s: float,
+    means: tuple[float, float],
+) -> float:
+    slots, run_ms, open_calls = _now_at(target, state, now_s, means)
+    own_free = slots - state.in_flight
+    free = min(slots - open_calls, own_free)
+    if free < MIN_FREE_SLOTS:
+        return 0
+    return min(free, 1) * own_free / run_ms
+
+
+def _now_at(
+    target: MeshTarget,
+    state: NodeState,
+    now_s: float,
+    means: tuple[float, float],
+) -> tuple[int, float, float]:
+    """Return the slots, the run time and the open calls of a target now.
+
+    A target without a report has the means of its service.
+    """
+    utilisation, mean_run_ms = means
+    load = state.load
+    if load is None:
+        slots = target.slots or 1
+        return slots, mean_run_ms, slots * utilisation + len(state.unreported)
+    slots = load.slots or 1
+    run_ms = load.run_ms or 1
+    open_calls = slots * utilisation
+    age_s = now_s - state.load_s
+    if age_s < REPORT_MAX_AGE_S:
+        decay = math.exp(-age_s * MS_PER_S / run_ms)
+        open_calls += (load.running + load.waiting - open_calls) * decay
+    return slots, run_ms, open_calls + len(state.unreported)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/balancing/first_free.py
@@ -0,0 +1,185 @@
+"""Policy that offers a call to free targets before it waits for a slot."""
+
+from typing import Final
+
+from mustardspur_core.mesh.model import MeshTarget
+
+from mustardspur_node.mesh.balancing.estimates import LoadEstimates
+from mustardspur_node.mesh.balancing.limits import may_place
+from mustardspur_node.mesh.balancing.registry import (
+    Knowledge,
+    Offer,
+    balancing_policy,
+)
+from mustardspur_node.mesh.call_progress import CallProgress
+from mustardspur_node.mesh.route_run_times import RouteRunTimes
+
+# First offers that may be refused by targets of the own data centre, of the
+# own region and of other regions. An offer to another region crosses a paid
+# link and takes 40 ms.
+MAX_REFUSALS: Final = (3, 2, 1)
+# Targets that are compared for a wait; with more, concurrent calls would all
+# wait at the same target.
+SAMPLE_SIZE: Final = 3
+# A larger body would cost more on the way than the wait that an offer saves,
+# so such calls wait where they are placed.
+MAX_OFFERED_BODY_BYTES: Final = 16_384
+# Index of the targets of other regions in the groups by distance.
+_OTHER_REGIONS: Final = 2
+
+
+@balancing_policy('first_free', RouteRunTimes)
+class FirstFree:
+    """Offers a call to free targets in random order, then lets it wait.
+
+    Explanation
+    ===========
+
+    Reports of targets are older than a run where many nodes call many
+    targets, so the best target by reports is the same one for all nodes and is
+    overrun. A random order spreads the calls, and the nodes beside the
+    targets, which know the load exactly, refuse what does not fit.
+
+    First offers go to the own data centre and then to the region. If all are
+    refused, the call waits at the target with the least expected time among
+    those that just answered, whose reports are fresh. Other regions follow
+    if no near target can answer in time. Targets that a fresh report shows to
+    be full are not asked.
+
+    Parameters
+    ----------
+    knowledge : Knowledge
+        What the node knows of the targets.
+    """
+
+    __slots__ = ('_chooser', '_random', 'estimates')
+
+    def __init__(self, knowledge: Knowledge) -> None:
+        """Initialise without estimates."""
+        self._chooser = knowledge.chooser
+        self._random = knowledge.random_source
+        self.estimates = LoadEstimates(knowledge.chooser)
+
+    def next_offer(
+        self,
+        progress: CallProgress,
+        targets: list[MeshTarget],
+    ) -> Offer | None:
+        """Return the next first offer or wait, None if the call gives up."""
+        if not may_place(progress):
+            return None
+        groups = self._groups(targets)
+        offer = self._first_offer(progress, groups[:_OTHER_REGIONS])
+        if offer is None:
+            near = [each for group in groups[:_OTHER_REGIONS] for each in group]
+            offer = self._wait(progress, near)
+        if offer is None:
+            far = groups[_OTHER_REGIONS]
+            offer = self._far_offer(progress, far)
+        return offer
+
+    def _groups(self, targets: list[MeshTarget]) -> list[list[MeshTarget]]:
+        """Return the targets by their distance."""
+        groups: list[list[MeshTarget]] = [[], [], []]
+        for target in targets:
+            groups[self._chooser.distances.distance(target)].append(target)
+        return groups
+
+    def _first_offer(
+        self,
+        progress: CallProgress,
+        groups: list[list[MeshTarget]],
+    ) -> Offer | None:
+        """Return a first offer to a near target that may have a free slot."""
+        for distance, group in enumerate(groups):
+            refused = self._refusals(progress, distance)
+            if refused < MAX_REFUSALS[distance]:
+                target = self._draw(progress, group)
+                if target is not None:
+                    return _offer_to(progress, target)
+        return None
+
+    def _far_offer(
+        self,
+        progress: CallProgress,
+        far: list[MeshTarget],
+    ) -> Offer | None:
+        """Return an offer to, or a wait at, a target of another region."""
+        in_time = [
+            target
+            for target in far
+            if self.estimates.answer_ms(target) <= progress.useful_ms()
+        ]
+        refused = self._refusals(progress, _OTHER_REGIONS)
+        if refused < MAX_REFUSALS[_OTHER_REGIONS]:
+            target = self._draw(progress, in_time)
+            if target is not None:
+                return _offer_to(progress, target)
+        return self._wait(progress, in_time)
+
+    def _draw(
+        self,
+        progress: CallProgress,
+        group: list[MeshTarget],
+    ) -> MeshTarget | None:
+        """Return a random target that was not tried and may be free."""
+        tried = progress.tried_nodes
+        untried = [target for target in group if target.node not in tried]
+        weights = self.estimates.weights(untried)
+        if not any(weights):
+            return None
+        return self._random.choices(untried, weights)[0]
+
+    def _wait(
+        self,
+        progress: CallProgress,
+        group: list[MeshTarget],
+    ) -> Offer | None:
+        """Return a wait at the best target that answers in time."""
+        nodes = {target.node for target in group}
+        just_asked = [
+            target
+            for target in progress.first_offers.refused
+            if target.node in nodes
+        ]
+        target = self._best_wait(progress, just_asked)
+        if target is None:
+            tried = progress.tried_nodes
+            untried = [each for each in group if each.node not in tried]
+            target = self._best_wait(progress, untried)
+        return Offer(target, progress.max_wait_ms()) if target else None
+
+    def _best_wait(
+        self,
+        progress: CallProgress,
+        group: list[MeshTarget],
+    ) -> MeshTarget | None:
+        waited_nodes = progress.first_offers.waited_nodes
+        useful_ms = progress.useful_ms()
+        max_wait_ms = progress.max_wait_ms()
+        in_time = [
+            target
+            for target in group
+            if target.node not in waited_nodes
+            and self._chooser.is_available(target)
+            and self.estimates.wait_ms(target) <= max_wait_ms
+            and self.estimates.answer_ms(target) <= useful_ms
+        ]
+        if len(in_time) > SAMPLE_SIZE:
+            in_time = self._random.sample(in_time, SAMPLE_SIZE)
+        return min(in_time, key=self._chooser.expected_ms, default=None)
+
+    def _refusals(self, progress: CallProgress, distance: int) -> int:
+        """Return how many first offers at a distance were refused."""
+        distance_of = self._chooser.distances.distance
+        return sum(
+            distance_of(target) == distance
+            for target in progress.first_offers.refused
+        )
+
+
+def _offer_to(progress: CallProgress, target: MeshTarget) -> Offer:
+    """Return a first offer, with a wait if the body of the call is large."""
+    if len(progress.call.body) > MAX_OFFERED_BODY_BYTES:
+        return Offer(target, progress.max_wait_ms())
+    return Offer(target, 0, is_first=True)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/call_log.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_log.py
@@ -1,7 +1,7 @@
 """Log lines and metrics of the outcomes of calls."""
 
 from http import HTTPStatus
-from typing import Any
+from typing import Any, Final
 
 from mustardspur_core.mesh.model import MeshTarget
 from mustardspur_core.metrics import Metrics
@@ -11,6 +11,9 @@
 from mustardspur_node.mesh.decisions import DecisionLog
 from mustardspur_node.mesh.view import MeshView
 
+# Names of the distances in metrics.
+_DISTANCES: Final = ('data_centre', 'region', 'other_region')
+
 
 class CallLog:
     """Logs faults, failed calls and a sample of the successful calls.
@@ -49,6 +52,10 @@
             detail=fault.detail,
         )
 
+    def record_refused_offer(self, distance: int) -> None:
+        """Count a first offer that a target at a distance refused."""
+        self._metrics.incr(f'calls.offer_refused.{_DISTANCES[distance]}')
+
     def record_end(
         self,
         progress: CallProgress,
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
@@ -11,6 +11,7 @@
 
 from mustardspur_node.mesh.call_value import max_wait_ms
 from mustardspur_node.mesh.calls import MeshCall, PlacementFault, TargetAnswer
+from mustardspur_node.mesh.first_offers import FirstOffers
 from mustardspur_node.mesh.homes import Homes
 from mustardspur_node.mesh.versions import eligible_targets
 from mustardspur_node.mesh.view import MeshView
@@ -43,6 +44,8 @@
         Whether the call may run at the target that it is placed on.
     tried_nodes : set of str
         Addresses of the nodes whose targets the call was placed on.
+    first_offers : FirstOffers
+        First offers that were refused.
     faults : list of PlacementFault
         Faults of the placements, oldest first.
     failed_answer : TargetAnswer or None
@@ -58,6 +61,7 @@
         'call',
         'failed_answer',
         'faults',
+        'first_offers',
         'homes',
         'may_run',
         'placements',
@@ -77,6 +81,7 @@
         self.possible_runs = 0
         self.may_run = False
         self.tried_nodes: set[str] = set()
+        self.first_offers = FirstOffers()
         self.faults: list[PlacementFault] = []
         self.failed_answer: TargetAnswer | None = None
         account = call.account
@@ -130,6 +135,22 @@
         """Record that the local target may run the call."""
         self.mark_may_run()
 
+    def record_placement(self, node: str, *, is_first: bool) -> None:
+        """Count a placement on the target of a node.
+
+        Parameters
+        ----------
+        node : str
+            Address of the node.
+        is_first : bool
+            Whether it is an offer without a wait.
+        """
+        self.placements += 1
+        self.tried_nodes.add(node)
+        if not is_first:
+            self.first_offers.waited_nodes.add(node)
+        self.may_run = False
+
     def record_fault(self, fault: PlacementFault) -> None:
         """Record the fault of a placement and update the counts."""
         self.faults.append(fault)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
@@ -12,7 +12,9 @@
 from mustardspur_core.units import MS_PER_S
 
 from mustardspur_node.mesh.distances import Distances
+from mustardspur_node.mesh.node_states import NodeState
 from mustardspur_node.mesh.run_times import INITIAL_RUN_MS
+from mustardspur_node.mesh.service_means import ServiceMeans, record_report
 
 # Penalty on the expected time at a target whose runs all fail.
 FAILURE_PENALTY_MS: Final = 400.0
@@ -34,23 +36,6 @@
 SAMPLE_SIZE: Final = 3
 
 
-class _NodeState:
-    """Reported and estimated state of the local target of a node."""
-
-    __slots__ = (
-        'avoided_until_s',
-        'load',
-        'load_s',
-        'sent_since_report',
-    )
-
-    def __init__(self) -> None:
-        self.load: TargetLoad | None = None
-        self.load_s: float = 0
-        self.sent_since_report = 0
-        self.avoided_until_s: float = 0
-
-
 class TargetChooser:
     """Selects targets by reported load, expected time and distance.
 
@@ -60,6 +45,13 @@
         Data centre and region of this node.
     random_source : random.Random
         Source of the samples that are compared.
+
+    Attributes
+    ----------
+    distances : Distances
+        Round-trip times and traffic costs.
+    means_by_service : dict of ServiceMeans
+        Means over the reports of the targets that were called.
     """
 
     __slots__ = (
@@ -69,6 +61,7 @@
         '_settings',
         '_states_by_node',
         'distances',
+        'means_by_service',
     )
 
     def __init__(
@@ -80,25 +73,26 @@
         self._settings = settings
         self._random = random_source
         self.distances = Distances(settings)
-        self._states_by_node: dict[str, _NodeState] = {}
+        self.means_by_service: dict[str, ServiceMeans] = {}
+        self._states_by_node: dict[str, NodeState] = {}
         self._cold_until_s: dict[str, float] = {}
         # Mean run time of the known targets by service.
         self._assumed_run_ms: dict[str, float] = {}
 
     def record_load(self, node: str, load: TargetLoad) -> None:
         """Store the load of a target that its node reports."""
-        state = self._state_of(node)
-        state.load = load
-        state.load_s = _now()
-        state.sent_since_report = 0
+        state = self.state_of(node)
+        state.record_load(load)
+        if state.service:
+            record_report(self.means_by_service, state.service, load)
 
     def record_sent(self, node: str) -> None:
         """Count a call that is sent to a node after its last report."""
-        self._state_of(node).sent_since_report += 1
+        self.state_of(node).sent_since_report += 1
 
     def mark_unreachable(self, node: str) -> None:
         """Avoid a node without a reachable target for a short time."""
-        state = self._state_of(node)
+        state = self.state_of(node)
         state.avoided_until_s = _now() + AVOID_UNREACHABLE_S
 
     def record_cold_starts(self, targets: Iterable[MeshTarget]) -> None:
@@ -141,7 +135,7 @@
             Longest useful wait for a slot.
         """
         available = [
-            target for target in targets if self._is_available(target)
+            target for target in targets if self.is_available(target)
         ] or targets
         eligible = [
             target
@@ -162,7 +156,7 @@
         The time includes the run, the wait for a slot and the round trip;
         the penalties are those for paid traffic and for failures.
         """
-        state = self._state_of(target.node)
+        state = self.state_of(target.node)
         slots = max(target.slots, 1)
         run_ms = self.run_ms(target)
         if _now() < self._cold_until_s.get(f'{target.node}/{target.id}', 0):
@@ -180,14 +174,31 @@
 
     def run_ms(self, target: MeshTarget) -> float:
         """Return the mean run time at a target in milliseconds."""
-        load = self._state_of(target.node).load
+        load = self.state_of(target.node).load
         if load is None:
             return self._assumed_run_ms.get(target.service, INITIAL_RUN_MS)
         return load.run_ms
 
+    def is_available(self, target: MeshTarget) -> bool:
+        """Return whether a target is reachable and open, as far as known."""
+        state = self.state_of(target.node)
+        if _now() < state.avoided_until_s:
+            return False
+        if state.load is None or state.load.open:
+            return True
+        return _now() - state.load_s > AVOID_CLOSED_S
+
+    def state_of(self, node: str) -> NodeState:
+        """Return what is known of the target of a node."""
+        state = self._states_by_node.get(node)
+        if state is None:
+            state = NodeState()
+            self._states_by_node[node] = state
+        return state
+
     def _update_assumed_run(self, targets: list[MeshTarget]) -> None:
         """Update the run time that is assumed of targets without a report."""
-        loads = [self._state_of(target.node).load for target in targets]
+        loads = [self.state_of(target.node).load for target in targets]
         known_ms = [load.run_ms for load in loads if load is not None]
         if known_ms:
             mean_ms = sum(known_ms) / len(known_ms)
@@ -198,7 +209,7 @@
             return targets
         return self._random.sample(targets, SAMPLE_SIZE)
 
-    def _open_calls(self, state: _NodeState) -> int:
+    def _open_calls(self, state: NodeState) -> int:
         """Return the calls that run, wait or are on their way to a target."""
         if state.load is None:
             return state.sent_since_report
@@ -214,7 +225,7 @@
 
         A target without a recent load report is assumed to have a free slot.
         """
-        state = self._state_of(target.node)
+        state = self.state_of(target.node)
         load = state.load
         max_age_s = self.distances.load_max_age_s(target)
         if load is None or _now() - state.load_s > max_age_s:
@@ -231,21 +242,6 @@
             <= useful_ms
         )
 
-    def _is_available(self, target: MeshTarget) -> bool:
-        state = self._state_of(target.node)
-        if _now() < state.avoided_until_s:
-            return False
-        if state.load is None or state.load.open:
-            return True
-        return _now() - state.load_s > AVOID_CLOSED_S
-
-    def _state_of(self, node: str) -> _NodeState:
-        state = self._states_by_node.get(node)
-        if state is None:
-            state = _NodeState()
-            self._states_by_node[node] = state
-        return state
-
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/distances.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/distances.py
@@ -9,6 +9,9 @@
 # and the encoding and decoding at two nodes.
 OTHER_DATA_CENTRE_MS: Final = 3.0
 OTHER_REGION_MS: Final = 45.0
+# Least time from the sending of a call until a report contains it: network
+# delay inside a data centre, and encoding and decoding at two nodes.
+MIN_REPORT_DELAY_MS: Final = 2.0
 # Penalty on the expected time of a call whose traffic is paid for; a faster
 # answer is worth no more than any other answer in time. Traffic between regions
 # costs about four times as much as traffic between data centres.
@@ -44,6 +47,10 @@
             OTHER_REGION_MS,
         )
 
+    def report_delay_ms(self, target: MeshTarget) -> float:
+        """Return the time until a report can contain a call that is sent."""
+        return max(self.round_trip_ms(target), MIN_REPORT_DELAY_MS)
+
     def traffic_cost_ms(self, target: MeshTarget) -> float:
         """Return the penalty for paid traffic in milliseconds."""
         return self._by_distance(
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -75,7 +75,7 @@
         self._stopping = False
         self.view = MeshView()
         self.reports = ReportStore(mesh.target_address or settings.listen.http)
-        self.local = LocalTarget(self.reports, names)
+        self.local = LocalTarget(self.reports, names, mesh.balancing)
         self.peers = PeerServer(self.local)
         self.placer = Placer(settings, mesh, self.view, self.local, metrics)
         self.callers = CallerServer(self.view, self.placer, names, metrics)
@@ -166,6 +166,10 @@
         self._metrics.gauge('target.waiting', load.waiting)
         self._metrics.gauge('target.slots', load.slots)
         self._metrics.gauge('target.run_ms', load.run_ms)
+        self._metrics.gauge('target.idle', capacity.slots - capacity.running)
+        self._metrics.gauge('target.refused', self.local.refused)
+        slow_factor = self.local.admission.run_times.slow_factor
+        self._metrics.gauge('target.slow_factor', round(slow_factor, 2))
         self._metrics.gauge('table.index', self.view.table_index)
         self._metrics.gauge('callers.in_flight', self.callers.in_flight)
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -10,7 +10,7 @@
 from mustardspur_core.suspension import suspended_s
 from mustardspur_core.units import MS_PER_S
 
-from mustardspur_node.mesh.admission import AdmissionControl
+from mustardspur_node.mesh.admission import DEFAULT_BALANCING, AdmissionControl
 from mustardspur_node.mesh.answer_budget import AnswerBudget
 from mustardspur_node.mesh.answer_parser import BrokenAnswer, RawAnswer
 from mustardspur_node.mesh.blocked_calls import BlockedCalls
@@ -45,6 +45,14 @@
         Reports of the target about itself.
     names : HeaderNames
         Names of the HTTP headers.
+    balancing : str
+        Name of the policy that selects targets, see `new_run_times`.
+
+    Attributes
+    ----------
+    refused : int
+        Calls that were refused for want of a slot since the start of the
+        node.
     """
 
     __slots__ = (
@@ -55,6 +63,7 @@
         'blocked',
         'budget',
         'pool',
+        'refused',
         'reports',
         'runs',
         'statements',
@@ -64,6 +73,7 @@
         self,
         reports: ReportStore,
         names: HeaderNames,
+        balancing: str = DEFAULT_BALANCING,
     ) -> None:
         """Initialise without a target, and closed until it is confirmed."""
         self._confirmed = False
@@ -72,7 +82,8 @@
         self.pool = TargetPool(reports.address, self.budget)
         self._identity: tuple[str, int] | None = None
         self.reports = reports
-        self.admission = AdmissionControl()
+        self.admission = AdmissionControl(balancing)
+        self.refused = 0
         self.statements = TargetStatements(names, self.admission, reports)
         self.blocked = BlockedCalls(names)
         self.runs = RunRecorder(names, self.admission, reports)
@@ -123,15 +134,24 @@
         # while the instance was suspended is seen to have passed.
         deadline_s = _now() + suspended_s() + left_s
         self._current_report(call)
+        try:
+            answer = await self._admit_and_run(call, deadline_s, before_send)
+        except PlacementFault as fault:
+            if fault.kind == 'unreachable':
+                self.admission.close_temporarily()
+            self.refused += fault.kind == 'busy'
+            raise
+        return self._target_answer(answer)
+
+    async def _admit_and_run(
+        self,
+        call: CallOpen,
+        deadline_s: float,
+        before_send: BeforeSend,
+    ) -> RawAnswer:
         rank = self.admission.ranks.rank(call.route, call.priority)
         async with self.admission.admitted(rank, call.max_wait_ms):
-            try:
-                answer = await self._run_admitted(call, deadline_s, before_send)
-            except PlacementFault as fault:
-                if fault.kind == 'unreachable':
-                    self.admission.close_temporarily()
-                raise
-        return self._target_answer(answer)
+            return await self._run_admitted(call, deadline_s, before_send)
 
     async def _run_admitted(
         self,
@@ -141,7 +161,7 @@
     ) -> RawAnswer:
         async with self.pool.acquire() as connection:
             left_ms = await self._confirm_send(call, deadline_s, before_send)
-            with self.admission.run_times.tracked():
+            with self.admission.run_times.tracked(call.route):
                 return await self._exchange(call, connection, left_ms)
 
     async def _confirm_send(
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -6,10 +6,15 @@
 from typing import Final
 
 from mustardspur_core.mesh.call_messages import CallOpen
-from mustardspur_core.mesh.model import MeshTarget
 from mustardspur_core.metrics import Metrics
 from mustardspur_core.settings import MeshSettings, Settings
 
+from mustardspur_node.mesh.balancing import (
+    MIN_LEFT_MS,
+    Knowledge,
+    Offer,
+    new_policy,
+)
 from mustardspur_node.mesh.call_log import CallLog
 from mustardspur_node.mesh.call_progress import CallProgress
 from mustardspur_node.mesh.calls import (
@@ -29,15 +34,8 @@
 from mustardspur_node.mesh.service_choice import WeightedServiceChooser
 from mustardspur_node.mesh.view import MeshView
 
-# Maximum number of targets that a call waits at or is sent to.
-MAX_PLACEMENTS: Final = 4
-# Maximum number of targets that a call is placed on in all. After a restart of
-# many nodes, several in a row refuse at once, while others have free slots.
-MAX_TRIED: Final = 12
 # Faults of nodes whose target is missing; they take no more than a round trip.
 _MISSING_KINDS: Final = frozenset(('unreachable', 'moved'))
-# Minimum time until the deadline for another placement or a retry.
-MIN_LEFT_MS: Final = 15.0
 
 
 class Placer:
@@ -60,6 +58,7 @@
     __slots__ = (
         '_links',
         '_local',
+        '_policy',
         '_random',
         '_services',
         '_settings',
@@ -86,6 +85,14 @@
         self._links: dict[str, PeerCallLink] = {}
         self.budget = MeshRetryBudget(mesh)
         self.chooser = TargetChooser(settings, self._random)
+        self._policy = new_policy(
+            mesh.balancing,
+            Knowledge(
+                view=view,
+                chooser=self.chooser,
+                random_source=self._random,
+            ),
+        )
         self.log = CallLog(view, metrics)
 
     async def place(self, call: MeshCall) -> TargetAnswer:
@@ -132,38 +139,23 @@
         progress: CallProgress,
     ) -> TargetAnswer:
         while True:
-            target = self._next_target(progress)
-            if target is None:
+            offer = self._policy.next_offer(
+                progress,
+                progress.candidates(self._view, self._random),
+            )
+            if offer is None:
                 if progress.failed_answer is not None:
                     return progress.failed_answer
                 raise self._unanswered(progress, progress.failure_reason())
-            answer = await self._place_once(progress, target)
+            answer = await self._place_once(progress, offer)
             if answer is not None and self._is_final(progress, answer):
-                self.log.record_answer(progress, target, answer)
+                self.log.record_answer(progress, offer.target, answer)
                 return answer
 
-    def _next_target(self, progress: CallProgress) -> MeshTarget | None:
-        if progress.placements >= MAX_TRIED:
-            return None
-        if progress.placements - progress.turned_away >= MAX_PLACEMENTS:
-            return None
-        if progress.left_ms() < MIN_LEFT_MS:
-            return None
-        targets = [
-            target
-            for target in progress.candidates(self._view, self._random)
-            if target.node not in progress.tried_nodes
-        ]
-        return self.chooser.choose(
-            targets,
-            progress.useful_ms(),
-            progress.max_wait_ms(),
-        )
-
     async def _place_once(
         self,
         progress: CallProgress,
-        target: MeshTarget,
+        offer: Offer,
     ) -> TargetAnswer | None:
         """Return the answer of a target, None if the call may be placed again.
 
@@ -173,14 +165,13 @@
             If the target gave no answer and the call may not be placed
             again.
         """
-        progress.placements += 1
-        progress.tried_nodes.add(target.node)
-        progress.may_run = False
-        opened = _call_open(progress, target, self.chooser)
+        target = offer.target
+        progress.record_placement(target.node, is_first=offer.is_first)
+        opened = _call_open(progress, offer, self.chooser)
         try:
-            answer = await self._run(progress, target, opened)
+            answer = await self._run(progress, offer, opened)
         except PlacementFault as fault:
-            self._record_fault(progress, target, fault)
+            self._record_fault(progress, offer, fault)
             if not self._may_place_again(progress, fault):
                 if progress.failed_answer is not None:
                     return progress.failed_answer
@@ -194,30 +185,40 @@
     async def _run(
         self,
         progress: CallProgress,
-        target: MeshTarget,
+        offer: Offer,
         opened: CallOpen,
     ) -> TargetAnswer:
+        target = offer.target
         self._local.blocked.raise_if_blocked(progress.call)
         self.chooser.record_sent(target.node)
-        if target.node == self._settings.listen.stream:
-            return await self._local.run(opened, progress.before_send)
-        link = self._links.get(target.node)
+        report_delay_ms = self.chooser.distances.report_delay_ms(target)
+        state = self.chooser.state_of(target.node)
+        with state.own_call(target.service, report_delay_ms):
+            if target.node == self._settings.listen.stream:
+                return await self._local.run(opened, progress.before_send)
+            link = self._link_to(target.node)
+            return await link.run(opened, progress.mark_may_run)
+
+    def _link_to(self, node: str) -> PeerCallLink:
+        link = self._links.get(node)
         if link is None:
-            link = PeerCallLink(
-                target.node,
-                self._settings,
-                self.chooser.record_load,
-            )
-            self._links[target.node] = link
-        return await link.run(opened, progress.mark_may_run)
+            link = PeerCallLink(node, self._settings, self.chooser.record_load)
+            self._links[node] = link
+        return link
 
     def _record_fault(
         self,
         progress: CallProgress,
-        target: MeshTarget,
+        offer: Offer,
         fault: PlacementFault,
     ) -> None:
+        target = offer.target
         progress.record_fault(fault)
+        if offer.is_first and fault.kind == 'busy':
+            progress.first_offers.refused.append(target)
+            self.log.record_refused_offer(
+                self.chooser.distances.distance(target),
+            )
         if fault.kind in _MISSING_KINDS:
             self.chooser.mark_unreachable(target.node)
         self.log.record_fault(progress, target, fault)
@@ -287,7 +288,7 @@
 
 def _call_open(
     progress: CallProgress,
-    target: MeshTarget,
+    offer: Offer,
     chooser: TargetChooser,
 ) -> CallOpen:
     """Return the message that opens a call at a target.
@@ -296,11 +297,12 @@
     trip is subtracted.
     """
     call = progress.call
+    target = offer.target
     left_ms = progress.left_ms() - chooser.distances.round_trip_ms(target)
     useful_ms = progress.useful_ms() - chooser.distances.round_trip_ms(target)
     max_wait_ms = min(
         min(useful_ms, left_ms) - chooser.run_ms(target),
-        progress.max_wait_ms(),
+        offer.max_wait_ms,
     )
     return CallOpen(
         target=target.id,
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/run_recorder.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/run_recorder.py
@@ -77,7 +77,9 @@
     ) -> None:
         run_ms = (time.monotonic_ns() - started_ns) / NS_PER_MS
         cold = self._reports.is_cold
-        self._admission.run_times.record(run_ms, failed=failed)
+        self._admission.run_times.record(
+            run_ms, failed=failed, route=call.route
+        )
         if not failed:
             self._admission.ranks.record(call.route, run_ms)
         self.evidence.record(
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/run_times.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/run_times.py
@@ -52,9 +52,17 @@
         ) * MS_PER_S
         return age_ms if age_ms > SLOW_FACTOR * self._mean_ms else self._mean_ms
 
+    @property
+    def slow_factor(self) -> float:
+        """How much slower than usual the target is for a short period.
+
+        Always 1 here, where short slow periods are not detected.
+        """
+        return 1
+
     @contextmanager
-    def tracked(self) -> Iterator[None]:
-        """Count a run as open for the duration of a block."""
+    def tracked(self, route: str = '') -> Iterator[None]:
+        """Count a run of a route as open for the duration of a block."""
         self._sequence += 1
         run_id = self._sequence
         self._started_s_by_run[run_id] = _now()
@@ -63,7 +71,7 @@
         finally:
             self._started_s_by_run.pop(run_id)
 
-    def record(self, run_ms: float, *, failed: bool) -> None:
+    def record(self, run_ms: float, *, failed: bool, route: str = '') -> None:
         """Add the outcome of a run to the moving averages."""
         if not failed:
             self._mean_ms += RUN_TIME_WEIGHT * (run_ms - self._mean_ms)
