Estimate the load of targets by data centre and test the policies

Cause: waits were chosen while many slots were idle, since the mean of a service hid the data centre; false slow periods stayed in the reports that nodes keep for seconds, which moved calls from fast to slow targets.

Change: means over reports are kept by service and data centre; a second first offer is left out where most targets are full by recent reports; up to five refusals are accepted in the region, as long as it is not full. Load reports state the run time without a short slow period and fewer free slots instead. Two late runs in a row make a slow period.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
@@ -86,7 +86,7 @@
 
         Late calls are not counted as waiting, since calls in time go first.
         """
-        reported = self.capacity.reported(self.run_times.expected_ms)
+        reported = self.capacity.reported(self.run_times.reported_ms)
         running = reported.running
         if self.run_times.slow_factor > 1:
             free_slots = self._free_slots(reported.slots)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/balancing/estimates.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/balancing/estimates.py
@@ -15,9 +15,19 @@
 # assumed to cause. With a higher one, a target that was reported full would
 # count as full until its next report, which only a call brings.
 MAX_UTILISATION: Final = 0.9
+# Mean utilisation from which on most offers are refused, as a full target
+# refuses several offers for each call that it runs.
+NEARLY_FULL: Final = 0.93
+# Age of the newest report from which on the mean says nothing: in this time a
+# full target ends more runs than it has slots.
+NEARLY_FULL_MAX_AGE_S: Final = 0.25
 # Age from which on a report says nothing about the free slots: a service whose
 # reports were all full is asked again.
 REPORT_MAX_AGE_S: Final = 1.0
+# Least run time for the weights, relative to the mean of the group. A target
+# that has just joined reports a short time before its first run has ended, and
+# nodes keep that report until they call it again.
+MIN_RUN_FRACTION: Final = 0.5
 # Expected free slots below which a target counts as full. An offer costs
 # processor time at two nodes, so it needs some chance of a slot.
 MIN_FREE_SLOTS: Final = 0.1
@@ -47,7 +57,7 @@
         self._chooser = chooser
 
     def weights(self, targets: list[MeshTarget]) -> list[float]:
-        """Return the weights of the targets of a service for an offer.
+        """Return the weights of targets for an offer.
 
         Explanation
         ===========
@@ -56,14 +66,12 @@
         that own calls in flight use. A target that is expected to have less
         than one free slot has less weight, and a full one none.
         """
-        if not targets:
-            return []
         now_s = _now()
-        means = self._means(targets[0].service)
+        means_of = self._means
         state_of = self._chooser.state_of
         is_available = self._chooser.is_available
         return [
-            _weight(target, state_of(target.node), now_s, means)
+            _weight(target, state_of(target.node), now_s, means_of(target))
             if is_available(target)
             else 0
             for target in targets
@@ -72,20 +80,29 @@
     def wait_ms(self, target: MeshTarget) -> float:
         """Return the expected wait for a slot of a target."""
         state = self._chooser.state_of(target.node)
-        means = self._means(target.service)
+        means = self._means(target)
         slots, run_ms, open_calls = _now_at(target, state, _now(), means)
         return max(open_calls + 1 - slots, 0) * run_ms / slots
 
     def answer_ms(self, target: MeshTarget) -> float:
         """Return the expected time to the answer of a target."""
         load = self._chooser.state_of(target.node).load
-        run_ms = load.run_ms if load else self._means(target.service)[1]
+        run_ms = load.run_ms if load else self._means(target)[1]
         round_trip_ms = self._chooser.distances.round_trip_ms(target)
         return self.wait_ms(target) + run_ms + round_trip_ms
 
-    def _means(self, service: str) -> tuple[float, float]:
-        """Return the utilisation and run time that are usual in a service."""
-        means = self._chooser.means_by_service.get(service)
+    def is_nearly_full(self, target: MeshTarget) -> bool:
+        """Return whether most targets in the group of a target are full."""
+        group = (target.service, target.data_centre)
+        means = self._chooser.means_by_group.get(group)
+        if means is None or means.utilisation <= NEARLY_FULL:
+            return False
+        return _now() - means.recorded_s < NEARLY_FULL_MAX_AGE_S
+
+    def _means(self, target: MeshTarget) -> tuple[float, float]:
+        """Return the utilisation and run time that are usual in its group."""
+        group = (target.service, target.data_centre)
+        means = self._chooser.means_by_group.get(group)
         if means is None:
             return 0, INITIAL_RUN_MS
         return min(means.utilisation, MAX_UTILISATION), max(means.run_ms, 1)
@@ -102,7 +119,8 @@
     free = min(slots - open_calls, own_free)
     if free < MIN_FREE_SLOTS:
         return 0
-    return min(free, 1) * own_free / run_ms
+    least_run_ms = means[1] * MIN_RUN_FRACTION
+    return min(free, 1) * own_free / max(run_ms, least_run_ms)
 
 
 def _now_at(
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/balancing/first_free.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/balancing/first_free.py
@@ -17,7 +17,7 @@
 # First offers that may be refused by targets of the own data centre, of the
 # own region and of other regions. An offer to another region crosses a paid
 # link and takes 40 ms.
-MAX_REFUSALS: Final = (3, 2, 1)
+MAX_REFUSALS: Final = (3, 5, 1)
 # Targets that are compared for a wait; with more, concurrent calls would all
 # wait at the same target.
 SAMPLE_SIZE: Final = 3
@@ -92,11 +92,9 @@
     ) -> Offer | None:
         """Return a first offer to a near target that may have a free slot."""
         for distance, group in enumerate(groups):
-            refused = self._refusals(progress, distance)
-            if refused < MAX_REFUSALS[distance]:
-                target = self._draw(progress, group)
-                if target is not None:
-                    return _offer_to(progress, target)
+            target = self._offered(progress, distance, group)
+            if target is not None:
+                return _offer_to(progress, target)
         return None
 
     def _far_offer(
@@ -110,13 +108,30 @@
             for target in far
             if self.estimates.answer_ms(target) <= progress.useful_ms()
         ]
-        refused = self._refusals(progress, _OTHER_REGIONS)
-        if refused < MAX_REFUSALS[_OTHER_REGIONS]:
-            target = self._draw(progress, in_time)
-            if target is not None:
-                return _offer_to(progress, target)
+        target = self._offered(progress, _OTHER_REGIONS, in_time)
+        if target is not None:
+            return _offer_to(progress, target)
         return self._wait(progress, in_time)
 
+    def _offered(
+        self,
+        progress: CallProgress,
+        distance: int,
+        group: list[MeshTarget],
+    ) -> MeshTarget | None:
+        """Return the target for a first offer at a distance, if any.
+
+        Where most targets of a data centre are full, a second offer there
+        would most likely be refused as well.
+        """
+        refused = self._refusals(progress, distance)
+        if refused >= MAX_REFUSALS[distance]:
+            return None
+        target = self._draw(progress, group)
+        if target is None or not refused:
+            return target
+        return None if self.estimates.is_nearly_full(target) else target
+
     def _draw(
         self,
         progress: CallProgress,
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
@@ -14,7 +14,11 @@
 from mustardspur_node.mesh.distances import Distances
 from mustardspur_node.mesh.node_states import NodeState
 from mustardspur_node.mesh.run_times import INITIAL_RUN_MS
-from mustardspur_node.mesh.service_means import ServiceMeans, record_report
+from mustardspur_node.mesh.group_means import (
+    GroupMeans,
+    TargetGroup,
+    record_report,
+)
 
 # Penalty on the expected time at a target whose runs all fail.
 FAILURE_PENALTY_MS: Final = 400.0
@@ -50,8 +54,9 @@
     ----------
     distances : Distances
         Round-trip times and traffic costs.
-    means_by_service : dict of ServiceMeans
-        Means over the reports of the targets that were called.
+    means_by_group : dict of GroupMeans
+        Means over the reports of the targets that were called, by service
+        and data centre.
     """
 
     __slots__ = (
@@ -61,7 +66,7 @@
         '_settings',
         '_states_by_node',
         'distances',
-        'means_by_service',
+        'means_by_group',
     )
 
     def __init__(
@@ -73,7 +78,7 @@
         self._settings = settings
         self._random = random_source
         self.distances = Distances(settings)
-        self.means_by_service: dict[str, ServiceMeans] = {}
+        self.means_by_group: dict[TargetGroup, GroupMeans] = {}
         self._states_by_node: dict[str, NodeState] = {}
         self._cold_until_s: dict[str, float] = {}
         # Mean run time of the known targets by service.
@@ -83,8 +88,8 @@
         """Store the load of a target that its node reports."""
         state = self.state_of(node)
         state.record_load(load)
-        if state.service:
-            record_report(self.means_by_service, state.service, load)
+        if state.group:
+            record_report(self.means_by_group, state.group, load)
 
     def record_sent(self, node: str) -> None:
         """Count a call that is sent to a node after its last report."""
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/group_means.py
@@ -0,0 +1,69 @@
+"""Means over the reports of the targets of a service in a data centre."""
+
+import asyncio
+from typing import Final
+
+from mustardspur_core.mesh.call_messages import TargetLoad
+
+# Weight of the newest report in the moving averages.
+REPORT_WEIGHT: Final = 0.05
+# Bounds the memory for groups; over a day a mesh can have many more services.
+MAX_GROUPS: Final = 1024
+
+# Service and data centre.
+TargetGroup = tuple[str, str]
+
+
+class GroupMeans:
+    """Moving averages over the reports of the targets of one group.
+
+    Attributes
+    ----------
+    utilisation : float
+        Calls that run or wait at a target, relative to its slots, up to 1.
+    run_ms : float
+        Mean run time in milliseconds.
+    recorded_s : float
+        Time on the event loop's clock of the last report.
+    """
+
+    __slots__ = ('_count', 'recorded_s', 'run_ms', 'utilisation')
+
+    def __init__(self, load: TargetLoad) -> None:
+        """Initialise with the first report."""
+        self._count = 1
+        self.recorded_s = _now()
+        self.utilisation = _utilisation(load)
+        self.run_ms = load.run_ms
+
+    def record(self, load: TargetLoad) -> None:
+        """Add a report; the first ones count alike."""
+        self._count += 1
+        self.recorded_s = _now()
+        weight = max(REPORT_WEIGHT, 1 / self._count)
+        difference = _utilisation(load) - self.utilisation
+        self.utilisation += weight * difference
+        self.run_ms += weight * (load.run_ms - self.run_ms)
+
+
+def record_report(
+    means_by_group: dict[TargetGroup, GroupMeans],
+    group: TargetGroup,
+    load: TargetLoad,
+) -> None:
+    """Add a report of a target to the means of its group."""
+    means = means_by_group.get(group)
+    if means is not None:
+        means.record(load)
+        return
+    if len(means_by_group) >= MAX_GROUPS:
+        means_by_group.pop(next(iter(means_by_group)))
+    means_by_group[group] = GroupMeans(load)
+
+
+def _utilisation(load: TargetLoad) -> float:
+    return min((load.running + load.waiting) / max(load.slots, 1), 1)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/node_states.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/node_states.py
@@ -5,8 +5,11 @@
 from contextlib import contextmanager
 
 from mustardspur_core.mesh.call_messages import TargetLoad
+from mustardspur_core.mesh.model import MeshTarget
 from mustardspur_core.units import MS_PER_S
 
+from mustardspur_node.mesh.group_means import TargetGroup
+
 
 class NodeState:
     """Reported and estimated state of the local target of a node.
@@ -26,17 +29,17 @@
     unreported : dict of object to float
         Own calls in flight that the last report does not contain: the time
         on the event loop's clock from which on a report contains them.
-    service : str
-        Service of the last own call, empty before it.
+    group : tuple of str or None
+        Service and data centre of the target, None before the first own call.
     """
 
     __slots__ = (
         'avoided_until_s',
+        'group',
         'in_flight',
         'load',
         'load_s',
         'sent_since_report',
-        'service',
         'unreported',
     )
 
@@ -48,7 +51,7 @@
         self.avoided_until_s: float = 0
         self.in_flight = 0
         self.unreported: dict[object, float] = {}
-        self.service = ''
+        self.group: TargetGroup | None = None
 
     def record_load(self, load: TargetLoad) -> None:
         """Store a report that is received now."""
@@ -63,18 +66,20 @@
             }
 
     @contextmanager
-    def own_call(self, service: str, round_trip_ms: float) -> Iterator[None]:
+    def own_call(
+        self, target: MeshTarget, round_trip_ms: float
+    ) -> Iterator[None]:
         """Count an own call as in flight for the duration of a block.
 
         Parameters
         ----------
-        service : str
-            Service that is called.
+        target : MeshTarget
+            The target.
         round_trip_ms : float
             Time after which a report that is received contains the call.
         """
         call = object()
-        self.service = service
+        self.group = (target.service, target.data_centre)
         self.unreported[call] = _now() + round_trip_ms / MS_PER_S
         self.in_flight += 1
         try:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -193,7 +193,7 @@
         self.chooser.record_sent(target.node)
         report_delay_ms = self.chooser.distances.report_delay_ms(target)
         state = self.chooser.state_of(target.node)
-        with state.own_call(target.service, report_delay_ms):
+        with state.own_call(target, report_delay_ms):
             if target.node == self._settings.listen.stream:
                 return await self._local.run(opened, progress.before_send)
             link = self._link_to(target.node)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/route_run_times.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/route_run_times.py
@@ -4,7 +4,7 @@
 from contextlib import contextmanager
 from typing import Final
 
-from mustardspur_node.mesh.run_times import RunTimes
+from mustardspur_node.mesh.run_times import INITIAL_RUN_MS, RunTimes
 from mustardspur_node.mesh.slow_periods import SlowPeriods
 
 # Weights of the newest run in the moving averages of the usual run time of a
@@ -67,10 +67,19 @@
 
     @property
     def expected_ms(self) -> float:
-        """Mean run time over the mix of routes, at the present pace."""
+        """Run time for reports, times the factor of a short slow period."""
+        return self.reported_ms * self.slow_factor
+
+    @property
+    def reported_ms(self) -> float:
+        """Mean run time over the mix of routes, at the present pace.
+
+        Other nodes keep a report for seconds, so it does not contain a short
+        slow period; the slots that are reported as free do.
+        """
         if not self._mix_ms:
-            return super().expected_ms
-        return self._mix_ms * self._pace * self.slow_factor
+            return INITIAL_RUN_MS
+        return self._mix_ms * self._pace
 
     @contextmanager
     def tracked(self, route: str = '') -> Iterator[None]:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/run_times.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/run_times.py
@@ -52,6 +52,11 @@
         ) * MS_PER_S
         return age_ms if age_ms > SLOW_FACTOR * self._mean_ms else self._mean_ms
 
+    @property
+    def reported_ms(self) -> float:
+        """Run time for load reports."""
+        return self.expected_ms
+
     @property
     def slow_factor(self) -> float:
         """How much slower than usual the target is for a short period.
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/slow_periods.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/slow_periods.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import statistics
 from typing import Final
 
 from mustardspur_core.units import MS_PER_S
@@ -18,18 +19,21 @@
 # differ more in length need more late runs for the same conclusion.
 MIN_LATE_FRACTION: Final = 0.03
 MAX_LATE_FRACTION: Final = 0.5
-LATE_FRACTION_WEIGHT: Final = 0.005
+LATE_FRACTION_WEIGHT: Final = 0.002
 # Evidence, as the logarithm of a likelihood ratio, from which on a target
 # counts as slow, and up to which it is counted. With the least fraction of
-# late runs, three late runs without one on time between them suffice; by
-# chance this happens at a target with 28 runs a second every 20 minutes.
-SLOW_EVIDENCE: Final = 9.0
-MAX_EVIDENCE: Final = 9.5
+# late runs, two late runs without one on time between them suffice. This also
+# happens by chance, but the next two runs on time end it.
+SLOW_EVIDENCE: Final = 6.0
+MAX_EVIDENCE: Final = 6.5
 # Evidence at which a slow period ends; two runs on time after it.
-END_EVIDENCE: Final = 5.0
+END_EVIDENCE: Final = 3.0
+# The ages of fewer open runs don't tell by how much the target is slow, since
+# one of them may be long by chance.
+MIN_OPEN_RUNS: Final = 2
 # A slow period without evidence for this time has ended: a target that gets
-# no calls shows nothing.
-EVIDENCE_MAX_AGE_S: Final = 1.0
+# no calls, or whose few usable slots are held by long runs, shows nothing.
+EVIDENCE_MAX_AGE_S: Final = 0.6
 
 
 class _OpenRun:
@@ -94,8 +98,9 @@
         if not self._is_slow:
             return 1
         ratios = [run.age_ratio() for run in self._open_runs.values()]
-        mean = sum(ratios) / len(ratios) if ratios else 0
-        return max(LATE_FACTOR, mean)
+        if len(ratios) < MIN_OPEN_RUNS:
+            return LATE_FACTOR
+        return max(LATE_FACTOR, statistics.median_low(ratios))
 
     def _update(self) -> None:
         """Record the open runs that have become late."""
--- /dev/null
+++ b/tests/node/mesh/test_balancing.py
@@ -0,0 +1,202 @@
+"""Tests of the policies that select targets, on a table in virtual time."""
+
+import asyncio
+from collections import Counter
+from itertools import pairwise
+
+import pytest
+from mustardspur_core.mesh.control_messages import MeshTargets
+from mustardspur_node.mesh.call_progress import CallProgress
+
+from tests.core.mesh.builders import target
+from tests.node.mesh.builders import mesh_call
+from tests.node.mesh.target_table import (
+    WORK_MS,
+    TableNode,
+    TargetTable,
+    spread_table,
+)
+from tests.support.virtual_time import in_virtual_time, ticks, virtual_now_s
+
+ALL_PLACES = ('a1', 'a2', 'b1', 'b2')
+SMALL_SHARE = 0.1
+HALF = 0.5
+
+
+async def _occupy(table: TargetTable, calls: int) -> None:
+    """Start calls at random targets that end within 600 ms."""
+    free = [each for each in table.targets() for _ in range(5)]
+    for each in free:
+        run_ms = WORK_MS / each.speed
+        each.admission.run_times.record(run_ms, failed=False, route='lookup')
+    for each in table.source.sample(free, calls):
+        length_s = table.source.uniform(0, 0.6)
+        asyncio.get_running_loop().create_task(each.hold_slot(length_s))
+    await asyncio.sleep(0)
+
+
+@in_virtual_time
+async def test_simultaneous_choices_overrun_no_target() -> None:
+    """Guards against many nodes that choose the same targets by old reports.
+
+    The load: 180 of 200 slots are in use when all 80 nodes receive reports of
+    all targets; 300 ms later half of the runs have ended, and each node places
+    a call, all within 50 ms.
+    """
+    table = spread_table('first_free', ALL_PLACES)
+    await _occupy(table, 180)
+    for node in table.nodes:
+        for each in table.targets():
+            node.record_report(each)
+    await asyncio.sleep(0.3)
+    tasks: list[asyncio.Task[str]] = []
+    async for number in ticks(80, 0.05 / 80):
+        tasks.append(asyncio.create_task(table.nodes[number].call(WORK_MS)))
+        if table.idle >= table.slots / 10:
+            assert table.waiting == 0
+    await asyncio.sleep(0.01)
+    assert table.idle >= table.slots / 10
+    assert table.waiting == 0
+    assert set(await asyncio.gather(*tasks)) == {'in time'}
+    assert max(each.most_running for each in table.targets()) == 5
+
+
+@in_virtual_time
+async def test_targets_are_used_in_proportion_to_their_speed() -> None:
+    """Guards against slow targets that are overrun while fast ones are idle.
+
+    The load: 20 targets of one data centre with speeds of 0.5 to 1.5, of
+    which 80 nodes use 60 in 100.
+    """
+    table = spread_table('first_free', ('a1',), 20)
+    for position, each in enumerate(table.targets()):
+        each.speed = (0.5, 0.75, 1.0, 1.25, 1.5)[position % 5]
+    # In the first seconds the nodes learn the speeds.
+    await table.offer_load(table.nodes, 0.6 * table.capacity_per_s, 4)
+    runs: Counter[float] = Counter()
+    for each in table.targets():
+        runs[each.speed] -= each.runs
+    await table.offer_load(table.nodes, 0.6 * table.capacity_per_s, 30)
+    for each in table.targets():
+        runs[each.speed] += each.runs
+    mean = runs.total() / sum(runs)
+    for speed, count in runs.items():
+        assert count / speed == pytest.approx(mean, rel=0.1)
+
+
+async def _spilled(
+    table: TargetTable, per_s: float, quarters: int
+) -> list[float]:
+    """Return the part of the answers from other places, for each 250 ms."""
+    nodes = [node for node in table.nodes if node.place == 'a1']
+    load = table.offer_load(nodes, per_s, quarters / 4)
+    asyncio.get_running_loop().create_task(load)
+    counts = [table.runs_at.copy()]
+    async for _ in ticks(quarters, 0.25):
+        counts.append(table.runs_at.copy())
+    runs = [after - before for before, after in pairwise(counts)][1:]
+    return [each[1] / max(each.total(), 1) for each in runs]
+
+
+@in_virtual_time
+async def test_peak_spills_to_the_region_and_returns() -> None:
+    """Guards against calls that are refused or late while the other data
+    centre has free slots, and against load that moves to and fro.
+
+    The load: callers of one of two data centres demand 0.5, then for 4 s 1.4
+    and then 0.5 of its capacity; the other one has no callers of its own.
+    """
+    table = spread_table('first_free', ('a1', 'a2'))
+    per_s = table.capacity_per_s / 2
+    assert max(await _spilled(table, per_s * 0.5, 8)) < SMALL_SHARE
+    peak = await _spilled(table, per_s * 1.4, 16)
+    # A second after the start of the peak the share is stable.
+    assert min(peak[4:]) > SMALL_SHARE
+    assert max(peak) < HALF
+    after = await _spilled(table, per_s * 0.5, 12)
+    assert max(after[4:]) < SMALL_SHARE
+    assert table.outcomes['refused'] == 0
+    # Runs that are long by chance are late wherever they run.
+    assert table.outcomes['late'] < len(table.call_ms) / 25
+
+
+@in_virtual_time
+async def test_joining_target_gets_its_share_without_a_herd() -> None:
+    """Guards against a new target that all nodes call at once, and against one
+    that stays unused because nodes know nothing of it.
+
+    The load: 80 nodes use 60 in 100 of the capacity of 12 targets when one
+    more joins.
+    """
+    table = spread_table('first_free', ('a1',), 12)
+    load = asyncio.create_task(
+        table.offer_load(table.nodes, 0.6 * table.capacity_per_s, 10)
+    )
+    await asyncio.sleep(2)
+    joining = table.add_target(target('999', data_centre='a1', slots=5), 1)
+    refused = table.outcomes['refusals at 0']
+    await asyncio.sleep(1)
+    assert table.outcomes['refusals at 0'] - refused < 60
+    share_s = 0.6 * 5 * 1000 / WORK_MS / 1.18
+    before = joining.runs
+    await asyncio.sleep(3)
+    assert joining.runs - before == pytest.approx(3 * share_s, rel=0.4)
+    assert joining.most_running <= 5
+    await load
+
+
+@pytest.mark.parametrize(
+    ('far_is_free', 'outcome'), [(True, 'in time'), (False, 'refused')]
+)
+@in_virtual_time
+async def test_call_is_refused_only_without_capacity(
+    *, far_is_free: bool, outcome: str
+) -> None:
+    """Guards against calls that are refused while another region has free
+    slots, and against calls that wait where none can answer in time.
+
+    The load: all slots of 20 targets in the own region, and in one case those
+    of the other region, are in use for seconds, and as many calls wait.
+    """
+    table = spread_table('first_free', ALL_PLACES)
+    full = table.targets()
+    if far_is_free:
+        full = [each for each in full if each.listed.region == 'a']
+    for each in full:
+        for _ in range(5 * 6):
+            asyncio.get_running_loop().create_task(each.run(3000, 5000))
+    node = TableNode(table, 'a1', 1)
+    for each in table.targets():
+        each.admission.run_times.record(WORK_MS, failed=False)
+    await asyncio.sleep(0.3)
+    for each in table.targets():
+        node.record_report(each)
+    began_s = virtual_now_s()
+    assert await node.call(WORK_MS) == outcome
+    assert virtual_now_s() - began_s < HALF
+
+
+@pytest.mark.parametrize(('count', 'is_first'), [(11, False), (12, True)])
+@in_virtual_time
+async def test_auto_depends_on_the_size_of_the_service(
+    count: int, *, is_first: bool
+) -> None:
+    """Guards against first offers in small services, whose reports are new."""
+    table = spread_table('auto', ('a1',), count)
+    table.nodes[0].view.apply_targets(
+        MeshTargets(full=True, upserts=table.listed, removed=[])
+    )
+    progress = CallProgress(mesh_call(), 'forms')
+    offer = table.nodes[0].policy.next_offer(progress, table.listed[:2])
+    assert offer is not None
+    assert offer.is_first is is_first
+
+
+@in_virtual_time
+async def test_large_body_is_not_offered_without_a_wait() -> None:
+    """Guards against large bodies that are sent again after each refusal."""
+    table = spread_table('first_free', ('a1',))
+    progress = CallProgress(mesh_call(body=bytes(20_000)), 'forms')
+    offer = table.nodes[0].policy.next_offer(progress, table.listed)
+    assert offer is not None
+    assert offer.max_wait_ms == progress.max_wait_ms()
