--- a/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
@@ -9,13 +9,13 @@
 from mustardspur_core.mesh.call_messages import TargetLoad
 from mustardspur_core.units import MS_PER_S
 
+from mustardspur_node.mesh.balancing import new_run_times
 from mustardspur_node.mesh.call_ranks import CallRanks
 from mustardspur_node.mesh.call_value import LATE_RANK
 from mustardspur_node.mesh.calls import not_sent_fault
 from mustardspur_node.mesh.capacity import TargetCapacity
 from mustardspur_node.mesh.cold_state import ColdState
 from mustardspur_node.mesh.rate_limit import StatedRateLimit
-from mustardspur_node.mesh.run_times import RunTimes
 from mustardspur_node.mesh.waiting_calls import (
     Waiter,
     WaitingCalls,
@@ -25,6 +25,8 @@
 # Waiting calls of the same or a lower rank for each slot; a call behind more
 # of them would be late.
 MAX_WAITING_PER_SLOT: Final = 6
+# Policy of a node whose settings name none.
+DEFAULT_BALANCING: Final = 'least_expected'
 # Time for which calls are refused after the target refused a connection.
 UNREACHABLE_CLOSED_S: Final = 0.3
 
@@ -32,6 +34,13 @@
 class AdmissionControl:
     """Admits calls to a target within its slots and rate limits.
 
+    Parameters
+    ----------
+    cold : ColdState or None
+        Whether the target is cold, None for one that never is.
+    balancing : str
+        Name of the policy that selects targets, see `new_run_times`.
+
     Explanation
     ===========
 
@@ -52,6 +61,7 @@
     """
 
     __slots__ = (
+        '_balancing',
         '_closed_until_s',
         '_loop',
         '_timer',
@@ -62,13 +72,18 @@
         'run_times',
     )
 
-    def __init__(self, cold: ColdState | None = None) -> None:
+    def __init__(
+        self,
+        cold: ColdState | None = None,
+        balancing: str = DEFAULT_BALANCING,
+    ) -> None:
         """Initialise closed and without slots."""
+        self._balancing = balancing
         self._loop = asyncio.get_running_loop()
         self._waiting = WaitingCalls()
         self.capacity = TargetCapacity(cold)
         self.capacity.cold.on_change = self._apply_limit_change
-        self.run_times = RunTimes()
+        self.run_times = new_run_times(self._balancing)
         self.ranks = CallRanks()
         # Runs while a rate limit delays the first waiting call.
         self._timer: asyncio.TimerHandle | None = None
@@ -81,9 +96,13 @@
 
         Late calls are not counted as waiting, since calls in time go first.
         """
-        reported = self.capacity.reported(self.run_times.expected_ms)
+        reported = self.capacity.reported(self.run_times.reported_ms)
+        running = reported.running
+        if self.run_times.slow_factor > 1:
+            free_slots = _free_slots(self, reported.slots)
+            running = max(running, reported.slots - free_slots)
         return TargetLoad(
-            running=reported.running,
+            running=running,
             waiting=self._waiting.count_ahead(LATE_RANK),
             slots=reported.slots,
             run_ms=round(reported.run_ms, 1),
@@ -123,7 +142,7 @@
 
     def reset_statistics(self) -> None:
         """Discard the run times and limit of a target that was replaced."""
-        self.run_times = RunTimes()
+        self.run_times = new_run_times(self._balancing)
         self.ranks = CallRanks()
         self.capacity.rate_limit = StatedRateLimit()
 
@@ -150,6 +169,8 @@
         if not self._is_open():
             raise not_sent_fault('closed', 'target takes no calls')
         if self.capacity.can_start:
+            if not max_wait_ms and not _free_slots(self, self.capacity.slots):
+                raise not_sent_fault('busy', 'target is slow')
             self._waiting.record_immediate_start(request)
             self.capacity.start()
         else:
@@ -218,3 +239,14 @@
     if not assigned.done() or assigned.cancelled():
         return False
     return assigned.exception() is None
+
+
+def _free_slots(admission: AdmissionControl, slots: int) -> int:
+    """Return the free ones of some slots for calls that do not wait.
+
+    A target that is slow for a short period leaves these calls to others: of
+    its slots only as many count as would be in use at its usual speed. Calls
+    that wait were refused elsewhere and may use all slots.
+    """
+    usable = max(int(slots / admission.run_times.slow_factor), 1)
+    return max(usable - admission.capacity.running, 0)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
@@ -241,7 +241,7 @@
 
     @_FROM_CONTROL.handles(MeshTargets)
     def _apply_targets(self, update: MeshTargets) -> None:
-        self._chooser.record_cold_starts(update.upserts)
+        self._chooser.cold.record(update.upserts)
         self._view.apply_targets(update)
 
     @_FROM_CONTROL.handles(MeshBlocks)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -76,7 +76,7 @@
         self._stopping = False
         self.view = MeshView()
         self.reports = ReportStore(mesh.target_address or settings.listen.http)
-        self.local = LocalTarget(self.reports, names)
+        self.local = LocalTarget(self.reports, names, mesh.balancing)
         self.supervision = TargetSupervision(
             settings.data_centre,
             self.local,
@@ -175,6 +175,10 @@
         self._metrics.gauge('target.slots', load.slots)
         self._metrics.gauge('target.run_ms', load.run_ms)
         self.supervision.set_gauges(self._metrics)
+        self._metrics.gauge('target.idle', capacity.slots - capacity.running)
+        self._metrics.gauge('target.refused', self.local.refused)
+        slow_factor = self.local.admission.run_times.slow_factor
+        self._metrics.gauge('target.slow_factor', round(slow_factor, 2))
         self._metrics.gauge('table.index', self.view.table_index)
         self._metrics.gauge('callers.in_flight', self.callers.in_flight)
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -11,6 +11,7 @@
 from mustardspur_core.units import MS_PER_S
 
 from mustardspur_node.mesh.admission import (
+    DEFAULT_BALANCING,
     UNREACHABLE_CLOSED_S,
     AdmissionControl,
 )
@@ -51,6 +52,14 @@
         Reports of the target about itself.
     names : HeaderNames
         Names of the HTTP headers.
+    balancing : str
+        Name of the policy that selects targets, see `new_run_times`.
+
+    Attributes
+    ----------
+    refused : int
+        Calls that were refused for want of a slot since the start of the
+        node.
     """
 
     __slots__ = (
@@ -62,6 +71,7 @@
         'blocked',
         'budget',
         'pool',
+        'refused',
         'reports',
         'runs',
         'statements',
@@ -71,6 +81,7 @@
         self,
         reports: ReportStore,
         names: HeaderNames,
+        balancing: str = DEFAULT_BALANCING,
     ) -> None:
         """Initialise without a target, and closed until it is confirmed."""
         self._confirmed = False
@@ -81,7 +92,8 @@
         self.pool = TargetPool(reports.address, self.budget)
         self._identity: tuple[str, int] | None = None
         self.reports = reports
-        self.admission = AdmissionControl(reports.cold)
+        self.admission = AdmissionControl(reports.cold, balancing)
+        self.refused = 0
         self.statements = TargetStatements(names, self.admission, reports)
         self.blocked = BlockedCalls(names)
         self.runs = RunRecorder(names, self.admission, reports)
@@ -158,14 +170,26 @@
         deadline_s = _now() + suspended_s() + left_s
         self._current_report(call)
         self.apply_rule()
+        try:
+            answer = await self._admit_and_run(call, deadline_s, before_send)
+        except PlacementFault as fault:
+            self.refused += fault.kind == 'busy'
+            raise
+        return self._target_answer(answer)
+
+    async def _admit_and_run(
+        self,
+        call: CallOpen,
+        deadline_s: float,
+        before_send: BeforeSend,
+    ) -> RawAnswer:
         request = self.admission.ranks.waiting_request(call)
         async with self.admission.admitted(request, call.max_wait_ms):
             try:
-                answer = await self._run_admitted(call, deadline_s, before_send)
+                return await self._run_admitted(call, deadline_s, before_send)
             except PlacementFault as fault:
                 self._apply_fault(fault)
                 raise
-        return self._target_answer(answer)
 
     def _apply_fault(self, fault: PlacementFault) -> None:
         """Apply what the fault of a call shows about the target.
@@ -188,7 +212,7 @@
     ) -> RawAnswer:
         async with self.pool.acquire() as connection:
             left_ms = await self._confirm_send(call, deadline_s, before_send)
-            with self.admission.run_times.tracked():
+            with self.admission.run_times.tracked(call.route):
                 return await self._exchange(call, connection, left_ms)
 
     async def _confirm_send(
--- a/tests/node/mesh/test_cold_state.py
+++ b/tests/node/mesh/test_cold_state.py
@@ -319,7 +319,7 @@
     ]
     for each in choosers:
         each.cold.use_view(view)
-        each.record_cold_starts([cold_target])
+        each.cold.record([cold_target])
     chosen_s: list[float] = []
     async for _ in ticks(14, 0.2):
         chosen_s.extend(
