Assume the mean of the data centre of targets without a report

Cause: with first_free the run time of a target without a report stayed at 50 ms, since only least_expected updates the assumed one. Such targets looked fastest for a wait.

Change: the mean run time of the service in the data centre is used where no other is known.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
@@ -12,13 +12,13 @@
 from mustardspur_core.units import MS_PER_S
 
 from mustardspur_node.mesh.distances import Distances
-from mustardspur_node.mesh.node_states import NodeState
-from mustardspur_node.mesh.run_times import INITIAL_RUN_MS
 from mustardspur_node.mesh.group_means import (
     GroupMeans,
     TargetGroup,
     record_report,
 )
+from mustardspur_node.mesh.node_states import NodeState
+from mustardspur_node.mesh.run_times import INITIAL_RUN_MS
 
 # Penalty on the expected time at a target whose runs all fail.
 FAILURE_PENALTY_MS: Final = 400.0
@@ -180,9 +180,11 @@
     def run_ms(self, target: MeshTarget) -> float:
         """Return the mean run time at a target in milliseconds."""
         load = self.state_of(target.node).load
-        if load is None:
-            return self._assumed_run_ms.get(target.service, INITIAL_RUN_MS)
-        return load.run_ms
+        if load is not None:
+            return load.run_ms
+        group = self.means_by_group.get((target.service, target.data_centre))
+        mean_ms = group.run_ms if group else INITIAL_RUN_MS
+        return self._assumed_run_ms.get(target.service, mean_ms)
 
     def is_available(self, target: MeshTarget) -> bool:
         """Return whether a target is reachable and open, as far as known."""
