Answer calls that were not sent before a stopping node exits

Change: half a second before the end of the drain, calls that no target may run are answered 503. The links to other nodes are split off the placer.

Result: the new test fails without the change; tests of tests/node/mesh and tests/daemon pass.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -30,6 +30,9 @@
 # instance, where two processes were killed.
 EXIT_RESERVE_PART: Final = 1 / 6
 CHECK_INTERVAL_S: Final = 0.2
+# Time before the end of the drain at which calls that were not sent are ended,
+# so that their refusals reach the callers.
+END_UNSENT_S: Final = 0.5
 
 
 class MeshNode:
@@ -140,6 +143,8 @@
         self.local.admission.close()
         deadline_s = started_s + self._mesh.grace_s * (1 - EXIT_RESERVE_PART)
         while self._is_busy() and _now() < deadline_s:
+            if _now() >= deadline_s - END_UNSENT_S:
+                self.placer.end_unsent()
             await asyncio.sleep(CHECK_INTERVAL_S)
         _LOG.info(
             'drained',
@@ -156,7 +161,7 @@
 
     def check(self) -> None:
         """Close silent and idle connections, discard old data, set gauges."""
-        self.placer.check_links()
+        self.placer.links.check()
         self.local.apply_rule()
         self.local.pool.prune()
         self.callers.discard_route_values()
@@ -235,7 +240,7 @@
         )
         tune_garbage_collector()
         yield node
-        node.placer.close()
+        node.placer.links.close()
 
 
 def _now() -> float:
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_links.py
@@ -0,0 +1,49 @@
+"""Links to the nodes that calls are sent to."""
+
+from mustardspur_core.settings import Settings
+
+from mustardspur_node.mesh.peer_connection import LoadCallback
+from mustardspur_node.mesh.peer_link import PeerCallLink
+
+
+class PeerLinks:
+    """Links to other nodes, opened at the first call and closed when unused.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of this node.
+    on_load : callable
+        Called with the node and the load of its target on each report.
+    """
+
+    __slots__ = ('_by_node', '_on_load', '_settings')
+
+    def __init__(self, settings: Settings, on_load: LoadCallback) -> None:
+        """Initialise without links."""
+        self._settings = settings
+        self._on_load = on_load
+        self._by_node: dict[str, PeerCallLink] = {}
+
+    def link_to(self, node: str) -> PeerCallLink:
+        """Return the link to a node."""
+        link = self._by_node.get(node)
+        if link is None:
+            link = PeerCallLink(node, self._settings, self._on_load)
+            self._by_node[node] = link
+        return link
+
+    def check(self) -> None:
+        """Close streams to other nodes that are silent or unused."""
+        for link in self._by_node.values():
+            link.check()
+        unused = [
+            name for name, each in self._by_node.items() if each.is_unused
+        ]
+        while unused:
+            self._by_node.pop(unused.pop())
+
+    def close(self) -> None:
+        """Close all streams to other nodes."""
+        for link in self._by_node.values():
+            link.close()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -25,7 +25,7 @@
 )
 from mustardspur_node.mesh.chooser import TargetChooser
 from mustardspur_node.mesh.local_target import LocalTarget
-from mustardspur_node.mesh.peer_link import PeerCallLink
+from mustardspur_node.mesh.peer_links import PeerLinks
 from mustardspur_node.mesh.retry_after import (
     UNKNOWN_RETRY_AFTER_S,
     retry_after_s,
@@ -56,15 +56,16 @@
     """
 
     __slots__ = (
-        '_links',
         '_local',
         '_policy',
         '_random',
         '_services',
         '_settings',
+        '_timeouts_by_progress',
         '_view',
         'budget',
         'chooser',
+        'links',
         'log',
     )
 
@@ -82,9 +83,11 @@
         self._local = local
         self._random = random.Random()
         self._services = WeightedServiceChooser(self._random)
-        self._links: dict[str, PeerCallLink] = {}
+        # Deadlines of the calls in flight.
+        self._timeouts_by_progress: dict[CallProgress, asyncio.Timeout] = {}
         self.budget = MeshRetryBudget(mesh)
         self.chooser = TargetChooser(settings, self._random)
+        self.links = PeerLinks(settings, self.chooser.record_load)
         self.chooser.cold.use_view(view)
         self._policy = new_policy(
             mesh.balancing,
@@ -107,11 +110,29 @@
         service = self._services.next_service(call.route)
         self.budget.record_call(service)
         progress = CallProgress(call, service)
+        deadline = asyncio.timeout_at(call.deadline_s)
+        self._timeouts_by_progress[progress] = deadline
         try:
-            async with asyncio.timeout_at(call.deadline_s):
+            async with deadline:
                 return await self._place_until_final(progress)
         except TimeoutError as error:
             raise self._unanswered(progress, 'no answer in time') from error
+        finally:
+            self._timeouts_by_progress.pop(progress)
+
+    def end_unsent(self) -> None:
+        """End the calls that no target may run, as the node stops.
+
+        Their callers are told that they did not run, where a connection that
+        is closed by the exit of the process would leave that open.
+        """
+        now_s = asyncio.get_running_loop().time()
+        for progress, deadline in self._timeouts_by_progress.items():
+            if progress.may_run or progress.possible_runs:
+                continue
+            # A deadline that has passed cannot be changed any more.
+            if (deadline.when() or 0) > now_s:
+                deadline.reschedule(now_s)
 
     def refuse_without_table(self, request_id: str | None) -> UnansweredCall:
         """Return the refusal of a call received before the first table."""
@@ -122,19 +143,6 @@
             UNKNOWN_RETRY_AFTER_S,
         )
 
-    def check_links(self) -> None:
-        """Close streams to other nodes that are silent or unused."""
-        for link in self._links.values():
-            link.check()
-        unused = [name for name, each in self._links.items() if each.is_unused]
-        while unused:
-            self._links.pop(unused.pop())
-
-    def close(self) -> None:
-        """Close all streams to other nodes."""
-        for link in self._links.values():
-            link.close()
-
     async def _place_until_final(
         self,
         progress: CallProgress,
@@ -197,16 +205,9 @@
         with state.own_call(target, report_delay_ms):
             if target.node == self._settings.listen.stream:
                 return await self._local.run(opened, progress.before_send)
-            link = self._link_to(target.node)
+            link = self.links.link_to(target.node)
             return await link.run(opened, progress.mark_may_run)
 
-    def _link_to(self, node: str) -> PeerCallLink:
-        link = self._links.get(node)
-        if link is None:
-            link = PeerCallLink(node, self._settings, self.chooser.record_load)
-            self._links[node] = link
-        return link
-
     def _record_fault(
         self,
         progress: CallProgress,
--- a/tests/node/mesh/test_placing.py
+++ b/tests/node/mesh/test_placing.py
@@ -211,3 +211,31 @@
     assert 'mustardspur_calls_offer_refused_data_centre 1' in metrics.text()
     assert 'repeat' not in metrics.text()
     assert local.refused == 1
+
+
+async def test_stop_answers_calls_that_were_not_sent() -> None:
+    """Guards against callers whose connection is closed without an answer.
+
+    A node that stops has less time left than its callers wait for.
+    """
+    view = MeshView()
+    view.apply_targets(
+        MeshTargets(full=True, upserts=[target('2', id='t1')], removed=[]),
+    )
+    async with run_scripted() as (address, scripted):
+        local = local_target(address)
+        placer = Placer(
+            node_settings(), mesh_settings(), view, local, NullMetrics()
+        )
+        holding = asyncio.create_task(_hold_slots(local, 0.2))
+        await asyncio.sleep(0)
+        waiting = asyncio.create_task(
+            placer.place(mesh_call(route=_PATIENT_ROUTE)),
+        )
+        await asyncio.sleep(0.01)
+        placer.end_unsent()
+        with pytest.raises(UnansweredCall) as refusal:
+            await waiting
+        await holding
+        assert refusal.value.status == HTTPStatus.SERVICE_UNAVAILABLE
+        assert not scripted.requests
