Send large bodies only as the receiving node requests them

Cause: on links of 3 to 4 Mbit/s, uploads of 60 KB are written to the socket with their calls, so small calls and control frames queue behind them for seconds.

Change: with mesh.link_mbps, a body of more than 16 KB is announced in CallOpen (body_bytes). The node beside the target admits it to its link or refuses it as busy, and requests it in parts of 8 KB (BodyCredit) at the rate of the link. The load report states the backlog. The sender paces parts over all streams and keeps one part in the socket.

No load has been measured yet.

--- a/packages/mustardspur_core/src/mustardspur_core/mesh/call_messages.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/call_messages.py
@@ -1,6 +1,9 @@
 """Messages between nodes for forwarded calls; type codes 160 to 179."""
 
-from mustardspur_core.record import Record
+from types import MappingProxyType
+from typing import ClassVar
+
+from mustardspur_core.record import Defaults, Record
 from mustardspur_core.wire.codec import message
 
 
@@ -30,6 +33,9 @@
         Recent failure rate of the target, 0 to 1.
     open : bool
         Whether the node admits calls to the target.
+    link_wait_ms : float
+        Time after which the link has carried the large bodies that are
+        admitted already.
     """
 
     __slots__ = (
@@ -39,13 +45,16 @@
         'run_ms',
         'failure_rate',
         'open',
+        'link_wait_ms',
     )
+    optional: ClassVar[Defaults] = MappingProxyType({'link_wait_ms': float})
     running: int
     waiting: int
     slots: int
     run_ms: float
     failure_rate: float
     open: bool
+    link_wait_ms: float
 
 
 @message(161)
@@ -61,7 +70,8 @@
     deadline_ms : float
         Remaining time until the deadline.
     max_wait_ms : float
-        Longest useful wait for a slot.
+        Longest useful wait for a slot, which includes the transfer of a large
+        body.
     confirm : bool
         Whether the receiver sends `CallReserved` and waits for `CallConfirm`
         before it forwards the call to the target. If the stream ends before
@@ -69,6 +79,9 @@
         target.
     more : bool
         Whether further parts of the body follow.
+    body_bytes : int
+        Size of a large body, whose parts are sent as `BodyCredit` allows; 0
+        for other bodies.
     """
 
     __slots__ = (
@@ -84,7 +97,9 @@
         'confirm',
         'body',
         'more',
+        'body_bytes',
     )
+    optional: ClassVar[Defaults] = MappingProxyType({'body_bytes': int})
     target: str
     service: str
     route: str
@@ -97,6 +112,7 @@
     confirm: bool
     body: bytes
     more: bool
+    body_bytes: int
 
 
 @message(162)
@@ -124,6 +140,14 @@
     confirmed: bool
 
 
+@message(170)
+class BodyCredit(Record):
+    """Permits further bytes of the large body of a call."""
+
+    __slots__ = ('bytes',)
+    bytes: int
+
+
 @message(163)
 class CallCancel(Record):
     """Cancels a call whose caller has disconnected."""
--- a/packages/mustardspur_core/src/mustardspur_core/wire/streams.py
+++ b/packages/mustardspur_core/src/mustardspur_core/wire/streams.py
@@ -1,8 +1,9 @@
 """Length-prefixed frames over a TCP connection."""
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import Final
 
 from mustardspur_core.record import Record
@@ -76,6 +77,22 @@
         self.enqueue(body, request_id)
         await self._writer.drain()
 
+    def limit_unsent(self, size: int) -> None:
+        """Limit the bytes that the socket takes and has not sent yet.
+
+        `send` and `drain` then wait until the write buffer is empty, so that
+        a sender of many frames does not fill buffers ahead of other frames.
+        """
+        self._writer.transport.set_write_buffer_limits(high=0)
+        connected = self._writer.get_extra_info('socket')
+        # A socket of another family than TCP has no such limit.
+        with suppress(OSError):
+            connected.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_NOTSENT_LOWAT,
+                size,
+            )
+
     async def drain(self) -> None:
         """Wait until the write buffer is below its limit."""
         await self._writer.drain()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
@@ -12,6 +12,7 @@
 from mustardspur_node.mesh.call_value import LATE_RANK
 from mustardspur_node.mesh.calls import not_sent_fault
 from mustardspur_node.mesh.capacity import TargetCapacity
+from mustardspur_node.mesh.instance_link import InstanceLink
 from mustardspur_node.mesh.rate_limit import StatedRateLimit
 from mustardspur_node.mesh.run_times import RunTimes
 from mustardspur_node.mesh.waiting_calls import Waiter, WaitingCalls
@@ -39,6 +40,8 @@
         Whether the target accepts calls, as it reports.
     capacity : TargetCapacity
         Slots and rate limit of the target, and the calls that use them.
+    link : InstanceLink
+        Link of the instance, which the bodies of calls cross.
     run_times : RunTimes
         Run times and failure rate of the target.
     ranks : CallRanks
@@ -51,6 +54,7 @@
         '_timer',
         '_waiting',
         'capacity',
+        'link',
         'open',
         'ranks',
         'run_times',
@@ -61,6 +65,7 @@
         self._loop = asyncio.get_running_loop()
         self._waiting = WaitingCalls()
         self.capacity = TargetCapacity()
+        self.link = InstanceLink(0)
         self.run_times = RunTimes()
         self.ranks = CallRanks()
         # Runs while the rate limit delays the first waiting call.
@@ -82,6 +87,7 @@
             run_ms=round(reported.run_ms, 1),
             failure_rate=round(self.run_times.failure_rate, 2),
             open=self._is_open(),
+            link_wait_ms=self.link.admission.wait_ms,
         )
 
     def close_permanently(self) -> None:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/body_parts.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/body_parts.py
@@ -28,17 +28,20 @@
     stream: FrameStream,
     call_id: int,
     parts: list[bytes],
+    *,
+    more: bool = False,
 ) -> None:
-    """Send the remaining parts of a body."""
+    """Send further parts of a body; ``more`` if others follow them."""
     remaining = deque(parts)
     while remaining:
         part = remaining.popleft()
-        await stream.send(CallPart(body=part, more=bool(remaining)), call_id)
+        has_more = more or bool(remaining)
+        await stream.send(CallPart(body=part, more=has_more), call_id)
 
 
-def split_body(body: bytes) -> list[bytes]:
-    """Split a body into one or more parts of at most `PART_BYTES`."""
+def split_body(body: bytes, part_bytes: int = PART_BYTES) -> list[bytes]:
+    """Split a body into one or more parts of at most a number of bytes."""
     return [
-        body[start : start + PART_BYTES]
-        for start in range(0, max(len(body), 1), PART_BYTES)
+        body[start : start + part_bytes]
+        for start in range(0, max(len(body), 1), part_bytes)
     ]
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/call_in_flight.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_in_flight.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from mustardspur_core.mesh.call_messages import (
+    BodyCredit,
     CallAnswer,
     CallFailed,
     CallOpen,
@@ -12,6 +13,7 @@
 from mustardspur_core.wire import MalformedFrame
 
 from mustardspur_node.mesh.answer_budget import AnswerTooLong, HeldAnswer
+from mustardspur_node.mesh.body_credit import BodyCreditBalance
 from mustardspur_node.mesh.calls import (
     PlacementFault,
     TargetAnswer,
@@ -36,6 +38,8 @@
     ----------
     answer : asyncio.Future
         The complete answer, or the fault.
+    credit : BodyCreditBalance
+        Bytes of a large body that the other node has requested.
     may_run : bool
         Whether the target may run the call.
     """
@@ -46,6 +50,7 @@
         '_on_may_run',
         '_once',
         'answer',
+        'credit',
         'may_run',
     )
 
@@ -61,6 +66,8 @@
         self._on_may_run = on_may_run
         self._once = call.confirm
         self.answer: asyncio.Future[TargetAnswer] = asyncio.Future()
+        self.credit = BodyCreditBalance()
+        self.answer.add_done_callback(lambda _: self.credit.end_wait())
         self.may_run = False
 
     @property
@@ -89,6 +96,8 @@
             self.fail(_place_fault(body))
         elif isinstance(body, CallAnswer | CallPart):
             self._add_part(body)
+        elif isinstance(body, BodyCredit):
+            self.credit.add(body.bytes)
         else:
             raise MalformedFrame(
                 'type',
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
@@ -154,6 +154,15 @@
         """Return the longest useful wait for a slot in milliseconds."""
         return max_wait_ms(self.call.route)
 
+    def in_time_ms(self) -> float:
+        """Return the time in which an answer is within the objective.
+
+        For calls with large bodies, which wait for the link for longer than
+        for a slot.
+        """
+        objective_ms = self.call.route.objective_ms - self.elapsed_ms()
+        return min(self.useful_ms(), self.left_ms(), objective_ms)
+
     def elapsed_ms(self) -> float:
         """Return the time since the request was received."""
         return (_now() - self.call.started_s) * MS_PER_S
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
@@ -12,6 +12,7 @@
 from mustardspur_core.units import MS_PER_S
 
 from mustardspur_node.mesh.distances import Distances
+from mustardspur_node.mesh.link_times import LinkTimes
 from mustardspur_node.mesh.run_times import INITIAL_RUN_MS
 
 # Penalty on the expected time at a target whose runs all fail.
@@ -65,6 +66,7 @@
     __slots__ = (
         '_assumed_run_ms',
         '_cold_until_s',
+        '_links',
         '_random',
         '_settings',
         '_states_by_node',
@@ -80,6 +82,7 @@
         self._settings = settings
         self._random = random_source
         self.distances = Distances(settings)
+        self._links = LinkTimes(settings, random_source)
         self._states_by_node: dict[str, _NodeState] = {}
         self._cold_until_s: dict[str, float] = {}
         # Mean run time of the known targets by service.
@@ -91,6 +94,7 @@
         state.load = load
         state.load_s = _now()
         state.sent_since_report = 0
+        self._links.record(node, load)
 
     def record_sent(self, node: str) -> None:
         """Count a call that is sent to a node after its last report."""
@@ -115,6 +119,7 @@
         targets: list[MeshTarget],
         useful_ms: float,
         max_wait_ms: float,
+        body_bytes: int = 0,
     ) -> MeshTarget | None:
         """Return the best target of a random sample, None if there is none.
 
@@ -139,6 +144,8 @@
             Time in which an answer keeps most of its value.
         max_wait_ms : float
             Longest useful wait for a slot.
+        body_bytes : int
+            Size of a large body, 0 for other bodies.
         """
         available = [
             target for target in targets if self._is_available(target)
@@ -149,6 +156,8 @@
             if self._fits(target, useful_ms, max_wait_ms)
         ]
         self._update_assumed_run(targets)
+        if body_bytes:
+            return self._links.choose(self, eligible, useful_ms, body_bytes)
         groups: dict[int, list[MeshTarget]] = {}
         for target in eligible:
             distance = self.distances.distance(target)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -76,6 +76,7 @@
         self.view = MeshView()
         self.reports = ReportStore(mesh.target_address or settings.listen.http)
         self.local = LocalTarget(self.reports, names)
+        self.local.admission.link.set_bandwidth(mesh.link_mbps)
         self.peers = PeerServer(self.local)
         self.placer = Placer(settings, mesh, self.view, self.local, metrics)
         self.callers = CallerServer(self.view, self.placer, names, metrics)
@@ -156,6 +157,7 @@
         self._set_gauges()
 
     def _set_gauges(self) -> None:
+        self.local.admission.link.check(self._metrics)
         load = self.local.admission.load
         capacity = self.local.admission.capacity
         self._metrics.gauge('target.admitted', capacity.started)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -98,6 +98,16 @@
         self._confirmed = True
         self.refresh()
 
+    def check(self, call: CallOpen) -> None:
+        """Check that the target is here, before a body is received for it.
+
+        Raises
+        ------
+        PlacementFault
+            If the call is for another target or the target is leaving.
+        """
+        self._current_report(call)
+
     async def run(
         self,
         call: CallOpen,
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/outgoing_bodies.py
@@ -0,0 +1,187 @@
+"""Large bodies that this node sends to other nodes."""
+
+import asyncio
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Final
+
+from mustardspur_core.mesh.call_messages import (
+    CallCancel,
+    CallOpen,
+    CallPart,
+)
+from mustardspur_core.record import replaced
+from mustardspur_core.wire import FrameStream
+
+from mustardspur_node.mesh.body_parts import send_call, send_parts, split_body
+from mustardspur_node.mesh.call_in_flight import CallInFlight
+from mustardspur_node.mesh.calls import not_sent_fault
+from mustardspur_node.mesh.link_admission import (
+    LARGE_BODY_BYTES,
+    LINK_PART_BYTES,
+)
+from mustardspur_node.mesh.link_rate import BODY_FRACTION, BYTES_PER_MBIT
+
+# A node with calls in flight sends a heartbeat every 0.3 s; without a frame
+# for this long no further credit is expected from it.
+CREDIT_SILENCE_S: Final = 0.7
+# Large bodies of callers that a node holds until their calls end. The
+# instances have 200 MB.
+MAX_HELD_BYTES: Final = 33_554_432
+
+
+class Uplink:
+    """Sending direction of the link of the instance.
+
+    Explanation
+    ===========
+
+    Parts of all bodies and answers leave at the rate of the link, in turn,
+    so they do not queue before it. On each stream one part is in the buffers
+    of the socket at most.
+
+    Parameters
+    ----------
+    link_mbps : float
+        Bandwidth of the link; 0 for an unlimited one.
+
+    Attributes
+    ----------
+    is_limited : bool
+        Whether the bandwidth is stated.
+    """
+
+    __slots__ = ('_bytes_per_s', '_free_s', '_held_bytes', 'is_limited')
+
+    def __init__(self, link_mbps: float) -> None:
+        """Initialise with an unused link."""
+        self.is_limited = bool(link_mbps)
+        self._bytes_per_s = BODY_FRACTION * link_mbps * BYTES_PER_MBIT
+        self._free_s = float('-inf')
+        self._held_bytes = 0
+
+    def is_large(self, body: bytes) -> bool:
+        """Return whether a body is sent in parts at the rate of the link."""
+        return self.is_limited and len(body) > LARGE_BODY_BYTES
+
+    def prepare(self, stream: FrameStream) -> None:
+        """Keep parts of bodies out of the buffers of a stream's socket."""
+        if self.is_limited:
+            stream.limit_unsent(LINK_PART_BYTES)
+
+    @contextmanager
+    def holding(self, body: bytes) -> Iterator[bool]:
+        """Count a body in a block; yields whether the memory suffices."""
+        size = len(body) if self.is_large(body) else 0
+        self._held_bytes += size
+        try:
+            yield not size or self._held_bytes <= MAX_HELD_BYTES
+        finally:
+            self._held_bytes -= size
+
+    async def wait_turn(self, size: int) -> None:
+        """Wait until a part may leave."""
+        if not self.is_limited:
+            return
+        now_s = _now()
+        start_s = max(self._free_s, now_s)
+        self._free_s = start_s + size / self._bytes_per_s
+        if start_s > now_s:
+            await asyncio.sleep(start_s - now_s)
+
+    async def send_parts(
+        self,
+        stream: FrameStream,
+        call_id: int,
+        parts: list[bytes],
+    ) -> None:
+        """Send the remaining parts of an answer's body."""
+        while parts:
+            await self.wait_turn(len(parts[0]))
+            await send_parts(stream, call_id, parts[:1], more=len(parts) > 1)
+            parts = parts[1:]
+
+    def split(self, body: bytes) -> list[bytes]:
+        """Split a body into the parts in which it is sent."""
+        if self.is_large(body):
+            return split_body(body, LINK_PART_BYTES)
+        return split_body(body)
+
+
+async def send_by_size(
+    stream: FrameStream,
+    call_id: int,
+    call: CallOpen,
+    call_in_flight: CallInFlight,
+    uplink: Uplink,
+    silence_s: Callable[[], float],
+) -> None:
+    """Send a call whole, or by credit if its body is large.
+
+    Parameters
+    ----------
+    silence_s : callable
+        Returns the time since the last frame of the other node.
+    """
+    if uplink.is_large(call.body):
+        await _send_large(
+            stream,
+            call_id,
+            call,
+            call_in_flight,
+            uplink,
+            silence_s,
+        )
+        return
+    if not call.confirm:
+        call_in_flight.allow_run()
+    await send_call(stream, call_id, call)
+
+
+async def _send_large(
+    stream: FrameStream,
+    call_id: int,
+    call: CallOpen,
+    call_in_flight: CallInFlight,
+    uplink: Uplink,
+    silence_s: Callable[[], float],
+) -> None:
+    """Send a call, and its body as far as the other node gives credit.
+
+    Returns early if the call ends before its body is sent. A call that needs
+    no confirmation may run once its last part is sent.
+    """
+    size = len(call.body)
+    opened = replaced(call, body=b'', more=True, body_bytes=size)
+    await stream.send(opened, call_id)
+    sent = 0
+    while sent < size:
+        if not await _has_credit(call_in_flight, silence_s):
+            stream.enqueue(CallCancel(reason='no credit for body'), call_id)
+            return
+        credit = call_in_flight.credit.take(LINK_PART_BYTES)
+        part = call.body[sent : sent + credit]
+        sent += len(part)
+        await uplink.wait_turn(len(part))
+        if call_in_flight.answer.done():
+            return
+        if sent == size and not call.confirm:
+            call_in_flight.allow_run()
+        await stream.send(CallPart(body=part, more=sent < size), call_id)
+
+
+async def _has_credit(
+    call_in_flight: CallInFlight,
+    silence_s: Callable[[], float],
+) -> bool:
+    """Wait for credit; return False if the call has ended or must end."""
+    while not call_in_flight.answer.done():
+        if await call_in_flight.credit.wait(CREDIT_SILENCE_S):
+            return not call_in_flight.answer.done()
+        if silence_s() > CREDIT_SILENCE_S:
+            call_in_flight.fail(not_sent_fault('unreachable', 'no credit'))
+    return False
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_connection.py
@@ -25,9 +25,9 @@
 )
 
 from mustardspur_node.mesh.answer_budget import AnswerBudget
-from mustardspur_node.mesh.body_parts import send_call
 from mustardspur_node.mesh.call_in_flight import CallInFlight
 from mustardspur_node.mesh.calls import TargetAnswer, not_sent_fault
+from mustardspur_node.mesh.outgoing_bodies import Uplink, send_by_size
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -56,6 +56,8 @@
         Settings of this node.
     on_load : callable
         Called with the node and the load of its target on each report.
+    uplink : Uplink
+        Paces large bodies.
     """
 
     __slots__ = (
@@ -69,6 +71,7 @@
         '_ready',
         '_settings',
         '_task',
+        '_uplink',
     )
 
     def __init__(
@@ -76,8 +79,10 @@
         node: str,
         settings: Settings,
         on_load: LoadCallback,
+        uplink: Uplink,
     ) -> None:
         """Start to connect."""
+        self._uplink = uplink
         self._node = node
         self._settings = settings
         self._on_load = on_load
@@ -171,10 +176,15 @@
             self._last_received_s = _now()
         self._in_flight_by_id[call_id] = call_in_flight
         self._last_used_s = _now()
-        if not call.confirm:
-            call_in_flight.allow_run()
         try:
-            await send_call(stream, call_id, call)
+            await send_by_size(
+                stream,
+                call_id,
+                call,
+                call_in_flight,
+                self._uplink,
+                lambda: _now() - self._last_received_s,
+            )
             return await call_in_flight.answer
         except OSError as error:
             call_in_flight.fail_on_disconnect(repr(error))
@@ -188,6 +198,7 @@
     async def _run_stream(self) -> None:
         try:
             async with connect_stream(self._node, CONNECT_TIMEOUT_S) as stream:
+                self._uplink.prepare(stream)
                 stream.enqueue(
                     NodeHello(
                         node=self._settings.listen.stream or '',
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_link.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_link.py
@@ -8,6 +8,7 @@
 from mustardspur_core.settings import Settings
 
 from mustardspur_node.mesh.calls import TargetAnswer
+from mustardspur_node.mesh.outgoing_bodies import Uplink
 from mustardspur_node.mesh.peer_connection import LoadCallback, PeerConnection
 
 _LOG: Final = logging.getLogger(__name__)
@@ -31,17 +32,28 @@
         Settings of this node.
     on_load : callable
         Called with the node and the load of its target on each report.
+    uplink : Uplink or None
+        Paces large bodies; None for an unlimited link.
     """
 
-    __slots__ = ('_current', '_node', '_on_load', '_settings', '_silent')
+    __slots__ = (
+        '_current',
+        '_node',
+        '_on_load',
+        '_settings',
+        '_silent',
+        '_uplink',
+    )
 
     def __init__(
         self,
         node: str,
         settings: Settings,
         on_load: LoadCallback,
+        uplink: Uplink | None = None,
     ) -> None:
         """Initialise the link without a stream."""
+        self._uplink = uplink or Uplink(0)
         self._node = node
         self._settings = settings
         self._on_load = on_load
@@ -77,6 +89,7 @@
                 self._node,
                 self._settings,
                 self._on_load,
+                self._uplink,
             )
         return await self._current.run(call, on_may_run)
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_server.py
@@ -21,7 +21,6 @@
 )
 from mustardspur_core.wire import FrameStream, MalformedFrame, MessageDispatcher
 
-from mustardspur_node.mesh.body_parts import send_parts, split_body
 from mustardspur_node.mesh.calls import (
     PlacementFault,
     TargetAnswer,
@@ -31,6 +30,7 @@
 from mustardspur_node.mesh.local_target import LocalTarget
 from mustardspur_node.mesh.partial_calls import PartialCalls
 from mustardspur_node.mesh.peer_connection import HEARTBEAT_S, STREAM_ERRORS
+from mustardspur_node.mesh.stream_bodies import StreamBodies
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -76,6 +76,7 @@
     ) -> None:
         """Serve a stream until it ends; callback of `asyncio.start_server`."""
         stream = FrameStream(reader, writer)
+        self._local.admission.link.uplink.prepare(stream)
         self._streams.add(stream)
         try:
             await self._serve_stream(stream)
@@ -109,6 +110,7 @@
     """The calls received over one stream."""
 
     __slots__ = (
+        '_bodies',
         '_confirmed',
         '_group',
         '_local',
@@ -131,6 +133,7 @@
         self._group = group
         self._server = server
         self._partial_calls = PartialCalls()
+        self._bodies = StreamBodies(stream, local)
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._confirmed: dict[int, asyncio.Future[None]] = {}
 
@@ -165,13 +168,15 @@
 
     @_FROM_NODES.handles(CallOpen)
     def _receive_call(self, call_id: int, call: CallOpen) -> None:
-        if call.more:
+        if call.more and not call.body_bytes:
             self._partial_calls.open(call_id, call)
         else:
             self._start(call_id, call)
 
     @_FROM_NODES.handles(CallPart)
     def _receive_part(self, call_id: int, part: CallPart) -> None:
+        if self._bodies.add(call_id, part):
+            return
         call = self._partial_calls.add(call_id, part)
         if call is not None:
             self._start(call_id, call)
@@ -197,11 +202,12 @@
     async def _run(self, call_id: int, call: CallOpen) -> None:
         self._server.running += 1
         try:
-            answer = await self._local.run(
-                call,
-                partial(self._await_confirmation, call_id, call),
-            )
-            await self._send_answer(call_id, answer)
+            async with self._bodies.completed(call_id, call) as complete:
+                answer = await self._local.run(
+                    complete,
+                    partial(self._await_confirmation, call_id, call),
+                )
+                await self._send_answer(call_id, answer)
         except PlacementFault as fault:
             self._send_fault(call_id, fault)
         except STREAM_ERRORS:
@@ -249,7 +255,10 @@
             raise not_sent_fault('timeout', 'not confirmed') from error
 
     async def _send_answer(self, call_id: int, answer: TargetAnswer) -> None:
-        first, *rest = split_body(answer.body)
+        uplink = self._local.admission.link.uplink
+        first, *rest = uplink.split(answer.body)
+        if rest:
+            await uplink.wait_turn(len(first))
         await self._stream.send(
             CallAnswer(
                 status=answer.status,
@@ -261,4 +270,4 @@
             ),
             call_id,
         )
-        await send_parts(self._stream, call_id, rest)
+        await uplink.send_parts(self._stream, call_id, rest)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -58,6 +58,7 @@
     """
 
     __slots__ = (
+        '_link',
         '_links',
         '_local',
         '_random',
@@ -81,6 +82,7 @@
         self._settings = settings
         self._view = view
         self._local = local
+        self._link = local.admission.link
         self._random = random.Random()
         self._services = WeightedServiceChooser(self._random)
         self._links: dict[str, PeerCallLink] = {}
@@ -99,11 +101,15 @@
         service = self._services.next_service(call.route)
         self.budget.record_call(service)
         progress = CallProgress(call, service)
-        try:
-            async with asyncio.timeout_at(call.deadline_s):
-                return await self._place_until_final(progress)
-        except TimeoutError as error:
-            raise self._unanswered(progress, 'no answer in time') from error
+        with self._link.uplink.holding(call.body) as has_memory:
+            if not has_memory:
+                raise self._unanswered(progress, 'busy: memory for bodies')
+            try:
+                async with asyncio.timeout_at(call.deadline_s):
+                    return await self._place_until_final(progress)
+            except TimeoutError as error:
+                reason = 'no answer in time'
+                raise self._unanswered(progress, reason) from error
 
     def refuse_without_table(self, request_id: str | None) -> UnansweredCall:
         """Return the refusal of a call received before the first table."""
@@ -154,10 +160,12 @@
             for target in progress.candidates(self._view, self._random)
             if target.node not in progress.tried_nodes
         ]
+        body_bytes = self._link.body_bytes(progress.call.body)
         return self.chooser.choose(
             targets,
-            progress.useful_ms(),
+            progress.in_time_ms() if body_bytes else progress.useful_ms(),
             progress.max_wait_ms(),
+            body_bytes,
         )
 
     async def _place_once(
@@ -176,7 +184,14 @@
         progress.placements += 1
         progress.tried_nodes.add(target.node)
         progress.may_run = False
-        opened = _call_open(progress, target, self.chooser)
+        is_local = target.node == self._settings.listen.stream
+        opened = _call_open(
+            progress,
+            target,
+            self.chooser,
+            crosses_link=not is_local
+            and bool(self._link.body_bytes(progress.call.body)),
+        )
         try:
             answer = await self._run(progress, target, opened)
         except PlacementFault as fault:
@@ -207,6 +222,7 @@
                 target.node,
                 self._settings,
                 self.chooser.record_load,
+                self._link.uplink,
             )
             self._links[target.node] = link
         return await link.run(opened, progress.mark_may_run)
@@ -289,18 +305,25 @@
     progress: CallProgress,
     target: MeshTarget,
     chooser: TargetChooser,
+    *,
+    crosses_link: bool,
 ) -> CallOpen:
     """Return the message that opens a call at a target.
 
     Its times are relative to the receipt at the target's node, so the round
-    trip is subtracted.
+    trip is subtracted. A large body that crosses a link may wait until the
+    run would not end within the objective any more.
     """
     call = progress.call
     left_ms = progress.left_ms() - chooser.distances.round_trip_ms(target)
     useful_ms = progress.useful_ms() - chooser.distances.round_trip_ms(target)
+    longest_ms = progress.max_wait_ms()
+    if crosses_link:
+        longest_ms = progress.in_time_ms()
+        useful_ms = longest_ms - chooser.distances.round_trip_ms(target)
     max_wait_ms = min(
         min(useful_ms, left_ms) - chooser.run_ms(target),
-        progress.max_wait_ms(),
+        longest_ms,
     )
     return CallOpen(
         target=target.id,
@@ -315,4 +338,5 @@
         confirm=not call.route.idempotent,
         body=call.body,
         more=False,
+        body_bytes=0,
     )
--- a/tests/node/mesh/builders.py
+++ b/tests/node/mesh/builders.py
@@ -90,5 +90,6 @@
         'confirm': False,
         'body': b'',
         'more': False,
+        'body_bytes': 0,
     }
     return CallOpen(**(fields | changes))
--- a/tests/node/mesh/test_chooser.py
+++ b/tests/node/mesh/test_chooser.py
@@ -26,6 +26,7 @@
         run_ms=run_ms,
         failure_rate=0,
         open=True,
+        link_wait_ms=0,
     )
 
 
--- a/tests/node/mesh/test_placing.py
+++ b/tests/node/mesh/test_placing.py
@@ -38,6 +38,7 @@
     run_ms=60.0,
     failure_rate=0,
     open=True,
+    link_wait_ms=0,
 )
 
 
