Register the end of a credit wait for large bodies only

Cause: each call registered a callback that only large bodies use.

Change: the callback is registered when a large body is sent.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/call_in_flight.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_in_flight.py
@@ -67,7 +67,6 @@
         self._once = call.confirm
         self.answer: asyncio.Future[TargetAnswer] = asyncio.Future()
         self.credit = BodyCreditBalance()
-        self.answer.add_done_callback(lambda _: self.credit.end_wait())
         self.may_run = False
 
     @property
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/outgoing_bodies.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/outgoing_bodies.py
@@ -152,6 +152,8 @@
     no confirmation may run once its last part is sent.
     """
     size = len(call.body)
+    credit = call_in_flight.credit
+    call_in_flight.answer.add_done_callback(lambda _: credit.end_wait())
     opened = replaced(call, body=b'', more=True, body_bytes=size)
     await stream.send(opened, call_id)
     sent = 0
@@ -159,8 +161,7 @@
         if not await _has_credit(call_in_flight, silence_s):
             stream.enqueue(CallCancel(reason='no credit for body'), call_id)
             return
-        credit = call_in_flight.credit.take(LINK_PART_BYTES)
-        part = call.body[sent : sent + credit]
+        part = call.body[sent : sent + credit.take(LINK_PART_BYTES)]
         sent += len(part)
         await uplink.wait_turn(len(part))
         if call_in_flight.answer.done():
