Measure delays on links with whole parts only

Cause: the last part of a body is short and arrives up to 20 ms sooner. Its age became the round trip of its sender, so whole parts seemed to be delayed. Parts of other sizes than requested would have raised IndexError.

Change: the round trip and the delays are those of whole parts, and a part that is not the next one requested is a malformed frame.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/incoming_bodies.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/incoming_bodies.py
@@ -14,6 +14,7 @@
 from mustardspur_node.mesh.calls import PlacementFault, not_sent_fault
 from mustardspur_node.mesh.decisions import DecisionLog
 from mustardspur_node.mesh.link_admission import (
+    LINK_PART_BYTES,
     BodySender,
     LinkAdmission,
     LinkBody,
@@ -100,14 +101,15 @@
         Raises
         ------
         MalformedFrame
-            If the part was not requested or the body has another size.
+            If the part is not the next one that was requested.
         """
         size = len(part.body)
         on_link = self.on_link
-        if not 0 < size <= on_link.on_way or part.more != (on_link.left > size):
+        expected = min(LINK_PART_BYTES, on_link.left, on_link.on_way)
+        if size != expected or part.more != (on_link.left > size):
             raise MalformedFrame(
                 'length',
-                f'{size} bytes of a body with {on_link.on_way} requested',
+                f'{size} bytes of a body, expected {expected}',
             )
         self._parts.append(part.body)
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/link_admission.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/link_admission.py
@@ -156,11 +156,15 @@
         self._requested_s.append(now_s)
 
     def receive(self, size: int, now_s: float) -> float:
-        """Count a received part and return its queueing delay."""
+        """Count a received part and return its queueing delay.
+
+        The last part is mostly shorter and arrives sooner than others would,
+        so it has no delay that can be compared.
+        """
         self.received += size
-        requested_s = now_s
-        if self._requested_s:
-            requested_s = self._requested_s.popleft()
+        requested_s = self._requested_s.popleft()
+        if size < LINK_PART_BYTES:
+            return _NEVER
         return self.sender.queueing_delay_s(now_s - requested_s)
 
 
