Leave silent nodes also while their socket takes no bytes

Cause: the write buffer of a limited stream counts as full at any size, so a call waited for it at a node that had become silent, until its deadline and not until the stream was found silent.

Change: small calls are queued without waiting.

Result: the new case of the test of silent receivers passes.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/outgoing_bodies.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/outgoing_bodies.py
@@ -135,7 +135,12 @@
         return
     if not call.confirm:
         call_in_flight.allow_run()
-    await send_call(stream, call_id, call)
+    if uplink.is_limited:
+        # The write buffer counts as full at any size, so waiting for it would
+        # keep a call at a silent node.
+        stream.enqueue(call, call_id)
+    else:
+        await send_call(stream, call_id, call)
 
 
 async def _send_large(
@@ -155,7 +160,7 @@
     credit = call_in_flight.credit
     call_in_flight.answer.add_done_callback(lambda _: credit.end_wait())
     opened = replaced(call, body=b'', more=True, body_bytes=size)
-    await stream.send(opened, call_id)
+    stream.enqueue(opened, call_id)
     sent = 0
     while sent < size:
         if not await _has_credit(call_in_flight, silence_s):
@@ -168,7 +173,29 @@
             return
         if sent == size and not call.confirm:
             call_in_flight.allow_run()
-        await stream.send(CallPart(body=part, more=sent < size), call_id)
+        stream.enqueue(CallPart(body=part, more=sent < size), call_id)
+        await _drain(stream, call_in_flight, silence_s)
+
+
+async def _drain(
+    stream: FrameStream,
+    call_in_flight: CallInFlight,
+    silence_s: Callable[[], float],
+) -> None:
+    """Wait until a part is written, or fail the call at a silent node."""
+    draining = asyncio.create_task(stream.drain())
+    draining.add_done_callback(_read_error)
+    while not draining.done() and not call_in_flight.answer.done():
+        await asyncio.wait(
+            (draining, call_in_flight.answer),
+            timeout=CREDIT_SILENCE_S,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if not draining.done() and silence_s() > CREDIT_SILENCE_S:
+            call_in_flight.fail_on_disconnect('body is not taken')
+    if draining.done():
+        await draining
+    draining.cancel()
 
 
 async def _has_credit(
@@ -184,5 +211,11 @@
     return False
 
 
+def _read_error(draining: 'asyncio.Task[None]') -> None:
+    """Read the error of a wait whose call was cancelled meanwhile."""
+    if not draining.cancelled():
+        draining.exception()
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/node/mesh/test_large_bodies.py
+++ b/tests/node/mesh/test_large_bodies.py
@@ -124,17 +124,23 @@
     assert pair.local.bodies == []
 
 
+@pytest.mark.parametrize('is_stuck', [False, True])
 @in_virtual_time
 async def test_silent_receiver_has_not_run_the_call(
     monkeypatch: pytest.MonkeyPatch,
+    *,
+    is_stuck: bool,
 ) -> None:
-    """Guards against a sender that waits for credit until its deadline."""
+    """Guards against a sender that waits until its deadline for credit, or for
+    a socket that takes no more bytes.
+    """
     pair = _Pair(monkeypatch)
     call = asyncio.create_task(pair.run())
     await asyncio.sleep(0.1)
     assert pair.near.other is not None
+    pair.near.is_stuck = is_stuck
     pair.near.other.is_cut = True
-    with pytest.raises(PlacementFault, match='no credit') as fault:
+    with pytest.raises(PlacementFault, match='unreachable') as fault:
         await call
     assert fault.value.not_run
     assert _now_ms() < 1600
--- a/tests/node/stand_ins/links.py
+++ b/tests/node/stand_ins/links.py
@@ -57,6 +57,8 @@
     ----------
     is_cut : bool
         Whether frames of this end are lost.
+    is_stuck : bool
+        Whether the write buffer of this end does not become empty.
     """
 
     def __init__(self, uplink: SimulatedLink, downlink: SimulatedLink) -> None:
@@ -66,6 +68,7 @@
         self.other: LinkStream | None = None
         self.latency_s = 0.001
         self.is_cut = False
+        self.is_stuck = False
         self.peer_address = 'simulated'
         self.sent: list[Record] = []
         self._received: asyncio.Queue[bytes] = asyncio.Queue()
@@ -91,6 +94,12 @@
     async def send(self, body: Record, request_id: int = 0) -> None:
         """Send a frame and wait until it has left the instance."""
         self.enqueue(body, request_id)
+        await self.drain()
+
+    async def drain(self) -> None:
+        """Wait until all frames have left the instance."""
+        while self.is_stuck:
+            await asyncio.sleep(1)
         await asyncio.sleep(max(self.uplink.free_s - _now(), 0))
 
     def deliver(self, encoded: bytes) -> None:
