--- a/benchmarks/balancing/__main__.py
+++ b/benchmarks/balancing/__main__.py
@@ -88,6 +88,7 @@
         run_ms=178.0,
         failure_rate=0,
         open=True,
+        link_wait_ms=0,
     )
 
 
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/call_messages.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/call_messages.py
@@ -33,6 +33,9 @@
         Recent failure rate of the target, 0 to 1.
     open : bool
         Whether the node admits calls to the target.
+    link_wait_ms : float
+        Time after which the link has carried the large bodies that are
+        admitted already.
     """
 
     __slots__ = (
@@ -42,13 +45,16 @@
         'run_ms',
         'failure_rate',
         'open',
+        'link_wait_ms',
     )
+    optional: ClassVar[Defaults] = MappingProxyType({'link_wait_ms': float})
     running: int
     waiting: int
     slots: int
     run_ms: float
     failure_rate: float
     open: bool
+    link_wait_ms: float
 
 
 @message(161)
@@ -64,7 +70,8 @@
     deadline_ms : float
         Remaining time until the deadline.
     max_wait_ms : float
-        Longest useful wait for a slot.
+        Longest useful wait for a slot, which includes the transfer of a large
+        body.
     confirm : bool
         Whether the receiver sends `CallReserved` and waits for `CallConfirm`
         before it forwards the call to the target. If the stream ends before
@@ -74,6 +81,9 @@
         Whether further parts of the body follow.
     account : str
         Client account of the call, empty for none.
+    body_bytes : int
+        Size of a large body, whose parts are sent as `BodyCredit` allows; 0
+        for other bodies.
     """
 
     __slots__ = (
@@ -90,8 +100,11 @@
         'body',
         'more',
         'account',
+        'body_bytes',
+    )
+    optional: ClassVar[Defaults] = MappingProxyType(
+        {'account': str, 'body_bytes': int},
     )
-    optional: ClassVar[Defaults] = MappingProxyType({'account': str})
     target: str
     service: str
     route: str
@@ -105,6 +118,7 @@
     body: bytes
     more: bool
     account: str
+    body_bytes: int
 
 
 @message(162)
@@ -132,6 +146,14 @@
     confirmed: bool
 
 
+@message(170)
+class BodyCredit(Record):
+    """Permits further bytes of the large body of a call."""
+
+    __slots__ = ('bytes',)
+    bytes: int
+
+
 @message(163)
 class CallCancel(Record):
     """Cancels a call whose caller has disconnected."""
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
@@ -15,6 +15,7 @@
 from mustardspur_node.mesh.calls import not_sent_fault
 from mustardspur_node.mesh.capacity import TargetCapacity
 from mustardspur_node.mesh.cold_state import ColdState
+from mustardspur_node.mesh.instance_link import InstanceLink
 from mustardspur_node.mesh.rate_limit import StatedRateLimit
 from mustardspur_node.mesh.waiting_calls import (
     Waiter,
@@ -54,6 +55,8 @@
         Whether the target accepts calls, as it reports.
     capacity : TargetCapacity
         Slots and rate limits of the target, and the calls that use them.
+    link : InstanceLink
+        Link of the instance, which the bodies of calls cross.
     run_times : RunTimes
         Run times and failure rate of the target.
     ranks : CallRanks
@@ -67,6 +70,7 @@
         '_timer',
         '_waiting',
         'capacity',
+        'link',
         'open',
         'ranks',
         'run_times',
@@ -83,6 +87,7 @@
         self._waiting = WaitingCalls()
         self.capacity = TargetCapacity(cold)
         self.capacity.cold.on_change = self._apply_limit_change
+        self.link = InstanceLink(0)
         self.run_times = new_run_times(self._balancing)
         self.ranks = CallRanks()
         # Runs while a rate limit delays the first waiting call.
@@ -108,6 +113,7 @@
             run_ms=round(reported.run_ms, 1),
             failure_rate=round(self.run_times.failure_rate, 2),
             open=self._is_open(),
+            link_wait_ms=self.link.admission.wait_ms,
         )
 
     def close(self, duration_s: float = math.inf) -> None:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/balancing/__init__.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/balancing/__init__.py
@@ -5,6 +5,7 @@
     first_free,
     least_expected,
 )
+from mustardspur_node.mesh.balancing.large_bodies import LargeBodies
 from mustardspur_node.mesh.balancing.limits import MIN_LEFT_MS
 from mustardspur_node.mesh.balancing.registry import (
     BalancingPolicy,
@@ -23,6 +24,7 @@
     'POLICY_MODULES',
     'BalancingPolicy',
     'Knowledge',
+    'LargeBodies',
     'Offer',
     'balancing_policy',
     'new_policy',
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
@@ -193,5 +193,15 @@
         return _now() + suspended_s() - self._suspended_s
 
 
+def in_time_ms(progress: CallProgress) -> float:
+    """Return the time in which an answer is within the objective.
+
+    For calls with large bodies, which wait for the link for longer than for a
+    slot.
+    """
+    objective_ms = progress.call.route.objective_ms - progress.elapsed_ms()
+    return min(progress.useful_ms(), progress.left_ms(), objective_ms)
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
@@ -16,6 +16,7 @@
     TargetGroup,
     record_report,
 )
+from mustardspur_node.mesh.link_times import LinkTimes
 from mustardspur_node.mesh.node_states import NodeState
 from mustardspur_node.mesh.run_times import INITIAL_RUN_MS
 
@@ -55,6 +56,7 @@
 
     __slots__ = (
         '_assumed_run_ms',
+        '_links',
         '_random',
         '_settings',
         '_states_by_node',
@@ -75,6 +77,7 @@
         self.means_by_group: dict[TargetGroup, GroupMeans] = {}
         self._states_by_node: dict[str, NodeState] = {}
         self.cold = AnnouncedColdTargets(random_source)
+        self._links = LinkTimes(settings, random_source)
         # Mean run time of the known targets by service.
         self._assumed_run_ms: dict[str, float] = {}
 
@@ -84,6 +87,7 @@
         state.record_load(load)
         if state.group:
             record_report(self.means_by_group, state.group, load)
+        self._links.record(node, load)
 
     def record_sent(self, node: str) -> None:
         """Count a call that is sent to a node after its last report."""
@@ -99,6 +103,7 @@
         targets: list[MeshTarget],
         useful_ms: float,
         max_wait_ms: float,
+        body_bytes: int = 0,
     ) -> MeshTarget | None:
         """Return the best target of a random sample, None if there is none.
 
@@ -123,6 +128,8 @@
             Time in which an answer keeps most of its value.
         max_wait_ms : float
             Longest useful wait for a slot.
+        body_bytes : int
+            Size of a large body, 0 for other bodies.
         """
         available = [
             target for target in targets if self.is_available(target)
@@ -133,6 +140,8 @@
             if self._fits(target, useful_ms, max_wait_ms)
         ]
         self._update_assumed_run(targets)
+        if body_bytes:
+            return self._links.choose(self, eligible, useful_ms, body_bytes)
         groups: dict[int, list[MeshTarget]] = {}
         for target in eligible:
             distance = self.distances.distance(target)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -80,6 +80,7 @@
         self.view = MeshView()
         self.reports = ReportStore(mesh.target_address or settings.listen.http)
         self.local = LocalTarget(self.reports, names, mesh.balancing)
+        self.local.admission.link.set_bandwidth(mesh.link_mbps)
         self.supervision = TargetSupervision(
             settings.data_centre,
             self.local,
@@ -169,6 +170,7 @@
         self._set_gauges()
 
     def _set_gauges(self) -> None:
+        self.local.admission.link.check(self._metrics)
         load = self.local.admission.load
         capacity = self.local.admission.capacity
         self._metrics.gauge('target.admitted', capacity.started)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -144,6 +144,26 @@
         """Let the target accept calls again once it is confirmed."""
         self._withdrawn = False
 
+    def current_report(self, call: CallOpen) -> TargetReport:
+        """Return the report of the target if it may run a call.
+
+        Raises
+        ------
+        PlacementFault
+            If the call is for another target, or the target is leaving or
+            withdrawn.
+        """
+        report = self.reports.current
+        if report is None or report.id != call.target:
+            raise not_sent_fault('moved', 'target is not here')
+        if report.service != call.service:
+            raise not_sent_fault('moved', 'target is of another service')
+        if not is_ready(report):
+            raise not_sent_fault('closed', 'target is leaving')
+        if self._withdrawn:
+            raise not_sent_fault('closed', _WITHDRAWN_REASON)
+        return report
+
     async def run(
         self,
         call: CallOpen,
@@ -168,7 +188,7 @@
         # The suspended time is part of the sum, so that a deadline that passed
         # while the instance was suspended is seen to have passed.
         deadline_s = _now() + suspended_s() + left_s
-        self._current_report(call)
+        self.current_report(call)
         self.apply_rule()
         try:
             answer = await self._admit_and_run(call, deadline_s, before_send)
@@ -225,33 +245,20 @@
         await before_send(self.admission.load)
         # The target may have changed while the call waited, and other targets
         # may have crashed while they ran the call.
-        self._current_report(call)
+        self.current_report(call)
         self.blocked.raise_if_blocked(call)
         left_ms = (deadline_s - _now() - suspended_s()) * MS_PER_S
         if left_ms < MIN_SENT_MS:
             raise not_sent_fault('timeout', 'no time was left')
         return left_ms
 
-    def _current_report(self, call: CallOpen) -> TargetReport:
-        """Return the report of the target if it may run a call."""
-        report = self.reports.current
-        if report is None or report.id != call.target:
-            raise not_sent_fault('moved', 'target is not here')
-        if report.service != call.service:
-            raise not_sent_fault('moved', 'target is of another service')
-        if not is_ready(report):
-            raise not_sent_fault('closed', 'target is leaving')
-        if self._withdrawn:
-            raise not_sent_fault('closed', _WITHDRAWN_REASON)
-        return report
-
     async def _exchange(
         self,
         call: CallOpen,
         connection: TargetConnection,
         left_ms: float,
     ) -> RawAnswer:
-        report = self._current_report(call)
+        report = self.current_report(call)
         started_ns = time.monotonic_ns()
         sent_s = _now()
         try:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_links.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_links.py
@@ -2,6 +2,7 @@
 
 from mustardspur_core.settings import Settings
 
+from mustardspur_node.mesh.outgoing_bodies import Uplink
 from mustardspur_node.mesh.peer_connection import LoadCallback
 from mustardspur_node.mesh.peer_link import PeerCallLink
 
@@ -15,21 +16,34 @@
         Settings of this node.
     on_load : callable
         Called with the node and the load of its target on each report.
+    uplink : Uplink
+        Paces large bodies.
     """
 
-    __slots__ = ('_by_node', '_on_load', '_settings')
+    __slots__ = ('_by_node', '_on_load', '_settings', '_uplink')
 
-    def __init__(self, settings: Settings, on_load: LoadCallback) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        on_load: LoadCallback,
+        uplink: Uplink,
+    ) -> None:
         """Initialise without links."""
         self._settings = settings
         self._on_load = on_load
+        self._uplink = uplink
         self._by_node: dict[str, PeerCallLink] = {}
 
     def link_to(self, node: str) -> PeerCallLink:
         """Return the link to a node."""
         link = self._by_node.get(node)
         if link is None:
-            link = PeerCallLink(node, self._settings, self._on_load)
+            link = PeerCallLink(
+                node,
+                self._settings,
+                self._on_load,
+                self._uplink,
+            )
             self._by_node[node] = link
         return link
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -11,12 +11,14 @@
 
 from mustardspur_node.mesh.balancing import (
     MIN_LEFT_MS,
+    BalancingPolicy,
     Knowledge,
+    LargeBodies,
     Offer,
     new_policy,
 )
 from mustardspur_node.mesh.call_log import CallLog
-from mustardspur_node.mesh.call_progress import CallProgress
+from mustardspur_node.mesh.call_progress import CallProgress, in_time_ms
 from mustardspur_node.mesh.calls import (
     MeshCall,
     PlacementFault,
@@ -56,6 +58,8 @@
     """
 
     __slots__ = (
+        '_large_bodies',
+        '_link',
         '_local',
         '_policy',
         '_random',
@@ -81,22 +85,26 @@
         self._settings = settings
         self._view = view
         self._local = local
+        self._link = local.admission.link
         self._random = random.Random()
         self._services = WeightedServiceChooser(self._random)
         # Deadlines of the calls in flight.
         self._timeouts_by_progress: dict[CallProgress, asyncio.Timeout] = {}
         self.budget = MeshRetryBudget(mesh)
         self.chooser = TargetChooser(settings, self._random)
-        self.links = PeerLinks(settings, self.chooser.record_load)
+        self.links = PeerLinks(
+            settings,
+            self.chooser.record_load,
+            self._link.uplink,
+        )
         self.chooser.cold.use_view(view)
-        self._policy = new_policy(
-            mesh.balancing,
-            Knowledge(
-                view=view,
-                chooser=self.chooser,
-                random_source=self._random,
-            ),
+        knowledge = Knowledge(
+            view=view,
+            chooser=self.chooser,
+            random_source=self._random,
         )
+        self._policy = new_policy(mesh.balancing, knowledge)
+        self._large_bodies = LargeBodies(knowledge)
         self.log = CallLog(view, metrics)
 
     async def place(self, call: MeshCall) -> TargetAnswer:
@@ -110,15 +118,10 @@
         service = self._services.next_service(call.route)
         self.budget.record_call(service)
         progress = CallProgress(call, service)
-        deadline = asyncio.timeout_at(call.deadline_s)
-        self._timeouts_by_progress[progress] = deadline
-        try:
-            async with deadline:
-                return await self._place_until_final(progress)
-        except TimeoutError as error:
-            raise self._unanswered(progress, 'no answer in time') from error
-        finally:
-            self._timeouts_by_progress.pop(progress)
+        with self._link.uplink.holding(call.body) as has_memory:
+            if not has_memory:
+                raise self._unanswered(progress, 'busy: memory for bodies')
+            return await self._place_in_time(progress)
 
     def end_unsent(self) -> None:
         """End the calls that no target may run, as the node stops.
@@ -143,12 +146,26 @@
             UNKNOWN_RETRY_AFTER_S,
         )
 
+    async def _place_in_time(self, progress: CallProgress) -> TargetAnswer:
+        deadline = asyncio.timeout_at(progress.call.deadline_s)
+        self._timeouts_by_progress[progress] = deadline
+        try:
+            async with deadline:
+                return await self._place_until_final(progress)
+        except TimeoutError as error:
+            raise self._unanswered(progress, 'no answer in time') from error
+        finally:
+            self._timeouts_by_progress.pop(progress)
+
     async def _place_until_final(
         self,
         progress: CallProgress,
     ) -> TargetAnswer:
         while True:
-            offer = self._policy.next_offer(
+            policy: BalancingPolicy = self._policy
+            if self._link.body_bytes(progress.call.body):
+                policy = self._large_bodies
+            offer = policy.next_offer(
                 progress,
                 progress.candidates(self._view, self._random),
             )
@@ -176,7 +193,14 @@
         """
         target = offer.target
         progress.record_placement(target.node, is_first=offer.is_first)
-        opened = _call_open(progress, offer, self.chooser)
+        is_local = target.node == self._settings.listen.stream
+        is_large = bool(self._link.body_bytes(progress.call.body))
+        opened = _call_open(
+            progress,
+            offer,
+            self.chooser,
+            crosses_link=is_large and not is_local,
+        )
         try:
             answer = await self._run(progress, offer, opened)
         except PlacementFault as fault:
@@ -294,19 +318,26 @@
     progress: CallProgress,
     offer: Offer,
     chooser: TargetChooser,
+    *,
+    crosses_link: bool,
 ) -> CallOpen:
     """Return the message that opens a call at a target.
 
     Its times are relative to the receipt at the target's node, so the round
-    trip is subtracted.
+    trip is subtracted. A large body that crosses a link may wait until the
+    run would not end within the objective any more.
     """
     call = progress.call
     target = offer.target
     left_ms = progress.left_ms() - chooser.distances.round_trip_ms(target)
     useful_ms = progress.useful_ms() - chooser.distances.round_trip_ms(target)
+    longest_ms = offer.max_wait_ms
+    if crosses_link:
+        longest_ms = in_time_ms(progress)
+        useful_ms = longest_ms - chooser.distances.round_trip_ms(target)
     max_wait_ms = min(
         min(useful_ms, left_ms) - chooser.run_ms(target),
-        offer.max_wait_ms,
+        longest_ms,
     )
     return CallOpen(
         target=target.id,
@@ -322,4 +353,5 @@
         body=call.body,
         more=False,
         account=call.account.name if call.account else '',
+        body_bytes=0,
     )
--- a/tests/node/mesh/builders.py
+++ b/tests/node/mesh/builders.py
@@ -92,6 +92,7 @@
         'body': b'',
         'more': False,
         'account': '',
+        'body_bytes': 0,
     }
     return CallOpen(**(fields | changes))
 
--- a/tests/node/mesh/test_peer_streams.py
+++ b/tests/node/mesh/test_peer_streams.py
@@ -276,7 +276,7 @@
         running = asyncio.create_task(pair.run())
         while not target.requests:
             await asyncio.sleep(0.005)
-        monkeypatch.setattr(LocalTarget, '_current_report', _fail)
+        monkeypatch.setattr(LocalTarget, 'current_report', _fail)
         with pytest.raises(PlacementFault, match='unexpected') as fault:
             await pair.run()
         assert not fault.value.not_run
