Hold rate limits of accounts over all nodes

Accounts may have a rate limit, but nothing held it. Each control instance is now a token broker: it holds a bucket with its share of each limit, nodes ask it on their stream in batches, and the instances exchange their demand. A node that reaches none uses half of its equal part.

--- a/packages/mustardspur_client/src/mustardspur_client/verbs/__init__.py
+++ b/packages/mustardspur_client/src/mustardspur_client/verbs/__init__.py
@@ -1,6 +1,7 @@
 """Verbs of the command line."""
 
 from mustardspur_client.verbs import (
+    accounts,
     explaining,
     instances,
     moves,
@@ -17,6 +18,7 @@
 
 # Importing these modules registers their verbs.
 VERB_MODULES = (
+    accounts,
     profiles,
     services,
     waiting,
--- /dev/null
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/allowances.py
@@ -0,0 +1,273 @@
+"""Broker of a control instance for the limits shared by all nodes."""
+
+import asyncio
+from typing import Any, Final
+
+from mustardspur_core.conversion import decode_array
+from mustardspur_core.mesh.control_messages import (
+    ACCEPTS_ALLOWANCES,
+    AllowanceDemand,
+    AllowanceGrant,
+    AllowanceRequest,
+    AllowanceShare,
+    AllowanceUse,
+    LimitDemand,
+)
+from mustardspur_core.mesh.model import ClientAccount
+from mustardspur_core.mesh.packing import unpack_table
+from mustardspur_core.mesh.token_bucket import TokenBucket
+from mustardspur_core.settings import MeshSettings
+
+from mustardspur_control.mesh.allowance_shares import (
+    DemandOfPeers,
+    next_share,
+)
+from mustardspur_control.mesh.limit_broker import LimitBroker
+from mustardspur_control.mesh.membership import Membership
+from mustardspur_control.mesh.registry import LOCAL_SOURCE, MeshRegistry
+from mustardspur_control.mesh.store import MeshStore
+
+UPDATE_INTERVAL_S: Final = 0.5
+# A demand is sent again when it has changed by this part of itself, or of an
+# equal part of the limit if that is more.
+CHANGED_PART: Final = 0.1
+# Bytes that an instance sends to all others together at each update; twice
+# that in a second is below the 1 KB that an instance may send.
+UPDATE_BYTES: Final = 450
+# Bytes of a demand beside the name of its limit, and of a frame around it.
+_DEMAND_BYTES: Final = 13
+_FRAME_BYTES: Final = 14
+# The other half of the slack is for nodes that fall back on their own share.
+BUCKET_SLACK: Final = 0.5
+
+
+class AllowanceBroker:
+    """Grants tokens of this instance's shares of all limits.
+
+    Parameters
+    ----------
+    mesh : MeshSettings
+        Slack of the limits, and whether all instances start for the first
+        time.
+    members : Membership
+        The other control instances.
+    registry : MeshRegistry
+        Nodes and the instances that they are attached to.
+    store : MeshStore
+        State with the table in force.
+    """
+
+    __slots__ = (
+        '_by_limit',
+        '_first_tokens',
+        '_members',
+        '_mesh',
+        '_peers',
+        '_registry',
+        '_store',
+        '_table_index',
+    )
+
+    def __init__(
+        self,
+        mesh: MeshSettings,
+        members: Membership,
+        registry: MeshRegistry,
+        store: MeshStore,
+    ) -> None:
+        """Initialise without limits."""
+        self._mesh = mesh
+        self._members = members
+        self._registry = registry
+        self._store = store
+        self._peers = DemandOfPeers()
+        self._by_limit: dict[str, LimitBroker] = {}
+        self._table_index = 0
+        # Before a restart, nodes may have been granted all tokens.
+        is_restart = not mesh.first_start or bool(store.state.table_index)
+        self._first_tokens = float(0) if is_restart else float('inf')
+        store.on_change(self._apply_table)
+        self._apply_table()
+
+    @property
+    def heartbeat_id(self) -> int:
+        """Request identifier of the heartbeats of this instance."""
+        return ACCEPTS_ALLOWANCES if self._by_limit else 0
+
+    async def run(self) -> None:
+        """Update demand and shares until cancelled."""
+        while True:
+            await asyncio.sleep(UPDATE_INTERVAL_S)
+            if self._by_limit:
+                self.update(_now())
+
+    def answer(self, node: str, request: AllowanceRequest) -> AllowanceGrant:
+        """Return the grant for a request of an attached node."""
+        now_s = _now()
+        return AllowanceGrant(
+            grants=[self._answer(node, use, now_s) for use in request.uses],
+        )
+
+    def record_demand(self, peer: str, update: AllowanceDemand) -> None:
+        """Store the demand that another control instance sees."""
+        self._peers.apply(peer, update)
+
+    def update(self, now_s: float) -> None:
+        """Measure the demand and adjust the shares of this instance."""
+        self._update_peers()
+        for limit, broker in self._by_limit.items():
+            broker.measure(now_s)
+            wanted = self._peers.share(limit, broker.demand_per_s)
+            self._set_share(broker, next_share(broker.share, wanted), now_s)
+
+    def changed_demand(self, sent: dict[str, float]) -> AllowanceDemand | None:
+        """Return the demand that another instance is to be sent.
+
+        Parameters
+        ----------
+        sent : dict of float
+            Demand that was sent on the stream, by limit; it is updated. Empty
+            at the start of a stream, which makes the demand a full one.
+
+        Returns
+        -------
+        AllowanceDemand or None
+            None if no demand has changed. The largest changes are sent first
+            if not all of them may be sent at once.
+        """
+        full = not sent
+        changes = self._changes(sent)
+        changes.sort(reverse=True)
+        left_bytes = UPDATE_BYTES / max(len(self._members.known_ids), 1)
+        left_bytes -= _FRAME_BYTES
+        demands: list[LimitDemand] = []
+        for _, limit, per_s in changes:
+            left_bytes -= _DEMAND_BYTES + len(limit)
+            if left_bytes < 0 and demands and not full:
+                break
+            sent[limit] = per_s
+            demands.append(LimitDemand(limit=limit, per_s=per_s))
+        # The empty name is no limit; it marks that a full update was sent.
+        sent.setdefault('', 0)
+        if demands or full:
+            return AllowanceDemand(full=full, demands=demands)
+        return None
+
+    def describe(self) -> list[dict[str, Any]]:
+        """Return the limits with demand and share, for operators."""
+        return [
+            {
+                'limit': broker.limit,
+                'rate_per_s': broker.rate_per_s,
+                'burst': broker.burst,
+                'demand_per_s': round(broker.demand_per_s, 2),
+                'share': round(broker.share, 4),
+                'tokens': round(broker.bucket.tokens, 1),
+                'demand_of_others_per_s': self._peers.by_peer(broker.limit),
+            }
+            for broker in self._by_limit.values()
+        ]
+
+    def _answer(
+        self,
+        node: str,
+        use: AllowanceUse,
+        now_s: float,
+    ) -> AllowanceShare:
+        broker = self._by_limit.get(use.limit)
+        if broker is not None:
+            return broker.answer(node, use, now_s)
+        # The node has another table than this instance. Without a time for a
+        # retry, it decides by its own part of the limit.
+        return AllowanceShare(
+            limit=use.limit,
+            tokens=0,
+            valid_ms=0,
+            relaxed=False,
+            retry_after_ms=0,
+        )
+
+    def _changes(
+        self, sent: dict[str, float]
+    ) -> list[tuple[float, str, float]]:
+        """Return changed demands with their change as a part of the limit."""
+        changes: list[tuple[float, str, float]] = []
+        instances = len(self._members.known_ids) + 1
+        for limit, broker in self._by_limit.items():
+            before = sent.get(limit, 0)
+            change = abs(broker.demand_per_s - before)
+            equal_part = broker.rate_per_s / instances
+            if change > CHANGED_PART * max(before, equal_part):
+                changes.append(
+                    (
+                        change / broker.rate_per_s,
+                        limit,
+                        round(broker.demand_per_s, 2),
+                    ),
+                )
+            elif before and not broker.demand_per_s:
+                changes.append((0, limit, 0))
+        return changes
+
+    def _update_peers(self) -> None:
+        self._peers.update(
+            self._members.known_ids,
+            self._members.is_live,
+            self._registry.registrations_from,
+            self._registry.registrations_from(LOCAL_SOURCE),
+        )
+
+    def _apply_table(self) -> None:
+        """Take the limits of a new table in force."""
+        state = self._store.state
+        if not state.packed or state.table_index == self._table_index:
+            return
+        self._table_index = state.table_index
+        limited = _limited_accounts(state.packed)
+        self._update_peers()
+        for removed in self._by_limit.keys() - limited.keys():
+            self._by_limit.pop(removed)
+        now_s = _now()
+        for limit, account in limited.items():
+            self._apply_limit(limit, account, now_s)
+
+    def _apply_limit(
+        self,
+        limit: str,
+        account: ClientAccount,
+        now_s: float,
+    ) -> None:
+        broker = self._by_limit.get(limit)
+        if broker is None:
+            bucket = TokenBucket(now_s, self._first_tokens)
+            broker = LimitBroker(limit, bucket, now_s)
+            broker.share = self._peers.share(limit, 0)
+            self._by_limit[limit] = broker
+        broker.rate_per_s = account.rate_per_s
+        broker.burst = account.burst
+        self._set_share(broker, broker.share, now_s)
+
+    def _set_share(
+        self,
+        broker: LimitBroker,
+        share: float,
+        now_s: float,
+    ) -> None:
+        slack = BUCKET_SLACK * self._mesh.limit_slack
+        broker.resize(share, slack, now_s)
+
+
+def _limited_accounts(packed: bytes) -> dict[str, ClientAccount]:
+    accounts = (
+        decode_array(ClientAccount, encoded)
+        for encoded in unpack_table(packed).accounts.values()
+    )
+    return {
+        f'account/{account.name}': account
+        for account in accounts
+        if account.rate_per_s
+    }
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/components.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/components.py
@@ -6,6 +6,7 @@
 from mustardspur_core.settings import MeshSettings, Settings
 from mustardspur_core.tasks import background, supervised
 
+from mustardspur_control.mesh.allowances import AllowanceBroker
 from mustardspur_control.mesh.evidence import EvidenceAggregator
 from mustardspur_control.mesh.exchange import ControlExchange
 from mustardspur_control.mesh.membership import Membership
@@ -30,7 +31,7 @@
         State that the log is applied to.
     """
 
-    __slots__ = ('_driver', 'exchange', 'feeds', 'members')
+    __slots__ = ('_driver', 'allowances', 'exchange', 'feeds', 'members')
 
     def __init__(
         self,
@@ -43,8 +44,13 @@
         registry = MeshRegistry()
         evidence = EvidenceAggregator()
         self.members = Membership(settings, mesh, log)
+        self.allowances = AllowanceBroker(mesh, self.members, registry, store)
         self.exchange = ControlExchange(
-            settings, self.members, registry, evidence
+            settings,
+            self.members,
+            registry,
+            evidence,
+            self.allowances,
         )
         self.feeds = NodeFeedServer(
             settings,
@@ -63,4 +69,5 @@
             supervised('membership', self.members.run),
             supervised('exchange', self.exchange.run),
             supervised('transfers', self._driver.run),
+            supervised('allowances', self.allowances.run),
         )
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/exchange.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/exchange.py
@@ -12,6 +12,8 @@
 from typing import Final
 
 from mustardspur_core.mesh.control_messages import (
+    ACCEPTS_ALLOWANCES,
+    AllowanceDemand,
     ControlHello,
     MeshCrash,
     MeshEvidence,
@@ -28,6 +30,10 @@
     raise_on_silence,
 )
 
+from mustardspur_control.mesh.allowances import (
+    UPDATE_INTERVAL_S,
+    AllowanceBroker,
+)
 from mustardspur_control.mesh.crash_register import (
     CrashKey,
     CrashRegister,
@@ -63,6 +69,8 @@
         Registrations of all nodes.
     evidence : EvidenceAggregator
         Receives the evidence that other instances forward.
+    allowances : AllowanceBroker
+        Broker of the shared limits, with the demand to exchange.
 
     Attributes
     ----------
@@ -76,6 +84,7 @@
         '_members',
         '_registry',
         '_settings',
+        'allowances',
         'crashes',
     )
 
@@ -85,8 +94,10 @@
         members: Membership,
         registry: MeshRegistry,
         evidence: EvidenceAggregator,
+        allowances: AllowanceBroker,
     ) -> None:
         """Initialise the exchange without streams."""
+        self.allowances = allowances
         self._settings = settings
         self._members = members
         self._registry = registry
@@ -110,6 +121,7 @@
                         self._members,
                         self._registry,
                         self.crashes,
+                        self.allowances,
                     )
                     self._links[peer_id] = link
                     group.create_task(
@@ -152,12 +164,17 @@
         while True:
             body = (await stream.receive()).body
             self._members.record_seen(peer)
-            if isinstance(body, MeshTargets):
-                self._registry.apply_update(peer.id, body)
-            elif isinstance(body, MeshEvidence):
-                self._evidence.record(body)
-            elif isinstance(body, MeshCrash):
-                self.crashes.record(body)
+            self._apply(peer, body)
+
+    def _apply(self, peer: Peer, body: Record) -> None:
+        if isinstance(body, MeshTargets):
+            self._registry.apply_update(peer.id, body)
+        elif isinstance(body, MeshEvidence):
+            self._evidence.record(body)
+        elif isinstance(body, MeshCrash):
+            self.crashes.record(body)
+        elif isinstance(body, AllowanceDemand):
+            self.allowances.record_demand(peer.id, body)
 
     async def _send_heartbeats(self, stream: FrameStream) -> None:
         # Instances of earlier builds name no one.
@@ -165,6 +182,7 @@
         while True:
             stream.enqueue(
                 MeshHeartbeat(current=True, controls=accepts_crashes),
+                self.allowances.heartbeat_id,
             )
             await asyncio.sleep(self._settings.intervals.heartbeat_s)
 
@@ -192,10 +210,14 @@
         Registrations to send.
     crashes : CrashRegister
         Crashes to send.
+    allowances : AllowanceBroker
+        Demand to send.
     """
 
     __slots__ = (
+        '_accepts_allowances',
         '_accepts_crashes',
+        '_allowances',
         '_crashes',
         '_members',
         '_peer_id',
@@ -214,8 +236,11 @@
         members: Membership,
         registry: MeshRegistry,
         crashes: CrashRegister,
+        allowances: AllowanceBroker,
     ) -> None:
         """Initialise the link without a stream."""
+        self._allowances = allowances
+        self._accepts_allowances = False
         self._peer_id = peer_id
         self._crashes = crashes
         self._accepts_crashes = False
@@ -255,6 +280,7 @@
                 await run_until_first_end(
                     self._send(stream),
                     self._receive(stream),
+                    self._send_demand(stream),
                     raise_on_silence(
                         stream,
                         self._settings.intervals.silence_s,
@@ -272,6 +298,7 @@
         stream.enqueue(ControlHello(sender=own_peer(self._settings)))
         self._pending = PendingUpdates(self._wake)
         self._accepts_crashes = False
+        self._accepts_allowances = False
         self._sent_crashes = set()
         while True:
             self._wake.clear()
@@ -294,12 +321,25 @@
 
     async def _receive(self, stream: FrameStream) -> None:
         while True:
-            body = (await stream.receive()).body
+            frame = await stream.receive()
+            body = frame.body
+            if frame.request_id == ACCEPTS_ALLOWANCES:
+                self._accepts_allowances = True
             names_itself = isinstance(body, MeshHeartbeat) and body.controls
             if names_itself and not self._accepts_crashes:
                 self._accepts_crashes = True
                 self._wake.set()
 
+    async def _send_demand(self, stream: FrameStream) -> None:
+        """Send the demand for shared limits when it changes."""
+        sent: dict[str, float] = {}
+        while True:
+            await asyncio.sleep(UPDATE_INTERVAL_S)
+            if self._accepts_allowances and self._allowances.heartbeat_id:
+                changed = self._allowances.changed_demand(sent)
+                if changed is not None:
+                    stream.enqueue(changed)
+
     def _send_crashes(self, stream: FrameStream) -> None:
         """Send the crashes that were not sent on this stream."""
         if not self._accepts_crashes:
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/instance.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/instance.py
@@ -15,6 +15,7 @@
 from mustardspur_core.timeline import Timeline
 
 from mustardspur_control.control_stream import ControlStreams, serving_streams
+from mustardspur_control.mesh.allowances import AllowanceBroker
 from mustardspur_control.mesh.components import MeshComponents
 from mustardspur_control.mesh.formation import settings_with_first_voters
 from mustardspur_control.mesh.operations import MeshOperations
@@ -32,16 +33,20 @@
         Operations for operators.
     mesh : MeshSettings
         Settings of the mesh, updated when settings are reloaded.
+    allowances : AllowanceBroker
+        Broker of the limits shared by all nodes.
     """
 
-    __slots__ = ('_mesh', 'operations')
+    __slots__ = ('_mesh', 'allowances', 'operations')
 
     def __init__(
         self,
         operations: MeshOperations,
         mesh: MeshSettings,
+        allowances: AllowanceBroker,
     ) -> None:
         """Initialise the handle."""
+        self.allowances = allowances
         self.operations = operations
         self._mesh = mesh
 
@@ -92,4 +97,8 @@
         streams.add(MeshSubscribe, components.feeds.serve)
         await stack.enter_async_context(serving_streams(settings, streams))
         await stack.enter_async_context(components.running())
-        yield MeshControl(MeshOperations(log, store), mesh)
+        yield MeshControl(
+            MeshOperations(log, store),
+            mesh,
+            components.allowances,
+        )
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/membership.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/membership.py
@@ -83,6 +83,16 @@
         known.pop(self._settings.id, None)
         return known
 
+    @property
+    def known_ids(self) -> set[str]:
+        """Voters and recently seen instances, without this one."""
+        seen = {
+            name
+            for name, seen_s in self._last_seen_s.items()
+            if _now() - seen_s < PEER_EXPIRY_S
+        }
+        return (seen | self._log.voter_peers.keys()) - {self._settings.id}
+
     @property
     def controls(self) -> list[Peer]:
         """Instances that nodes may attach to: this and the live others."""
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
@@ -8,6 +8,7 @@
 
 from mustardspur_agreement import ReplicatedLog
 from mustardspur_core.mesh.control_messages import (
+    AllowanceRequest,
     MeshAnnounce,
     MeshAttach,
     MeshCrash,
@@ -22,7 +23,7 @@
 from mustardspur_core.mesh.packing import TableDelta
 from mustardspur_core.settings import Peer, Settings
 from mustardspur_core.tasks import run_until_first_end
-from mustardspur_core.wire import FrameStream, raise_on_silence
+from mustardspur_core.wire import Frame, FrameStream, raise_on_silence
 
 from mustardspur_control.mesh.evidence import EvidenceAggregator
 from mustardspur_control.mesh.exchange import ControlExchange
@@ -112,6 +113,13 @@
         with self._attached(feed):
             await feed.run()
 
+    def forward_evidence(self, evidence: MeshEvidence) -> None:
+        """Give the counts of an attached node to the leader."""
+        if self.log.is_leader:
+            self.evidence.record(evidence)
+        elif self.log.leader is not None:
+            self.exchange.send_evidence(self.log.leader, evidence)
+
     @contextmanager
     def _attached(self, feed: 'NodeFeed') -> Iterator[None]:
         self.feeds.add(feed)
@@ -159,6 +167,7 @@
         '_quorum_wait',
         '_sent_blocks',
         '_sent_controls',
+        '_sent_heartbeat_id',
         '_shared',
         '_stream',
         '_table_index',
@@ -185,6 +194,7 @@
         self._transfers_index = -1
         self._confirmed = False
         self._sent_controls: list[Peer] = []
+        self._sent_heartbeat_id = 0
         self._quorum_wait: asyncio.Task[None] | None = None
         self.node = hello.node
         self.wake = asyncio.Event()
@@ -214,20 +224,20 @@
 
     async def _receive(self) -> None:
         while True:
-            body = (await self._stream.receive()).body
-            if isinstance(body, MeshAnnounce):
-                self._shared.registry.put(LOCAL_SOURCE, body.target)
-            elif isinstance(body, MeshEvidence):
-                self._forward_evidence(body)
-            elif isinstance(body, MeshCrash):
-                self._shared.exchange.crashes.record(body)
-
-    def _forward_evidence(self, evidence: MeshEvidence) -> None:
-        log = self._shared.log
-        if log.is_leader:
-            self._shared.evidence.record(evidence)
-        elif log.leader is not None:
-            self._shared.exchange.send_evidence(log.leader, evidence)
+            self._apply(await self._stream.receive())
+
+    def _apply(self, frame: Frame) -> None:
+        body = frame.body
+        exchange = self._shared.exchange
+        if isinstance(body, MeshAnnounce):
+            self._shared.registry.put(LOCAL_SOURCE, body.target)
+        elif isinstance(body, MeshEvidence):
+            self._shared.forward_evidence(body)
+        elif isinstance(body, MeshCrash):
+            exchange.crashes.record(body)
+        elif isinstance(body, AllowanceRequest):
+            grant = exchange.allowances.answer(self.node, body)
+            self._stream.enqueue(grant)
 
     async def _send(self) -> None:
         self._send_heartbeat()
@@ -272,6 +282,11 @@
             self._stream.enqueue(targets)
         self._send_transfers()
         self._send_blocks()
+        heartbeat_id = self._shared.exchange.allowances.heartbeat_id
+        if heartbeat_id != self._sent_heartbeat_id:
+            # Before the table, so that a node that learns of limits knows
+            # that it can ask for tokens.
+            self._send_heartbeat()
         delta = self._shared.tables.delta(self._table_index)
         if delta is not None:
             self._table_index = delta.index
@@ -317,9 +332,11 @@
         controls = self._shared.members.controls
         changed = controls != self._sent_controls
         self._sent_controls = controls
+        self._sent_heartbeat_id = self._shared.exchange.allowances.heartbeat_id
         self._stream.enqueue(
             MeshHeartbeat(
                 current=self._shared.log.is_current,
                 controls=controls if changed else [],
             ),
+            self._sent_heartbeat_id,
         )
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/control_messages.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/control_messages.py
@@ -5,7 +5,7 @@
 """
 
 from types import MappingProxyType
-from typing import ClassVar
+from typing import ClassVar, Final
 
 from mustardspur_core.mesh.model import MeshTarget, Transfer
 from mustardspur_core.mesh.packing import TableDelta
@@ -13,6 +13,12 @@
 from mustardspur_core.settings import Peer
 from mustardspur_core.wire.codec import message
 
+# Request identifier of the heartbeats of a control instance that accepts
+# `AllowanceRequest` and `AllowanceDemand`. Builds that do not know these frames
+# send 0 and ignore the identifier; so does an instance whose table has no
+# limits.
+ACCEPTS_ALLOWANCES: Final = 1
+
 
 @message(120)
 class MeshHello(Record):
@@ -259,9 +265,95 @@
     blocked: list[BlockedCall]
 
 
+class AllowanceUse(Record):
+    """Use of a limit by the calls of one node.
+
+    Parameters
+    ----------
+    limit : str
+        Name of the limit, such as ``account/NAME``.
+    spent : int
+        Calls admitted in advance since the previous request.
+    wanted : int
+        Tokens that the node asks for.
+    calls : int
+        All calls since the previous request, also refused ones.
+    """
+
+    __slots__ = ('limit', 'spent', 'wanted', 'calls')
+    optional: ClassVar[Defaults] = MappingProxyType({'calls': int})
+    limit: str
+    spent: int
+    wanted: int
+    calls: int
+
+
+@message(132)
+class AllowanceRequest(Record):
+    """Request of a node for tokens; each is answered by one grant."""
+
+    __slots__ = ('uses',)
+    uses: list[AllowanceUse]
+
+
+class AllowanceShare(Record):
+    """Tokens of a limit for the calls of one node.
+
+    Parameters
+    ----------
+    valid_ms : float
+        Time from the sending of the request for which the tokens can be used.
+    relaxed : bool
+        Whether the node may admit a few calls in advance.
+    retry_after_ms : float
+        Time after which a token is expected if not all were granted, else 0.
+    """
+
+    __slots__ = ('limit', 'tokens', 'valid_ms', 'relaxed', 'retry_after_ms')
+    limit: str
+    tokens: int
+    valid_ms: float
+    relaxed: bool
+    retry_after_ms: float
+
+
+@message(133)
+class AllowanceGrant(Record):
+    """Answer to an `AllowanceRequest`, with a share for each use."""
+
+    __slots__ = ('grants',)
+    grants: list[AllowanceShare]
+
+
 @message(140)
 class ControlHello(Record):
     """First frame on a stream between two control instances."""
 
     __slots__ = ('sender',)
     sender: Peer
+
+
+class LimitDemand(Record):
+    """Calls a second of a limit that a control instance sees."""
+
+    __slots__ = ('limit', 'per_s')
+    limit: str
+    per_s: float
+
+
+@message(141)
+class AllowanceDemand(Record):
+    """Demand that the sending control instance sees, by limit.
+
+    Parameters
+    ----------
+    full : bool
+        Whether limits without an entry have no demand; so in the first frame
+        of a stream.
+    demands : list of LimitDemand
+        New and changed demands; 0 for a limit without demand.
+    """
+
+    __slots__ = ('full', 'demands')
+    full: bool
+    demands: list[LimitDemand]
--- a/packages/mustardspur_daemon/src/mustardspur_daemon/mesh_processes.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/mesh_processes.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from mustardspur_control.mesh import running_mesh_control
+from mustardspur_control.mesh.allowance_api import AllowanceApi
 from mustardspur_control.mesh.http_api import MeshApi
 from mustardspur_core.event_loop import stop_event
 from mustardspur_core.exposition import MetricsRegistry, serving_metrics
@@ -27,7 +28,10 @@
         async with (
             running_mesh_control(settings, mesh, timeline, metrics) as control,
             serving_app(
-                MeshApi(control.operations).app(), settings.listen.http
+                AllowanceApi(control.allowances).add_to(
+                    MeshApi(control.operations).app(),
+                ),
+                settings.listen.http,
             ),
             serving_metrics(settings.listen.metrics, metrics),
         ):
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/allowances.py
@@ -0,0 +1,319 @@
+"""Rate limits of client accounts at a node, shared with all other nodes."""
+
+import asyncio
+import random
+from collections import deque
+from http import HTTPStatus
+from typing import Final
+
+from mustardspur_core.mesh.control_messages import (
+    AllowanceGrant,
+    AllowanceRequest,
+)
+from mustardspur_core.mesh.model import ClientAccount
+from mustardspur_core.metrics import Metrics
+from mustardspur_core.record import Record
+from mustardspur_core.settings import MeshSettings
+from mustardspur_core.units import MS_PER_S
+from mustardspur_core.wire import FrameStream
+
+from mustardspur_node.mesh.allowance_metrics import AllowanceMetrics
+from mustardspur_node.mesh.calls import UnansweredCall
+from mustardspur_node.mesh.decisions import DecisionLog
+from mustardspur_node.mesh.limit_allowance import (
+    LimitAllowance,
+    SentUse,
+    Waiter,
+)
+from mustardspur_node.mesh.view import MeshView
+
+# Requests are at least this far apart.
+REQUEST_INTERVAL_S: Final = 0.05
+# Calls admitted in advance are reported within this time if no call waits.
+REPORT_DELAY_S: Final = 0.1
+# A call waits this long for a grant.
+WAIT_S: Final = 0.08
+# Further requests are not sent while this many are unanswered.
+MAX_UNANSWERED: Final = 8
+
+
+class _SentRequest(Record):
+    """A request that has not been answered yet."""
+
+    __slots__ = ('sent_s', 'entries')
+    sent_s: float
+    entries: list[tuple[LimitAllowance, SentUse]]
+
+
+class NodeAllowances:
+    """Admits calls of accounts within their limits.
+
+    Explanation
+    ===========
+
+    Requests are batched over all limits. A call whose grant does not come
+    within `WAIT_S` is decided by the node's own part of the limit, and so are
+    all further ones at once, until a grant comes in time.
+
+    Parameters
+    ----------
+    mesh : MeshSettings
+        Slack of the limits.
+    view : MeshView
+        Table and number of nodes.
+    decisions : DecisionLog
+        Receives the refusals.
+    metrics : Metrics
+        Receives the counts of calls by account.
+    """
+
+    __slots__ = (
+        '_by_account',
+        '_decisions',
+        '_generator',
+        '_is_silent',
+        '_mesh',
+        '_metrics',
+        '_news',
+        '_request_s',
+        '_sent',
+        '_sent_s',
+        '_stream',
+        '_timer',
+        '_view',
+    )
+
+    def __init__(
+        self,
+        mesh: MeshSettings,
+        view: MeshView,
+        decisions: DecisionLog,
+        metrics: Metrics,
+    ) -> None:
+        """Initialise without a control instance."""
+        self._mesh = mesh
+        self._view = view
+        self._decisions = decisions
+        self._metrics = AllowanceMetrics(metrics)
+        self._generator = random.Random()
+        self._by_account: dict[str, LimitAllowance] = {}
+        # Limits for the next request.
+        self._news: dict[str, LimitAllowance] = {}
+        self._sent: deque[_SentRequest] = deque()
+        self._sent_s = float('-inf')
+        self._request_s = float('inf')
+        self._timer: asyncio.TimerHandle | None = None
+        self._stream: FrameStream | None = None
+        self._is_silent = False
+
+    async def admit(
+        self,
+        account: ClientAccount | None,
+        request_id: str | None,
+    ) -> None:
+        """Return once a call of an account may run.
+
+        Parameters
+        ----------
+        account : ClientAccount or None
+            Account of the call; a call without one is not limited.
+        request_id : str or None
+            Identifier of the request for the log.
+
+        Raises
+        ------
+        UnansweredCall
+            With status 429 if the call is beyond the limit.
+        """
+        if account is None or not account.rate_per_s:
+            return
+        now_s = _now()
+        allowance = self._allowance(account, now_s)
+        if allowance.try_admit(now_s):
+            if allowance.has_news:
+                self._add_news(allowance, now_s)
+        else:
+            retry_s = await self._retry_s(allowance, now_s)
+            if retry_s:
+                self._refuse(allowance, retry_s, request_id)
+        allowance.admitted += 1
+
+    def attach(self, stream: FrameStream) -> None:
+        """Ask a control instance that accepts requests from now on."""
+        if self._stream is not stream:
+            self.detach()
+            self._stream = stream
+
+    def detach(self) -> None:
+        """Decide without a control instance from now on."""
+        self._stream = None
+        self._is_silent = False
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._request_s = float('inf')
+        for request in self._sent:
+            for _, sent in request.entries:
+                _end_waits(sent.waiters)
+        self._sent.clear()
+        for allowance in self._by_account.values():
+            _end_waits(allowance.waiters)
+            allowance.waiters = []
+            allowance.detach()
+
+    def apply(self, grant: AllowanceGrant) -> None:
+        """Apply the answer to the oldest request."""
+        if not self._sent:
+            return
+        now_s = _now()
+        request = self._sent.popleft()
+        is_late = now_s - request.sent_s > WAIT_S
+        self._is_silent = self._is_silent and is_late
+        for (allowance, sent), share in zip(
+            request.entries,
+            grant.grants,
+            strict=False,
+        ):
+            if is_late:
+                allowance.apply_late(sent)
+                _end_waits(sent.waiters)
+            else:
+                allowance.apply(share, sent, request.sent_s, now_s)
+        if self._news and self._timer is None:
+            self._schedule(now_s)
+
+    def check(self) -> None:
+        """Send the counts of calls and remove accounts without a limit."""
+        routes = self._view.routes
+        accounts = routes.table.accounts if routes else {}
+        self._metrics.send(self._by_account, accounts)
+        for name in self._by_account.keys() - accounts.keys():
+            self._by_account.pop(name)
+
+    def _allowance(
+        self,
+        account: ClientAccount,
+        now_s: float,
+    ) -> LimitAllowance:
+        allowance = self._by_account.get(account.name)
+        if allowance is None:
+            allowance = LimitAllowance(account, self._generator, now_s)
+            self._by_account[account.name] = allowance
+        allowance.account = account
+        return allowance
+
+    async def _retry_s(
+        self,
+        allowance: LimitAllowance,
+        now_s: float,
+    ) -> float:
+        """Return 0 for an admitted call, else the time until a retry."""
+        refused_s = allowance.refused_for_s(now_s)
+        if self._stream is not None and refused_s > 0:
+            return refused_s
+        granted: float | None = None
+        if self._stream is not None and not self._is_silent:
+            granted = await self._wait(allowance, now_s)
+        elif self._stream is not None:
+            self._add_news(allowance, now_s)
+        if granted is not None:
+            return granted
+        return allowance.fall_back(
+            len(self._view.targets_by_node),
+            self._mesh.limit_slack,
+            _now(),
+        )
+
+    async def _wait(
+        self,
+        allowance: LimitAllowance,
+        now_s: float,
+    ) -> float | None:
+        loop = asyncio.get_running_loop()
+        waiter: Waiter = loop.create_future()
+        allowance.waiters.append(waiter)
+        self._add_news(allowance, now_s)
+        timer = loop.call_later(WAIT_S, self._give_up, waiter)
+        waiter.add_done_callback(lambda _: timer.cancel())
+        return await waiter
+
+    def _give_up(self, waiter: Waiter) -> None:
+        if not waiter.done():
+            self._is_silent = True
+            waiter.set_result(None)
+
+    def _add_news(self, allowance: LimitAllowance, now_s: float) -> None:
+        """Include a limit in the next request."""
+        if self._stream is None:
+            return
+        self._news[allowance.account.name] = allowance
+        delay_s = 0 if allowance.must_report else REPORT_DELAY_S
+        self._schedule(now_s + delay_s)
+
+    def _schedule(self, earliest_s: float) -> None:
+        request_s = max(earliest_s, self._sent_s + REQUEST_INTERVAL_S)
+        if request_s >= self._request_s:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._request_s = request_s
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_at(request_s, self._send)
+
+    def _send(self) -> None:
+        self._timer = None
+        self._request_s = float('inf')
+        if self._stream is None or len(self._sent) >= MAX_UNANSWERED:
+            return
+        now_s = _now()
+        self._sent_s = now_s
+        entries = [
+            (allowance, allowance.next_use(now_s))
+            for allowance in self._news.values()
+        ]
+        self._news = {}
+        self._sent.append(_SentRequest(sent_s=now_s, entries=entries))
+        self._stream.enqueue(
+            AllowanceRequest(uses=[sent.use for _, sent in entries]),
+        )
+
+    def _refuse(
+        self,
+        allowance: LimitAllowance,
+        retry_s: float,
+        request_id: str | None,
+    ) -> None:
+        """Raise the refusal of a call beyond the limit."""
+        allowance.refused += 1
+        account = allowance.account
+        is_granted = self._stream is not None and not self._is_silent
+        self._decisions.write(
+            'rate limit reached',
+            account=account.name,
+            request=request_id,
+            limit_per_s=account.rate_per_s,
+            burst=account.burst,
+            decided_by='control instance' if is_granted else 'node alone',
+            nodes=len(self._view.targets_by_node),
+            grant_age_ms=_age_ms(allowance.granted_s),
+            retry_after_ms=round(retry_s * MS_PER_S),
+        )
+        raise UnansweredCall(
+            HTTPStatus.TOO_MANY_REQUESTS,
+            'the rate limit of the account is reached',
+            retry_s,
+        )
+
+
+def _age_ms(granted_s: float | None) -> int | None:
+    return None if granted_s is None else round((_now() - granted_s) * MS_PER_S)
+
+
+def _end_waits(waiters: list[Waiter]) -> None:
+    for waiter in waiters:
+        if not waiter.done():
+            waiter.set_result(None)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_requests.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_requests.py
@@ -7,8 +7,11 @@
 
 from aiohttp.http_parser import RawRequestMessage
 from mustardspur_core.mesh.model import MeshRoute
+from mustardspur_core.metrics import Metrics
+from mustardspur_core.settings import MeshSettings
 from mustardspur_core.units import MS_PER_S
 
+from mustardspur_node.mesh.allowances import NodeAllowances
 from mustardspur_node.mesh.call_value import CallEvaluator
 from mustardspur_node.mesh.caller_accounts import CallerAccounts, account_rank
 from mustardspur_node.mesh.caller_connection import CallerBodyError, ReadBody
@@ -31,6 +34,15 @@
         Names of the headers.
     decisions : DecisionLog
         Receives the refusals of keys.
+    mesh : MeshSettings
+        Tolerance of the rate limits of accounts.
+    metrics : Metrics
+        Receives the counts of calls by account.
+
+    Attributes
+    ----------
+    allowances : NodeAllowances
+        Rate limits of the accounts.
     """
 
     __slots__ = (
@@ -40,6 +52,7 @@
         '_names',
         '_node_header_names',
         '_view',
+        'allowances',
         'origin_service',
     )
 
@@ -48,8 +61,11 @@
         view: MeshView,
         names: HeaderNames,
         decisions: DecisionLog,
+        mesh: MeshSettings,
+        metrics: Metrics,
     ) -> None:
         """Initialise without values of routes."""
+        self.allowances = NodeAllowances(mesh, view, decisions, metrics)
         self._view = view
         self._names = names
         self._accounts = CallerAccounts(names, decisions)
@@ -85,7 +101,8 @@
         Raises
         ------
         UnansweredCall
-            If the call needs a key and presents none that is known.
+            If the call needs a key and presents none that is known, or if
+            the rate limit of its account is reached.
         CallerBodyError
             If the body does not arrive in time.
         """
@@ -99,9 +116,11 @@
             route,
             message.headers,
         )
+        request_id = message.headers.get(self._names.request_id, '')
+        await self.allowances.admit(account, request_id)
         value = self._evaluator.evaluate(route, caller_timeout_ms)
         return MeshCall(
-            request_id=message.headers.get(self._names.request_id, ''),
+            request_id=request_id,
             route=route,
             account=account,
             method=message.method,
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
@@ -8,8 +8,8 @@
 from typing import Final
 
 from aiohttp.http_parser import RawRequestMessage
-from mustardspur_core.mesh.model import DEFAULT_LIMITS
 from mustardspur_core.metrics import Metrics
+from mustardspur_core.settings import MeshSettings
 from mustardspur_core.units import MS_PER_S
 
 from mustardspur_node.mesh.caller_answers import (
@@ -34,6 +34,10 @@
 BACKLOG: Final = 1024
 # New connections between two removals of closed ones.
 _PRUNE_CONNECTIONS: Final = 64
+# Statuses of calls that did not run and may be sent again after a time.
+_RETRY_STATUSES: Final = frozenset(
+    (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS),
+)
 
 
 class CallerServer:
@@ -49,6 +53,13 @@
         Names of the headers.
     metrics : Metrics
         Receives the counts and times of calls.
+    mesh : MeshSettings
+        Tolerance of the rate limits of accounts.
+
+    Attributes
+    ----------
+    allowances : NodeAllowances
+        Rate limits of the accounts.
     """
 
     __slots__ = (
@@ -59,6 +70,7 @@
         '_placer',
         '_server',
         '_view',
+        'allowances',
         'draining',
         'in_flight',
     )
@@ -69,13 +81,21 @@
         placer: Placer,
         names: HeaderNames,
         metrics: Metrics,
+        mesh: MeshSettings,
     ) -> None:
         """Initialise the server without connections."""
         self._view = view
         self._placer = placer
         self._names = names
         self._metrics = metrics
-        self._calls = CallBuilder(view, names, placer.log.decisions)
+        self._calls = CallBuilder(
+            view,
+            names,
+            placer.log.decisions,
+            mesh,
+            metrics,
+        )
+        self.allowances = self._calls.allowances
         self._connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
         self.draining = False
@@ -160,10 +180,8 @@
         }
 
     def _create_connection(self) -> CallerConnection:
-        routes = self._view.routes
-        limits = routes.table.limits if routes else DEFAULT_LIMITS
         connection = CallerConnection(
-            limits,
+            self._view.limits,
             self.answer,
             lambda: self.draining,
         )
@@ -209,9 +227,9 @@
 
     def _refusal_answer(self, unanswered: UnansweredCall) -> CallerAnswer:
         headers: Headers = []
-        if unanswered.status == HTTPStatus.SERVICE_UNAVAILABLE:
+        if unanswered.status in _RETRY_STATUSES:
             after_s = unanswered.retry_after_s
-            headers.append([self._names.retry_after, str(after_s)])
+            headers.append([self._names.retry_after, format(after_s, '.4g')])
         if unanswered.status == HTTPStatus.UNAUTHORIZED:
             headers.append(['www-authenticate', 'Bearer'])
         return node_answer(unanswered.status, unanswered.reason, headers)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
@@ -5,6 +5,8 @@
 from typing import Final
 
 from mustardspur_core.mesh.control_messages import (
+    ACCEPTS_ALLOWANCES,
+    AllowanceGrant,
     MeshAnnounce,
     MeshBlocks,
     MeshHeartbeat,
@@ -15,7 +17,6 @@
     MeshTransfers,
 )
 from mustardspur_core.mesh.packing import unpack_delta
-from mustardspur_core.record import Record
 from mustardspur_core.settings import MeshSettings, Settings
 from mustardspur_core.tasks import run_periodically, run_until_first_end
 from mustardspur_core.wire import (
@@ -26,6 +27,7 @@
     raise_on_silence,
 )
 
+from mustardspur_node.mesh.allowances import NodeAllowances
 from mustardspur_node.mesh.chooser import TargetChooser
 from mustardspur_node.mesh.control_ranking import ControlRanking
 from mustardspur_node.mesh.local_target import LocalTarget
@@ -79,9 +81,12 @@
         The target that is announced.
     chooser : TargetChooser
         Is notified of targets, to detect newly started ones.
+    allowances : NodeAllowances
+        Limits whose tokens the control instance grants.
     """
 
     __slots__ = (
+        '_allowances',
         '_chooser',
         '_failures',
         '_local',
@@ -103,8 +108,10 @@
         view: MeshView,
         local: LocalTarget,
         chooser: TargetChooser,
+        allowances: NodeAllowances,
     ) -> None:
         """Initialise the link without a stream."""
+        self._allowances = allowances
         self._settings = settings
         self._view = view
         self._local = local
@@ -158,6 +165,8 @@
             if not self.attached:
                 self._failures += 1
             _log_lost(stream_address, error, self._failures, self.attached)
+        finally:
+            self._allowances.detach()
 
     async def _receive(self, stream: FrameStream, address: str) -> None:
         stream.enqueue(
@@ -169,7 +178,9 @@
             ),
         )
         while True:
-            body = (await stream.receive()).body
+            frame = await stream.receive()
+            if frame.request_id == ACCEPTS_ALLOWANCES:
+                self._allowances.attach(stream)
             if not self.attached:
                 self.attached = address
                 _LOG.info(
@@ -180,10 +191,8 @@
                     },
                 )
                 self._failures = 0
-            self._dispatch(body)
-
-    def _dispatch(self, body: Record) -> None:
-        _FROM_CONTROL.handler_of(body)(self, body)
+            handle = _FROM_CONTROL.handler_of(frame.body)
+            handle(self, frame.body)
 
     @_FROM_CONTROL.handles(MeshHeartbeat)
     def _apply_heartbeat(self, heartbeat: MeshHeartbeat) -> None:
@@ -248,6 +257,10 @@
     def _apply_blocks(self, update: MeshBlocks) -> None:
         self._local.blocked.apply(update)
 
+    @_FROM_CONTROL.handles(AllowanceGrant)
+    def _apply_grant(self, grant: AllowanceGrant) -> None:
+        self._allowances.apply(grant)
+
     async def _send(self, stream: FrameStream) -> None:
         while True:
             self.announcement_changed.clear()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -78,7 +78,13 @@
         self.local = LocalTarget(self.reports, names)
         self.peers = PeerServer(self.local)
         self.placer = Placer(settings, mesh, self.view, self.local, metrics)
-        self.callers = CallerServer(self.view, self.placer, names, metrics)
+        self.callers = CallerServer(
+            self.view,
+            self.placer,
+            names,
+            metrics,
+            mesh,
+        )
         self._update_origin()
         self.link = MeshControlLink(
             settings,
@@ -86,6 +92,7 @@
             self.view,
             self.local,
             self.placer.chooser,
+            self.callers.allowances,
         )
         self.reports.on_change(self._apply_target_change)
 
@@ -153,6 +160,7 @@
         self.local.pool.prune()
         self.callers.discard_route_values()
         self.view.discard_retained()
+        self.callers.allowances.check()
         self._set_gauges()
 
     def _set_gauges(self) -> None:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/view.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/view.py
@@ -9,6 +9,8 @@
     MeshTransfers,
 )
 from mustardspur_core.mesh.model import (
+    DEFAULT_LIMITS,
+    CallerLimits,
     MeshRoute,
     MeshTarget,
     MeshTargetState,
@@ -179,6 +181,11 @@
             if target.state == MeshTargetState.READY
         ]
 
+    @property
+    def limits(self) -> CallerLimits:
+        """Limits on the requests of callers."""
+        return self.routes.table.limits if self.routes else DEFAULT_LIMITS
+
     @property
     def has_running_transfer(self) -> bool:
         """Whether any service has a running transfer."""
--- a/tests/node/mesh/test_caller_server.py
+++ b/tests/node/mesh/test_caller_server.py
@@ -37,7 +37,13 @@
     assert isinstance(settings.mesh, MeshSettings)
     local = local_target('127.0.0.1:9')
     placer = Placer(settings, settings.mesh, view, local, NullMetrics())
-    server = CallerServer(view, placer, HEADER_NAMES, NullMetrics())
+    server = CallerServer(
+        view,
+        placer,
+        HEADER_NAMES,
+        NullMetrics(),
+        settings.mesh,
+    )
     address = free_address()
     async with server.serving(address):
         yield address, placer
