--- a/tests/daemon/test_mesh.py
+++ b/tests/daemon/test_mesh.py
@@ -9,9 +9,10 @@
 from aiohttp import ClientSession
 from mustardspur_client.main import run
 from mustardspur_core.conversion import encode_mapping
+from mustardspur_core.record import replaced
 from mustardspur_node.paths import ANNOUNCEMENTS_PATH, READY_PATH
 
-from tests.core.mesh.builders import route, table
+from tests.core.mesh.builders import account, route, table
 from tests.daemon.processes import POLL_S, answer_of, running_daemon
 from tests.node.mesh.builders import target_report
 from tests.node.stand_ins.scripted import run_scripted
@@ -85,6 +86,31 @@
     assert 'mustardspur_calls_answered_200 1' in text
 
 
+async def test_rate_limit_of_an_account(tmp_path: Path) -> None:
+    """Guards against a limit that works with stand-ins for streams only."""
+    limited = account('cafe', 'key', rate_per_s=0.5, burst=1)
+    # Calls without a key wait for the target and are not limited.
+    opened = table(3, route('drafts', public=True))
+    document = encode_mapping(replaced(opened, accounts={'cafe': limited}))
+    async with run_scripted() as (target_address, _):
+        control, node = mesh_documents(tmp_path, target_address)
+        async with (
+            running_daemon(tmp_path, control),
+            running_daemon(tmp_path, node),
+            ClientSession() as session,
+        ):
+            put = await put_table(tmp_path, control, document)
+            assert put.startswith('0 ')
+            await report_target(session, node, target_address)
+            assert await _call(session, node) == b'good'
+            statuses = await _statuses(session, node, 20)
+            assert '"account/cafe"' in await _client(control, 'accounts')
+            await _metrics_with(session, node, 'accounts_cafe_over_limit')
+    # The burst and half of the slack, and a token that may have arrived.
+    assert 11 <= statuses.count(200) <= 13
+    assert statuses[-1] == 429
+
+
 async def put_table(
     folder: Path,
     control: dict[str, Any],
@@ -126,6 +152,27 @@
         await asyncio.sleep(POLL_S)
 
 
+async def _statuses(
+    session: ClientSession,
+    node: dict[str, Any],
+    count: int,
+) -> list[int]:
+    """Return the statuses of calls that follow each other."""
+    statuses: list[int] = []
+    while len(statuses) < count:
+        statuses.append(await _status(session, node))
+    return statuses
+
+
+async def _status(session: ClientSession, node: dict[str, Any]) -> int:
+    url = 'http://{http}/drafts/1'.format(**node['listen'])
+    headers = {'Host': 'forms.example', 'Authorization': 'Bearer key'}
+    async with session.get(url, headers=headers) as response:
+        if response.status == 429:
+            assert float(response.headers['Retry-After']) > 0
+        return response.status
+
+
 async def _call(session: ClientSession, node: dict[str, Any]) -> bytes:
     url = 'http://{http}/drafts/1'.format(**node['listen'])
     while True:
