Keep shares steady at the start of demand, and benchmark a call

The first calls after a quiet time moved the shares to the instances where they happened to arrive, and calls at the others were refused. 0.05 of the rate now counts as demand at all instances alike. Calls in advance are reported within 0.5 s instead of 0.1 s, so that more of them share a request.

--- /dev/null
+++ b/benchmarks/allowances/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmark of the time that a rate limit takes for each call."""
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/allowance_shares.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/allowance_shares.py
@@ -7,6 +7,8 @@
 
 # Part of a limit that is divided equally; the rest follows the demand.
 FIXED_PART: Final = 0.2
+# Part of the rate that counts as demand before any call.
+ASSUMED_PART: Final = 0.05
 # Part of the missing share by which a share rises at each update.
 RISE_PART: Final = 0.5
 
@@ -111,9 +113,13 @@
             peer: demand.per_s(limit) for peer, demand in self._by_peer.items()
         }
 
-    def share(self, limit: str, own_per_s: float) -> float:
+    def share(self, limit: str, own_per_s: float, rate_per_s: float) -> float:
         """Return the share of this instance in a limit.
 
+        A small part of the rate counts as demand at all instances alike.
+        Without it, the first few calls after a quiet time would move the
+        shares to the instances where they happen to arrive.
+
         An instance that has never been heard counts as one with an equal
         share, since it may hold one: an instance that restarts cut off from
         the others must not take their shares.
@@ -122,10 +128,10 @@
         others_per_s = sum(
             demand.per_s(limit) for demand in self._by_peer.values()
         )
+        assumed_per_s = ASSUMED_PART * rate_per_s / self._instances
         total_per_s = own_per_s + others_per_s
-        part = 1 / (len(self._by_peer) + 1)
-        if total_per_s > 0:
-            part = own_per_s / total_per_s
+        total_per_s += assumed_per_s * (len(self._by_peer) + 1)
+        part = (own_per_s + assumed_per_s) / total_per_s
         return FIXED_PART / self._instances + (1 - FIXED_PART) * heard * part
 
 
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/allowances.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/allowances.py
@@ -117,7 +117,11 @@
         self._update_peers()
         for limit, broker in self._by_limit.items():
             broker.measure(now_s)
-            wanted = self._peers.share(limit, broker.demand_per_s)
+            wanted = self._peers.share(
+                limit,
+                broker.demand_per_s,
+                broker.rate_per_s,
+            )
             self._set_share(broker, next_share(broker.share, wanted), now_s)
 
     def changed_demand(self, sent: dict[str, float]) -> AllowanceDemand | None:
@@ -241,7 +245,7 @@
         if broker is None:
             bucket = TokenBucket(now_s, self._first_tokens)
             broker = LimitBroker(limit, bucket, now_s)
-            broker.share = self._peers.share(limit, 0)
+            broker.share = self._peers.share(limit, 0, account.rate_per_s)
             self._by_limit[limit] = broker
         broker.rate_per_s = account.rate_per_s
         broker.burst = account.burst
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/allowances.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/allowances.py
@@ -30,7 +30,7 @@
 # Requests are at least this far apart.
 REQUEST_INTERVAL_S: Final = 0.05
 # Calls admitted in advance are reported within this time if no call waits.
-REPORT_DELAY_S: Final = 0.1
+REPORT_DELAY_S: Final = 0.5
 # A call waits this long for a grant.
 WAIT_S: Final = 0.08
 # Further requests are not sent while this many are unanswered.
