--- a/packages/mustardspur_client/src/mustardspur_client/verbs/__init__.py
+++ b/packages/mustardspur_client/src/mustardspur_client/verbs/__init__.py
@@ -1,6 +1,7 @@
 """Verbs of the command line."""
 
 from mustardspur_client.verbs import (
+    accounts,
     evacuations,
     explaining,
     instances,
@@ -18,6 +19,7 @@
 
 # Importing these modules registers their verbs.
 VERB_MODULES = (
+    accounts,
     profiles,
     services,
     waiting,
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/instance.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/instance.py
@@ -15,6 +15,7 @@
 from mustardspur_core.timeline import Timeline
 
 from mustardspur_control.control_stream import ControlStreams, serving_streams
+from mustardspur_control.mesh.allowances import AllowanceBroker
 from mustardspur_control.mesh.components import MeshComponents
 from mustardspur_control.mesh.evacuations import (
     EvacuationOperations,
@@ -40,17 +41,21 @@
         Operations for operators on evacuations.
     mesh : MeshSettings
         Settings of the mesh, updated when settings are reloaded.
+    allowances : AllowanceBroker
+        Broker of the limits shared by all nodes.
     """
 
-    __slots__ = ('_mesh', 'evacuations', 'operations')
+    __slots__ = ('_mesh', 'allowances', 'evacuations', 'operations')
 
     def __init__(
         self,
         operations: MeshOperations,
         evacuations: EvacuationOperations,
         mesh: MeshSettings,
+        allowances: AllowanceBroker,
     ) -> None:
         """Initialise the handle."""
+        self.allowances = allowances
         self.operations = operations
         self.evacuations = evacuations
         self._mesh = mesh
@@ -109,4 +114,5 @@
             MeshOperations(access, store),
             EvacuationOperations(access, store, known),
             mesh,
+            components.allowances,
         )
