Draw the ports of test processes from below the ephemeral range

The ports were assigned by the kernel, which gives the same ones to the probes of other test processes and to outgoing connections before the node listens.

Change: ports are drawn at random, not seeded, from 10240 to 32767.

Result: tests/platform/test_processes.py and test_evacuation.py pass; the collision itself was seen in the log of the node and not provoked again.

--- a/tests/platform/mesh_processes.py
+++ b/tests/platform/mesh_processes.py
@@ -3,12 +3,13 @@
 import asyncio
 import json
 import os
+import secrets
 import shutil
 import signal
 import socket
 import sys
 from collections.abc import AsyncIterator
-from contextlib import ExitStack, asynccontextmanager
+from contextlib import ExitStack, asynccontextmanager, suppress
 from functools import partial
 from pathlib import Path
 from typing import Any, Final
@@ -20,6 +21,8 @@
 HANG_LIMIT_S: Final = 60.0
 POLL_S: Final = 0.05
 HOST: Final = 'forms.example'
+# Below the ports that the kernel assigns to outgoing connections.
+_PORT_RANGE: Final = range(10_240, 32_768)
 _PORTS: Final = ('stream', 'http', 'ready', 'targets', 'target')
 _HEALTH_PATH: Final = '/healthz'
 
@@ -260,12 +263,19 @@
 
 
 def _free_ports() -> list[int]:
+    """Return ports that are free now and that nobody else is likely to take.
+
+    Ports that the kernel assigns are taken by other test processes and by
+    outgoing connections before the mesh listens on them.
+    """
     with ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in _PORTS]
-        return [_bind(probe) for probe in probes]
+        return [_bind(stack.enter_context(socket.socket())) for _ in _PORTS]
 
 
 def _bind(probe: socket.socket) -> int:
-    probe.bind(('0.0.0.0', 0))
-    port: int = probe.getsockname()[1]
-    return port
+    while True:
+        # Not seeded, since other processes would draw the same ports.
+        port = secrets.choice(_PORT_RANGE)
+        with suppress(OSError):
+            probe.bind(('0.0.0.0', port))
+            return port
