Guard the checks of the soak, and describe its orders

Cause: a check that finds nothing would pass every seed; the withdrawal of a key chose control instances without the seed and retried without a pause.

Change: a test of broken periods, and retries in turn with a pause.

--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -2,14 +2,14 @@
 
 import asyncio
 import math
-import random
 import signal
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
+from itertools import cycle
 from typing import Any, Final
 
 from tests.platform.mesh_processes import HANG_LIMIT_S
-from tests.platform.soak.plan import PlannedFault
+from tests.platform.soak.plan import MIN_LENGTH_S, PlannedFault
 from tests.platform.soak.world import CONTROLS, DATA_CENTRES, NODES, World
 
 FaultFunction = Callable[[World, PlannedFault], Coroutine[Any, Any, None]]
@@ -208,8 +208,8 @@
     if periods.withdrawing:
         return
     periods.withdrawing = True
-    host = planned.choose(world.controls)
+    hosts = cycle((planned.choose(world.controls), *world.controls))
     async with asyncio.timeout(HANG_LIMIT_S):
         while periods.withdrawn_s == math.inf:
-            await world.edit(host, world.number + 1, world.number)
-            host = random.choice(world.controls)
+            await world.edit(next(hosts), world.number + 1, world.number)
+            await asyncio.sleep(MIN_LENGTH_S)
--- a/tests/platform/soak/test_soak.py
+++ b/tests/platform/soak/test_soak.py
@@ -6,8 +6,16 @@
 
 import pytest
 
+from tests.platform.soak.accounts import KEYS
 from tests.platform.soak.promises import LOST
 from tests.platform.soak.run import soak
+from tests.platform.soak.windows import (
+    IN_FORCE_S,
+    Period,
+    PeriodLog,
+    Run,
+    header_finding,
+)
 from tests.platform.soak.world import NODES, World, calling, running_world
 
 _LENGTH_S = 6.0
@@ -37,6 +45,37 @@
     assert result.served
 
 
+def test_broken_periods_are_found() -> None:
+    """Guards against checks of a soak that find nothing."""
+    log = PeriodLog()
+    log.withdrawing = True
+    log.withdrawn_s = 0
+    evacuation = Period(hosts=('far',), from_s=0, until_s=20)
+    log.evacuations.append(evacuation)
+    log.cold.append(Period(hosts=('near',), from_s=30, until_s=33))
+    kept, withdrawn = (f'caller-{KEYS.index(key)}' for key in KEYS[:2])
+    for at_s, request_id, host in (
+        # In time, and after the readmission.
+        (IN_FORCE_S - 0.1, withdrawn, 'far'),
+        (20.1, kept, 'far'),
+        # Too late.
+        (IN_FORCE_S + 0.1, kept, 'far'),
+        (IN_FORCE_S + 0.2, withdrawn, 'near'),
+        # 21 in one second that starts between two full ones.
+        *((31.5 + number / 22, kept, 'near') for number in range(21)),
+    ):
+        log.runs.append(Run(at_s=at_s, request_id=request_id, host=host))
+    broken = [finding.partition(',')[0] for finding in log.findings()]
+    assert broken == [
+        "1 calls at evacuated ('far'",
+        "21 calls in one second at cold ('near'",
+        '1 calls with a withdrawn key',
+    ]
+    assert header_finding(kept, 'harbour', f'Bearer {KEYS[0]}')
+    assert header_finding(kept, 'market', '')
+    assert header_finding(kept, 'harbour', '') is None
+
+
 async def _until_served_by_all(world: World) -> None:
     outcomes = world.observations.outcomes_by_id
     while True:
