Show in the result of a soak how long its promises were checked

Change: the result has requests by status, seconds of checked evacuations and of the withdrawn key, and the number of cold times.

--- a/tests/platform/soak/run.py
+++ b/tests/platform/soak/run.py
@@ -42,16 +42,29 @@
     ----------
     served, asked : int
         Requests that were answered with success, and all.
+    statuses : dict of int
+        Requests by status.
+    checked : dict of float
+        For how long promises were checked, and the number of cold times.
     findings : list of str
         Broken promises.
     """
 
-    __slots__ = ('seed', 'faults', 'asked', 'served', 'statuses', 'findings')
+    __slots__ = (
+        'seed',
+        'faults',
+        'asked',
+        'served',
+        'statuses',
+        'checked',
+        'findings',
+    )
     seed: int
     faults: list[str]
     asked: int
     served: int
     statuses: dict[int, int]
+    checked: dict[str, float]
     findings: list[str]
 
 
@@ -85,6 +98,7 @@
         asked=len(statuses),
         served=statuses.count(HTTPStatus.OK),
         statuses=dict(Counter(statuses)),
+        checked=observations.periods.checked(),
         findings=observations.findings(),
     )
 
--- a/tests/platform/soak/windows.py
+++ b/tests/platform/soak/windows.py
@@ -86,6 +86,21 @@
             acked.append(self.withdrawn_s)
         return max(acked, default=0) + IN_FORCE_S
 
+    def checked(self) -> dict[str, float]:
+        """Return for how long promises were checked, and how often."""
+        last_s = self.runs[-1].at_s if self.runs else 0
+        evacuated_s = [
+            min(each.until_s, last_s) - each.from_s - IN_FORCE_S
+            for each in self.evacuations
+        ]
+        return {
+            'evacuated_s': round(sum(max(0, each) for each in evacuated_s), 1),
+            'cold': len(self.cold),
+            'withdrawn_s': round(
+                max(0, last_s - self.withdrawn_s - IN_FORCE_S), 1
+            ),
+        }
+
     def findings(self) -> Iterator[str]:
         """Yield the broken promises, with the run that breaks each first."""
         for evacuation in self.evacuations:
