Discard the report of a cold target once the target is warm

Cause: the report of a cold target states the capacity of its bound.

Change: the chooser discards such a report once the announced cold time has ended.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/chooser.py
@@ -187,8 +187,15 @@
         return self._assumed_run_ms.get(target.service, mean_ms)
 
     def is_available(self, target: MeshTarget) -> bool:
-        """Return whether a target is reachable and open, as far as known."""
+        """Return whether a target is reachable and open, as far as known.
+
+        A report of a target that was cold is discarded once the target is
+        warm. It states a low capacity, for which the target would not be
+        called, and only a call brings another report.
+        """
         state = self.state_of(target.node)
+        if state.load and self.cold.has_warmed_since(target, state.load_s):
+            state.load = None
         if _now() < state.avoided_until_s:
             return False
         if state.load is None or state.load.open:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/cold_targets.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/cold_targets.py
@@ -100,6 +100,13 @@
             return run_ms
         return limited_capacity(bound_per_s, target.slots, run_ms).run_ms
 
+    def has_warmed_since(self, target: MeshTarget, report_s: float) -> bool:
+        """Return whether a target was cold at a report and is not any more."""
+        announced = self._announced_until_s.get(target.node)
+        if announced is None or not self._bound_per_s(target):
+            return False
+        return report_s < announced[2] <= _now()
+
     def may_call(self, target: MeshTarget) -> bool:
         """Return whether a call without a recent load report may be sent."""
         bound_per_s = self._bound_per_s(target)
--- a/tests/node/mesh/test_cold_state.py
+++ b/tests/node/mesh/test_cold_state.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 import pytest
+from mustardspur_core.mesh.call_messages import TargetLoad
 from mustardspur_core.mesh.model import ServiceRule
 from mustardspur_core.mesh.packing import encode_table, table_delta
 from mustardspur_core.record import replaced
@@ -330,3 +331,33 @@
     assert _most_in_a_second(chosen_s) <= BOUND
     assert len(chosen_s) >= PER_S
     assert choosers[0].expected_ms(cold_target) >= 1000 / PER_S
+
+
+@in_virtual_time
+async def test_cold_report_ends_with_cold_time() -> None:
+    """Guards against a target that gets no calls after it has become warm,
+    since its last report states the capacity that it had while cold.
+    """
+    chooser = TargetChooser(node_settings(), random.Random(1))
+    chooser.cold.use_view(_view(RULE))
+    cold_target = target('0', service='forms', cold_ms=COLD_MS)
+    warm_target = target('1', service='forms')
+    chooser.cold.record([cold_target, warm_target])
+    warm = TargetLoad(
+        running=0,
+        waiting=0,
+        slots=4,
+        run_ms=20,
+        failure_rate=0,
+        open=True,
+        link_wait_ms=0,
+    )
+    cold = replaced(warm, slots=1, run_ms=1000 / PER_S)
+    chooser.record_load(warm_target.node, warm)
+    chooser.record_load(cold_target.node, cold)
+    await asyncio.sleep(COLD_MS / 2000)
+    assert chooser.choose([cold_target, warm_target], 300.0, 200.0)
+    assert chooser.run_ms(cold_target) == cold.run_ms
+    await asyncio.sleep(COLD_MS / 1000)
+    assert chooser.choose([cold_target, warm_target], 300.0, 200.0)
+    assert chooser.run_ms(cold_target) == warm.run_ms
