Count nested calls of retried runs in the retry budget

Cause: a call that a target makes within a run that is itself a retry is a retry of the service called, which no node counted.

Change: where the table has accounts, CallOpen states whether a call was sent to another target before, and nested calls count as retries in the proportion of such runs at the local target.

--- a/packages/mustardspur_core/src/mustardspur_core/mesh/call_messages.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/call_messages.py
@@ -84,6 +84,9 @@
     body_bytes : int
         Size of a large body, whose parts are sent as `BodyCredit` allows; 0
         for other bodies.
+    repeat : bool
+        Whether the call was sent to another target before; stated only where
+        the table has accounts.
     """
 
     __slots__ = (
@@ -101,9 +104,10 @@
         'more',
         'account',
         'body_bytes',
+        'repeat',
     )
     optional: ClassVar[Defaults] = MappingProxyType(
-        {'account': str, 'body_bytes': int},
+        {'account': str, 'body_bytes': int, 'repeat': bool},
     )
     target: str
     service: str
@@ -119,6 +123,7 @@
     more: bool
     account: str
     body_bytes: int
+    repeat: bool
 
 
 @message(162)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -72,6 +72,7 @@
         'budget',
         'pool',
         'refused',
+        'repeats',
         'reports',
         'runs',
         'statements',
@@ -94,6 +95,8 @@
         self.reports = reports
         self.admission = AdmissionControl(reports.cold, balancing)
         self.refused = 0
+        # Calls in flight that were sent to another target before.
+        self.repeats = 0
         self.statements = TargetStatements(names, self.admission, reports)
         self.blocked = BlockedCalls(names)
         self.runs = RunRecorder(names, self.admission, reports)
@@ -205,11 +208,14 @@
     ) -> RawAnswer:
         request = self.admission.ranks.waiting_request(call)
         async with self.admission.admitted(request, call.max_wait_ms):
+            self.repeats += call.repeat
             try:
                 return await self._run_admitted(call, deadline_s, before_send)
             except PlacementFault as fault:
                 self._apply_fault(fault)
                 raise
+            finally:
+                self.repeats -= call.repeat
 
     def _apply_fault(self, fault: PlacementFault) -> None:
         """Apply what the fault of a call shows about the target.
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -116,7 +116,7 @@
             If no target answers the call before its deadline.
         """
         service = self._services.next_service(call.route)
-        self.budget.record_call(service)
+        self._record_call(call, service)
         progress = CallProgress(call, service)
         with self._link.uplink.holding(call.body) as has_memory:
             if not has_memory:
@@ -146,6 +146,17 @@
             UNKNOWN_RETRY_AFTER_S,
         )
 
+    def _record_call(self, call: MeshCall, service: str) -> None:
+        """Count a call for the retry budget.
+
+        Where the table has accounts, the calls without one are made by the
+        local target within the calls that it runs.
+        """
+        self.budget.record_call(service)
+        if call.account is None and self._view.has_accounts:
+            running = max(self._local.admission.capacity.running, 1)
+            self.budget.record_nested(service, self._local.repeats / running)
+
     async def _place_in_time(self, progress: CallProgress) -> TargetAnswer:
         deadline = asyncio.timeout_at(progress.call.deadline_s)
         self._timeouts_by_progress[progress] = deadline
@@ -201,6 +212,7 @@
             self.chooser,
             crosses_link=is_large and not is_local,
         )
+        opened.repeat = progress.arrivals > 0 and self._view.has_accounts
         try:
             answer = await self._run(progress, offer, opened)
         except PlacementFault as fault:
@@ -354,4 +366,5 @@
         more=False,
         account=call.account.name if call.account else '',
         body_bytes=0,
+        repeat=False,
     )
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/view.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/view.py
@@ -196,6 +196,11 @@
         """Limits on the requests of callers."""
         return self.routes.table.limits if self.routes else DEFAULT_LIMITS
 
+    @property
+    def has_accounts(self) -> bool:
+        """Whether the table states client accounts."""
+        return bool(self.routes and self.routes.table.accounts)
+
     @property
     def has_running_transfer(self) -> bool:
         """Whether any service has a running transfer."""
--- a/tests/node/mesh/builders.py
+++ b/tests/node/mesh/builders.py
@@ -93,6 +93,7 @@
         'more': False,
         'account': '',
         'body_bytes': 0,
+        'repeat': False,
     }
     return CallOpen(**(fields | changes))
 
