Offer fewer calls to targets that fail them

Cause: the weights of first offers did not contain the failure rate. A target that fails its calls early is idle and gets more of them than the others.

Change: the penalty on the expected time of a failing target, which other policies use, is part of the weight.

Result: the new test fails without the change and passes with it; not yet measured on a deployment.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/balancing/estimates.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/balancing/estimates.py
@@ -7,7 +7,7 @@
 from mustardspur_core.mesh.model import MeshTarget
 from mustardspur_core.units import MS_PER_S
 
-from mustardspur_node.mesh.chooser import TargetChooser
+from mustardspur_node.mesh.chooser import FAILURE_PENALTY_MS, TargetChooser
 from mustardspur_node.mesh.node_states import NodeState
 from mustardspur_node.mesh.run_times import INITIAL_RUN_MS
 
@@ -131,8 +131,11 @@
     free = min(slots - open_calls, own_free)
     if free < MIN_FREE_SLOTS:
         return 0
-    least_run_ms = means[1] * MIN_RUN_FRACTION
-    return min(free, 1) * own_free / max(run_ms, least_run_ms)
+    cost_ms = max(run_ms, means[1] * MIN_RUN_FRACTION)
+    if state.load:
+        # A target that fails calls ends them early and has free slots.
+        cost_ms += state.load.failure_rate * FAILURE_PENALTY_MS
+    return min(free, 1) * own_free / cost_ms
 
 
 def _now_at(
--- a/tests/node/mesh/test_balancing.py
+++ b/tests/node/mesh/test_balancing.py
@@ -176,6 +176,28 @@
     assert virtual_now_s() - began_s < HALF
 
 
+@in_virtual_time
+async def test_failing_target_gets_fewer_offers() -> None:
+    """Guards against a target that fails its calls early, and is therefore
+    idle, getting more of them than the others.
+    """
+    table = spread_table('first_free', ('a1',), 20)
+    failing, *others = table.targets()
+    for each in table.targets():
+        run_ms = WORK_MS / 20 if each is failing else WORK_MS
+        for _ in range(100):
+            each.admission.run_times.record(run_ms, failed=each is failing)
+        table.nodes[0].record_report(each)
+    progress = CallProgress(mesh_call(), 'forms')
+    offers: Counter[str] = Counter()
+    for _ in range(2000):
+        offer = table.nodes[0].policy.next_offer(progress, table.listed)
+        assert offer is not None
+        offers[offer.target.node] += 1
+    mean = sum(offers[other.listed.node] for other in others) / len(others)
+    assert offers[failing.listed.node] < mean / 2
+
+
 @pytest.mark.parametrize(('count', 'is_first'), [(11, False), (12, True)])
 @in_virtual_time
 async def test_auto_depends_on_the_size_of_the_service(
