--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_connection.py
@@ -216,7 +216,7 @@
 
     def _record_end(self, error: Exception) -> None:
         if not self._ready.done():
-            self._ready.set_exception(error)
+            _fail(self._ready, error)
             return
         _LOG.info(
             'stream to node ended',
@@ -235,9 +235,7 @@
 
     def _fail_all(self, reason: str) -> None:
         if not self._ready.done():
-            self._ready.set_exception(ConnectionError(reason))
-            # The error is read by calls only if any waits for the stream.
-            self._ready.exception()
+            _fail(self._ready, ConnectionError(reason))
         interrupted = self._in_flight_by_id
         self._in_flight_by_id = {}
         for call_in_flight in interrupted.values():
@@ -257,6 +255,12 @@
         call_in_flight.allow_run()
 
 
+def _fail(ready: 'asyncio.Future[FrameStream]', error: Exception) -> None:
+    ready.set_exception(error)
+    # The error is read by calls only if any waits for the stream.
+    ready.exception()
+
+
 def _log_failure(task: 'asyncio.Task[None]') -> None:
     if not task.cancelled() and task.exception() is not None:
         _LOG.error('stream task failed', exc_info=task.exception())
--- a/tests/node/mesh/test_peer_streams.py
+++ b/tests/node/mesh/test_peer_streams.py
@@ -1,6 +1,7 @@
 """Tests of calls over the stream between two nodes."""
 
 import asyncio
+import gc
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from functools import partial
@@ -104,6 +105,26 @@
                 await asyncio.sleep(0.005)
 
 
+async def _abandon_call_to_unreachable_node() -> None:
+    link = PeerCallLink(free_address(), node_settings(), _ignore_load)
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0):
+            await link.run(call_open(), _ignore_sent)
+    await asyncio.sleep(0.05)
+    link.close()
+
+
+async def test_unreachable_node_logs_no_error(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against an error in the log for each node that could not be
+    reached before the calls that waited for it had ended.
+    """
+    await _abandon_call_to_unreachable_node()
+    gc.collect()
+    assert 'never retrieved' not in caplog.text
+
+
 async def test_unreachable_node_has_not_run_the_call() -> None:
     """Guards against a call that counts as run at an unreachable node."""
     link = PeerCallLink(free_address(), node_settings(), _ignore_load)
