Limit retries by credit that calls earn when they arrive

Cause: with the budget of a sliding window, the retries of 10 s may be made at once, and again 10 s later. Calls counted also if they arrived at no target, and a node that knew few nodes used their parts.

Change: where the table has accounts, a call earns 0.8 of the ratio at its first arrival. Credit is saved for 0.5 s, and nested retries leave a debt. The node beside a target refuses retries as busy, before they arrive, while the nested ones exceed what the node's calls earn. A nested retry is stated as a retry at its own target. The fixed part is 0.7 of the equal part, by the largest number of nodes known within the window. Without accounts, nothing changes.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/calls.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/calls.py
@@ -10,6 +10,8 @@
 Headers = list[list[str]]
 # Awaited immediately before a call is sent to the target.
 BeforeSend = Callable[[TargetLoad], Awaitable[None]]
+# Whether the local target may run calls that are retries.
+MayRunRetries = Callable[[], bool]
 
 
 class MeshCall(Record):
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -20,6 +20,7 @@
 from mustardspur_node.mesh.blocked_calls import BlockedCalls
 from mustardspur_node.mesh.calls import (
     BeforeSend,
+    MayRunRetries,
     PlacementFault,
     TargetAnswer,
     maybe_run_fault,
@@ -60,6 +61,9 @@
     refused : int
         Calls that were refused for want of a slot since the start of the
         node.
+    may_run_retries : callable
+        Returns whether retries may run, since the calls that the target makes
+        within them are retries as well.
     """
 
     __slots__ = (
@@ -70,6 +74,7 @@
         'admission',
         'blocked',
         'budget',
+        'may_run_retries',
         'pool',
         'refused',
         'repeats',
@@ -97,6 +102,7 @@
         self.refused = 0
         # Calls in flight that were sent to another target before.
         self.repeats = 0
+        self.may_run_retries: MayRunRetries = _always
         self.statements = TargetStatements(names, self.admission, reports)
         self.blocked = BlockedCalls(names)
         self.runs = RunRecorder(names, self.admission, reports)
@@ -206,6 +212,8 @@
         deadline_s: float,
         before_send: BeforeSend,
     ) -> RawAnswer:
+        if call.repeat and not self.may_run_retries():
+            raise not_sent_fault('busy', 'no retries are left for its calls')
         request = self.admission.ranks.waiting_request(call)
         async with self.admission.admitted(request, call.max_wait_ms):
             self.repeats += call.repeat
@@ -295,5 +303,9 @@
         )
 
 
+def _always() -> bool:
+    return True
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -19,6 +19,7 @@
 )
 from mustardspur_node.mesh.call_log import CallLog
 from mustardspur_node.mesh.call_progress import CallProgress, in_time_ms
+from mustardspur_node.mesh.call_retries import CallRetries
 from mustardspur_node.mesh.calls import (
     MeshCall,
     PlacementFault,
@@ -32,7 +33,6 @@
     UNKNOWN_RETRY_AFTER_S,
     retry_after_s,
 )
-from mustardspur_node.mesh.retry_budget import MeshRetryBudget
 from mustardspur_node.mesh.service_choice import WeightedServiceChooser
 from mustardspur_node.mesh.view import MeshView
 
@@ -67,10 +67,10 @@
         '_settings',
         '_timeouts_by_progress',
         '_view',
-        'budget',
         'chooser',
         'links',
         'log',
+        'retries',
     )
 
     def __init__(
@@ -90,7 +90,7 @@
         self._services = WeightedServiceChooser(self._random)
         # Deadlines of the calls in flight.
         self._timeouts_by_progress: dict[CallProgress, asyncio.Timeout] = {}
-        self.budget = MeshRetryBudget(mesh)
+        self.retries = CallRetries(mesh, view, local, self._random)
         self.chooser = TargetChooser(settings, self._random)
         self.links = PeerLinks(
             settings,
@@ -116,8 +116,7 @@
             If no target answers the call before its deadline.
         """
         service = self._services.next_service(call.route)
-        self._record_call(call, service)
-        progress = CallProgress(call, service)
+        progress = self.retries.new_progress(call, service)
         with self._link.uplink.holding(call.body) as has_memory:
             if not has_memory:
                 raise self._unanswered(progress, 'busy: memory for bodies')
@@ -146,17 +145,6 @@
             UNKNOWN_RETRY_AFTER_S,
         )
 
-    def _record_call(self, call: MeshCall, service: str) -> None:
-        """Count a call for the retry budget.
-
-        Where the table has accounts, the calls without one are made by the
-        local target within the calls that it runs.
-        """
-        self.budget.record_call(service)
-        if call.account is None and self._view.has_accounts:
-            running = max(self._local.admission.capacity.running, 1)
-            self.budget.record_nested(service, self._local.repeats / running)
-
     async def _place_in_time(self, progress: CallProgress) -> TargetAnswer:
         deadline = asyncio.timeout_at(progress.call.deadline_s)
         self._timeouts_by_progress[progress] = deadline
@@ -212,7 +200,7 @@
             self.chooser,
             crosses_link=is_large and not is_local,
         )
-        opened.repeat = progress.arrivals > 0 and self._view.has_accounts
+        opened.repeat = self.retries.is_repeat(progress)
         try:
             answer = await self._run(progress, offer, opened)
         except PlacementFault as fault:
@@ -224,6 +212,7 @@
             return None
         self.chooser.record_load(target.node, answer.load)
         progress.arrivals += 1
+        self.retries.record_arrival(progress)
         progress.possible_runs += 1
         return answer
 
@@ -252,6 +241,8 @@
     ) -> None:
         target = offer.target
         progress.record_fault(fault)
+        if fault.arrived:
+            self.retries.record_arrival(progress)
         if offer.is_first and fault.kind == 'busy':
             # Counted only: lines about such refusals, which are frequent and
             # expected, would displace those about other faults.
@@ -288,8 +279,7 @@
             return False
         if progress.left_ms() < MIN_LEFT_MS:
             return False
-        nodes = len(self._view.targets_by_node)
-        granted = self.budget.try_acquire(progress.service, nodes)
+        granted = self.retries.try_acquire(progress.service)
         self.log.record_retry(granted=granted)
         return granted
 
