Explain refusals by the limit or the key of an account

Cause: mustardspur explain had no cause for calls that ended with 429 or 401.

Change: it names the account, its limit, who decided and when to retry; for 401 the first characters of the key's digest.

Result: tests of explain pass; the two new cases fail without the change.

--- a/packages/mustardspur_client/src/mustardspur_client/explain/causes.py
+++ b/packages/mustardspur_client/src/mustardspur_client/explain/causes.py
@@ -184,3 +184,27 @@
         'answered 503: the node had no routing table yet, the call certainly '
         'did not run'
     )
+
+
+@describes_event('rate limit reached')
+def _describe_rate_limit(details: dict[str, Any]) -> str:
+    age_ms = details.get('grant_age_ms')
+    grant = 'no grant so far'
+    if age_ms is not None:
+        grant = f'last granted {age_ms} ms before'
+    return (
+        f'answered 429, the call certainly did not run: account '
+        f'{details.get("account")} is at its limit of '
+        f'{details.get("limit_per_s")} calls/s with a burst of '
+        f'{details.get("burst")}, decided by {details.get("decided_by")}, '
+        f'{grant}; a retry may succeed after {details.get("retry_after_ms")} ms'
+    )
+
+
+@describes_event('key refused')
+def _describe_refused_key(details: dict[str, Any]) -> str:
+    digest = details.get('digest')
+    presented = f'no account has the key of digest {digest}'
+    if not digest:
+        presented = 'no key was presented'
+    return f'answered 401: {presented}, and the route is not public'
--- a/tests/client/explain/test_explain.py
+++ b/tests/client/explain/test_explain.py
@@ -111,6 +111,34 @@
             ),
             ('answered 404', 'index 7', 'forms.example/x/'),
         ),
+        (
+            (
+                _line(
+                    1,
+                    'rate limit reached',
+                    request='r1',
+                    account='cafe',
+                    limit_per_s=5,
+                    burst=10,
+                    decided_by='node alone',
+                    grant_age_ms=None,
+                    retry_after_ms=200,
+                ),
+            ),
+            (
+                'answered 429',
+                'account cafe',
+                '5 calls/s',
+                'burst of 10',
+                'decided by node alone',
+                'no grant',
+                '200 ms',
+            ),
+        ),
+        (
+            (_line(1, 'key refused', request='r1', digest='0a1b2c3d'),),
+            ('answered 401', 'digest 0a1b2c3d'),
+        ),
         (
             (_line(1, 'no table', request='r1'),),
             ('answered 503', 'no routing table'),
