Let calls leave a region short of capacity for restricted calls

Cause: calls that may be served in more regions left a full region only after refusals, and until then took slots from calls that may not leave.

Change: where the table restricts calls to a region, a node places a fraction of the other calls in another region first.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/balancing/first_free.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/balancing/first_free.py
@@ -17,6 +17,7 @@
     Offer,
     balancing_policy,
 )
+from mustardspur_node.mesh.balancing.spillover import Spillover
 from mustardspur_node.mesh.call_progress import CallProgress, left_wait_ms
 from mustardspur_node.mesh.route_run_times import RouteRunTimes
 
@@ -72,12 +73,13 @@
         What the node knows of the targets.
     """
 
-    __slots__ = ('_chooser', '_random', 'estimates')
+    __slots__ = ('_chooser', '_random', '_spillover', 'estimates')
 
     def __init__(self, knowledge: Knowledge) -> None:
         """Initialise without estimates."""
         self._chooser = knowledge.chooser
         self._random = knowledge.random_source
+        self._spillover = Spillover(knowledge)
         self.estimates = LoadEstimates(knowledge.chooser)
 
     def next_offer(
@@ -90,17 +92,54 @@
             return None
         groups = self._chooser.distances.grouped(targets)
         near = [each for group in groups[:_OTHER_REGIONS] for each in group]
-        offer = self._first_offer(progress, groups[:_OTHER_REGIONS])
+        far = groups[_OTHER_REGIONS]
+        offer = self._spilled_offer(progress, near, far)
+        if offer is None:
+            offer = self._first_offer(progress, groups[:_OTHER_REGIONS])
         if offer is None:
             if refused_waits(progress, near) < MAX_REFUSED_WAITS:
                 offer = self._wait(progress, near)
         if offer is None:
-            far = groups[_OTHER_REGIONS]
             offer = self._far_offer(progress, far, has_near=bool(near))
         if offer is not None:
             self._chooser.cold.record_chosen(offer.target)
         return offer
 
+    def _spilled_offer(
+        self,
+        progress: CallProgress,
+        near: list[MeshTarget],
+        far: list[MeshTarget],
+    ) -> Offer | None:
+        """Return an offer to another region for a call that leaves its own.
+
+        The call may wait there, since a refusal costs 40 ms. A call that was
+        refused is placed as any other one.
+        """
+        if progress.placements:
+            return None
+        if not self._spillover.applies(progress, near, far):
+            return None
+        target = self._draw(progress, self._with_room(progress, far))
+        if target is None:
+            return None
+        return Offer(target, left_wait_ms(progress), is_spilled=True)
+
+    def _with_room(
+        self,
+        progress: CallProgress,
+        far: list[MeshTarget],
+    ) -> list[MeshTarget]:
+        """Return the far targets for calls that leave their region."""
+        useful_ms = progress.useful_ms()
+        return [
+            target
+            for target in far
+            if self._spillover.has_room(target)
+            and not self._is_queued(target)
+            and self.estimates.is_in_time(target, 0, useful_ms)
+        ]
+
     def _first_offer(
         self,
         progress: CallProgress,
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/balancing/least_expected.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/balancing/least_expected.py
@@ -12,6 +12,7 @@
     Offer,
     balancing_policy,
 )
+from mustardspur_node.mesh.balancing.spillover import Spillover
 from mustardspur_node.mesh.call_progress import CallProgress, left_wait_ms
 from mustardspur_node.mesh.run_times import RunTimes
 
@@ -65,10 +66,21 @@
     """Gives up after two refusals, or once the longest useful wait is over.
 
     Under overload, further targets would most likely refuse a call as well,
-    and each offer costs processor time at two nodes.
+    and each offer costs processor time at two nodes. A call that leaves its
+    region, as `Spillover` decides, is placed in another one first.
+
+    Parameters
+    ----------
+    knowledge : Knowledge
+        What the node knows of the targets.
     """
 
-    __slots__ = ()
+    __slots__ = ('_spillover',)
+
+    def __init__(self, knowledge: Knowledge) -> None:
+        """Initialise without a shortage."""
+        super().__init__(knowledge)
+        self._spillover = Spillover(knowledge)
 
     def next_offer(
         self,
@@ -80,4 +92,21 @@
             return None
         if refused_waits(progress, targets) >= MAX_REFUSED_WAITS:
             return None
-        return self._offer(progress, targets, left_wait_ms(progress))
+        max_wait_ms = left_wait_ms(progress)
+        offer = self._spilled_offer(progress, targets, max_wait_ms)
+        return offer or self._offer(progress, targets, max_wait_ms)
+
+    def _spilled_offer(
+        self,
+        progress: CallProgress,
+        targets: list[MeshTarget],
+        max_wait_ms: float,
+    ) -> Offer | None:
+        if progress.placements:
+            return None
+        own, near, far = self._chooser.distances.grouped(targets)
+        if not self._spillover.applies(progress, own + near, far):
+            return None
+        with_room = [each for each in far if self._spillover.has_room(each)]
+        offer = self._offer(progress, with_room, max_wait_ms)
+        return offer._replace(is_spilled=True) if offer else None
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/balancing/registry.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/balancing/registry.py
@@ -26,11 +26,15 @@
     is_first : bool
         Whether a refusal costs the call nothing but a round trip, since the
         target was asked not to let it wait.
+    is_spilled : bool
+        Whether the call leaves its region, which is short of capacity, before
+        a target there has refused it.
     """
 
     target: MeshTarget
     max_wait_ms: float
     is_first: bool = False
+    is_spilled: bool = False
 
 
 class Knowledge(Record):
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/call_log.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_log.py
@@ -56,6 +56,10 @@
         """Count a first offer that a target at a distance refused."""
         self._metrics.incr(f'calls.offer_refused.{_DISTANCES[distance]}')
 
+    def record_spilled(self) -> None:
+        """Count a call that leaves its region, which is short of capacity."""
+        self._metrics.incr('calls.spilled')
+
     def record_end(
         self,
         progress: CallProgress,
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/first_offers.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/first_offers.py
@@ -11,6 +11,8 @@
 
     Attributes
     ----------
+    leaves_region : bool or None
+        Whether other regions are asked first, None until that is decided.
     refused : list of MeshTarget
         Targets that refused a first offer for want of a slot, oldest first.
     waited_nodes : set of str
@@ -23,6 +25,7 @@
 
     __slots__ = (
         '_wait',
+        'leaves_region',
         'refused',
         'refused_wait_nodes',
         'waited_ms',
@@ -31,6 +34,7 @@
 
     def __init__(self) -> None:
         """Initialise without offers."""
+        self.leaves_region: bool | None = None
         self.refused: list[MeshTarget] = []
         self.waited_nodes: set[str] = set()
         self.refused_wait_nodes: set[str] = set()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/group_means.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/group_means.py
@@ -14,6 +14,9 @@
 # tells that the queues still exist. A longer one would keep calls away from
 # another region for seconds after it has got free slots.
 QUEUE_MEMORY_S: Final = 1.0
+# Time over which the recent utilisation is averaged. A shorter one would make
+# it depend on the few targets that were called last.
+RECENT_S: Final = 0.8
 # Bounds the memory for groups; over a day a mesh can have many more services.
 MAX_GROUPS: Final = 1024
 
@@ -28,6 +31,8 @@
     ----------
     utilisation : float
         Calls that run or wait at a target, relative to its slots, up to 1.
+    recent_utilisation : float
+        The same over about a second, however many reports there are.
     run_ms : float
         Mean run time in milliseconds.
     recorded_s : float
@@ -37,6 +42,7 @@
     __slots__ = (
         '_count',
         '_queued_part',
+        'recent_utilisation',
         'recorded_s',
         'run_ms',
         'utilisation',
@@ -47,6 +53,7 @@
         self._count = 1
         self.recorded_s = _now()
         self.utilisation = _utilisation(load)
+        self.recent_utilisation = self.utilisation
         self.run_ms = load.run_ms
         self._queued_part: float = load.waiting > 0
 
@@ -76,6 +83,9 @@
         weight = max(REPORT_WEIGHT, 1 / self._count)
         difference = _utilisation(load) - self.utilisation
         self.utilisation += weight * difference
+        difference = _utilisation(load) - self.recent_utilisation
+        recent_weight = 1 - math.exp(-age_s / RECENT_S)
+        self.recent_utilisation += recent_weight * difference
         self.run_ms += weight * (load.run_ms - self.run_ms)
 
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -204,6 +204,8 @@
         """
         target = offer.target
         progress.record_placement(target.node, is_first=offer.is_first)
+        if offer.is_spilled:
+            self.log.record_spilled()
         is_local = target.node == self._settings.listen.stream
         is_large = bool(self._link.body_bytes(progress.call.body))
         opened = _call_open(
