Grant the fixed part of the retry budget by token brokers

Cause: equal parts of the fixed number of retries are hardly used where a few of 62 nodes see failing targets, while the others have no use for theirs.

Change: where the table has accounts, control instances share a limit retry/SERVICE for each service, with the messages of the limits of accounts. A node asks for tokens at a failure that leaves less than a whole retry of credit; no call waits, and a retry without credit or token is not made. Grants of these limits are not relaxed and are valid for 2 s. Equal parts are now part of the credit of a node and need no control instance. Requests to the control instance are in a module of their own, used for accounts and retries.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/allowances.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/allowances.py
@@ -3,7 +3,6 @@
 import asyncio
 from typing import Any, Final
 
-from mustardspur_core.conversion import decode_array
 from mustardspur_core.mesh.control_messages import (
     ACCEPTS_ALLOWANCES,
     AllowanceDemand,
@@ -13,8 +12,6 @@
     AllowanceUse,
     LimitDemand,
 )
-from mustardspur_core.mesh.model import ClientAccount
-from mustardspur_core.mesh.packing import unpack_table
 from mustardspur_core.mesh.token_bucket import TokenBucket
 from mustardspur_core.settings import MeshSettings
 
@@ -25,6 +22,7 @@
 from mustardspur_control.mesh.limit_broker import LimitBroker
 from mustardspur_control.mesh.membership import Membership
 from mustardspur_control.mesh.registry import LOCAL_SOURCE, MeshRegistry
+from mustardspur_control.mesh.shared_limits import SharedLimit, shared_limits
 from mustardspur_control.mesh.store import MeshStore
 
 UPDATE_INTERVAL_S: Final = 0.5
@@ -37,8 +35,6 @@
 # Bytes of a demand beside the name of its limit, and of a frame around it.
 _DEMAND_BYTES: Final = 13
 _FRAME_BYTES: Final = 14
-# The other half of the slack is for nodes that fall back on their own share.
-BUCKET_SLACK: Final = 0.5
 
 
 class AllowanceBroker:
@@ -47,8 +43,8 @@
     Parameters
     ----------
     mesh : MeshSettings
-        Slack of the limits, and whether all instances start for the first
-        time.
+        Slack of the limits, retries of the services, and whether all
+        instances start for the first time.
     members : Membership
         The other control instances.
     registry : MeshRegistry
@@ -122,7 +118,7 @@
                 broker.demand_per_s,
                 broker.rate_per_s,
             )
-            self._set_share(broker, next_share(broker.share, wanted), now_s)
+            broker.resize(next_share(broker.share, wanted), now_s)
 
     def changed_demand(self, sent: dict[str, float]) -> AllowanceDemand | None:
         """Return the demand that another instance is to be sent.
@@ -227,50 +223,32 @@
         if not state.packed or state.table_index == self._table_index:
             return
         self._table_index = state.table_index
-        limited = _limited_accounts(state.packed)
+        limits = shared_limits(state.packed, self._mesh)
         self._update_peers()
-        for removed in self._by_limit.keys() - limited.keys():
+        for removed in self._by_limit.keys() - limits.keys():
             self._by_limit.pop(removed)
         now_s = _now()
-        for limit, account in limited.items():
-            self._apply_limit(limit, account, now_s)
+        for name, limit in limits.items():
+            self._apply_limit(name, limit, now_s)
 
     def _apply_limit(
         self,
-        limit: str,
-        account: ClientAccount,
+        name: str,
+        limit: SharedLimit,
         now_s: float,
     ) -> None:
-        broker = self._by_limit.get(limit)
+        broker = self._by_limit.get(name)
         if broker is None:
             bucket = TokenBucket(now_s, self._first_tokens)
-            broker = LimitBroker(limit, bucket, now_s)
-            broker.share = self._peers.share(limit, 0, account.rate_per_s)
-            self._by_limit[limit] = broker
-        broker.rate_per_s = account.rate_per_s
-        broker.burst = account.burst
-        self._set_share(broker, broker.share, now_s)
-
-    def _set_share(
-        self,
-        broker: LimitBroker,
-        share: float,
-        now_s: float,
-    ) -> None:
-        slack = BUCKET_SLACK * self._mesh.limit_slack
-        broker.resize(share, slack, now_s)
-
-
-def _limited_accounts(packed: bytes) -> dict[str, ClientAccount]:
-    accounts = (
-        decode_array(ClientAccount, encoded)
-        for encoded in unpack_table(packed).accounts.values()
-    )
-    return {
-        f'account/{account.name}': account
-        for account in accounts
-        if account.rate_per_s
-    }
+            broker = LimitBroker(name, bucket, now_s)
+            broker.share = self._peers.share(name, 0, limit.rate_per_s)
+            self._by_limit[name] = broker
+        broker.rate_per_s = limit.rate_per_s
+        broker.burst = limit.burst
+        broker.slack = limit.slack
+        broker.may_relax = limit.may_relax
+        broker.valid_ms = limit.valid_ms
+        broker.resize(broker.share, now_s)
 
 
 def _now() -> float:
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/limit_broker.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/limit_broker.py
@@ -42,8 +42,13 @@
 
     Attributes
     ----------
-    rate_per_s : float
-        Rate of the limit over all control instances.
+    rate_per_s, burst, slack : float
+        Limit over all control instances: tokens a second, and those that all
+        buckets together may hold.
+    may_relax : bool
+        Whether grants may be relaxed.
+    valid_ms : float
+        Time for which granted tokens can be used.
     share : float
         Part of the limit that this instance grants.
     demand_per_s : float
@@ -59,8 +64,11 @@
         'burst',
         'demand_per_s',
         'limit',
+        'may_relax',
         'rate_per_s',
         'share',
+        'slack',
+        'valid_ms',
     )
 
     def __init__(self, limit: str, bucket: TokenBucket, now_s: float) -> None:
@@ -69,6 +77,9 @@
         self.bucket = bucket
         self.rate_per_s: float = 0
         self.burst: float = 0
+        self.slack: float = 0
+        self.may_relax = True
+        self.valid_ms = VALID_MS
         self.share: float = 0
         self.demand_per_s: float = 0
         self._calls = 0
@@ -77,19 +88,11 @@
         # End of the relaxed grant by node, in the order of the grants.
         self._reserved_until_s: dict[str, float] = {}
 
-    def resize(self, share: float, slack: float, now_s: float) -> None:
-        """Set this instance's share of the limit and of the slack.
-
-        Parameters
-        ----------
-        share : float
-            Part of the limit, 0 to 1.
-        slack : float
-            Calls that all buckets together may hold beyond the burst.
-        """
+    def resize(self, share: float, now_s: float) -> None:
+        """Set this instance's share of the limit, 0 to 1."""
         self.share = share
         # A smaller bucket would never hold a whole token.
-        capacity = max(share * (self.burst + slack), 1)
+        capacity = max(share * (self.burst + self.slack), 1)
         self.bucket.set_limits(share * self.rate_per_s, capacity, now_s)
 
     def answer(
@@ -114,7 +117,7 @@
         return AllowanceShare(
             limit=self.limit,
             tokens=tokens,
-            valid_ms=VALID_MS,
+            valid_ms=self.valid_ms,
             relaxed=relaxed,
             retry_after_ms=self._promise_ms(free, missing, now_s),
         )
@@ -144,6 +147,8 @@
         return ADVANCE_CALLS * len(self._reserved_until_s)
 
     def _is_far_from_limit(self, free: float) -> bool:
+        if not self.may_relax:
+            return False
         return free - ADVANCE_CALLS >= self.bucket.capacity / 2
 
     def _promise_ms(self, free: float, missing: int, now_s: float) -> float:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/allowances.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/allowances.py
@@ -2,48 +2,31 @@
 
 import asyncio
 import random
-from collections import deque
 from http import HTTPStatus
-from typing import Final
 
 from mustardspur_core.mesh.control_messages import (
     AllowanceGrant,
-    AllowanceRequest,
 )
 from mustardspur_core.mesh.model import ClientAccount
 from mustardspur_core.metrics import Metrics
-from mustardspur_core.record import Record
 from mustardspur_core.settings import MeshSettings
 from mustardspur_core.units import MS_PER_S
 from mustardspur_core.wire import FrameStream
 
 from mustardspur_node.mesh.allowance_metrics import AllowanceMetrics
+from mustardspur_node.mesh.allowance_requests import (
+    WAIT_S,
+    AllowanceRequests,
+)
 from mustardspur_node.mesh.calls import UnansweredCall
 from mustardspur_node.mesh.decisions import DecisionLog
 from mustardspur_node.mesh.limit_allowance import (
     LimitAllowance,
-    SentUse,
     Waiter,
+    end_waits,
 )
 from mustardspur_node.mesh.view import MeshView
 
-# Requests are at least this far apart.
-REQUEST_INTERVAL_S: Final = 0.05
-# Calls admitted in advance are reported within this time if no call waits.
-REPORT_DELAY_S: Final = 0.5
-# A call waits this long for a grant.
-WAIT_S: Final = 0.08
-# Further requests are not sent while this many are unanswered.
-MAX_UNANSWERED: Final = 8
-
-
-class _SentRequest(Record):
-    """A request that has not been answered yet."""
-
-    __slots__ = ('sent_s', 'entries')
-    sent_s: float
-    entries: list[tuple[LimitAllowance, SentUse]]
-
 
 class NodeAllowances:
     """Admits calls of accounts within their limits.
@@ -68,22 +51,21 @@
     random_source : random.Random
         Source of the times at which a node without a control instance has
         tokens.
+
+    Attributes
+    ----------
+    requests : AllowanceRequests
+        Requests to the control instance, for these and other limits.
     """
 
     __slots__ = (
         '_by_account',
         '_decisions',
-        '_is_silent',
         '_mesh',
         '_metrics',
-        '_news',
         '_random',
-        '_request_s',
-        '_sent',
-        '_sent_s',
-        '_stream',
-        '_timer',
         '_view',
+        'requests',
     )
 
     def __init__(
@@ -101,14 +83,7 @@
         self._metrics = AllowanceMetrics(metrics)
         self._random = random_source
         self._by_account: dict[str, LimitAllowance] = {}
-        # Limits for the next request.
-        self._news: dict[str, LimitAllowance] = {}
-        self._sent: deque[_SentRequest] = deque()
-        self._sent_s = float('-inf')
-        self._request_s = float('inf')
-        self._timer: asyncio.TimerHandle | None = None
-        self._stream: FrameStream | None = None
-        self._is_silent = False
+        self.requests = AllowanceRequests()
 
     async def admit(
         self,
@@ -135,7 +110,7 @@
         allowance = self._allowance(account, now_s)
         if allowance.try_admit(now_s):
             if allowance.has_news:
-                self._add_news(allowance, now_s)
+                self.requests.add(allowance, now_s)
         else:
             retry_s = await self._retry_s(allowance, now_s)
             if retry_s:
@@ -144,47 +119,21 @@
 
     def attach(self, stream: FrameStream) -> None:
         """Ask a control instance that accepts requests from now on."""
-        if self._stream is not stream:
+        if not self.requests.is_attached_to(stream):
             self.detach()
-            self._stream = stream
+            self.requests.attach(stream)
 
     def detach(self) -> None:
         """Decide without a control instance from now on."""
-        self._stream = None
-        self._is_silent = False
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-        self._request_s = float('inf')
-        for request in self._sent:
-            for _, sent in request.entries:
-                _end_waits(sent.waiters)
-        self._sent.clear()
+        self.requests.detach()
         for allowance in self._by_account.values():
-            _end_waits(allowance.waiters)
+            end_waits(allowance.waiters)
             allowance.waiters = []
             allowance.detach()
 
     def apply(self, grant: AllowanceGrant) -> None:
         """Apply the answer to the oldest request."""
-        if not self._sent:
-            return
-        now_s = _now()
-        request = self._sent.popleft()
-        is_late = now_s - request.sent_s > WAIT_S
-        self._is_silent = self._is_silent and is_late
-        for (allowance, sent), share in zip(
-            request.entries,
-            grant.grants,
-            strict=False,
-        ):
-            if is_late:
-                allowance.apply_late(sent)
-                _end_waits(sent.waiters)
-            else:
-                allowance.apply(share, sent, request.sent_s, now_s)
-        if self._news and self._timer is None:
-            self._schedule(now_s)
+        self.requests.apply(grant)
 
     def check(self) -> None:
         """Send the counts of calls and remove accounts without a limit."""
@@ -213,13 +162,13 @@
     ) -> float:
         """Return 0 for an admitted call, else the time until a retry."""
         refused_s = allowance.refused_for_s(now_s)
-        if self._stream is not None and refused_s > 0:
+        if self.requests.is_attached and refused_s > 0:
             return refused_s
         granted: float | None = None
-        if self._stream is not None and not self._is_silent:
+        if self.requests.is_attached and not self.requests.is_silent:
             granted = await self._wait(allowance, now_s)
-        elif self._stream is not None:
-            self._add_news(allowance, now_s)
+        else:
+            self.requests.add(allowance, now_s)
         if granted is not None:
             return granted
         return allowance.fall_back(
@@ -236,51 +185,16 @@
         loop = asyncio.get_running_loop()
         waiter: Waiter = loop.create_future()
         allowance.waiters.append(waiter)
-        self._add_news(allowance, now_s)
+        self.requests.add(allowance, now_s)
         timer = loop.call_later(WAIT_S, self._give_up, waiter)
         waiter.add_done_callback(lambda _: timer.cancel())
         return await waiter
 
     def _give_up(self, waiter: Waiter) -> None:
         if not waiter.done():
-            self._is_silent = True
+            self.requests.is_silent = True
             waiter.set_result(None)
 
-    def _add_news(self, allowance: LimitAllowance, now_s: float) -> None:
-        """Include a limit in the next request."""
-        if self._stream is None:
-            return
-        self._news[allowance.account.name] = allowance
-        delay_s = 0 if allowance.must_report else REPORT_DELAY_S
-        self._schedule(now_s + delay_s)
-
-    def _schedule(self, earliest_s: float) -> None:
-        request_s = max(earliest_s, self._sent_s + REQUEST_INTERVAL_S)
-        if request_s >= self._request_s:
-            return
-        if self._timer is not None:
-            self._timer.cancel()
-        self._request_s = request_s
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_at(request_s, self._send)
-
-    def _send(self) -> None:
-        self._timer = None
-        self._request_s = float('inf')
-        if self._stream is None or len(self._sent) >= MAX_UNANSWERED:
-            return
-        now_s = _now()
-        self._sent_s = now_s
-        entries = [
-            (allowance, allowance.next_use(now_s))
-            for allowance in self._news.values()
-        ]
-        self._news = {}
-        self._sent.append(_SentRequest(sent_s=now_s, entries=entries))
-        self._stream.enqueue(
-            AllowanceRequest(uses=[sent.use for _, sent in entries]),
-        )
-
     def _refuse(
         self,
         allowance: LimitAllowance,
@@ -290,7 +204,7 @@
         """Raise the refusal of a call beyond the limit."""
         allowance.refused += 1
         account = allowance.account
-        is_granted = self._stream is not None and not self._is_silent
+        is_granted = self.requests.is_attached and not self.requests.is_silent
         self._decisions.write(
             'rate limit reached',
             account=account.name,
@@ -313,11 +227,5 @@
     return None if granted_s is None else round((_now() - granted_s) * MS_PER_S)
 
 
-def _end_waits(waiters: list[Waiter]) -> None:
-    for waiter in waiters:
-        if not waiter.done():
-            waiter.set_result(None)
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/call_retries.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_retries.py
@@ -2,8 +2,10 @@
 
 import random
 
+from mustardspur_core.metrics import Metrics
 from mustardspur_core.settings import MeshSettings
 
+from mustardspur_node.mesh.allowance_requests import AllowanceRequests
 from mustardspur_node.mesh.call_progress import CallProgress
 from mustardspur_node.mesh.calls import MeshCall
 from mustardspur_node.mesh.local_target import LocalTarget
@@ -41,9 +43,14 @@
         Runs retries, and makes calls within them.
     generator : random.Random
         Source of random draws.
+
+    Attributes
+    ----------
+    requests : AllowanceRequests
+        Requests to the control instance, for these and other limits.
     """
 
-    __slots__ = ('_budget', '_local', '_shared', '_view')
+    __slots__ = ('_budget', '_local', '_shared', '_view', 'requests')
 
     def __init__(
         self,
@@ -56,7 +63,8 @@
         self._view = view
         self._local = local
         self._budget = MeshRetryBudget(mesh)
-        self._shared = SharedRetries(mesh, generator)
+        self.requests = AllowanceRequests()
+        self._shared = SharedRetries(mesh, view, generator, self.requests)
         local.may_run_retries = self._shared.may_run_retries
 
     def new_progress(self, call: MeshCall, service: str) -> CallProgress:
@@ -83,11 +91,17 @@
 
     def try_acquire(self, service: str) -> bool:
         """Use a retry of the budget and return whether there was one."""
-        nodes = len(self._view.targets_by_node)
         if self._view.has_accounts:
-            return self._shared.try_acquire(service, nodes)
+            return self._shared.try_acquire(service)
+        nodes = len(self._view.targets_by_node)
         return self._budget.try_acquire(service, nodes)
 
+    def set_gauges(self, metrics: Metrics) -> None:
+        """Set the gauges of a table with accounts."""
+        if self._view.has_accounts:
+            metrics.gauge('retries.nested', self._shared.nested)
+            metrics.gauge('retries.with_token', self._shared.with_token)
+
     def _is_nested_retry(self, service: str) -> bool:
         running = max(self._local.admission.capacity.running, 1)
         repeated = min(self._local.repeats / running, 1)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
@@ -96,6 +96,8 @@
             metrics,
         )
         self.allowances = self._calls.allowances
+        # One request asks for the tokens of all limits.
+        self.allowances.requests = placer.retries.requests
         self._connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
         self.draining = False
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -192,6 +192,7 @@
         self.supervision.set_gauges(self._metrics)
         self._metrics.gauge('target.idle', capacity.slots - capacity.running)
         self._metrics.gauge('target.refused', self.local.refused)
+        self.placer.retries.set_gauges(self._metrics)
         slow_factor = self.local.admission.run_times.slow_factor
         self._metrics.gauge('target.slow_factor', round(slow_factor, 2))
         self._metrics.gauge('table.index', self.view.table_index)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/limit_allowance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/limit_allowance.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections import deque
 from typing import Final
 
 from mustardspur_core.mesh.control_messages import AllowanceShare, AllowanceUse
@@ -11,6 +10,7 @@
 from mustardspur_core.units import MS_PER_S
 
 from mustardspur_node.mesh.fallback_allowance import FallbackAllowance
+from mustardspur_node.mesh.tokens_in_hand import TokensInHand
 
 # A relaxed grant is used for this time.
 RELAXED_S: Final = 2.0
@@ -91,8 +91,7 @@
         self.waiters: list[Waiter] = []
         # Time of the latest request that was answered in time.
         self.granted_s: float | None = None
-        # Numbers of tokens with the time at which they expire.
-        self._hand: deque[tuple[int, float]] = deque()
+        self._hand = TokensInHand()
         self._relaxed_until_s = float('-inf')
         self._refused_until_s = float('-inf')
         self._spent = 0
@@ -102,6 +101,12 @@
         self._measured_s = now_s
         self._fallback = FallbackAllowance(generator)
 
+    @property
+    def limit(self) -> str:
+        """Name of the limit."""
+        name = self.account.name
+        return f'account/{name}'
+
     @property
     def must_report(self) -> bool:
         """Whether the next call would wait without a further grant."""
@@ -116,7 +121,7 @@
         """Admit a call with a token in hand or in advance, if possible."""
         self.asked += 1
         self._calls += 1
-        if self._take_from_hand(now_s):
+        if self._hand.try_take(now_s):
             return True
         if now_s >= self._relaxed_until_s or self._advance >= MAX_ADVANCE:
             return False
@@ -155,11 +160,10 @@
     def next_use(self, now_s: float) -> SentUse:
         """Return what the next request says of this limit."""
         self._measure(now_s)
-        name = self.account.name
         self.waiters = [each for each in self.waiters if not each.done()]
         sent = SentUse(
             use=AllowanceUse(
-                limit=f'account/{name}',
+                limit=self.limit,
                 spent=self._spent,
                 wanted=len(self.waiters) + self._prefetch(),
                 calls=self._calls,
@@ -198,8 +202,7 @@
             else:
                 self._refused_until_s = now_s + retry_s
                 waiter.set_result(retry_s or None)
-        if tokens:
-            self._hand.append((tokens, until_s))
+        self._hand.add(tokens, until_s)
 
     def apply_late(self, sent: SentUse) -> None:
         """Count the reported calls of a grant that came too late.
@@ -217,19 +220,10 @@
         self._refused_until_s = float('-inf')
         self._advance = self._spent
 
-    def _take_from_hand(self, now_s: float) -> bool:
-        while self._hand:
-            tokens, until_s = self._hand.popleft()
-            if until_s > now_s:
-                if tokens > 1:
-                    self._hand.appendleft((tokens - 1, until_s))
-                return True
-        return False
-
     def _prefetch(self) -> int:
         """Return how many tokens are missing for the calls to come."""
-        in_hand = sum(tokens for tokens, _ in self._hand)
-        return max(int(self._rate_per_s * PREFETCH_S) - in_hand, 0)
+        wanted = int(self._rate_per_s * PREFETCH_S)
+        return max(wanted - self._hand.count(), 0)
 
     def _measure(self, now_s: float) -> None:
         elapsed_s = now_s - self._measured_s
@@ -240,3 +234,10 @@
             self._calls / elapsed_s - self._rate_per_s
         ) * weight
         self._measured_s = now_s
+
+
+def end_waits(waiters: list[Waiter]) -> None:
+    """Let calls that wait be decided without a grant."""
+    for waiter in waiters:
+        if not waiter.done():
+            waiter.set_result(None)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/shared_retries.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/shared_retries.py
@@ -2,17 +2,14 @@
 
 import asyncio
 import random
-from typing import Final
 
 from mustardspur_core.settings import MeshSettings
 
-from mustardspur_node.mesh.fallback_allowance import FallbackAllowance
+from mustardspur_node.mesh.allowance_requests import AllowanceRequests
+from mustardspur_node.mesh.known_nodes import KnownNodes
+from mustardspur_node.mesh.retry_allowance import RetryAllowance
 from mustardspur_node.mesh.retry_credit import RetryCredit
-
-# Parts of the fixed number of retries that the nodes use in a window, and that
-# they hold before it.
-EQUAL_RATE_PART: Final = 0.5
-EQUAL_BURST_PART: Final = 0.2
+from mustardspur_node.mesh.view import MeshView
 
 
 class ServiceRetries:
@@ -20,30 +17,35 @@
 
     Parameters
     ----------
+    service : str
+        The service that is called.
     mesh : MeshSettings
         Ratio, fixed part and window of the shared budget.
+    nodes : KnownNodes
+        Nodes that share the fixed part.
     generator : random.Random
         Source of the draws.
 
     Attributes
     ----------
+    allowance : RetryAllowance
+        Tokens that the control instance granted.
     credit : RetryCredit
         Credit that the calls of this node earn.
     """
 
-    __slots__ = ('_equal_part', '_mesh', '_nested', 'credit')
+    __slots__ = ('_nested', 'allowance', 'credit')
 
     def __init__(
         self,
+        service: str,
         mesh: MeshSettings,
+        nodes: KnownNodes,
         generator: random.Random,
     ) -> None:
         """Initialise without calls."""
-        self._mesh = mesh
-        self.credit = RetryCredit(
-            mesh.retry_ratio, mesh.retry_window_s, generator
-        )
-        self._equal_part = FallbackAllowance(generator)
+        self.allowance = RetryAllowance(service)
+        self.credit = RetryCredit(mesh, nodes, generator)
         # Expected nested retries that do not add up to a whole one yet.
         self._nested: float = 0
 
@@ -55,15 +57,6 @@
         self._nested -= 1
         return True
 
-    def try_take_equal_part(self, nodes: int, now_s: float) -> bool:
-        """Take a retry of this node's equal part of the fixed number."""
-        part = self._mesh.retry_slack / max(nodes, 1)
-        if not part:
-            return False
-        per_s = EQUAL_RATE_PART * part / self._mesh.retry_window_s
-        capacity = EQUAL_BURST_PART * part
-        return not self._equal_part.try_take(per_s, capacity, now_s)
-
 
 class SharedRetries:
     """Limits the retries of all nodes in any window.
@@ -72,25 +65,54 @@
     ===========
 
     The limit is a ratio of the calls that arrive at targets in the window,
-    plus a fixed number. Each node uses the ratio of its own calls, see
-    `RetryCredit`, and a part of the fixed number.
+    plus a fixed number. Each node uses the ratio of its own calls and an equal
+    part of the fixed number, see `RetryCredit`, and what the control instances
+    grant of that number to the nodes that need it, see `RetryAllowance`.
 
     Parameters
     ----------
     mesh : MeshSettings
         Ratio, fixed part and window of the shared budget.
+    view : MeshView
+        Nodes that share the fixed part.
     generator : random.Random
         Source of the draws.
+    requests : AllowanceRequests
+        Requests to the control instance.
+
+    Attributes
+    ----------
+    nested : int
+        Calls that counted as retries from their first arrival on.
+    with_token : int
+        Retries that used a token of a control instance.
     """
 
-    __slots__ = ('_by_service', '_generator', '_mesh', '_nodes')
+    __slots__ = (
+        '_by_service',
+        '_generator',
+        '_mesh',
+        '_nodes',
+        '_requests',
+        'nested',
+        'with_token',
+    )
 
-    def __init__(self, mesh: MeshSettings, generator: random.Random) -> None:
+    def __init__(
+        self,
+        mesh: MeshSettings,
+        view: MeshView,
+        generator: random.Random,
+        requests: AllowanceRequests,
+    ) -> None:
         """Initialise without calls."""
+        self._requests = requests
+        self.nested = 0
+        self.with_token = 0
         self._mesh = mesh
         self._generator = generator
         self._by_service: dict[str, ServiceRetries] = {}
-        self._nodes = KnownNodes(mesh.retry_window_s)
+        self._nodes = KnownNodes(view, mesh.retry_window_s)
 
     def is_nested_retry(self, service: str, repeated: float) -> bool:
         """Return whether a call that a target makes counts as a retry.
@@ -117,6 +139,7 @@
         credit = self._service(service).credit
         if is_retry:
             credit.record_nested_retry(_now())
+            self.nested += 1
         else:
             credit.record_call(_now())
 
@@ -132,56 +155,34 @@
             for each in self._by_service.values()
         )
 
-    def try_acquire(self, service: str, nodes: int) -> bool:
-        """Use a retry and return whether there was one.
-
-        Parameters
-        ----------
-        service : str
-            The service that is called.
-        nodes : int
-            Number of nodes that share the fixed part.
-        """
+    def try_acquire(self, service: str) -> bool:
+        """Use a retry of a service and return whether there was one."""
         now_s = _now()
         retries = self._service(service)
-        return (
-            retries.credit.try_take(now_s)
-            or retries.try_take_equal_part(
-                self._nodes.largest(nodes, now_s), now_s
-            )
-            or retries.credit.try_draw(now_s)
-        )
+        acquired = retries.credit.try_take(now_s)
+        if not acquired and retries.allowance.try_take(now_s):
+            self.with_token += 1
+            acquired = True
+        acquired = acquired or retries.credit.try_draw(now_s)
+        if not retries.credit.has_whole:
+            self._ask_ahead(retries.allowance, now_s)
+        return acquired
+
+    def _ask_ahead(self, allowance: RetryAllowance, now_s: float) -> None:
+        """Ask for tokens for further failures, if they are missing."""
+        is_attached = self._requests.is_attached
+        if is_attached and allowance.record_failure(now_s):
+            self._requests.add(allowance, now_s)
 
     def _service(self, service: str) -> ServiceRetries:
         retries = self._by_service.get(service)
         if retries is None:
-            retries = ServiceRetries(self._mesh, self._generator)
+            retries = ServiceRetries(
+                service, self._mesh, self._nodes, self._generator
+            )
             self._by_service[service] = retries
         return retries
 
 
-class KnownNodes:
-    """Largest number of nodes that was known within a window.
-
-    A node that is told of few nodes only, by a control instance that has just
-    started, would otherwise use the parts of all others.
-    """
-
-    __slots__ = ('_largest', '_seen_s', '_window_s')
-
-    def __init__(self, window_s: float) -> None:
-        """Initialise without nodes."""
-        self._window_s = window_s
-        self._largest = 0
-        self._seen_s = float('-inf')
-
-    def largest(self, nodes: int, now_s: float) -> int:
-        """Return the largest number, given the present one."""
-        if nodes >= self._largest or now_s > self._seen_s + self._window_s:
-            self._largest = nodes
-            self._seen_s = now_s
-        return self._largest
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/control/mesh/test_limit_broker.py
+++ b/tests/control/mesh/test_limit_broker.py
@@ -3,20 +3,26 @@
 import pytest
 from mustardspur_control.mesh.allowance_shares import DemandOfPeers
 from mustardspur_control.mesh.limit_broker import LimitBroker
+from mustardspur_control.mesh.shared_limits import shared_limits
 from mustardspur_core.mesh.control_messages import (
     AllowanceDemand,
     AllowanceShare,
     AllowanceUse,
     LimitDemand,
 )
+from mustardspur_core.mesh.packing import encode_table, pack_table
 from mustardspur_core.mesh.token_bucket import TokenBucket
+from mustardspur_core.record import replaced
+
+from tests.core.mesh.builders import account, mesh_settings, table
 
 
 def _broker(rate_per_s: float) -> LimitBroker:
     broker = LimitBroker('x', TokenBucket(0, float('inf')), now_s=0)
     broker.rate_per_s = rate_per_s
     broker.burst = rate_per_s
-    broker.resize(1, 10, now_s=0)
+    broker.slack = 10
+    broker.resize(1, now_s=0)
     return broker
 
 
@@ -74,3 +80,18 @@
     peers.update(['c1'], lambda _: True, lambda _: nodes, ())
     peers.update(['c1'], lambda _: False, lambda _: (), ('n1', 'n2', 'n3'))
     assert peers.by_peer('x') == {'c1': 2.5}
+
+
+def test_retries_are_shared_with_accounts() -> None:
+    """Guards against requests and demand that earlier deployments do not send,
+    and against 62 nodes that use retries before they are granted.
+    """
+    plain = table(1)
+    with_accounts = replaced(plain, accounts={'cafe': account('cafe')})
+    mesh = mesh_settings()
+    assert not shared_limits(pack_table(encode_table(plain)), mesh)
+    limits = shared_limits(pack_table(encode_table(with_accounts)), mesh)
+    assert limits.keys() == {'retry/forms', 'retry/stamps'}
+    broker = _broker(5)
+    broker.may_relax = limits['retry/forms'].may_relax
+    assert not _ask(broker, 'n1', 1).relaxed
--- a/tests/node/mesh/test_allowances.py
+++ b/tests/node/mesh/test_allowances.py
@@ -13,7 +13,7 @@
     AllowanceGrant,
     AllowanceShare,
 )
-from mustardspur_node.mesh.allowances import WAIT_S
+from mustardspur_node.mesh.allowance_requests import WAIT_S
 from mustardspur_node.mesh.fallback_allowance import FallbackAllowance
 
 from tests.support.allowance_world import World
--- a/tests/support/allowance_world.py
+++ b/tests/support/allowance_world.py
@@ -17,6 +17,7 @@
 from mustardspur_core.mesh.packing import encode_table, pack_table
 from mustardspur_core.metrics import NullMetrics
 from mustardspur_core.record import replaced
+from mustardspur_core.settings import MeshSettings
 from mustardspur_core.tasks import background
 from mustardspur_core.wire import encode_frame
 from mustardspur_node.mesh.allowances import NodeAllowances
@@ -35,16 +36,16 @@
 class Control:
     """A control instance; also its membership and its registry."""
 
-    def __init__(self, world: 'World', name: str, first_start: bool) -> None:
+    def __init__(self, world: 'World', name: str, mesh: MeshSettings) -> None:
         """Start the broker of an instance."""
+        self.mesh = mesh
         self.world = world
         self.name = name
         self.store = MeshStore()
         self.alive = True
         self.sent: dict[str, dict[str, float]] = {}
         as_any: Any = self
-        settings = replaced(mesh_settings(), first_start=first_start)
-        self.broker = AllowanceBroker(settings, as_any, as_any, self.store)
+        self.broker = AllowanceBroker(mesh, as_any, as_any, self.store)
 
     @property
     def known_ids(self) -> set[str]:
@@ -97,14 +98,14 @@
 class Node:
     """A node, attached to a control instance or cut off."""
 
-    def __init__(self, world: 'World', name: str) -> None:
+    def __init__(self, world: 'World', name: str, mesh: MeshSettings) -> None:
         """Start a node that is cut off."""
         self.name = name
         self.suspended_s: float = 0
         self.control: Control | None = None
         self.stream: Stream | None = None
         self.allowances = NodeAllowances(
-            mesh_settings(),
+            mesh,
             world.view,
             DecisionLog(),
             NullMetrics(),
@@ -124,8 +125,15 @@
 class World:
     """Nodes, control instances and the calls of one account."""
 
-    def __init__(self, rate_per_s: float, nodes: int, controls: int) -> None:
+    def __init__(
+        self,
+        rate_per_s: float,
+        nodes: int,
+        controls: int,
+        mesh: MeshSettings | None = None,
+    ) -> None:
         """Start all instances for the first time."""
+        mesh = replaced(mesh or mesh_settings(), first_start=True)
         self.random = random.Random(7)
         self.view = MeshView()
         self.cut: set[str] = set()
@@ -139,8 +147,8 @@
         self.controls: dict[str, Control] = {}
         for number in range(controls):
             name = f'control-{number}'
-            self.controls[name] = Control(self, name, first_start=True)
-        self.nodes = [Node(self, f'node-{each}') for each in range(nodes)]
+            self.controls[name] = Control(self, name, mesh)
+        self.nodes = [Node(self, f'node-{each}', mesh) for each in range(nodes)]
         targets: Any = {node.name: None for node in self.nodes}
         self.view.targets_by_node = targets
         self.edit(rate_per_s)
@@ -178,7 +186,8 @@
 
     def restart(self, name: str) -> Control:
         """Start a control instance again that has lost its memory."""
-        self.controls[name] = Control(self, name, first_start=False)
+        mesh = replaced(self.controls[name].mesh, first_start=False)
+        self.controls[name] = Control(self, name, mesh)
         self.load_table(self.controls[name])
         for control in self.controls.values():
             control.sent.pop(name, None)
--- a/tests/support/retry_world.py
+++ b/tests/support/retry_world.py
@@ -8,15 +8,17 @@
 from mustardspur_node.mesh.shared_retries import SharedRetries
 
 from tests.core.mesh.builders import mesh_settings
+from tests.support.allowance_world import Node, World
 from tests.support.virtual_time import ticks, virtual_now_s
 
 TICK_S: Final = 0.01
 WINDOW_TICKS: Final = 1000
-# A retry arrives at a target after up to this time, since it may wait.
+# A retry arrives at a target within 0.5 s, since it may wait.
 MAX_WAIT_TICKS: Final = 50
 RATIO: Final = 0.2
 SLACK: Final = 164
-SERVICE: Final = 'orders'
+SERVICE: Final = 'forms'
+CONTROLS: Final = 4
 # Fixed part of the page's deployment, in a window of 10 s.
 MESH: Final = replaced(mesh_settings(), retry_slack=SLACK)
 
@@ -34,12 +36,18 @@
 class RetryWorld:
     """Nodes that call one service and retry the calls that failed."""
 
-    def __init__(self, nodes: int, budgets: list[Any] | None = None) -> None:
-        """Initialise the nodes without calls."""
+    def __init__(self, nodes: int) -> None:
+        """Initialise the nodes without calls, and their control instances."""
         self.random = random.Random(11)
-        self.budgets: list[Any] = budgets or [
-            SharedRetries(MESH, random.Random(number))
-            for number in range(nodes)
+        self.mesh = World(60, nodes, CONTROLS, MESH)
+        self.budgets: list[Any] = [
+            SharedRetries(
+                MESH,
+                self.mesh.view,
+                random.Random(node.name),
+                node.allowances.requests,
+            )
+            for node in self.mesh.nodes
         ]
         self.calls: Counter[int] = Counter()
         self.retries: Counter[int] = Counter()
@@ -51,7 +59,13 @@
         async for _ in ticks(round(load.for_s / TICK_S), TICK_S):
             count = load.per_s * TICK_S + self.random.random()
             for _ in range(int(count)):
-                self._call(self.random.choice(budgets or self.budgets), load)
+                budget = self.random.choice(budgets or self.budgets)
+                self._call(budget, load)
+
+    def cut_off(self, nodes: list[Node]) -> None:
+        """Take the control instance from some nodes."""
+        for node in nodes:
+            node.attach(None)
 
     def excess(self) -> float:
         """Return by how many retries the worst window exceeds the bound."""
@@ -75,7 +89,7 @@
         )
         if self.random.random() < load.failing:
             self.failed += 1
-            if budget.try_acquire(SERVICE, len(self.budgets)):
+            if budget.try_acquire(SERVICE):
                 self.retried += 1
                 wait = self.random.randrange(MAX_WAIT_TICKS)
                 self.retries[tick + wait] += 1
