Describe deeply nested values of frames without RecursionError

Cause: a frame with lists nested 980 to 1,020 deep is read by msgpack, but repr() of its value raises RecursionError while the error is described. That is no MalformedFrame: it passes the handlers of the stream, and an entry of the log would end the task that applies entries.

Change: values are described to a depth of ten.

--- a/packages/mustardspur_core/src/mustardspur_core/readers.py
+++ b/packages/mustardspur_core/src/mustardspur_core/readers.py
@@ -1,10 +1,15 @@
 """Type-checking readers of plain values."""
 
+import reprlib
 from collections.abc import Callable
 from typing import Any, Final
 
 Reader = Callable[[Any, str], Any]
 MAX_DESCRIBED_CHARS: Final = 60
+# Lists in lists are described up to this depth: `repr` of a thousand nested
+# lists, which a frame can contain, raises RecursionError.
+_MAX_DEPTH: Final = 10
+_MAX_CHARS: Final = 4 * MAX_DESCRIBED_CHARS
 
 
 class DecodeError(ValueError):
@@ -98,5 +103,20 @@
 def describe(value: object) -> str:
     """Return the type and a shortened representation of a value."""
     type_name = type(value).__name__
-    shown = repr(value)[:MAX_DESCRIBED_CHARS]
+    shown = _shortened.repr(value)[:MAX_DESCRIBED_CHARS]
     return f'{type_name} {shown}'
+
+
+def _limited_repr() -> reprlib.Repr:
+    limited = reprlib.Repr()
+    limited.maxlevel = _MAX_DEPTH
+    # The middle of longer values is left out, behind what is shown.
+    limited.maxstring = _MAX_CHARS
+    limited.maxother = _MAX_CHARS
+    limited.maxlong = _MAX_CHARS
+    limited.maxlist = MAX_DESCRIBED_CHARS
+    limited.maxdict = MAX_DESCRIBED_CHARS
+    return limited
+
+
+_shortened: Final = _limited_repr()
