Check the numbers in messages about limits, credits and cold times

Cause: decoding checks types only. A demand that is no number made the shares of a limit NaN, so that each request of a node failed. Negative or excessive calls spent in advance, or a limit listed twice, used up a limit for all other nodes. A grant could give a node unlimited calls, or a retry time that fails the call. A credit of no bytes caused empty parts, for which the receiver ends the stream with all calls on it. A cold time beyond 64 bits in a report or a health answer could not be announced, so the node lost its control instance each time.

Change: allowance_checks.py states the ranges; a message out of range is a malformed frame and ends its stream before any state changes. Keys and account headers are also fuzzed through the caller server, with bytes that are not UTF-8.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/allowances.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/allowances.py
@@ -4,6 +4,7 @@
 from typing import Any, Final
 
 from mustardspur_core.conversion import decode_array
+from mustardspur_core.mesh.allowance_checks import check_demand, check_request
 from mustardspur_core.mesh.control_messages import (
     ACCEPTS_ALLOWANCES,
     AllowanceDemand,
@@ -102,14 +103,28 @@
                 self.update(_now())
 
     def answer(self, node: str, request: AllowanceRequest) -> AllowanceGrant:
-        """Return the grant for a request of an attached node."""
+        """Return the grant for a request of an attached node.
+
+        Raises
+        ------
+        MalformedFrame
+            If a number of the request is out of its range.
+        """
+        check_request(request)
         now_s = _now()
         return AllowanceGrant(
             grants=[self._answer(node, use, now_s) for use in request.uses],
         )
 
     def record_demand(self, peer: str, update: AllowanceDemand) -> None:
-        """Store the demand that another control instance sees."""
+        """Store the demand that another control instance sees.
+
+        Raises
+        ------
+        MalformedFrame
+            If a demand is out of its range.
+        """
+        check_demand(update)
         self._peers.apply(peer, update)
 
     def update(self, now_s: float) -> None:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/allowances.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/allowances.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 from typing import Final
 
+from mustardspur_core.mesh.allowance_checks import check_grant
 from mustardspur_core.mesh.control_messages import (
     AllowanceGrant,
     AllowanceRequest,
@@ -166,17 +167,25 @@
             allowance.detach()
 
     def apply(self, grant: AllowanceGrant) -> None:
-        """Apply the answer to the oldest request."""
+        """Apply the answer to the oldest request.
+
+        Raises
+        ------
+        MalformedFrame
+            If it does not match the request.
+        """
         if not self._sent:
             return
         now_s = _now()
-        request = self._sent.popleft()
+        request = self._sent[0]
+        check_grant(grant, [sent.use for _, sent in request.entries])
+        self._sent.popleft()
         is_late = now_s - request.sent_s > WAIT_S
         self._is_silent = self._is_silent and is_late
         for (allowance, sent), share in zip(
             request.entries,
             grant.grants,
-            strict=False,
+            strict=True,
         ):
             if is_late:
                 allowance.apply_late(sent)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/body_credit.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/body_credit.py
@@ -14,7 +14,13 @@
         self._changed = asyncio.Event()
 
     def add(self, size: int) -> None:
-        """Add credit for a number of bytes."""
+        """Add credit for a number of bytes.
+
+        A damaged credit of no bytes has no effect: it would cause empty
+        parts, for which the other node ends the stream with all calls on it.
+        """
+        if size <= 0:
+            return
         self._bytes += size
         self._changed.set()
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/cold_state.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/cold_state.py
@@ -25,6 +25,9 @@
 # admission; those that are confirmed by the caller's node are sent a round
 # trip later, so a window at the target can hold a few more.
 RESERVED_CALLS: Final = 2
+# Longer cold times are cut to a day. A time beyond 64 bits cannot be announced,
+# which ended the stream to the control instance each time.
+MAX_COLD_MS: Final = 86_400_000
 # Part of the calls that may be sent without a statement of the target after
 # which its status is queried. The rest covers the calls that arrive until the
 # answer, 75 ms at 80 calls a second.
@@ -221,7 +224,7 @@
         source : str
             Kind of the message, for the log.
         """
-        until_s = _now() + remaining_ms / MS_PER_S
+        until_s = _now() + min(remaining_ms, MAX_COLD_MS) / MS_PER_S
         if sent_s < self._stated_s and until_s < self._until_s:
             return
         self.verify(sent_s)
--- a/tests/node/mesh/test_caller_accounts.py
+++ b/tests/node/mesh/test_caller_accounts.py
@@ -111,9 +111,10 @@
 
 @settings(max_examples=300, deadline=None, derandomize=True)
 @given(
-    key=st.text(min_size=1, max_size=40),
+    # Lone surrogates stand for the bytes of headers that are not UTF-8.
+    key=st.text(st.characters(exclude_categories=()), min_size=1, max_size=40),
     name=_case(HEADER_NAMES.account) | _case(HEADER_NAMES.authorization),
-    stated=st.text(max_size=40),
+    stated=st.text(st.characters(exclude_categories=()), max_size=40),
     separator=st.sampled_from([' ', '\t', '', ' \u00a0', ',']),
 )
 @in_virtual_time
--- a/tests/node/mesh/test_caller_server.py
+++ b/tests/node/mesh/test_caller_server.py
@@ -6,6 +6,9 @@
 from typing import Any
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from mustardspur_core.mesh import ClientAccount
 from mustardspur_core.mesh.control_messages import MeshTargets
 from mustardspur_core.mesh.model import RouteShare
 from mustardspur_core.mesh.packing import encode_table, table_delta
@@ -17,7 +20,7 @@
 from mustardspur_node.mesh.placing import Placer
 from mustardspur_node.mesh.view import MeshView
 
-from tests.core.mesh.builders import route, table, target
+from tests.core.mesh.builders import account, route, table, target
 from tests.node.mesh.builders import local_target, node_settings
 from tests.support.ports import free_address
 
@@ -25,10 +28,17 @@
 
 
 @asynccontextmanager
-async def _serving(**changes: Any) -> AsyncIterator[tuple[str, Placer]]:
+async def _serving(
+    *accounts: ClientAccount,
+    **changes: Any,
+) -> AsyncIterator[tuple[str, Placer]]:
     """Serve callers with one route that has some fields changed."""
     view = MeshView()
-    rows = encode_table(table(1, replaced(route('drafts'), **changes)))
+    served = replaced(
+        table(1, replaced(route('drafts'), **changes)),
+        accounts={each.name: each for each in accounts},
+    )
+    rows = encode_table(served)
     view.apply_table(table_delta(None, 0, rows, 1))
     view.apply_targets(
         MeshTargets(full=True, upserts=[target('1')], removed=[]),
@@ -49,14 +59,15 @@
         yield address, placer
 
 
-async def _status(address: str) -> str:
+async def _status(address: str, *lines: bytes) -> str:
     host, _, port = address.rpartition(':')
     reader, writer = await asyncio.open_connection(host, int(port))
-    writer.write(_REQUEST)
+    writer.write(_REQUEST.replace(b'\r\n\r\n', b'\r\n'))
+    writer.write(b''.join((*lines, b'\r\n')))
     async with asyncio.timeout(5):
         line = await reader.readline()
     writer.close()
-    return line.split()[1].decode()
+    return line.split()[1].decode() if line else ''
 
 
 def _fail(*_: Any) -> None:
@@ -85,3 +96,41 @@
     ]
     async with _serving(shares=shares) as (address, _):
         assert await _status(address) == '503'
+
+
+_KEY = b'k-5f0c77aa'
+_KNOWN = b'authorization: Bearer %b\r\n' % _KEY
+_NAMES = (b'authorization', b'Authorization', b'x-mustardspur-account')
+_header_lines = st.lists(
+    st.builds(
+        b'%b%b%b%b'.__mod__,
+        st.tuples(
+            st.sampled_from(_NAMES) | st.binary(max_size=4),
+            st.sampled_from([b': ', b':', b' :', b':Bearer ', b': Bearer\t']),
+            st.binary(max_size=40) | st.just(b'x' * 3000),
+            st.sampled_from([b'\r\n', b'\n', b'\r', b'\x00\r\n']),
+        ),
+    ),
+    min_size=1,
+    max_size=4,
+)
+
+
+async def _damaged_and_known_status(lines: list[bytes]) -> tuple[str, str]:
+    async with _serving(account('cafe', _KEY.decode())) as (address, _):
+        return await asyncio.gather(
+            _status(address, *lines),
+            _status(address, _KNOWN),
+        )
+
+
+@settings(max_examples=120, deadline=None, derandomize=True)
+@given(lines=_header_lines)
+def test_damaged_key_and_account_headers(lines: list[bytes]) -> None:
+    """Guards against headers that identify an account, fail with an
+    unexpected error, or harm the calls on other connections.
+    """
+    damaged, known = asyncio.run(_damaged_and_known_status(lines))
+    assert damaged in {'400', '401', '408', '431', ''}
+    # No target is ready, which only a call with a known key finds out.
+    assert known == '503'
