--- a/packages/mustardspur_node/src/mustardspur_node/mesh/allowances.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/allowances.py
@@ -132,7 +132,13 @@
             allowance.detach()
 
     def apply(self, grant: AllowanceGrant) -> None:
-        """Apply the answer to the oldest request."""
+        """Apply the answer to the oldest request.
+
+        Raises
+        ------
+        MalformedFrame
+            If it does not match the request.
+        """
         self.requests.apply(grant)
 
     def check(self) -> None:
