Index remembered crashes by call, and list blocked as a kind

Cause: the register searched all 1,024 remembered crashes for each suspect of a crash, and again for each of its companions. The documentation of CallFailed.kind did not list blocked and unreachable.

Change: an index from fingerprint to crashes, which forgets a call with its last remembered crash. Blocks are decided as before.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/crash_register.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/crash_register.py
@@ -43,7 +43,13 @@
     other calls were at the same crashes.
     """
 
-    __slots__ = ('_at_s', '_blocked_until_s', '_callbacks', '_crashes')
+    __slots__ = (
+        '_at_s',
+        '_blocked_until_s',
+        '_callbacks',
+        '_crashes',
+        '_keys_by_call',
+    )
 
     def __init__(self) -> None:
         """Initialise without crashes."""
@@ -51,6 +57,8 @@
         self._crashes: dict[CrashKey, MeshCrash] = {}
         # Time of each crash on the clock of this instance.
         self._at_s: dict[CrashKey, float] = {}
+        # Remembered crashes of each call by fingerprint, oldest first.
+        self._keys_by_call: dict[bytes, dict[CrashKey, None]] = {}
         self._blocked_until_s: dict[bytes, float] = {}
 
     def on_change(self, callback: Callable[[], None]) -> None:
@@ -64,6 +72,8 @@
             return
         self._crashes[key] = crash
         self._at_s[key] = _now() - crash.age_s
+        for fingerprint in crash.fingerprints:
+            self._keys_by_call.setdefault(fingerprint, {})[key] = None
         self._remove_expired()
         for fingerprint in crash.fingerprints:
             self._block_if_repeated(fingerprint)
@@ -79,6 +89,11 @@
             if key not in known
         ]
 
+    @property
+    def known_calls(self) -> int:
+        """Number of the calls that were at the remembered crashes."""
+        return len(self._keys_by_call)
+
     @property
     def blocked_until_s(self) -> dict[bytes, float]:
         """End of each block by fingerprint, on this instance's clock."""
@@ -123,11 +138,7 @@
         )
 
     def _keys_of(self, fingerprint: bytes) -> list[CrashKey]:
-        return [
-            key
-            for key, crash in self._crashes.items()
-            if fingerprint in crash.fingerprints
-        ]
+        return list(self._keys_by_call.get(fingerprint, ()))
 
     def _remove_expired(self) -> None:
         oldest_s = _now() - RETENTION_S
@@ -138,14 +149,22 @@
             if at_s <= oldest_s or number < excess
         ]
         for key in expired:
-            self._crashes.pop(key)
-            self._at_s.pop(key)
+            self._remove(key)
         self._blocked_until_s = {
             fingerprint: until_s
             for fingerprint, until_s in self._blocked_until_s.items()
             if until_s > _now()
         }
 
+    def _remove(self, key: CrashKey) -> None:
+        self._at_s.pop(key)
+        # A crash may name a fingerprint twice.
+        for fingerprint in set(self._crashes.pop(key).fingerprints):
+            keys = self._keys_by_call[fingerprint]
+            keys.pop(key)
+            if not keys:
+                self._keys_by_call.pop(fingerprint)
+
 
 def crash_key(crash: MeshCrash) -> CrashKey:
     """Return what identifies a crash."""
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/call_messages.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/call_messages.py
@@ -187,8 +187,8 @@
     Parameters
     ----------
     kind : str
-        ``busy``, ``closed``, ``moved``, ``refused``, ``broken`` or
-        ``timeout``.
+        ``busy``, ``closed``, ``moved``, ``unreachable``, ``refused``,
+        ``blocked``, ``broken`` or ``timeout``.
     not_run : bool
         Whether it is certain that the call has not run and will not run.
     """
--- a/tests/control/mesh/test_crash_register.py
+++ b/tests/control/mesh/test_crash_register.py
@@ -101,9 +101,18 @@
 
 @in_virtual_time
 async def test_number_of_crashes_is_bounded() -> None:
-    """Guards against memory that grows with each crash."""
+    """Guards against memory that grows with each crash or with the calls of
+    crashes that are forgotten, and against counting a forgotten crash.
+    """
     register = CrashRegister()
+    register.record(crash(-2, b'early', b'early'))
+    register.record(crash(-1, b'early'))
     for number in range(MAX_CRASHES + 10):
-        register.record(crash(number))
+        register.record(crash(number, b'%d' % number))
     assert len(register.crashes_except(set())) == MAX_CRASHES
+    assert register.known_calls == MAX_CRASHES + 1
+    register.record(crash(-3, b'early'))
     assert _blocked(register) == {DEADLY}
+    await asyncio.sleep(RETENTION_S)
+    assert not register.crashes_except(set())
+    assert not register.known_calls
