Add verbs that show blocked calls and lift a block

Cause: a call that was blocked wrongly stayed blocked for up to 600 s; only a restart of all processes ended that.

Change: mustardspur blocks and unblock, GET /v1/blocks and DELETE /v1/blocks/FINGERPRINT. A lift is a log entry (187) and part of the replicated state. Crashes state the latest lift that their node knew and do not count for a call that was lifted later, so that crashes that are reported again, or learned late, do not bring the block back. Nodes ignore blocks of instances that have not applied all lifts that they know. New fields are optional trailing ones and absent until the first lift.

Before nodes ignored such blocks, its new test failed: after a restart of all control instances the call was refused again.

--- a/packages/mustardspur_client/src/mustardspur_client/verbs/__init__.py
+++ b/packages/mustardspur_client/src/mustardspur_client/verbs/__init__.py
@@ -2,6 +2,7 @@
 
 from mustardspur_client.verbs import (
     accounts,
+    blocks,
     evacuations,
     explaining,
     instances,
@@ -31,6 +32,7 @@
     tables,
     table_checks,
     evacuations,
+    blocks,
     explaining,
 )
 
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/__init__.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/__init__.py
@@ -4,7 +4,7 @@
     EvacuationOperations,
     EvacuationOutcome,
 )
-from mustardspur_control.mesh.instance import running_mesh_control
+from mustardspur_control.mesh.instance import MeshControl, running_mesh_control
 from mustardspur_control.mesh.log_access import OperationError
 from mustardspur_control.mesh.operations import (
     MeshOperations,
@@ -15,6 +15,7 @@
 __all__ = [
     'EvacuationOperations',
     'EvacuationOutcome',
+    'MeshControl',
     'MeshOperations',
     'OperationError',
     'PublishOutcome',
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/components.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/components.py
@@ -7,6 +7,7 @@
 from mustardspur_core.tasks import background, supervised
 
 from mustardspur_control.mesh.allowances import AllowanceBroker
+from mustardspur_control.mesh.blocks import follow_lifts
 from mustardspur_control.mesh.evidence import EvidenceAggregator
 from mustardspur_control.mesh.exchange import ControlExchange
 from mustardspur_control.mesh.membership import Membership
@@ -64,6 +65,7 @@
             evidence,
             self.allowances,
         )
+        follow_lifts(store, self.exchange.crashes)
         self.feeds = NodeFeedServer(
             settings,
             log,
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/crash_register.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/crash_register.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Final
 
 from mustardspur_core.mesh.control_messages import (
@@ -10,7 +10,13 @@
     MeshBlocks,
     MeshCrash,
 )
-from mustardspur_core.record import replaced
+from mustardspur_core.record import Record, replaced
+
+from mustardspur_control.mesh.crash_index import (
+    CrashIndex,
+    CrashKey,
+    crash_key,
+)
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -26,8 +32,27 @@
 # Crashes that are remembered; the oldest ones are dropped.
 MAX_CRASHES: Final = 1024
 
-# Node, incarnation of the node and number of the crash.
-CrashKey = tuple[str, int, int]
+
+class BlockOfCall(Record):
+    """Block of a call, as it is shown to operators.
+
+    Parameters
+    ----------
+    fingerprint : str
+        Fingerprint of the call in hexadecimal digits.
+    crashes : int
+        Number of the remembered crashes of targets that ran it.
+    nodes : list of str
+        Stream addresses of the nodes beside these targets, sorted.
+    left_s : float
+        Seconds until the end of the block.
+    """
+
+    __slots__ = ('fingerprint', 'crashes', 'nodes', 'left_s')
+    fingerprint: str
+    crashes: int
+    nodes: list[str]
+    left_s: float
 
 
 class CrashRegister:
@@ -41,6 +66,16 @@
     reported again counts once. A call is blocked once targets have crashed
     `CRASHES_TO_BLOCK` times while they ran it, for a short time only while
     another call was at all of these crashes.
+
+    An operator can lift the block of a call. The replicated state has the log
+    index of each lift, and each crash states the latest lift that its node
+    knew, so that all instances agree on the crashes that count afterwards.
+    Neither depends on a clock or on the order of reports.
+
+    Attributes
+    ----------
+    index : CrashIndex
+        The crashes that count for each call.
     """
 
     __slots__ = (
@@ -48,7 +83,8 @@
         '_blocked_until_s',
         '_callbacks',
         '_crashes',
-        '_keys_by_call',
+        '_lifted',
+        'index',
     )
 
     def __init__(self) -> None:
@@ -57,12 +93,13 @@
         self._crashes: dict[CrashKey, MeshCrash] = {}
         # Time of each crash on the clock of this instance.
         self._at_s: dict[CrashKey, float] = {}
-        # Remembered crashes of each call by fingerprint, oldest first.
-        self._keys_by_call: dict[bytes, dict[CrashKey, None]] = {}
+        self.index = CrashIndex()
         self._blocked_until_s: dict[bytes, float] = {}
+        # Log index of the latest lift of each call's block.
+        self._lifted: dict[bytes, int] = {}
 
     def on_change(self, callback: Callable[[], None]) -> None:
-        """Register a callback for new crashes."""
+        """Register a callback for new crashes and for lifts."""
         self._callbacks.append(callback)
 
     def record(self, crash: MeshCrash) -> None:
@@ -73,12 +110,50 @@
         self._crashes[key] = crash
         self._at_s[key] = _now() - crash.age_s
         for fingerprint in crash.fingerprints:
-            self._keys_by_call.setdefault(fingerprint, {})[key] = None
+            if crash.lifted_index >= self._lifted.get(fingerprint, 0):
+                self.index.add(fingerprint, key)
         self._remove_expired()
         for fingerprint in crash.fingerprints:
             self._block_if_repeated(fingerprint)
-        for callback in self._callbacks:
-            callback()
+        self._notify()
+
+    def apply_lifts(self, lifted: Mapping[str, int]) -> None:
+        """End the blocks that were lifted, and void the crashes before.
+
+        Parameters
+        ----------
+        lifted : mapping of int
+            `MeshState.lifted`.
+        """
+        indexes = {
+            bytes.fromhex(digits): index for digits, index in lifted.items()
+        }
+        changed = indexes.items() - self._lifted.items()
+        self._lifted = indexes
+        for fingerprint, index in changed:
+            self._lift(fingerprint, index)
+        if changed:
+            self._notify()
+
+    @property
+    def lifted_index(self) -> int:
+        """Log index of the latest lift, 0 for none."""
+        return max(self._lifted.values(), default=0)
+
+    @property
+    def blocks(self) -> list[BlockOfCall]:
+        """The blocks, in the order in which the calls were blocked."""
+        return [
+            BlockOfCall(
+                fingerprint=fingerprint.hex(),
+                crashes=len(self.index.keys_of(fingerprint)),
+                nodes=sorted(
+                    {key[0] for key in self.index.keys_of(fingerprint)}
+                ),
+                left_s=round(until_s - _now(), 1),
+            )
+            for fingerprint, until_s in self.blocked_until_s.items()
+        ]
 
     def crashes_except(self, known: set[CrashKey]) -> list[MeshCrash]:
         """Return the crashes whose keys are not among the known ones."""
@@ -89,42 +164,72 @@
             if key not in known
         ]
 
-    @property
-    def known_calls(self) -> int:
-        """Number of the calls that were at the remembered crashes."""
-        return len(self._keys_by_call)
-
     @property
     def blocked_until_s(self) -> dict[bytes, float]:
         """End of each block by fingerprint, on this instance's clock."""
         self._remove_expired()
         return dict(self._blocked_until_s)
 
-    def blocks_except(self, known: dict[bytes, float]) -> MeshBlocks | None:
+    def blocks_except(
+        self,
+        known: dict[bytes, float],
+        known_lifted_index: int = 0,
+    ) -> MeshBlocks | None:
         """Return the blocks that differ from the known ones, None if none.
 
         Parameters
         ----------
         known : dict of float
             An earlier value of `blocked_until_s`.
+        known_lifted_index : int
+            The value of `lifted_index` at that time. If it has changed, all
+            blocks are returned, and those that were lifted later with no time
+            left: a node that knew of the lifts has ignored earlier blocks,
+            and another one may have blocks of an earlier stream.
         """
         now_s = _now()
+        until_s_by_call = self.blocked_until_s
+        if known_lifted_index != self.lifted_index:
+            known = {}
         blocked = [
             BlockedCall(fingerprint=fingerprint, left_s=until_s - now_s)
-            for fingerprint, until_s in self.blocked_until_s.items()
+            for fingerprint, until_s in until_s_by_call.items()
             if known.get(fingerprint) != until_s
         ]
-        return MeshBlocks(blocked=blocked) if blocked else None
+        blocked += [
+            BlockedCall(fingerprint=fingerprint, left_s=0)
+            for fingerprint, index in self._lifted.items()
+            if index > known_lifted_index and fingerprint not in until_s_by_call
+        ]
+        if not blocked:
+            return None
+        return MeshBlocks(blocked=blocked, lifted_index=self.lifted_index)
+
+    def _notify(self) -> None:
+        for callback in self._callbacks:
+            callback()
+
+    def _lift(self, fingerprint: bytes, index: int) -> None:
+        if self._blocked_until_s.pop(fingerprint, None) is not None:
+            _LOG.info(
+                'block lifted',
+                extra={'fingerprint': fingerprint.hex(), 'index': index},
+            )
+        keys = self.index.keys_of(fingerprint)
+        for key in keys:
+            if self._crashes[key].lifted_index < index:
+                self.index.remove(fingerprint, key)
+        self._block_if_repeated(fingerprint)
 
     def _block_if_repeated(self, fingerprint: bytes) -> None:
-        keys = self._keys_of(fingerprint)
+        keys = self.index.keys_of(fingerprint)
         if len(keys) < CRASHES_TO_BLOCK:
             return
         last_s = max(self._at_s[key] for key in keys)
         # A call that was answered before the first crash of a target may be
         # named as a suspect, and then often has a part of the cause's crashes.
         is_ambiguous = any(
-            self._keys_by_call[other].keys() >= set(keys)
+            set(keys).issubset(self.index.keys_of(other))
             for other in self._crashes[keys[-1]].fingerprints
             if other != fingerprint
         )
@@ -139,9 +244,6 @@
             },
         )
 
-    def _keys_of(self, fingerprint: bytes) -> list[CrashKey]:
-        return list(self._keys_by_call.get(fingerprint, ()))
-
     def _remove_expired(self) -> None:
         oldest_s = _now() - RETENTION_S
         excess = max(len(self._crashes) - MAX_CRASHES, 0)
@@ -151,27 +253,15 @@
             if at_s <= oldest_s or number < excess
         ]
         for key in expired:
-            self._remove(key)
+            self._at_s.pop(key)
+            for suspect in self._crashes.pop(key).fingerprints:
+                self.index.remove(suspect, key)
         self._blocked_until_s = {
             fingerprint: until_s
             for fingerprint, until_s in self._blocked_until_s.items()
             if until_s > _now()
         }
 
-    def _remove(self, key: CrashKey) -> None:
-        self._at_s.pop(key)
-        # A crash may name a fingerprint twice.
-        for fingerprint in set(self._crashes.pop(key).fingerprints):
-            keys = self._keys_by_call[fingerprint]
-            keys.pop(key)
-            if not keys:
-                self._keys_by_call.pop(fingerprint)
-
-
-def crash_key(crash: MeshCrash) -> CrashKey:
-    """Return what identifies a crash."""
-    return crash.node, crash.incarnation, crash.number
-
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/exchange.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/exchange.py
@@ -34,11 +34,8 @@
     UPDATE_INTERVAL_S,
     AllowanceBroker,
 )
-from mustardspur_control.mesh.crash_register import (
-    CrashKey,
-    CrashRegister,
-    crash_key,
-)
+from mustardspur_control.mesh.crash_index import CrashKey, crash_key
+from mustardspur_control.mesh.crash_register import CrashRegister
 from mustardspur_control.mesh.evidence import EvidenceAggregator
 from mustardspur_control.mesh.formation import own_peer
 from mustardspur_control.mesh.membership import Membership
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/instance.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/instance.py
@@ -16,6 +16,7 @@
 
 from mustardspur_control.control_stream import ControlStreams, serving_streams
 from mustardspur_control.mesh.allowances import AllowanceBroker
+from mustardspur_control.mesh.blocks import BlockOperations
 from mustardspur_control.mesh.components import MeshComponents
 from mustardspur_control.mesh.evacuations import (
     EvacuationOperations,
@@ -43,9 +44,11 @@
         Settings of the mesh, updated when settings are reloaded.
     allowances : AllowanceBroker
         Broker of the limits shared by all nodes.
+    blocks : BlockOperations
+        Operations for operators on blocked calls.
     """
 
-    __slots__ = ('_mesh', 'allowances', 'evacuations', 'operations')
+    __slots__ = ('_mesh', 'allowances', 'blocks', 'evacuations', 'operations')
 
     def __init__(
         self,
@@ -53,8 +56,10 @@
         evacuations: EvacuationOperations,
         mesh: MeshSettings,
         allowances: AllowanceBroker,
+        blocks: BlockOperations,
     ) -> None:
         """Initialise the handle."""
+        self.blocks = blocks
         self.allowances = allowances
         self.operations = operations
         self.evacuations = evacuations
@@ -115,4 +120,5 @@
             EvacuationOperations(access, store, known),
             mesh,
             components.allowances,
+            BlockOperations(access, store, components.exchange.crashes),
         )
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
@@ -168,6 +168,7 @@
         '_sent_blocks',
         '_sent_controls',
         '_sent_heartbeat_id',
+        '_sent_lifted_index',
         '_shared',
         '_stream',
         '_table_index',
@@ -191,6 +192,7 @@
         self._accepts_packed = not isinstance(hello, MeshHello)
         # End of each block that was sent, by fingerprint.
         self._sent_blocks: dict[bytes, float] = {}
+        self._sent_lifted_index = 0
         self._transfers_index = -1
         self._confirmed = False
         self._sent_controls: list[Peer] = []
@@ -318,9 +320,13 @@
         if not self._accepts_blocks:
             return
         crashes = self._shared.exchange.crashes
-        blocks = crashes.blocks_except(self._sent_blocks)
+        blocks = crashes.blocks_except(
+            self._sent_blocks,
+            self._sent_lifted_index,
+        )
         if blocks is not None:
             self._sent_blocks = crashes.blocked_until_s
+            self._sent_lifted_index = crashes.lifted_index
             self._stream.enqueue(blocks)
 
     async def _send_heartbeats(self) -> None:
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/state_machine.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/state_machine.py
@@ -6,6 +6,7 @@
 from mustardspur_core.mesh import entries
 from mustardspur_core.wire import MalformedFrame, decode_frame
 
+from mustardspur_control.mesh.block_entries import BLOCK_ENTRY_TYPES
 from mustardspur_control.mesh.evacuation_entries import EVACUATION_ENTRY_TYPES
 from mustardspur_control.mesh.store import MeshStore
 from mustardspur_control.store import Store
@@ -17,6 +18,7 @@
     entries.StepTransfer,
     entries.SetBaseVersion,
     *EVACUATION_ENTRY_TYPES,
+    *BLOCK_ENTRY_TYPES,
 )
 
 
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/store.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/store.py
@@ -57,6 +57,9 @@
         Version of each service outside of a transfer.
     evacuated : list of str
         Names of the evacuated data centres, sorted.
+    lifted : dict of int
+        Log index of the latest lift of each call's block, oldest first, by
+        the fingerprint in hexadecimal digits.
     """
 
     __slots__ = (
@@ -70,8 +73,11 @@
         'started_at',
         'base_versions',
         'evacuated',
+        'lifted',
+    )
+    optional: ClassVar[Defaults] = MappingProxyType(
+        {'evacuated': list, 'lifted': dict},
     )
-    optional: ClassVar[Defaults] = MappingProxyType({'evacuated': list})
     index: int
     number: int
     table_index: int
@@ -82,6 +88,7 @@
     started_at: dict[str, float]
     base_versions: dict[str, str]
     evacuated: list[str]
+    lifted: dict[str, int]
 
 
 def empty_state() -> MeshState:
@@ -97,6 +104,7 @@
         started_at={},
         base_versions={},
         evacuated=[],
+        lifted={},
     )
 
 
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/control_messages.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/control_messages.py
@@ -233,14 +233,26 @@
         Fingerprints of the calls that the target had not answered.
     age_s : float
         Seconds since the crash.
+    lifted_index : int
+        `MeshBlocks.lifted_index` that the node knew at the crash. The crash
+        does not count for a call whose block was lifted at a higher index.
     """
 
-    __slots__ = ('node', 'incarnation', 'number', 'fingerprints', 'age_s')
+    __slots__ = (
+        'node',
+        'incarnation',
+        'number',
+        'fingerprints',
+        'age_s',
+        'lifted_index',
+    )
+    optional: ClassVar[Defaults] = MappingProxyType({'lifted_index': int})
     node: str
     incarnation: int
     number: int
     fingerprints: list[bytes]
     age_s: float
+    lifted_index: int
 
 
 class BlockedCall(Record):
@@ -249,7 +261,8 @@
     Parameters
     ----------
     left_s : float
-        Seconds for which it is refused from now on.
+        Seconds for which it is refused from now on, 0 if its block was
+        lifted.
     """
 
     __slots__ = ('fingerprint', 'left_s')
@@ -259,10 +272,19 @@
 
 @message(131)
 class MeshBlocks(Record):
-    """Calls that have crashed several targets and are refused by all nodes."""
+    """Calls that have crashed several targets and are refused by all nodes.
+
+    Parameters
+    ----------
+    lifted_index : int
+        Log index of the latest lift of a block that the sender has applied, 0
+        for none. A node that knows a higher one ignores the blocks.
+    """
 
-    __slots__ = ('blocked',)
+    __slots__ = ('blocked', 'lifted_index')
+    optional: ClassVar[Defaults] = MappingProxyType({'lifted_index': int})
     blocked: list[BlockedCall]
+    lifted_index: int
 
 
 class AllowanceUse(Record):
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/entries.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/entries.py
@@ -138,6 +138,20 @@
     data_centre: str
 
 
+@message(187)
+class LiftBlock(Record):
+    """Ends the block of a call and voids its crashes until now.
+
+    Parameters
+    ----------
+    fingerprint : bytes
+        Fingerprint of the call.
+    """
+
+    __slots__ = ('fingerprint',)
+    fingerprint: bytes
+
+
 class MeshAnswer(Record):
     """Result of applying an entry.
 
--- a/packages/mustardspur_daemon/src/mustardspur_daemon/mesh_processes.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/mesh_processes.py
@@ -4,8 +4,10 @@
 from contextlib import closing
 from pathlib import Path
 
-from mustardspur_control.mesh import running_mesh_control
+from aiohttp import web
+from mustardspur_control.mesh import MeshControl, running_mesh_control
 from mustardspur_control.mesh.allowance_api import AllowanceApi
+from mustardspur_control.mesh.blocks_api import BlocksApi
 from mustardspur_control.mesh.http_api import MeshApi
 from mustardspur_core.event_loop import stop_event
 from mustardspur_core.exposition import MetricsRegistry, serving_metrics
@@ -27,12 +29,7 @@
     with closing(timeline):
         async with (
             running_mesh_control(settings, mesh, timeline, metrics) as control,
-            serving_app(
-                AllowanceApi(control.allowances).add_to(
-                    MeshApi(control.operations, control.evacuations).app(),
-                ),
-                settings.listen.http,
-            ),
+            serving_app(_control_app(control), settings.listen.http),
             serving_metrics(settings.listen.metrics, metrics),
         ):
             _LOG.info('started', extra={'role': settings.role})
@@ -40,6 +37,12 @@
             _LOG.info('stopping')
 
 
+def _control_app(control: MeshControl) -> web.Application:
+    app = MeshApi(control.operations, control.evacuations).app()
+    AllowanceApi(control.allowances).add_to(app)
+    return BlocksApi(control.blocks).add_to(app)
+
+
 async def run_mesh_node(settings: Settings, mesh: MeshSettings) -> None:
     """Run a node of a mesh until a stop signal."""
     stopped = stop_event()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
@@ -256,6 +256,7 @@
     @_FROM_CONTROL.handles(MeshBlocks)
     def _apply_blocks(self, update: MeshBlocks) -> None:
         self._local.blocked.apply(update)
+        self._local.runs.crashes.record_lift(update.lifted_index)
 
     @_FROM_CONTROL.handles(AllowanceGrant)
     def _apply_grant(self, grant: AllowanceGrant) -> None:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/crashes.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/crashes.py
@@ -43,12 +43,16 @@
         Time on the event loop's clock.
     fingerprints : list of bytes
         Fingerprints of the calls that may have caused it.
+    lifted_index : int
+        Log index of the latest lift of a block that the node knew, 0 for
+        none.
     """
 
-    __slots__ = ('number', 'at_s', 'fingerprints')
+    __slots__ = ('number', 'at_s', 'fingerprints', 'lifted_index')
     number: int
     at_s: float
     fingerprints: list[bytes]
+    lifted_index: int
 
 
 class BrokenCall(Record):
@@ -93,6 +97,7 @@
         '_broken',
         '_check',
         '_crashed_s',
+        '_lifted_index',
         '_names',
         '_number',
         '_recent',
@@ -111,9 +116,17 @@
         self._check: asyncio.Task[None] | None = None
         self._crashed_s = float('-inf')
         self._number = 0
+        self._lifted_index = 0
         self.crashes: deque[Crash] = deque(maxlen=MAX_REPORTED)
         self.on_crash: Callable[[], None] = _ignore
 
+    def record_lift(self, index: int) -> None:
+        """Record the log index of the latest lift of a block.
+
+        An instance that lags behind may state a lower one.
+        """
+        self._lifted_index = max(self._lifted_index, index)
+
     def record_answered(self, call: CallOpen) -> None:
         """Record that the target answered a call."""
         if self._number:
@@ -174,6 +187,7 @@
                 number=self._number,
                 at_s=_now(),
                 fingerprints=list(suspects),
+                lifted_index=self._lifted_index,
             ),
         )
         self.on_crash()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/node_reports.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/node_reports.py
@@ -84,4 +84,5 @@
             number=crash.number,
             fingerprints=crash.fingerprints,
             age_s=asyncio.get_running_loop().time() - crash.at_s,
+            lifted_index=crash.lifted_index,
         )
--- a/tests/control/mesh/test_crash_register.py
+++ b/tests/control/mesh/test_crash_register.py
@@ -3,13 +3,13 @@
 import asyncio
 
 import pytest
+from mustardspur_control.mesh.crash_index import crash_key
 from mustardspur_control.mesh.crash_register import (
     AMBIGUOUS_BLOCK_S,
     CRASHES_TO_BLOCK,
     MAX_CRASHES,
     RETENTION_S,
     CrashRegister,
-    crash_key,
 )
 from mustardspur_core.mesh.control_messages import MeshCrash
 
@@ -18,7 +18,12 @@
 DEADLY = b'deadly'
 
 
-def crash(number: int, *fingerprints: bytes, age_s: float = 0) -> MeshCrash:
+def crash(
+    number: int,
+    *fingerprints: bytes,
+    age_s: float = 0,
+    lifted_index: int = 0,
+) -> MeshCrash:
     """Return a crash with the deadly call and others."""
     node = number % 5
     return MeshCrash(
@@ -27,6 +32,7 @@
         number=number,
         fingerprints=[DEADLY, *fingerprints],
         age_s=age_s,
+        lifted_index=lifted_index,
     )
 
 
@@ -124,9 +130,9 @@
     for number in range(MAX_CRASHES + 10):
         register.record(crash(number, b'%d' % number))
     assert len(register.crashes_except(set())) == MAX_CRASHES
-    assert register.known_calls == MAX_CRASHES + 1
+    assert len(register.index) == MAX_CRASHES + 1
     register.record(crash(-3, b'early'))
     assert _blocked(register) == {DEADLY}
     await asyncio.sleep(RETENTION_S)
     assert not register.crashes_except(set())
-    assert not register.known_calls
+    assert not register.index
--- a/tests/node/mesh/test_crashes.py
+++ b/tests/node/mesh/test_crashes.py
@@ -5,6 +5,7 @@
 import pytest
 from mustardspur_core.mesh.call_messages import CallOpen
 from mustardspur_core.mesh.control_messages import BlockedCall, MeshBlocks
+from mustardspur_core.record import replaced
 from mustardspur_node.mesh.calls import PlacementFault
 from mustardspur_node.mesh.crashes import MAX_RECENT_BODY_BYTES
 from mustardspur_node.mesh.fingerprints import call_fingerprint
@@ -79,17 +80,26 @@
 
 async def test_blocked_call_is_not_sent() -> None:
     """Guards against a call that crashes a further target although it is
-    known to do so.
+    known to do so, and against refusing it after its block was lifted, as an
+    instance blocks it that does not know of the lift.
     """
     async with run_scripted() as (address, target):
         local = local_target(address)
         blocked = BlockedCall(fingerprint=_fingerprint(DEADLY_PATH), left_s=60)
-        local.blocked.apply(MeshBlocks(blocked=[blocked]))
+        local.blocked.apply(MeshBlocks(blocked=[blocked], lifted_index=0))
         with pytest.raises(PlacementFault, match='blocked') as fault:
             await _call(local, DEADLY_PATH)
         assert fault.value.not_run
         await _call(local, '/drafts/2')
         assert target.requests == 1
+        lifted = replaced(blocked, left_s=0)
+        local.blocked.apply(MeshBlocks(blocked=[lifted], lifted_index=7))
+        local.blocked.apply(MeshBlocks(blocked=[blocked], lifted_index=5))
+        await _call(local, DEADLY_PATH)
+        assert target.requests == 2
+        local.blocked.apply(MeshBlocks(blocked=[blocked], lifted_index=7))
+        with pytest.raises(PlacementFault, match='blocked'):
+            await _call(local, DEADLY_PATH)
 
 
 @in_virtual_time
@@ -122,7 +132,11 @@
     first, second = call_open(path='/first'), call_open(path='/second')
     deadly = call_open(path=DEADLY_PATH)
     await _crash(local, [first, large], [first, deadly])
+    local.runs.crashes.record_lift(7)
+    local.runs.crashes.record_lift(5)
     await _crash(local, [large, second], [first, large, second, deadly])
+    indexes = [each.lifted_index for each in local.runs.crashes.crashes]
+    assert indexes == [0, 7]
     assert [each.fingerprints for each in local.runs.crashes.crashes] == [
         [_fingerprint(DEADLY_PATH)],
         [_fingerprint(DEADLY_PATH)],
--- a/tests/node/mesh/test_placing.py
+++ b/tests/node/mesh/test_placing.py
@@ -61,7 +61,7 @@
     settings = node_settings()
     assert isinstance(settings.mesh, MeshSettings)
     local = local_target(address)
-    local.blocked.apply(MeshBlocks(blocked=list(blocked)))
+    local.blocked.apply(MeshBlocks(blocked=list(blocked), lifted_index=0))
     return Placer(settings, settings.mesh, view, local, NullMetrics())
 
 
--- a/tests/platform/test_crashing_call.py
+++ b/tests/platform/test_crashing_call.py
@@ -1,12 +1,16 @@
 """A call that crashes targets, in a mesh of real processes."""
 
 import asyncio
-from contextlib import AsyncExitStack
+import io
+import json
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
 from http import HTTPStatus
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 
 from aiohttp import ClientResponse
+from mustardspur_client.main import run
 from yarl import URL
 
 from tests.node.stand_ins.crashing import DEADLY_PATH, CrashingTarget
@@ -25,6 +29,10 @@
 ATTEMPTS: Final = 16
 # A call may reach targets in three retries after it has crashed three.
 MAX_CRASHES: Final = 6
+LIFTED: Final = '"block lifted"'
+ATTACHED: Final = '"attached"'
+
+_Running = tuple[Mesh, list[CrashingTarget]]
 
 
 async def _call(mesh: Mesh, node: str, path: str, number: int) -> int:
@@ -53,14 +61,17 @@
 
 async def _until_observed(mesh: Mesh, targets: list[CrashingTarget]) -> None:
     """Wait until the nodes have seen that the targets are down."""
-    logs = [mesh.folder / f'{node}.log' for node in NODES]
     async with asyncio.timeout(HANG_LIMIT_S):
-        while _crashes(targets) > sum(
-            log.read_text('utf-8').count('"target crashed"') for log in logs
-        ):
+        while _crashes(targets) > _logged(mesh, '"target crashed"'):
             await asyncio.sleep(POLL_S)
 
 
+def _logged(mesh: Mesh, event: str) -> int:
+    """Return how often the nodes have logged an event."""
+    logs = [mesh.folder / f'{node}.log' for node in NODES]
+    return sum(log.read_text('utf-8').count(event) for log in logs)
+
+
 async def _attempt(
     mesh: Mesh, targets: list[CrashingTarget], count: int
 ) -> int:
@@ -100,11 +111,11 @@
     await asyncio.gather(*map(mesh.report, NODES))
 
 
-async def test_call_that_crashes_targets_is_stopped(tmp_path: Path) -> None:
-    """Guards against a call that crashes target after target, as it comes
-    again at other nodes with other identifiers.
-    """
-    async with running_mesh(tmp_path) as mesh, AsyncExitStack() as stack:
+@asynccontextmanager
+async def _running(
+    folder: Path,
+) -> AsyncIterator[_Running]:
+    async with running_mesh(folder) as mesh, AsyncExitStack() as stack:
         targets = [
             CrashingTarget(each, mesh.ports['target'], 'Request-Id')
             for each in NODES
@@ -113,7 +124,81 @@
             *(stack.enter_async_context(each.running()) for each in targets),
         )
         await _start(mesh)
+        yield mesh, targets
+
+
+async def _restart_controls(mesh: Mesh) -> None:
+    """Restart all control instances, and wait until the nodes are attached."""
+    attached = _logged(mesh, ATTACHED)
+    await asyncio.gather(*map(mesh.kill, CONTROLS))
+    await asyncio.gather(
+        *(mesh.start_control(each, first_start=False) for each in CONTROLS),
+    )
+    async with asyncio.timeout(HANG_LIMIT_S):
+        while _logged(mesh, ATTACHED) < attached + len(NODES):
+            await asyncio.sleep(POLL_S)
+
+
+async def _blocked_everywhere(mesh: Mesh) -> str:
+    """Return the fingerprint that all control instances block in the end."""
+    blocks: list[Any] = []
+    async with asyncio.timeout(HANG_LIMIT_S):
+        while len(blocks) < len(CONTROLS):
+            await asyncio.sleep(POLL_S)
+            bodies = await asyncio.gather(
+                *(
+                    mesh.until('GET', mesh.url(each, 'http', '/v1/blocks'))
+                    for each in CONTROLS
+                ),
+            )
+            blocks = [
+                each for body in bodies for each in json.loads(body)['blocks']
+            ]
+    return str(blocks[0]['fingerprint'])
+
+
+async def _run_verb(mesh: Mesh, *line: str) -> dict[str, Any]:
+    """Run a verb with all control instances, and return what it shows."""
+    port = mesh.ports['http']
+    controls = [f'--control={host}:{port}' for host in CONTROLS]
+    output = io.StringIO()
+    code = await run([*line, *controls, '--output=json'], output, output)
+    shown = output.getvalue()
+    assert code == 0, shown
+    body: dict[str, Any] = json.loads(shown)
+    return body
+
+
+async def test_call_that_crashes_targets_is_stopped(tmp_path: Path) -> None:
+    """Guards against a call that crashes target after target, as it comes
+    again at other nodes with other identifiers.
+    """
+    async with _running(tmp_path) as (mesh, targets):
         status = await _attempt(mesh, targets, ATTEMPTS)
         assert _crashes(targets) <= MAX_CRASHES
         assert status == HTTPStatus.SERVICE_UNAVAILABLE
         await _until_served(mesh, NODES[0])
+
+
+async def test_lifted_block_outlives_restarts(tmp_path: Path) -> None:
+    """Guards against a block that comes back after its lift, as nodes report
+    their crashes again to control instances that have restarted, and against
+    a call that cannot be blocked again.
+    """
+    async with _running(tmp_path) as (mesh, targets):
+        await _attempt(mesh, targets, ATTEMPTS)
+        before = _crashes(targets)
+        fingerprint = await _blocked_everywhere(mesh)
+        # One instance learns of the lift after its restart only.
+        await mesh.kill(CONTROLS[2])
+        await _run_verb(mesh, 'unblock', fingerprint)
+        await mesh.start_control(CONTROLS[2], first_start=False)
+        await asyncio.gather(
+            *(mesh.until_logged(each, LIFTED) for each in NODES)
+        )
+        await _restart_controls(mesh)
+        await _attempt(mesh, targets, 1)
+        assert _crashes(targets) > before
+        status = await _attempt(mesh, targets, ATTEMPTS)
+        assert _crashes(targets) <= before + MAX_CRASHES
+        assert status == HTTPStatus.SERVICE_UNAVAILABLE
