Count a target that falls silent as crashed

Cause: a target that hangs keeps its connections open and answers nothing, so no end of a connection showed that a call had silenced it. The call went on to the next target.

Change: with the setting mesh.silent_target, a call that ends without an answer at a target that has shown no sign of life for 0.5 s starts a check: two probes of the health check on new connections. Without any byte, refusal or end of a connection for the stated time, and for twice the longest recent run, the calls that were at the target when the check started are suspects as with a crash. Off by default; the deploy templates do not set it. The pool's address and state became public for the probes.

--- a/benchmarks/fingerprints/__main__.py
+++ b/benchmarks/fingerprints/__main__.py
@@ -7,6 +7,7 @@
 import sys
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 from mustardspur_core.mesh.call_messages import CallOpen
@@ -14,6 +15,8 @@
 from mustardspur_node.mesh.crashes import CrashObserver
 from mustardspur_node.mesh.fingerprints import call_fingerprint
 from mustardspur_node.mesh.names import HEADER_NAMES
+from mustardspur_node.mesh.silent_targets import SilenceObserver
+from mustardspur_node.mesh.target_connection import TargetConnection
 from mustardspur_node.mesh.target_pool import TargetPool
 
 from tests.node.mesh.builders import call_open
@@ -42,6 +45,7 @@
             f'record of an answer before a crash {before_us:.1f} us, '
             f'after one {after_us:.1f} us a call\n'
         )
+    _print_observation(calls)
 
 
 def _call(number: int, body: bytes) -> CallOpen:
@@ -52,6 +56,31 @@
     return call
 
 
+def _print_observation(calls: list[CallOpen]) -> None:
+    """Print the cost of the detection of silent targets, off and on."""
+    silence = SilenceObserver(CrashObserver(HEADER_NAMES))
+    budget = AnswerBudget()
+    pool = TargetPool('127.0.0.1:9', budget)
+    connection = TargetConnection(asyncio.get_running_loop(), budget)
+    observe = partial(_observe, silence, connection, pool)
+    for name, after_s in (('off', 0), ('on', 5)):
+        silence.after_s = after_s
+        sys.stdout.write(
+            f'detection of silence {name}: '
+            f'{_least_us(observe, calls):.1f} us a call\n'
+        )
+
+
+def _observe(
+    silence: SilenceObserver,
+    connection: TargetConnection,
+    pool: TargetPool,
+    call: CallOpen,
+) -> None:
+    with silence.observed(call, connection, pool):
+        connection.data_received(b'')
+
+
 async def _crash(observer: CrashObserver, call: CallOpen) -> None:
     """Let the observer find that the target, which never was up, crashed."""
     crashed = asyncio.Event()
--- a/packages/mustardspur_core/src/mustardspur_core/settings/loading.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/loading.py
@@ -37,6 +37,7 @@
         'contact',
         'retry_window',
         'limit_window',
+        'silent_target',
     ),
 )
 _DEFAULT_MESH: Final[Mapping[str, Any]] = MappingProxyType(
@@ -56,6 +57,7 @@
         'limit_slack': 20.0,
         'link_mbps': 0,
         'balancing': 'least_expected',
+        'silent_target_s': 0,
     }
 )
 _DEFAULT_INTERVALS: Final = MappingProxyType(
--- a/packages/mustardspur_core/src/mustardspur_core/settings/model.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/model.py
@@ -103,6 +103,9 @@
         Bandwidth of the instance's own link, 0 if not stated.
     balancing : str
         Name of the policy that selects targets.
+    silent_target_s : float
+        Time without a sign of life after which a target counts as crashed, 0
+        for no such detection.
     """
 
     __slots__ = (
@@ -121,6 +124,7 @@
         'limit_slack',
         'link_mbps',
         'balancing',
+        'silent_target_s',
     )
     seeds: list[str]
     first_start: bool
@@ -137,6 +141,7 @@
     limit_slack: float
     link_mbps: float
     balancing: str
+    silent_target_s: float
 
 
 class Settings(Record):
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/blocked_calls.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/blocked_calls.py
@@ -34,6 +34,10 @@
         self._lifted_index = 0
         self._until_s_by_fingerprint: dict[bytes, float] = {}
 
+    def __len__(self) -> int:
+        """Return the number of blocks, some of which may have just ended."""
+        return len(self._until_s_by_fingerprint)
+
     def apply(self, update: MeshBlocks) -> None:
         """Add blocked calls, and remove those whose time is over.
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/confirmation.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/confirmation.py
@@ -8,7 +8,7 @@
 from mustardspur_node.mesh.answer_parser import BrokenAnswer
 from mustardspur_node.mesh.calls import PlacementFault
 from mustardspur_node.mesh.local_target import LocalTarget
-from mustardspur_node.mesh.reports import MAX_REPORT_DELAY_S
+from mustardspur_node.mesh.reports import MAX_REPORT_DELAY_S, is_ready
 from mustardspur_node.mesh.view import MeshView
 
 _LOG: Final = logging.getLogger(__name__)
@@ -77,6 +77,13 @@
     return rule.health_path if rule else None
 
 
+def ready_health_path(local: LocalTarget, view: MeshView) -> str | None:
+    """Return the path of the health check of a target that is not leaving."""
+    if not is_ready(local.reports.current):
+        return None
+    return health_path(local, view)
+
+
 async def is_healthy(local: LocalTarget, path: str) -> bool:
     """Return whether the target passes its health check."""
     report = local.reports.current
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/crashes.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/crashes.py
@@ -73,7 +73,8 @@
     A target that resets a connection still accepts others; one that crashed
     ends all connections and refuses new ones. The calls without an answer at
     that moment are suspects, except those that the target has answered
-    before: a call that crashes targets never gets an answer.
+    before: a call that crashes targets never gets an answer. `SilenceObserver`
+    adds the crashes of targets that fall silent.
 
     Before the first crash, fingerprints of answered calls are not computed.
     The latest calls with small bodies are kept instead, since a call that is
@@ -88,6 +89,9 @@
     ----------
     crashes : deque of Crash
         The latest crashes, oldest first.
+    is_silent : bool
+        Whether the target has fallen silent, and neither answered nor ended
+        since.
     on_crash : callable
         Called after a crash was added.
     """
@@ -102,6 +106,7 @@
         '_number',
         '_recent',
         'crashes',
+        'is_silent',
         'on_crash',
     )
 
@@ -118,6 +123,7 @@
         self._number = 0
         self._lifted_index = 0
         self.crashes: deque[Crash] = deque(maxlen=MAX_REPORTED)
+        self.is_silent = False
         self.on_crash: Callable[[], None] = _ignore
 
     def record_lift(self, index: int) -> None:
@@ -141,7 +147,7 @@
         """
         broken = BrokenCall(
             at_s=_now(),
-            fingerprint=self._fingerprint(call),
+            fingerprint=self.fingerprint(call),
             path=call.path,
         )
         self._broken.append(broken)
@@ -149,19 +155,35 @@
             self._check = asyncio.create_task(self._check_target(call, pool))
             self._check.add_done_callback(_log_failure)
 
+    def record_silence(self, target_id: str, calls: list[BrokenCall]) -> None:
+        """Record that the target fell silent while it ran calls."""
+        self.is_silent = True
+        self._record_crash(target_id, calls)
+
+    def fingerprint(self, call: CallOpen) -> bytes:
+        """Return the fingerprint of a call."""
+        return call_fingerprint(
+            self._names, call.method, call.path, call.headers, call.body
+        )
+
     async def _check_target(self, call: CallOpen, pool: TargetPool) -> None:
         await asyncio.sleep(SETTLE_S)
         accepts = await pool.accepts_connections()
         # A target that no connection reached since its crash is still down;
         # calls on older connections find it so and are no suspects.
-        if not accepts and pool.connected_s > self._crashed_s:
-            self._crashed_s = _now()
-            self._record_crash(call.target)
-
-    def _record_crash(self, target_id: str) -> None:
-        oldest_s = _now() - CRASH_WINDOW_S
+        if accepts or pool.connected_s <= self._crashed_s:
+            return
+        self._crashed_s = _now()
+        oldest_s = self._crashed_s - CRASH_WINDOW_S
         broken = [each for each in self._broken if each.at_s >= oldest_s]
         self._broken.clear()
+        if self.is_silent:
+            # The end of a silent target is no further crash.
+            self.is_silent = False
+        else:
+            self._record_crash(call.target, broken)
+
+    def _record_crash(self, target_id: str, broken: list[BrokenCall]) -> None:
         while self._recent:
             self._remember_answered(self._recent.popleft())
         suspects = {
@@ -176,6 +198,7 @@
                 'target': target_id,
                 'number': self._number,
                 'unanswered': len(broken),
+                'silent': self.is_silent,
                 'suspects': {
                     fingerprint.hex(): path
                     for fingerprint, path in suspects.items()
@@ -193,17 +216,12 @@
         self.on_crash()
 
     def _remember_answered(self, call: CallOpen) -> None:
-        fingerprint = self._fingerprint(call)
+        fingerprint = self.fingerprint(call)
         self._answered.pop(fingerprint, None)
         self._answered[fingerprint] = None
         if len(self._answered) > MAX_ANSWERED:
             self._answered.pop(next(iter(self._answered)))
 
-    def _fingerprint(self, call: CallOpen) -> bytes:
-        return call_fingerprint(
-            self._names, call.method, call.path, call.headers, call.body
-        )
-
 
 def _ignore() -> None:
     """Do nothing on a crash."""
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -268,13 +268,14 @@
         started_ns = time.monotonic_ns()
         sent_s = _now()
         try:
-            async with asyncio.timeout(left_ms / MS_PER_S):
-                answer = await connection.exchange(
-                    call.method,
-                    self._requests.head(call, report, left_ms),
-                    call.body,
-                    lambda message: self._requests.identify(call, message),
-                )
+            with self.runs.silence.observed(call, connection, self.pool):
+                async with asyncio.timeout(left_ms / MS_PER_S):
+                    answer = await connection.exchange(
+                        call.method,
+                        self._requests.head(call, report, left_ms),
+                        call.body,
+                        lambda message: self._requests.identify(call, message),
+                    )
         except TimeoutError as error:
             raise maybe_run_fault('timeout', 'no answer in time') from error
         except BrokenAnswer as error:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/run_recorder.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/run_recorder.py
@@ -9,6 +9,7 @@
 from mustardspur_node.mesh.crashes import CrashObserver
 from mustardspur_node.mesh.names import HeaderNames
 from mustardspur_node.mesh.reports import ReportStore, TargetReport, is_ready
+from mustardspur_node.mesh.silent_targets import SilenceObserver
 from mustardspur_node.mesh.target_pool import TargetPool
 from mustardspur_node.mesh.transfer_evidence import TransferEvidence
 
@@ -26,7 +27,7 @@
         Reports of the target.
     """
 
-    __slots__ = ('_admission', '_reports', 'crashes', 'evidence')
+    __slots__ = ('_admission', '_reports', 'crashes', 'evidence', 'silence')
 
     def __init__(
         self,
@@ -38,6 +39,7 @@
         self._admission = admission
         self._reports = reports
         self.crashes = CrashObserver(names)
+        self.silence = SilenceObserver(self.crashes)
         self.evidence = TransferEvidence()
 
     def record_answer(
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_connection.py
@@ -43,6 +43,11 @@
         The running event loop.
     budget : AnswerBudget
         Bytes of all answers that the node receives.
+
+    Attributes
+    ----------
+    heard_s : float
+        Time on the event loop's clock of the latest received bytes.
     """
 
     __slots__ = (
@@ -51,6 +56,7 @@
         '_carried',
         '_idle_timeout_s',
         '_in_flight',
+        'heard_s',
         'idle_since_s',
         'reusable',
     )
@@ -68,6 +74,7 @@
         self._carried = 0
         self._in_flight = False
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
+        self.heard_s = float('-inf')
         self.idle_since_s: float = 0
         self.reusable = True
 
@@ -85,6 +92,7 @@
 
     def data_received(self, received: bytes) -> None:
         """Parse received bytes; abort if no request is in flight."""
+        self.heard_s = self._loop.time()
         if self._in_flight:
             self._answers.feed(received)
         elif received:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_pool.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_pool.py
@@ -31,24 +31,28 @@
 
     Attributes
     ----------
+    address : str
+        ``ip:port`` of the target.
+    closed : bool
+        Whether the target was replaced by another one.
     connected_s : float
         Time on the event loop's clock of the latest connect.
     """
 
     __slots__ = (
-        '_address',
         '_budget',
-        '_closed',
         '_idle',
         '_loop',
+        'address',
+        'closed',
         'connected_s',
     )
 
     def __init__(self, address: str, budget: AnswerBudget) -> None:
         """Initialise an empty pool."""
-        self._address = address
+        self.address = address
         self._budget = budget
-        self._closed = False
+        self.closed = False
         self._idle: list[TargetConnection] = []
         self._loop = asyncio.get_running_loop()
         self.connected_s: float = 0
@@ -74,12 +78,27 @@
         finally:
             self._release(connection)
 
+    @asynccontextmanager
+    async def acquire_new(self) -> AsyncIterator[TargetConnection]:
+        """Provide a new connection while the context is active.
+
+        Raises
+        ------
+        PlacementFault
+            If the target accepts no connection; nothing was sent.
+        """
+        connection = await self._connect()
+        try:
+            yield connection
+        finally:
+            self._release(connection)
+
     async def accepts_connections(self) -> bool:
         """Return False if the target refuses connections.
 
         Where no idle connection shows it, one is opened for the next call.
         """
-        if self._closed or any(each.is_fresh for each in self._idle):
+        if self.closed or any(each.is_fresh for each in self._idle):
             return True
         try:
             connection = await self._connect()
@@ -97,7 +116,7 @@
 
     def close(self) -> None:
         """Close idle connections now and acquired ones on their release."""
-        self._closed = True
+        self.closed = True
         while self._idle:
             self._idle.pop().abort()
 
@@ -110,13 +129,13 @@
         return await self._connect()
 
     def _release(self, connection: TargetConnection) -> None:
-        if self._closed:
+        if self.closed:
             connection.abort()
         elif connection.is_fresh:
             self._idle.append(connection)
 
     async def _connect(self) -> TargetConnection:
-        host, _, port = self._address.rpartition(':')
+        host, _, port = self.address.rpartition(':')
         creation = self._loop.create_task(self._create(host, int(port)))
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- a/tests/node/stand_ins/crashing.py
+++ b/tests/node/stand_ins/crashing.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 DEADLY_PATH: Final = '/drafts/deadly'
+SILENCING_PATH: Final = '/drafts/silencing'
 SLOW_PATH: Final = '/drafts/slow'
 # Longer than any test runs.
 _SLOW_S: Final = 600.0
@@ -15,7 +16,8 @@
 class CrashingTarget:
     """Answers calls; one with `DEADLY_PATH` ends the target without an answer.
 
-    Calls with `SLOW_PATH` get no answer.
+    Calls with `SLOW_PATH` get no answer. After one with `SILENCING_PATH` no
+    request is answered, and all connections stay open.
 
     Parameters
     ----------
@@ -27,7 +29,7 @@
     Attributes
     ----------
     crashes : int
-        Number of ends.
+        Number of ends and silences.
     """
 
     def __init__(
@@ -42,6 +44,7 @@
         self._id_header = id_header
         self._server: asyncio.Server | None = None
         self._writers: list[asyncio.StreamWriter] = []
+        self._is_silent = False
         self.crashes = 0
 
     @asynccontextmanager
@@ -54,7 +57,10 @@
             self._end()
 
     async def start(self) -> None:
-        """Listen, after a crash at the same address again."""
+        """Listen, after a crash or silence at the same address again."""
+        if self._is_silent:
+            self._end()
+            self._is_silent = False
         if self._server is None:
             self._server = await asyncio.start_server(
                 self._serve, self._host, self._port
@@ -73,7 +79,10 @@
                 self.crashes += 1
                 self._end()
                 return
-            if path == SLOW_PATH:
+            if path == SILENCING_PATH:
+                self.crashes += 1
+                self._is_silent = True
+            if path == SLOW_PATH or self._is_silent:
                 await asyncio.sleep(_SLOW_S)
             writer.write(self._answer(head))
 
--- a/tests/platform/mesh_processes.py
+++ b/tests/platform/mesh_processes.py
@@ -68,8 +68,9 @@
         self,
         host: str,
         data_centre: str = 'split-a',
+        **mesh: Any,
     ) -> None:
-        """Start a node."""
+        """Start a node, with further settings of the part ``mesh``."""
         target = f'{host}:{self.ports["target"]}'
         await self._start(
             host,
@@ -78,7 +79,7 @@
                 'data_centre': data_centre,
                 'service': 'forms',
                 'listen': self._listen(host, *_PORTS[:4]),
-                'mesh': {**self._seeds(), 'target_address': target},
+                'mesh': {**self._seeds(), 'target_address': target, **mesh},
             },
         )
 
--- a/tests/platform/test_crashing_call.py
+++ b/tests/platform/test_crashing_call.py
@@ -13,7 +13,11 @@
 from mustardspur_client.main import run
 from yarl import URL
 
-from tests.node.stand_ins.crashing import DEADLY_PATH, CrashingTarget
+from tests.node.stand_ins.crashing import (
+    DEADLY_PATH,
+    SILENCING_PATH,
+    CrashingTarget,
+)
 from tests.platform.mesh_processes import (
     HANG_LIMIT_S,
     HOST,
@@ -73,7 +77,10 @@
 
 
 async def _attempt(
-    mesh: Mesh, targets: list[CrashingTarget], count: int
+    mesh: Mesh,
+    targets: list[CrashingTarget],
+    count: int,
+    path: str = DEADLY_PATH,
 ) -> int:
     """Send the deadly call several times, and return the last status.
 
@@ -82,16 +89,16 @@
     number = 0
     while number < count:
         number += 1
-        status = await _attempt_once(mesh, targets, number)
+        status = await _attempt_once(mesh, targets, number, path)
     return status
 
 
 async def _attempt_once(
-    mesh: Mesh, targets: list[CrashingTarget], number: int
+    mesh: Mesh, targets: list[CrashingTarget], number: int, path: str
 ) -> int:
     node = NODES[number % len(NODES)]
     await _until_served(mesh, node)
-    status = await _call(mesh, node, DEADLY_PATH, number)
+    status = await _call(mesh, node, path, number)
     await _until_observed(mesh, targets)
     await asyncio.gather(*(target.start() for target in targets))
     return status
@@ -100,7 +107,7 @@
 async def _start(mesh: Mesh) -> None:
     await asyncio.gather(
         *(mesh.start_control(each, first_start=True) for each in CONTROLS),
-        *map(mesh.start_node, NODES),
+        *(mesh.start_node(each, silent_target='500ms') for each in NODES),
     )
     await mesh.until(
         'PUT',
@@ -180,6 +187,17 @@
         await _until_served(mesh, NODES[0])
 
 
+async def test_call_that_silences_targets_is_stopped(tmp_path: Path) -> None:
+    """Guards against a call after which target after target answers nothing
+    any more without an end of its connections.
+    """
+    async with _running(tmp_path) as (mesh, targets):
+        count = MAX_CRASHES + 1
+        status = await _attempt(mesh, targets, count, SILENCING_PATH)
+        assert _crashes(targets) < count
+        assert status == HTTPStatus.SERVICE_UNAVAILABLE
+
+
 async def test_lifted_block_outlives_restarts(tmp_path: Path) -> None:
     """Guards against a block that comes back after its lift, as nodes report
     their crashes again to control instances that have restarted, and against
