--- a/packages/mustardspur_core/src/mustardspur_core/mesh/allowance_checks.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/allowance_checks.py
@@ -19,11 +19,11 @@
 
 # Calls that a node may have admitted in advance and not reported.
 MAX_SPENT: Final = 2
-# Calls of one request; a node serves some thousand calls a second.
+# Calls that a request states; a node that has refused more states this number.
 MAX_CALLS: Final = 1_000_000
 MAX_DEMAND_PER_S: Final = 1e9
-# A day: longest time in a grant, which a limit of a few calls a day would need.
-MAX_TIME_MS: Final = 86_400_000
+# Some years; a share of a limit of a call a day has a token in some months.
+MAX_TIME_MS: Final = 1e12
 
 
 def check_request(request: AllowanceRequest) -> None:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/limit_allowance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/limit_allowance.py
@@ -5,6 +5,7 @@
 from collections import deque
 from typing import Final
 
+from mustardspur_core.mesh.allowance_checks import MAX_CALLS
 from mustardspur_core.mesh.control_messages import AllowanceShare, AllowanceUse
 from mustardspur_core.mesh.model import ClientAccount
 from mustardspur_core.record import Record
@@ -25,6 +26,8 @@
 # Part of the burst and of the slack that all nodes use without control
 # instances.
 FALLBACK_PART: Final = 0.5
+# A refused node asks again after a day at the latest.
+MAX_RETRY_S: Final = 86_400.0
 
 # Result of a wait: 0 for an admitted call, otherwise the time after which the
 # caller may retry; None if no grant came.
@@ -162,7 +165,7 @@
                 limit=f'account/{name}',
                 spent=self._spent,
                 wanted=len(self.waiters) + self._prefetch(),
-                calls=self._calls,
+                calls=min(self._calls, MAX_CALLS),
             ),
             waiters=self.waiters,
         )
@@ -188,7 +191,7 @@
         self._relaxed_until_s = sent_s + RELAXED_S if share.relaxed else now_s
         until_s = sent_s + share.valid_ms / MS_PER_S
         tokens = share.tokens if now_s < until_s else 0
-        retry_s = share.retry_after_ms / MS_PER_S
+        retry_s = min(share.retry_after_ms / MS_PER_S, MAX_RETRY_S)
         for waiter in sent.waiters:
             if waiter.done():
                 continue
--- a/tests/control/mesh/test_damaged_frames.py
+++ b/tests/control/mesh/test_damaged_frames.py
@@ -7,17 +7,23 @@
 import pytest
 from hypothesis import assume, given, settings
 from hypothesis import strategies as st
+from mustardspur_control.mesh.limit_broker import LimitBroker
 from mustardspur_control.mesh.state_machine import MeshStateMachine
 from mustardspur_control.mesh.store import MeshStore
 from mustardspur_control.store import Store
-from mustardspur_core.mesh.allowance_checks import MAX_DEMAND_PER_S
+from mustardspur_core.mesh.allowance_checks import (
+    MAX_DEMAND_PER_S,
+    check_grant,
+)
 from mustardspur_core.mesh.control_messages import (
     AllowanceDemand,
+    AllowanceGrant,
     AllowanceRequest,
     AllowanceUse,
     LimitDemand,
 )
 from mustardspur_core.mesh.entries import MeshAnswer
+from mustardspur_core.mesh.token_bucket import TokenBucket
 from mustardspur_core.record import Record
 from mustardspur_core.wire import MalformedFrame, decode_frame, encode_frame
 
@@ -105,6 +111,17 @@
     await _check_served(AllowanceDemand(full=full, demands=[demand]))
 
 
+def test_grants_of_a_rare_limit_are_in_range() -> None:
+    """Guards against a limit of a call a day whose grants end the streams."""
+    broker = LimitBroker(LIMIT, TokenBucket(0), now_s=0)
+    broker.rate_per_s = 1 / 86_400
+    broker.resize(0.01, 0, now_s=0)
+    use = AllowanceUse(limit=LIMIT, spent=0, wanted=1, calls=1)
+    share = broker.answer('n1', use, now_s=0)
+    assert share.retry_after_ms > 86_400_000
+    check_grant(AllowanceGrant(grants=[share]), [use])
+
+
 @pytest.mark.parametrize('code', [132, 141])
 @_FUZZED
 @given(data=st.data())
--- a/tests/node/mesh/test_damaged_grants.py
+++ b/tests/node/mesh/test_damaged_grants.py
@@ -7,6 +7,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from mustardspur_core.mesh.allowance_checks import MAX_CALLS, check_request
 from mustardspur_core.mesh.control_messages import (
     AllowanceGrant,
     AllowanceRequest,
@@ -18,11 +19,12 @@
 from mustardspur_node.mesh.allowances import NodeAllowances
 from mustardspur_node.mesh.calls import UnansweredCall
 from mustardspur_node.mesh.decisions import DecisionLog
+from mustardspur_node.mesh.limit_allowance import LimitAllowance
 from mustardspur_node.mesh.view import MeshView
 
 from tests.core.mesh.builders import account, mesh_settings
 from tests.support.damaged_frames import LIMIT, NUMBERS, damaged_frames
-from tests.support.virtual_time import in_virtual_time, ticks
+from tests.support.virtual_time import in_virtual_time, ticks, virtual_now_s
 
 _FUZZED: Final = settings(max_examples=60, deadline=None, derandomize=True)
 _HANG_S: Final = 5
@@ -36,6 +38,17 @@
 _ACCOUNT: Final = account('cafe', rate_per_s=100, burst=100)
 
 
+@in_virtual_time
+async def test_many_refused_calls_are_reported_within_range() -> None:
+    """Guards against a hot account of a rare limit whose calls, counted for
+    hours, make a request that ends the stream.
+    """
+    allowance = LimitAllowance(_ACCOUNT, random.Random(1), virtual_now_s())
+    for _ in range(MAX_CALLS + 1):
+        allowance.try_admit(0)
+    check_request(AllowanceRequest(uses=[allowance.next_use(1).use]))
+
+
 class _Broker:
     """Answers the first request with a given grant, then grants nothing."""
 
