--- a/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
@@ -2,9 +2,8 @@
 
 import asyncio
 import math
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from functools import partial
 from typing import Final
 
 from mustardspur_core.mesh.call_messages import TargetLoad
@@ -193,17 +192,14 @@
 
     async def _wait(self, request: WaitingRequest, max_wait_ms: float) -> None:
         ahead = self._waiting.count_before(request)
-        wait_ms = partial(
-            self.capacity.expected_wait_ms,
-            run_ms=self.run_times.expected_ms,
+        expected_ms = self.capacity.expected_wait_ms(
+            ahead,
+            self.run_times.expected_ms,
         )
         full = ahead >= MAX_WAITING_PER_SLOT * self.capacity.slots
-        if full or wait_ms(ahead) > max_wait_ms:
+        if full or expected_ms > max_wait_ms:
             raise not_sent_fault('busy', f'{len(self._waiting)} calls wait')
         waiter = self._waiting.add(request)
-        waiter.until_s = self._loop.time() + max_wait_ms / MS_PER_S
-        if ahead + 1 < len(self._waiting):
-            _refuse_displaced(self._waiting, waiter, wait_ms)
         self._admit_next()
         try:
             async with asyncio.timeout(max_wait_ms / MS_PER_S):
@@ -245,23 +241,6 @@
         self._admit_next()
 
 
-def _refuse_displaced(
-    waiting: WaitingCalls,
-    waiter: Waiter,
-    wait_ms: Callable[[int], float],
-) -> None:
-    """Refuse the call that a new one leaves without a slot in time.
-
-    It would otherwise be refused at the end of its wait, when no other target
-    could answer it in time either.
-    """
-    displaced = waiting.pop_displaced(waiter, wait_ms)
-    if displaced is not None and not displaced.assigned.done():
-        displaced.assigned.set_exception(
-            not_sent_fault('busy', 'calls of a better rank wait')
-        )
-
-
 def _is_slot_assigned(assigned: asyncio.Future[None]) -> bool:
     if not assigned.done() or assigned.cancelled():
         return False
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/waiting_calls.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/waiting_calls.py
@@ -3,11 +3,9 @@
 import asyncio
 import heapq
 import itertools
-import math
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
 from mustardspur_core.record import Record
-from mustardspur_core.units import MS_PER_S
 
 from mustardspur_node.mesh.fair_shares import FairShares
 
@@ -40,11 +38,9 @@
         What decides its place.
     assigned : asyncio.Future
         Done once the call may start.
-    until_s : float
-        Time on the event loop's clock until which the wait is useful.
     """
 
-    __slots__ = ('_place', 'assigned', 'request', 'start', 'until_s')
+    __slots__ = ('_place', 'assigned', 'request', 'start')
 
     def __init__(
         self,
@@ -55,7 +51,6 @@
         """Initialise a call that waits."""
         self.request = request
         self.start = start
-        self.until_s = math.inf
         self._place = (request.rank, start, sequence)
         self.assigned: asyncio.Future[None] = asyncio.Future()
 
@@ -105,32 +100,6 @@
             request = waiter.request
             self._shares.release(request.account, request.cost_ms)
 
-    def pop_displaced(
-        self,
-        waiter: Waiter,
-        wait_ms: Callable[[int], float],
-    ) -> Waiter | None:
-        """Remove the last call that a new one leaves without a slot in time.
-
-        One call at most, since the new one takes one place.
-
-        Parameters
-        ----------
-        waiter : Waiter
-            The new call.
-        wait_ms : callable
-            Returns the expected wait behind a number of calls.
-        """
-        now_s = asyncio.get_running_loop().time()
-        ordered = sorted(self._waiters)
-        first = ordered.index(waiter) + 1
-        for ahead in range(len(ordered) - 1, first - 1, -1):
-            left_ms = (ordered[ahead].until_s - now_s) * MS_PER_S
-            if wait_ms(ahead) > left_ms:
-                self.discard(ordered[ahead])
-                return ordered[ahead]
-        return None
-
     def count_ahead(self, rank: int) -> int:
         """Return the number of waiting calls of a rank or a lower one."""
         return sum(1 for each in self._waiters if each.request.rank <= rank)
