Refuse overtaken calls at once

Cause: with one wait for each call, calls that expected just less than their longest wait, or were overtaken by urgent ones, were held to its end and then refused.

Change: with first_free and auto, the admission refuses calls that expect more than 0.75 of their longest wait, and calls that an urgent arrival leaves without a slot in time.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/admission.py
@@ -17,6 +17,7 @@
 from mustardspur_node.mesh.cold_state import ColdState
 from mustardspur_node.mesh.instance_link import InstanceLink
 from mustardspur_node.mesh.rate_limit import StatedRateLimit
+from mustardspur_node.mesh.run_times import RunTimes
 from mustardspur_node.mesh.waiting_calls import (
     Waiter,
     WaitingCalls,
@@ -197,10 +198,15 @@
             self.run_times.expected_ms,
         )
         full = ahead >= MAX_WAITING_PER_SLOT * self.capacity.slots
-        if full or expected_ms > max_wait_ms:
+        longest_ms = max_wait_ms
+        if ahead:
+            longest_ms *= self.run_times.expected_wait_fraction
+        if full or expected_ms > longest_ms:
             raise not_sent_fault('busy', f'{len(self._waiting)} calls wait')
-        waiter = self._waiting.add(request)
+        until_s = self._loop.time() + max_wait_ms / MS_PER_S
+        waiter = self._waiting.add(request, until_s)
         self._admit_next()
+        _refuse_overtaken(self._waiting, waiter, self.capacity, self.run_times)
         try:
             async with asyncio.timeout(max_wait_ms / MS_PER_S):
                 await waiter.assigned
@@ -247,6 +253,29 @@
     return assigned.exception() is None
 
 
+def _refuse_overtaken(
+    waiting: WaitingCalls,
+    waiter: Waiter,
+    capacity: TargetCapacity,
+    run_times: RunTimes,
+) -> None:
+    """Refuse the calls that find no slot in time behind a new one.
+
+    They would otherwise be held until the end of their wait.
+    """
+    fraction = run_times.expected_wait_fraction
+    if fraction == 1:
+        return
+    run_ms = run_times.expected_ms
+    now_s = asyncio.get_running_loop().time()
+    for ahead, each in waiting.behind(waiter):
+        expected_ms = fraction * capacity.expected_wait_ms(ahead, run_ms)
+        left_ms = (each.until_s - now_s) * MS_PER_S
+        if expected_ms > left_ms and not each.assigned.done():
+            fault = not_sent_fault('busy', 'overtaken by urgent calls')
+            each.assigned.set_exception(fault)
+
+
 def _free_slots(admission: AdmissionControl, slots: int) -> int:
     """Return the free ones of some slots for calls that do not wait.
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/route_run_times.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/route_run_times.py
@@ -13,6 +13,10 @@
 USUAL_WEIGHT: Final = 0.02
 PACE_WEIGHT: Final = 0.08
 MIX_WEIGHT: Final = 0.02
+# Part of its longest wait that a call behind others may expect. Of the calls
+# that expect all of it, nearly a half find no slot in time and are refused
+# after the wait.
+EXPECTED_WAIT_FRACTION: Final = 0.75
 # A run counts as this multiple of the usual time at most, so that runs which
 # are long by chance barely change the averages.
 MAX_RATIO: Final = 2.0
@@ -65,6 +69,11 @@
         """How much slower than usual the target is for a short period."""
         return self._slow_periods.factor()
 
+    @property
+    def expected_wait_fraction(self) -> float:
+        """Part of its longest wait that a call behind others may expect."""
+        return EXPECTED_WAIT_FRACTION
+
     @property
     def expected_ms(self) -> float:
         """Run time for reports, times the factor of a short slow period."""
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/run_times.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/run_times.py
@@ -52,6 +52,15 @@
         ) * MS_PER_S
         return age_ms if age_ms > SLOW_FACTOR * self._mean_ms else self._mean_ms
 
+    @property
+    def expected_wait_fraction(self) -> float:
+        """Part of its longest wait that a call behind others may expect.
+
+        Always 1 here; most calls that expect just less than their longest
+        wait are refused at its end or are late.
+        """
+        return 1
+
     @property
     def reported_ms(self) -> float:
         """Run time for load reports."""
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/waiting_calls.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/waiting_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 import heapq
 import itertools
+import math
 from collections.abc import Iterator
 
 from mustardspur_core.record import Record
@@ -38,17 +39,21 @@
         What decides its place.
     assigned : asyncio.Future
         Done once the call may start.
+    until_s : float
+        Time on the event loop's clock until which it waits.
     """
 
-    __slots__ = ('_place', 'assigned', 'request', 'start')
+    __slots__ = ('_place', 'assigned', 'request', 'start', 'until_s')
 
     def __init__(
         self,
         request: WaitingRequest,
         start: float,
         sequence: int,
+        until_s: float,
     ) -> None:
         """Initialise a call that waits."""
+        self.until_s = until_s
         self.request = request
         self.start = start
         self._place = (request.rank, start, sequence)
@@ -74,10 +79,14 @@
         """Return the number of waiting calls."""
         return len(self._waiters)
 
-    def add(self, request: WaitingRequest) -> Waiter:
-        """Add a call."""
+    def add(
+        self,
+        request: WaitingRequest,
+        until_s: float = math.inf,
+    ) -> Waiter:
+        """Add a call that waits until a time on the event loop's clock."""
         start = self._shares.reserve(request.account, request.cost_ms)
-        waiter = Waiter(request, start, next(self._sequence))
+        waiter = Waiter(request, start, next(self._sequence), until_s)
         heapq.heappush(self._waiters, waiter)
         return waiter
 
@@ -100,6 +109,11 @@
             request = waiter.request
             self._shares.release(request.account, request.cost_ms)
 
+    def behind(self, waiter: Waiter) -> list[tuple[int, Waiter]]:
+        """Return the calls after one, each with the number of calls ahead."""
+        numbered = enumerate(sorted(self._waiters))
+        return [(ahead, each) for ahead, each in numbered if waiter < each]
+
     def count_ahead(self, rank: int) -> int:
         """Return the number of waiting calls of a rank or a lower one."""
         return sum(1 for each in self._waiters if each.request.rank <= rank)
--- a/tests/node/mesh/test_admission.py
+++ b/tests/node/mesh/test_admission.py
@@ -12,8 +12,8 @@
 from tests.support.virtual_time import in_virtual_time, ticks
 
 
-def _admission(slots: int) -> AdmissionControl:
-    admission = AdmissionControl()
+def _admission(slots: int, policy: str = 'least_expected') -> AdmissionControl:
+    admission = AdmissionControl(balancing=policy)
     admission.open = True
     admission.resize(slots)
     return admission
@@ -70,6 +70,42 @@
     await task
 
 
+async def _held_ms(admission: AdmissionControl, max_wait_ms: float) -> float:
+    """Return how long a call is held until it is refused as busy."""
+    began_s = asyncio.get_running_loop().time()
+    with pytest.raises(PlacementFault, match='busy'):
+        async with admission.admitted(waiting_request(1), max_wait_ms):
+            pytest.fail('call was admitted')
+    return (asyncio.get_running_loop().time() - began_s) * 1000
+
+
+@pytest.mark.parametrize(
+    ('policy', 'held_ms'), [('first_free', 10), ('least_expected', 120)]
+)
+@in_virtual_time
+async def test_overtaken_call_is_refused_at_once(
+    policy: str, held_ms: int
+) -> None:
+    """Guards against calls that are held until the end of their wait after
+    urgent ones have taken the slots, and against a change of that with the
+    default policy.
+
+    The load: runs of 100 ms at one slot, three of them more urgent.
+    """
+    admission = _admission(1, policy)
+    admission.run_times.record(100.0, failed=False)
+    tasks = [asyncio.create_task(_run_call(admission, 0, []))]
+    await asyncio.sleep(0)
+    waiting = asyncio.create_task(_held_ms(admission, 120.0))
+    await asyncio.sleep(0.01)
+    for _ in range(3):
+        tasks.append(asyncio.create_task(_run_call(admission, 0, [])))
+    assert await waiting == pytest.approx(held_ms)
+    await asyncio.gather(*tasks)
+    assert admission.load.running == 0
+    assert admission.load.waiting == 0
+
+
 @in_virtual_time
 async def test_cancelled_wait_holds_no_slot() -> None:
     """Guards against slots that are lost when callers disconnect."""
--- a/tests/node/mesh/test_balancing.py
+++ b/tests/node/mesh/test_balancing.py
@@ -7,12 +7,16 @@
 
 import pytest
 from mustardspur_core.mesh.control_messages import MeshTargets
+from mustardspur_core.record import replaced
 from mustardspur_node.mesh.call_progress import CallProgress
 from mustardspur_node.mesh.calls import not_sent_fault
+from mustardspur_node.mesh.view import RouteIndex
 
 from tests.core.mesh.builders import route, target
+from tests.core.mesh.builders import table as routing_table
 from tests.node.mesh.builders import mesh_call
 from tests.node.mesh.target_table import (
+    LOOKUP,
     WORK_MS,
     TableNode,
     TargetTable,
@@ -243,6 +247,41 @@
     assert table.outcomes['in time'] > 0.6 * calls
 
 
+def _served(table: TargetTable, name: str) -> float:
+    """Return the part of the calls of a route that are in time."""
+    in_time = table.outcomes[f'{name} in time']
+    return in_time / (in_time + table.outcomes[f'{name} refused'])
+
+
+@pytest.mark.parametrize(
+    ('urgent', 'other'), [('home', 'free'), ('free', 'home')]
+)
+@in_virtual_time
+async def test_urgent_calls_are_served_better(urgent: str, other: str) -> None:
+    """Guards against an overload that is refused by who may go where instead
+    of by value.
+
+    The load: 1.5 times the capacity of all regions, of which 0.4 may run in
+    one region only.
+    """
+    table = spread_table('first_free', ALL_PLACES)
+    routes = {
+        urgent: replaced(LOOKUP, name=urgent, priority=1),
+        other: replaced(LOOKUP, name=other, priority=2),
+    }
+    routes['home'] = replaced(routes['home'], home_regions=['a'])
+    for each in table.nodes:
+        each.view.routes = RouteIndex(routing_table(1, *routes.values()))
+    near = [node for node in table.nodes if node.place < 'b']
+    per_s = table.capacity_per_s
+    await asyncio.gather(
+        table.offer_load(near, 0.4 * per_s, 2, routes['home']),
+        table.offer_load(table.nodes, 1.1 * per_s, 2, routes['free']),
+    )
+    assert _served(table, urgent) > 1 - 2 * SMALL_SHARE
+    assert _served(table, other) < _served(table, urgent) - SMALL_SHARE
+
+
 @in_virtual_time
 async def test_callers_far_from_home_reach_free_targets() -> None:
     """Guards against calls that are refused since all targets that may run
