--- a/tests/control/mesh/test_damaged_frames.py
+++ b/tests/control/mesh/test_damaged_frames.py
@@ -115,7 +115,7 @@
     """Guards against a limit of a call a day whose grants end the streams."""
     broker = LimitBroker(LIMIT, TokenBucket(0), now_s=0)
     broker.rate_per_s = 1 / 86_400
-    broker.resize(0.01, 0, now_s=0)
+    broker.resize(0.01, now_s=0)
     use = AllowanceUse(limit=LIMIT, spent=0, wanted=1, calls=1)
     share = broker.answer('n1', use, now_s=0)
     assert share.retry_after_ms > 86_400_000
