--- a/tests/platform/test_crashing_call.py
+++ b/tests/platform/test_crashing_call.py
@@ -33,6 +33,7 @@
 ATTEMPTS: Final = 16
 # A call may reach targets in three retries after it has crashed three.
 MAX_CRASHES: Final = 6
+BLOCKED: Final = '"call blocked"'
 LIFTED: Final = '"block lifted"'
 ATTACHED: Final = '"attached"'
 
@@ -146,24 +147,6 @@
             await asyncio.sleep(POLL_S)
 
 
-async def _blocked_everywhere(mesh: Mesh) -> str:
-    """Return the fingerprint that all control instances block in the end."""
-    blocks: list[Any] = []
-    async with asyncio.timeout(HANG_LIMIT_S):
-        while len(blocks) < len(CONTROLS):
-            await asyncio.sleep(POLL_S)
-            bodies = await asyncio.gather(
-                *(
-                    mesh.until('GET', mesh.url(each, 'http', '/v1/blocks'))
-                    for each in CONTROLS
-                ),
-            )
-            blocks = [
-                each for body in bodies for each in json.loads(body)['blocks']
-            ]
-    return str(blocks[0]['fingerprint'])
-
-
 async def _run_verb(mesh: Mesh, *line: str) -> dict[str, Any]:
     """Run a verb with all control instances, and return what it shows."""
     port = mesh.ports['http']
@@ -206,10 +189,13 @@
     async with _running(tmp_path) as (mesh, targets):
         await _attempt(mesh, targets, ATTEMPTS)
         before = _crashes(targets)
-        fingerprint = await _blocked_everywhere(mesh)
+        await asyncio.gather(
+            *(mesh.until_logged(each, BLOCKED) for each in CONTROLS)
+        )
+        blocks = (await _run_verb(mesh, 'blocks'))['blocks']
         # One instance learns of the lift after its restart only.
         await mesh.kill(CONTROLS[2])
-        await _run_verb(mesh, 'unblock', fingerprint)
+        await _run_verb(mesh, 'unblock', blocks[0]['fingerprint'])
         await mesh.start_control(CONTROLS[2], first_start=False)
         await asyncio.gather(
             *(mesh.until_logged(each, LIFTED) for each in NODES)
