Test that calls earn retries once they arrive at a target

Cause: the tests of the retry budget played its parts, but no call through the placement; a test of nested retries did not end if they left no debt.

Change: a call through the placement earns a retry; the loop is bounded.

--- a/tests/node/mesh/test_placing.py
+++ b/tests/node/mesh/test_placing.py
@@ -26,9 +26,15 @@
     RETRY_FRACTION,
     UNKNOWN_RETRY_AFTER_S,
 )
-from mustardspur_node.mesh.view import MeshView
+from mustardspur_node.mesh.view import MeshView, RouteIndex
 
-from tests.core.mesh.builders import mesh_settings, route, target
+from tests.core.mesh.builders import (
+    account,
+    mesh_settings,
+    route,
+    table,
+    target,
+)
 from tests.node.mesh.builders import (
     local_target,
     mesh_call,
@@ -240,3 +246,21 @@
         await holding
         assert refusal.value.status == HTTPStatus.SERVICE_UNAVAILABLE
         assert not scripted.requests
+
+
+async def test_calls_earn_retries_once_they_arrive() -> None:
+    """Guards against retries without any call, and calls that earn none."""
+    view = MeshView()
+    accounts = {'cafe': account('cafe')}
+    view.routes = RouteIndex(replaced(table(1), accounts=accounts))
+    view.apply_targets(
+        MeshTargets(full=True, upserts=[target('2', id='t1')], removed=[]),
+    )
+    mesh = replaced(mesh_settings(), retry_slack=0, retry_ratio=1)
+    async with run_scripted() as (address, _):
+        local = local_target(address)
+        placer = Placer(node_settings(), mesh, view, local, NullMetrics())
+        assert not placer.retries.try_acquire('forms')
+        calls = [mesh_call(route=_PATIENT_ROUTE) for _ in range(10)]
+        await asyncio.gather(*(placer.place(call) for call in calls))
+        assert placer.retries.try_acquire('forms')
--- a/tests/node/mesh/test_shared_retries.py
+++ b/tests/node/mesh/test_shared_retries.py
@@ -176,7 +176,7 @@
     progress = retries.new_progress(mesh_call(), SERVICE)
     assert retries.is_repeat(progress)
     progress.arrivals = 1
-    while local.may_run_retries():
+    for _ in range(50):
         retries.record_arrival(progress)
     with pytest.raises(PlacementFault) as fault:
         await local.run(call_open(repeat=True), progress.before_send)
