Let calls leave only for calls that may not

Cause: a route whose homes are all regions counted as restricted to each of them, so that other calls left a region for calls that may leave it too.

Change: a region counts as short only for calls that may not run in all other regions with targets of the service. The memory for shortages is bounded.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/balancing/spillover.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/balancing/spillover.py
@@ -32,6 +32,8 @@
 REPORT_MAX_AGE_S: Final = 2.0
 # Longest time that one update accounts for.
 MAX_STEP_S: Final = 0.5
+# Bounds the memory; over a day a mesh can have many more services.
+MAX_SHORTAGES: Final = 1024
 
 
 class RegionShortage:
@@ -132,15 +134,20 @@
     def _decide(self, near: list[MeshTarget], far: list[MeshTarget]) -> bool:
         if not near:
             return False
-        service, region = near[0].service, near[0].region
-        if region not in self._regions.of_service(service):
-            self._shortages.pop((service, region), None)
-            return False
+        key = (near[0].service, near[0].region)
         now_s = asyncio.get_running_loop().time()
-        shortage = self._shortages.get((service, region))
+        if far:
+            others = {target.region for target in far}
+            if not self._regions.has_bound_calls(*key, others):
+                self._shortages.pop(key, None)
+                return False
+            if key not in self._shortages:
+                self._shortages[key] = RegionShortage(now_s)
+            if len(self._shortages) > MAX_SHORTAGES:
+                self._shortages.pop(next(iter(self._shortages)))
+        shortage = self._shortages.get(key)
         if shortage is None:
-            shortage = RegionShortage(now_s)
-            self._shortages[service, region] = shortage
+            return False
         shortage.update(self._utilisation(near), now_s)
         return bool(far) and self._random.random() < shortage.fraction
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/homes.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/homes.py
@@ -6,6 +6,8 @@
 
 from mustardspur_node.mesh.view import MeshView
 
+_HomeSets = set[frozenset[str]]
+
 
 class Homes:
     """Regions that all of several lists allow.
@@ -53,34 +55,48 @@
         View with the table in force.
     """
 
-    __slots__ = ('_by_service', '_of_all', '_table', '_view')
+    __slots__ = ('_by_service', '_of_accounts', '_table', '_view')
 
     def __init__(self, view: MeshView) -> None:
         """Initialise without a table."""
         self._view = view
         self._table: RoutingTable | None = None
-        self._by_service: dict[str, set[str]] = {}
-        # Regions of accounts, whose calls may be of any service.
-        self._of_all: set[str] = set()
-
-    def of_service(self, service: str) -> set[str]:
-        """Return the regions to which calls to a service are restricted."""
+        self._by_service: dict[str, _HomeSets] = {}
+        # Accounts call any service.
+        self._of_accounts: _HomeSets = set()
+
+    def has_bound_calls(
+        self,
+        service: str,
+        region: str,
+        others: set[str],
+    ) -> bool:
+        """Return whether some calls may run in a region but not in all others.
+
+        Parameters
+        ----------
+        service : str
+            Service that is called.
+        region : str
+            The region.
+        others : set of str
+            Other regions with targets of the service.
+        """
         table = self._view.routes.table if self._view.routes else None
         if table is not self._table:
             self._table = table
             self._index(table)
-        return self._by_service.get(service, self._of_all)
+        homes = self._of_accounts | self._by_service.get(service, set())
+        return any(region in each and not others <= each for each in homes)
 
     def _index(self, table: RoutingTable | None) -> None:
         self._by_service = {}
-        self._of_all = set()
+        self._of_accounts = set()
         if table is None:
             return
         for account in table.accounts.values():
-            self._of_all.update(account.home_regions)
+            self._of_accounts.add(frozenset(account.home_regions))
         for route in table.routes.values():
             for share in route.shares:
-                regions = self._by_service.setdefault(
-                    share.service, set(self._of_all)
-                )
-                regions.update(route.home_regions)
+                homes = self._by_service.setdefault(share.service, set())
+                homes.add(frozenset(route.home_regions))
--- a/tests/node/mesh/test_spillover.py
+++ b/tests/node/mesh/test_spillover.py
@@ -9,10 +9,12 @@
     MAX_FRACTION,
     RegionShortage,
 )
+from mustardspur_node.mesh.call_progress import CallProgress
 from mustardspur_node.mesh.view import RouteIndex
 
 from tests.core.mesh.builders import route
 from tests.core.mesh.builders import table as routing_table
+from tests.node.mesh.builders import mesh_call
 from tests.node.mesh.target_table import (
     PLACES,
     TargetTable,
@@ -29,9 +31,9 @@
 class _TwoRegions:
     """Load on two regions, to one of which a route is restricted."""
 
-    def __init__(self, policy: str = 'first_free') -> None:
+    def __init__(self, policy: str = 'first_free', count: int = 40) -> None:
         """Initialise without load."""
-        self.table: TargetTable = spread_table(policy, tuple(PLACES))
+        self.table: TargetTable = spread_table(policy, tuple(PLACES), count)
         routes = RouteIndex(routing_table(1, AT_HOME, ANYWHERE))
         for node in self.table.nodes:
             node.view.routes = routes
@@ -99,6 +101,32 @@
     await load
 
 
+@pytest.mark.parametrize('count', [8, 40])
+@in_virtual_time
+async def test_small_services_spill_too(count: int) -> None:
+    """Guards against a shortage that only services with many targets avoid.
+
+    The load: all targets of region a are full whenever the node asks.
+    """
+    regions = _TwoRegions('auto', count)
+    node = regions.table.nodes[0]
+    for each in regions.table.targets():
+        if each.listed.region == 'a':
+            for _ in range(5):
+                asyncio.get_running_loop().create_task(each.hold_slot(9))
+    await asyncio.sleep(0)
+    spilled = 0
+    async for _ in ticks(30, 0.1):
+        for each in regions.table.targets():
+            node.record_report(each)
+        progress = CallProgress(mesh_call(route=ANYWHERE), 'forms')
+        offer = node.policy.next_offer(progress, regions.table.listed)
+        if offer is not None and offer.is_spilled:
+            assert offer.target.region == 'b'
+            spilled += 1
+    assert 10 < spilled < 25
+
+
 @in_virtual_time
 async def test_calls_stay_without_homes() -> None:
     """Guards against paid traffic in deployments without home regions."""
