Reserve the ports of test processes for the time of their mesh

Cause: test_planned_stop_cuts_no_request_off failed once beside three other test runs: a process of its mesh had ended by itself with exit code 1 at some time, and its log was not kept. Ports were free when they were drawn, but could be drawn by another run until the processes listened, and again while one of them restarted.

Change: a mesh holds its ports on an address that no process uses, so that no other test run draws them. A process that ended by itself is reported with its exit code and the last lines of its log.

--- a/tests/platform/mesh_processes.py
+++ b/tests/platform/mesh_processes.py
@@ -8,8 +8,13 @@
 import signal
 import socket
 import sys
-from collections.abc import AsyncIterator
-from contextlib import ExitStack, asynccontextmanager, suppress
+from collections.abc import AsyncIterator, Iterator
+from contextlib import (
+    ExitStack,
+    asynccontextmanager,
+    contextmanager,
+    suppress,
+)
 from functools import partial
 from pathlib import Path
 from typing import Any, Final
@@ -23,6 +28,10 @@
 HOST: Final = 'forms.example'
 # Below the ports that the kernel assigns to outgoing connections.
 _PORT_RANGE: Final = range(10_240, 32_768)
+# No process of a mesh listens on this address.
+_RESERVING_HOST: Final = '127.0.7.250'
+# Lines of the log of a process that are shown if it ended by itself.
+_SHOWN_LINES: Final = 5
 _PORTS: Final = ('stream', 'http', 'ready', 'targets', 'target')
 _HEALTH_PATH: Final = '/healthz'
 
@@ -36,13 +45,20 @@
         Folder of the settings, data and logs.
     session : aiohttp.ClientSession
         Session for requests to the processes.
+    ports : list of int
+        Ports that the processes listen on, see `reserved_ports`.
     """
 
-    def __init__(self, folder: Path, session: ClientSession) -> None:
-        """Initialise a mesh without processes, on ports that are free."""
+    def __init__(
+        self,
+        folder: Path,
+        session: ClientSession,
+        ports: list[int],
+    ) -> None:
+        """Initialise a mesh without processes."""
         self.folder = folder
         self.session = session
-        self.ports = dict(zip(_PORTS, _free_ports(), strict=True))
+        self.ports = dict(zip(_PORTS, ports, strict=True))
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         # Length of the log in bytes at the last start of the process.
         self._log_start_bytes: dict[str, int] = {}
@@ -86,6 +102,9 @@
     async def kill(self, host: str) -> None:
         """Kill a process."""
         process = self.processes.pop(host)
+        if process.returncode is not None:
+            shown = _last_lines(self.folder / f'{host}.log')
+            raise EndedProcess(host, process.returncode, shown)
         process.send_signal(signal.SIGKILL)
         await process.wait()
 
@@ -179,12 +198,13 @@
 @asynccontextmanager
 async def running_mesh(folder: Path) -> AsyncIterator[Mesh]:
     """Yield a mesh without processes; kill its processes at the end."""
-    async with ClientSession() as session:
-        mesh = Mesh(folder, session)
-        try:
-            yield mesh
-        finally:
-            await asyncio.gather(*map(mesh.kill, list(mesh.processes)))
+    with reserved_ports() as ports:
+        async with ClientSession() as session:
+            mesh = Mesh(folder, session, ports)
+            try:
+                yield mesh
+            finally:
+                await asyncio.gather(*map(mesh.kill, list(mesh.processes)))
 
 
 @asynccontextmanager
@@ -263,20 +283,34 @@
     return response.status, await response.text(), signature
 
 
-def _free_ports() -> list[int]:
-    """Return ports that are free now and that nobody else is likely to take.
+def _last_lines(path: Path) -> str:
+    return '\n'.join(path.read_text().splitlines()[-_SHOWN_LINES:])
+
+
+class EndedProcess(Exception):
+    """A process that ended without having been stopped."""
+
+
+@contextmanager
+def reserved_ports() -> Iterator[list[int]]:
+    """Yield ports that no other process takes for the duration of a block.
 
     Ports that the kernel assigns are taken by other test processes and by
-    outgoing connections before the mesh listens on them.
+    outgoing connections before the mesh listens on them. Those of a mesh stay
+    reserved while its processes restart, by sockets on an address of their
+    own.
     """
     with ExitStack() as stack:
-        return [_bind(stack.enter_context(socket.socket())) for _ in _PORTS]
+        yield [_reserve(stack) for _ in _PORTS]
 
 
-def _bind(probe: socket.socket) -> int:
+def _reserve(stack: ExitStack) -> int:
     while True:
         # Not seeded, since other processes would draw the same ports.
         port = secrets.choice(_PORT_RANGE)
-        with suppress(OSError):
+        with suppress(OSError), socket.socket() as probe:
             probe.bind(('0.0.0.0', port))
+            probe.close()
+            reservation = stack.enter_context(socket.socket())
+            reservation.bind((_RESERVING_HOST, port))
             return port
