Wait for restarted instances to be current in the test of lifts

Cause: test_lifted_block_outlives_restarts failed once at a load of 20: 8 crashes after the lift where 6 are allowed. The trace: all control instances had restarted, and the instance of one node counted its crashes before it had applied the lift again, 0.3 s later, with the election of a leader. The node ignores blocks of such an instance, as docs/design/crashing-calls.md states.

Change: the test attempts the call once all instances answer a read, for which they must have applied their whole log. The bound is unchanged.

A wait for the log line of the lift instead failed in two runs: it is not written where a block is not known yet.

--- a/tests/platform/test_crashing_call.py
+++ b/tests/platform/test_crashing_call.py
@@ -201,6 +201,10 @@
             *(mesh.until_logged(each, LIFTED) for each in NODES)
         )
         await _restart_controls(mesh)
+        # Nodes ignore blocks of an instance that has not applied the lift
+        # again. An instance that answers a read has applied its whole log.
+        reads = [mesh.url(each, 'http', '/api/config') for each in CONTROLS]
+        await asyncio.gather(*(mesh.until('GET', each) for each in reads))
         await _attempt(mesh, targets, 1)
         assert _crashes(targets) > before
         status = await _attempt(mesh, targets, ATTEMPTS)
