Send the first edit of a soak again on top of what is in force

The trace: the answer to the first edit was lost as leadership changed, and the edit was in force. The soak sent it again on top of no table and with another mark, which is a conflict for ever. A fault of the soak.

Change: the first edit is sent again on top of the number in force.

--- a/tests/platform/soak/world.py
+++ b/tests/platform/soak/world.py
@@ -293,7 +293,8 @@
             *(mesh.start_control(each, first_start=True) for each in CONTROLS),
             *map(world.restart, NODES),
         )
-        while not await world.edit(CONTROLS[0], 1, 0):
+        # An edit whose answer was lost may be in force; each has another mark.
+        while not await world.edit(CONTROLS[0], world.number + 1, world.number):
             await asyncio.sleep(REPORT_INTERVAL_S)
         yield world
 
