Use half of the retry budget where calls have no accounts

Its own retries use up to 0.6 of the budget; runs of plate-lookup that are retried call it again, and without accounts these calls cannot be told from others.

Change: 0.5 of the budget is used with tables without accounts.

Not yet measured on the deployments.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/retry_budget.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/retry_budget.py
@@ -7,8 +7,11 @@
 from mustardspur_core.settings import MeshSettings
 
 # Fraction of the shared budget that is used: the nodes' shares do not add up
-# exactly while nodes are added or removed and while windows overlap.
-USED_FRACTION: Final = 0.6
+# exactly while nodes are added or removed and while windows overlap. The rest
+# also covers the calls that targets make within retries of another service,
+# which are retries, too, but cannot be told from other calls without accounts.
+# With 0.6, 2527 retries were seen in 10 s where 2489 were allowed.
+USED_FRACTION: Final = 0.5
 
 
 class MeshRetryBudget:
--- a/tests/node/mesh/test_retry_budget.py
+++ b/tests/node/mesh/test_retry_budget.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from mustardspur_core.record import replaced
 from mustardspur_node.mesh.retry_budget import MeshRetryBudget
 
 from tests.core.mesh.builders import mesh_settings
@@ -32,3 +33,25 @@
     await asyncio.sleep(10.1)
     assert budget.try_acquire('forms', 1)
     assert budget.try_acquire('stamps', 1)
+
+
+@in_virtual_time
+async def test_nested_retries_stay_within_the_limit() -> None:
+    """Guards against calls within the retries of one service that, with the
+    retries of the service which they call, exceed the limit of the latter.
+
+    The load of 10 s: 82 nodes, 140 and 65 calls each of which all fail; a run
+    of the outer service makes 1.4 calls to the inner one.
+    """
+    nodes = 82
+    settings = replaced(mesh_settings(), retry_slack=202)
+    retries = {'inner': 0, 'outer': 0}
+    for _ in range(nodes):
+        budget = MeshRetryBudget(settings)
+        for service, calls in (('inner', 140), ('outer', 65)):
+            for _ in range(calls):
+                budget.record_call(service)
+            while budget.try_acquire(service, nodes):
+                retries[service] += 1
+    bound = 0.2 * nodes * 140 + 202
+    assert retries['inner'] + 1.4 * retries['outer'] <= bound
