Excuse refusals in the soak while the lowered limit may be in force

The trace: the edit that raises the limit was in force seconds after it was first sent, and the soak counted the 5 s of docs/design/soak-and-fuzzing.md from the sending. An edit whose answer is lost can be in force without an acknowledgement as well.

Change: the excuse holds from the first edit that states the lowered limit to 5 s after the acknowledgement of one that raises it. The bound on the lowered limit is checked over the same times as before.

--- a/tests/platform/soak/world.py
+++ b/tests/platform/soak/world.py
@@ -97,6 +97,9 @@
         withdrawn = self.observations.periods.withdrawing
         lowered = limits.lowered
         url = self.mesh.url(host, 'http', '/api/config')
+        if lowered:
+            # It may be in force from now on, also if it is not acknowledged.
+            limits.record_in_force(lowered=True)
         try:
             async with self.mesh.session.put(
                 url,
@@ -115,6 +118,7 @@
             self.observations.record_ack(number, mark)
             self.number = max(self.number, number)
             limits.record_acked(lowered=lowered and limits.lowered)
+            limits.record_in_force(lowered=lowered)
             if withdrawn:
                 self._record_withdrawn()
         else:
