Show bad versions that get more calls than they may

Good versions, also with one slow target and at twice the load, are completed without calls at the old version.

--- /dev/null
+++ b/tests/control/mesh/test_exposure.py
@@ -0,0 +1,50 @@
+"""Tests of the calls that a bad version gets before it is rolled back."""
+
+import pytest
+
+from tests.control.mesh.transfer_faults import (
+    FailingPart,
+    Fault,
+    Healthy,
+    SlowPart,
+    SlowTarget,
+)
+from tests.control.mesh.transfer_play import DURATION_S, TransferPlay
+from tests.support.virtual_time import in_virtual_time
+
+SEEDS = range(1, 6)
+
+
+def _plays(fault: Fault, load: float = 1) -> list[TransferPlay]:
+    plays = [TransferPlay(seed, fault, load) for seed in SEEDS]
+    for play in plays:
+        in_virtual_time(play.run)()
+    return plays
+
+
+@pytest.mark.parametrize(('part', 'factor'), [(0.5, 8), (0.3, 8), (0.5, 5)])
+def test_slow_version_whose_calls_time_out(part: float, factor: float) -> None:
+    """Evidence without the slowest calls must not hide a slow version."""
+    plays = _plays(SlowPart(part, factor))
+    assert {play.transfer.state for play in plays} == {'rolled_back'}
+    assert all(play.new_calls <= play.max_new_calls for play in plays)
+
+
+@pytest.mark.parametrize('part', [0.35, 0.5])
+@pytest.mark.parametrize('progress', [0.3, 0.45, 0.55, 0.63, 0.7])
+def test_version_that_turns_bad_late(progress: float, part: float) -> None:
+    """The calls before a late fault must leave some for its detection."""
+    fault = FailingPart(part, from_s=progress * DURATION_S)
+    plays = _plays(fault)
+    assert {play.transfer.state for play in plays} == {'rolled_back'}
+    assert all(play.new_calls <= play.max_new_calls for play in plays)
+
+
+@pytest.mark.parametrize('fault', [Healthy(), SlowTarget()])
+@pytest.mark.parametrize('load', [1, 2])
+def test_good_version_is_completed(load: float, fault: Fault) -> None:
+    """Targets of the old version stop at once when a transfer completes."""
+    plays = _plays(fault, load)
+    assert {play.transfer.state for play in plays} == {'completed'}
+    assert all(play.ended_s < DURATION_S for play in plays)
+    assert not any(play.old_in_flight for play in plays)
