Detect versions that are slow for part of their calls

Cause: a version counted as slow if the mean of its run times was above 2.8 times the mean of the others. A version that is slow for 0.3 of its calls, or five times as slow for a half, has a lower mean ratio than 2.8 anyway. Class: survivorship; a statistic over ended runs only.

Change: run times, with those of unanswered runs, are compared as distributions by a likelihood ratio test, with a speed of its own for each target, without the target that speaks most for a slow version. Evidence is summed by node for it.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/evaluation.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/evaluation.py
@@ -1,10 +1,12 @@
 """Evaluation of a new version by the outcomes of its calls."""
 
+from collections.abc import Iterable
 from typing import Final
 
 from mustardspur_core.record import Record
 
 from mustardspur_control.mesh.evidence import RunTotals, Totals
+from mustardspur_control.mesh.slowdown import slowdown_log_ratio
 
 # Fewer failures than this can occur by chance at any version.
 MIN_FAILED: Final = 4
@@ -23,6 +25,9 @@
 SLOWDOWN_RATIO: Final = 2.8
 # Smaller differences are noise on a loaded machine.
 MIN_SLOWDOWN_MS: Final = 20.0
+# Log likelihood ratio, in nats, from which on a part of the calls counts
+# as slow: a likelihood ratio of about 400.
+SLOW_LOG_RATIO: Final = 6.0
 
 
 class TransferVerdict(Record):
@@ -44,29 +49,46 @@
     answered_calls: int
 
 
-def evaluate(totals: Totals, version: str) -> TransferVerdict:
+def evaluate(
+    totals: Totals,
+    version: str,
+    reference: Totals | None = None,
+) -> TransferVerdict:
     """Compare a version with the other versions, route by route.
 
     Parameters
     ----------
-    totals : dict
-        Counts by version and route.
+    totals : dict of RunTotals
+        Counts by version, route and node.
     version : str
         The new version.
+    reference : dict of RunTotals, optional
+        Counts that the distribution of the other versions' latencies is
+        taken from, by default `totals`. A short window has too few.
 
     Returns
     -------
     TransferVerdict
         The verdict; its reason is the first fault by route name.
     """
-    routes = sorted({route for _, route in totals})
+    routes = sorted({key.route for key in totals})
     answered_calls = 0
     reason = ''
     for route in routes:
-        new = totals.get((version, route), RunTotals())
+        new = version_totals(totals, version, route)
         old = other_version_totals(totals, version, route)
         answered_calls += new.runs
-        reason = reason or _failure_reason(route, new, old)
+        reason = (
+            reason
+            or _failure_reason(route, new, old)
+            or _mean_latency_reason(route, new, old)
+            or _slow_calls_reason(
+                route,
+                totals,
+                version,
+                other_version_totals(reference or totals, version, route),
+            )
+        )
     return TransferVerdict(
         is_faulty=bool(reason),
         reason=reason,
@@ -74,13 +96,29 @@
     )
 
 
+def version_totals(totals: Totals, version: str, route: str) -> RunTotals:
+    """Return the counts of a route at a version over all nodes."""
+    return _sum(
+        counts
+        for key, counts in totals.items()
+        if key.route == route and key.version == version
+    )
+
+
 def other_version_totals(totals: Totals, version: str, route: str) -> RunTotals:
-    """Return the counts of a route over all other versions."""
-    others = RunTotals()
-    for (other, name), counts in totals.items():
-        if name == route and other != version:
-            others.add(counts)
-    return others
+    """Return the counts of a route over all other versions and all nodes."""
+    return _sum(
+        counts
+        for key, counts in totals.items()
+        if key.route == route and key.version != version
+    )
+
+
+def _sum(parts: Iterable[RunTotals]) -> RunTotals:
+    total = RunTotals()
+    for counts in parts:
+        total.add(counts)
+    return total
 
 
 def _failure_reason(route: str, new: RunTotals, old: RunTotals) -> str:
@@ -95,6 +133,10 @@
             f'{route}: {new.failed} of {new.runs} calls failed, '
             f'failure rate of other versions {old_rate:.3f}'
         )
+    return ''
+
+
+def _mean_latency_reason(route: str, new: RunTotals, old: RunTotals) -> str:
     if min(new.timed, old.timed) < MIN_TIMED:
         return ''
     mean_ms = new.timed_ms / new.timed
@@ -108,3 +150,22 @@
             f'other versions {old_mean_ms:.0f} ms'
         )
     return ''
+
+
+def _slow_calls_reason(
+    route: str,
+    totals: Totals,
+    version: str,
+    old: RunTotals,
+) -> str:
+    log_ratio = slowdown_log_ratio(
+        old.latency_counts,
+        [
+            counts.latency_counts
+            for key, counts in totals.items()
+            if key.route == route and key.version == version
+        ],
+    )
+    if log_ratio < SLOW_LOG_RATIO:
+        return ''
+    return f'{route}: part of the calls is slow, log ratio {log_ratio:.1f}'
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/evidence.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/evidence.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections import deque
-from typing import Final
+from typing import Final, NamedTuple
 
 from mustardspur_core.mesh.control_messages import (
     MeshEvidence,
@@ -86,8 +86,15 @@
         return since
 
 
-VersionRoute = tuple[str, str]
-Totals = dict[VersionRoute, RunTotals]
+class RunKey(NamedTuple):
+    """Dimensions by which runs are counted; a node has one target."""
+
+    version: str
+    route: str
+    node: str
+
+
+Totals = dict[RunKey, RunTotals]
 _History = deque[tuple[float, Totals]]
 
 
@@ -124,12 +131,12 @@
         )
 
     def totals(self, service: str) -> Totals:
-        """Return the counts of a service by version and route."""
+        """Return the counts of a service by version, route and node."""
         totals: Totals = {}
         for evidence in (*self._before_restart, *self._by_node.values()):
             for row in evidence.rows:
                 if row.service == service:
-                    key = (row.version, row.route)
+                    key = RunKey(row.version, row.route, evidence.node)
                     totals.setdefault(key, RunTotals()).add_message(row)
         return totals
 
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/evidence_summary.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/evidence_summary.py
@@ -4,7 +4,10 @@
 
 from mustardspur_moves.histogram import quantile_ms
 
-from mustardspur_control.mesh.evaluation import other_version_totals
+from mustardspur_control.mesh.evaluation import (
+    other_version_totals,
+    version_totals,
+)
 from mustardspur_control.mesh.evidence import RunTotals, Totals
 
 # Routes in one log line; those with the most runs of the new version.
@@ -18,7 +21,7 @@
     Parameters
     ----------
     totals : dict of RunTotals
-        Counts by version and route.
+        Counts by version, route and node.
     version : str
         The new version.
 
@@ -31,9 +34,9 @@
         quantiles 0.5 and 0.9.
     """
     new_by_route = {
-        route: counts
-        for (name, route), counts in totals.items()
-        if name == version
+        key.route: version_totals(totals, version, key.route)
+        for key in totals
+        if key.version == version
     }
     routes = sorted(
         new_by_route,
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
@@ -184,14 +184,10 @@
         return None
 
     def _verdict(self, transfer: Transfer) -> TransferVerdict:
-        overall = evaluate(
-            self._evidence.totals(transfer.service),
-            transfer.version,
-        )
-        recent = evaluate(
-            self._evidence.recent(transfer.service),
-            transfer.version,
-        )
+        service, version = transfer.service, transfer.version
+        totals = self._evidence.totals(service)
+        overall = evaluate(totals, version)
+        recent = evaluate(self._evidence.recent(service), version, totals)
         return recent if recent.is_faulty else overall
 
     def _log_decision(
--- a/tests/control/mesh/test_evaluation.py
+++ b/tests/control/mesh/test_evaluation.py
@@ -2,7 +2,7 @@
 
 import pytest
 from mustardspur_control.mesh.evaluation import evaluate
-from mustardspur_control.mesh.evidence import RunTotals
+from mustardspur_control.mesh.evidence import RunKey, RunTotals
 from mustardspur_control.mesh.schedule import COMPLETION_PROGRESS, planned_share
 
 _OLD = RunTotals(1000, 4, 1000, 60_000.0)
@@ -24,17 +24,20 @@
     name: str, new: tuple[int, int, int, float], is_faulty: bool
 ) -> None:
     """A faulty version is detected, a healthy one is not rolled back."""
-    totals = {('v1', 'drafts'): _OLD, ('v2', 'drafts'): RunTotals(*new)}
+    totals = {
+        RunKey('v1', 'drafts', 'n1'): _OLD,
+        RunKey('v2', 'drafts', 'n1'): RunTotals(*new),
+    }
     assert evaluate(totals, 'v2').is_faulty is is_faulty, name
 
 
 def test_fault_on_one_route_is_found() -> None:
     """A faulty route is not outweighed by the healthy ones."""
     totals = {
-        ('v1', 'drafts'): _OLD,
-        ('v1', 'filings'): _OLD,
-        ('v2', 'drafts'): RunTotals(2000, 8, 2000, 120_000.0),
-        ('v2', 'filings'): RunTotals(20, 8, 12, 720.0),
+        RunKey('v1', 'drafts', 'n1'): _OLD,
+        RunKey('v1', 'filings', 'n1'): _OLD,
+        RunKey('v2', 'drafts', 'n1'): RunTotals(2000, 8, 2000, 120_000.0),
+        RunKey('v2', 'filings', 'n1'): RunTotals(20, 8, 12, 720.0),
     }
     verdict = evaluate(totals, 'v2')
     assert verdict.is_faulty
@@ -44,8 +47,8 @@
 def test_failures_of_all_versions_are_no_fault() -> None:
     """A failure rate that the old version shares causes no rollback."""
     totals = {
-        ('v1', 'drafts'): RunTotals(100, 30, 70, 4200.0),
-        ('v2', 'drafts'): RunTotals(40, 12, 28, 1680.0),
+        RunKey('v1', 'drafts', 'n1'): RunTotals(100, 30, 70, 4200.0),
+        RunKey('v2', 'drafts', 'n1'): RunTotals(40, 12, 28, 1680.0),
     }
     assert not evaluate(totals, 'v2').is_faulty
 
@@ -53,9 +56,9 @@
 def test_few_failures_of_a_new_route_are_no_fault() -> None:
     """A new route that may fail at any version causes no rollback."""
     totals = {
-        ('v1', 'drafts'): _OLD,
-        ('v2', 'drafts'): RunTotals(400, 2, 400, 24_000.0),
-        ('v2', 'added'): RunTotals(4, 4, 0, 0),
+        RunKey('v1', 'drafts', 'n1'): _OLD,
+        RunKey('v2', 'drafts', 'n1'): RunTotals(400, 2, 400, 24_000.0),
+        RunKey('v2', 'added', 'n1'): RunTotals(4, 4, 0, 0),
     }
     assert not evaluate(totals, 'v2').is_faulty
 
--- a/tests/control/mesh/test_evidence.py
+++ b/tests/control/mesh/test_evidence.py
@@ -5,6 +5,7 @@
 from mustardspur_control.mesh.evidence import (
     WINDOW_S,
     EvidenceAggregator,
+    RunKey,
     RunTotals,
 )
 from mustardspur_core.mesh.control_messages import (
@@ -14,6 +15,8 @@
 
 from tests.support.virtual_time import in_virtual_time
 
+_KEY = RunKey(version='v2', route='drafts', node='n1')
+
 
 def _evidence(
     node: str,
@@ -56,8 +59,9 @@
     aggregator.record(_evidence('n1', 20, 2))
     aggregator.record(_evidence('n2', 5, 0))
     counts = aggregator.totals('forms')
-    assert list(counts) == [('v2', 'drafts')]
-    assert _figures(counts['v2', 'drafts']) == (25, 2, 25, 1250.0)
+    assert set(counts) == {_KEY, _KEY._replace(node='n2')}
+    assert _figures(counts[_KEY]) == (20, 2, 20, 1000.0)
+    assert _figures(counts[_KEY._replace(node='n2')]) == (5, 0, 5, 250.0)
     assert not aggregator.totals('stamps')
 
 
@@ -66,7 +70,7 @@
     aggregator = EvidenceAggregator()
     aggregator.record(_evidence('n1', 20, 8))
     aggregator.record(_evidence('n1', 2, 0, incarnation=2))
-    assert _runs_and_failures(aggregator.totals('forms')['v2', 'drafts']) == (
+    assert _runs_and_failures(aggregator.totals('forms')[_KEY]) == (
         22,
         8,
     )
@@ -80,7 +84,7 @@
     aggregator.recent('forms')
     await asyncio.sleep(WINDOW_S + 0.1)
     aggregator.record(_evidence('n1', 1010, 6))
-    recent = aggregator.recent('forms')['v2', 'drafts']
+    recent = aggregator.recent('forms')[_KEY]
     assert _runs_and_failures(recent) == (10, 6)
 
 
