--- a/packages/mustardspur_control/src/mustardspur_control/mesh/evaluation.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/evaluation.py
@@ -26,8 +26,8 @@
 # Smaller differences are noise on a loaded machine.
 MIN_SLOWDOWN_MS: Final = 20.0
 # Log likelihood ratio, in nats, from which on a part of the calls counts
-# as slow: a likelihood ratio of about 400.
-SLOW_LOG_RATIO: Final = 6.0
+# as slow: a likelihood ratio of about 55.
+SLOW_LOG_RATIO: Final = 4.0
 
 
 class TransferVerdict(Record):
