Leave a reserve of calls for versions that turn bad late

Cause: the shares of a transfer rose from 0.4 of its duration on and were full at 0.61. However soon a fault was found, its calls were too many. Class: a limit that is spent before the decision that needs it.

Change: shares 0.12, 0.4 and 1 follow at 0.55, 0.62 and 0.69 of the duration, by when 0.6 of a tenth is used; the transfer is completed at 0.83. Nodes report every 0.25 s (0.4 before), and the leader evaluates every 0.2 s (0.25). The elapsed time is recorded each 0.04 of the duration (0.08), so that a new leader still completes in time.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/schedule.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/schedule.py
@@ -8,17 +8,19 @@
 FIRST_SHARE_OF_EXPOSURE: Final = 0.5
 # The initial share lasts this part of the duration, since some faults appear
 # only several seconds after the start of a target.
-FIRST_RAISE_PROGRESS: Final = 0.4
-# Pairs of progress and the share that applies from it on.
+FIRST_RAISE_PROGRESS: Final = 0.55
+# Pairs of progress and the share that applies from it on. Up to the full share,
+# a version has got 0.6 of a tenth of the duration's calls, so that the rest
+# covers the detection of a fault that begins with any of the steps.
 SHARES_BY_PROGRESS: Final = (
-    (FIRST_RAISE_PROGRESS, 0.15),
-    (0.47, 0.3),
-    (0.54, 0.55),
-    (0.61, 1.0),
+    (FIRST_RAISE_PROGRESS, 0.12),
+    (0.62, 0.4),
+    (0.69, 1.0),
 )
 # Calls to the old version must have ended by this progress: its targets stop
-# without draining once the transfer is reported as completed.
-COMPLETION_PROGRESS: Final = 0.76
+# without draining once the transfer is reported as completed. The rest of the
+# duration is a reserve for elections.
+COMPLETION_PROGRESS: Final = 0.83
 # The share is not raised before the new version has answered this many calls.
 MIN_ANSWERED_CALLS: Final = 25
 
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
@@ -30,12 +30,12 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
-CHECK_INTERVAL_S: Final = 0.25
+CHECK_INTERVAL_S: Final = 0.2
 # Smaller raises of a share are skipped, since each step is a log entry.
 MIN_SHARE_STEP: Final = 0.02
 # Part of a transfer's duration after which its elapsed time is recorded even
 # if the share stays, so that the next leader continues from it.
-MIN_PROGRESS_STEP: Final = 0.08
+MIN_PROGRESS_STEP: Final = 0.04
 # Estimated duration of an election, in which no step is recorded.
 ELECTION_MS: Final = 1000
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/node_reports.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/node_reports.py
@@ -12,7 +12,7 @@
 from mustardspur_node.mesh.node_announcement import NodeAnnouncement
 from mustardspur_node.mesh.view import MeshView
 
-EVIDENCE_INTERVAL_S: Final = 0.4
+EVIDENCE_INTERVAL_S: Final = 0.25
 
 
 class NodeReports:
