Count attempts that are abandoned in the evidence on moves

An attempt that a hedge supersedes, and one whose caller leaves before the deadline, had no outcome, so that hedges removed the slowest calls of a version from what its move is decided on. Attempts that end by the deadline were counted before.

Evidence: with a hedge after 20 ms, 20 calls at a fast and a slow target made 24 runs and 20 outcomes; a call that its caller left had none.

Change: such attempts are reported as `abandoned`, with the time for which their answer was awaited, and count as calls of at least that latency, not as failures.

--- a/packages/mustardspur_moves/src/mustardspur_moves/guard.py
+++ b/packages/mustardspur_moves/src/mustardspur_moves/guard.py
@@ -15,7 +15,7 @@
     Evidence,
     row_of,
 )
-from mustardspur_moves.outcome_counts import OutcomeCounts
+from mustardspur_moves.outcome_counts import FAULTS, OutcomeCounts
 from mustardspur_moves.slots import Slot
 from mustardspur_moves.tuning import tuning_of
 from mustardspur_moves.verdict import evaluate_version
@@ -156,7 +156,8 @@
             monitor.counts_of_call(target, route, caller).count(
                 outcome, latency_ms
             )
-            if outcome != 'ok' and target.version == monitor.move.to_version:
+            is_fault = outcome in FAULTS
+            if is_fault and target.version == monitor.move.to_version:
                 self._count_failures(monitor, 1)
 
     def record_counts(
--- a/packages/mustardspur_moves/src/mustardspur_moves/outcome_counts.py
+++ b/packages/mustardspur_moves/src/mustardspur_moves/outcome_counts.py
@@ -1,10 +1,16 @@
 """Counts of calls by outcome and latency."""
 
+from typing import Final
+
 from mustardspur_core.record import Record
 
 from mustardspur_moves.histogram import add_counts, bucket_of
 
 
+# Outcomes that count against a version whatever their latency is.
+FAULTS: Final = frozenset(('failure', 'refusal'))
+
+
 class OutcomeCounts(Record):
     """Counts of calls by their outcome.
 
@@ -13,8 +19,9 @@
     calls, failures, refusals : int
         Number of all calls, of failed calls and of refused calls.
     latency_counts : dict of int
-        Number of successful calls by latency bucket. Failures and refusals
-        are left out, since a fast error must not look like a fast answer.
+        Number of successful and abandoned calls by latency bucket. Failures
+        and refusals are left out, since a fast error must not look like a
+        fast answer.
     """
 
     __slots__ = ('calls', 'failures', 'refusals', 'latency_counts')
@@ -66,16 +73,17 @@
         Parameters
         ----------
         outcome : str
-            ``ok``, ``failure`` or ``refusal``.
+            ``ok``, ``failure``, ``refusal`` or ``abandoned``.
         latency_ms : float
-            Latency in milliseconds, counted for ``ok`` only.
+            Latency in milliseconds, not counted for `FAULTS`; of an abandoned
+            call, the time for which its answer was awaited.
         """
         self.calls += 1
-        if outcome == 'ok':
+        if outcome == 'failure':
+            self.failures += 1
+        elif outcome == 'refusal':
+            self.refusals += 1
+        else:
             bucket = bucket_of(latency_ms)
             known = self.latency_counts.get(bucket, 0)
             self.latency_counts[bucket] = known + 1
-        elif outcome == 'failure':
-            self.failures += 1
-        else:
-            self.refusals += 1
--- a/packages/mustardspur_node/src/mustardspur_node/calls/attempt_tracker.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/attempt_tracker.py
@@ -120,7 +120,10 @@
 
     def _on_fault(self, attempt: Attempt, fault: AttemptError) -> None:
         if attempt.superseded:
-            attempt.endpoint.observations.record_latency(attempt.latency_ms)
+            latency_ms = attempt.latency_ms
+            attempt.endpoint.observations.record_latency(latency_ms)
+            if attempt.sent:
+                self._report(attempt, 'abandoned', latency_ms)
         elif isinstance(fault, CallRefused):
             latency_ms = attempt.latency_ms
             attempt.endpoint.on_refusal(latency_ms, self._loop.time())
@@ -142,6 +145,8 @@
         threshold_ms = call.route.timeout_s * MS_PER_S * _FAILURE_TIMEOUT_SHARE
         if late and attempt.sent and latency_ms >= threshold_ms:
             self._record_failure(attempt, latency_ms)
+        elif attempt.sent:
+            self._report(attempt, 'abandoned', latency_ms)
 
     def _record_failure(
         self,
--- a/packages/mustardspur_node/src/mustardspur_node/views.py
+++ b/packages/mustardspur_node/src/mustardspur_node/views.py
@@ -52,7 +52,10 @@
         latency_ms: float,
         caller: str = '',
     ) -> None:
-        """Count an attempt; `outcome` is ``ok``, ``failure``, ``refusal``.
+        """Count an attempt by its outcome.
+
+        `outcome` is ``ok``, ``failure``, ``refusal``, or ``abandoned`` for an
+        attempt whose answer was no longer awaited after `latency_ms`.
 
         `caller` is the name of the caller, empty if it is not counted
         separately.
