Forget the evidence on transfers when leadership is lost

A bad version can stay in service with a share that rises.

Cause: an instance keeps the counts of nodes after it has lost leadership. When it leads again, counts of nodes that were removed meanwhile, among them those of a version that was rolled back, count as runs of the other versions, and their failures hide those of the version that is evaluated. Class: state of an earlier term used in a later one.

Change: the counts are removed while the instance does not lead. Nodes report all counts since the start of a transfer, so the next leader gets them again.

Result: test_evidence_of_an_earlier_term_is_not_used fails before (the version with 10 of 20 runs failed stays running) and passes.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/evidence.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/evidence.py
@@ -165,3 +165,10 @@
             evidence.rows = [
                 row for row in evidence.rows if row.service != service
             ]
+
+    def clear(self) -> None:
+        """Remove all counts; nodes report theirs to the next leader."""
+        self._by_node.clear()
+        self._received_s.clear()
+        self._before_restart.clear()
+        self._history.clear()
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
@@ -97,6 +97,7 @@
                 )
             else:
                 self._starts_by_service.clear()
+                self._evidence.clear()
 
     async def _record_base_versions(self) -> None:
         base_versions = self._store.state.base_versions
--- a/tests/control/mesh/test_transfers.py
+++ b/tests/control/mesh/test_transfers.py
@@ -27,10 +27,9 @@
 class _Log:
     """A log that commits each entry immediately."""
 
-    is_leader = True
-
     def __init__(self, store: MeshStore) -> None:
         self._store = store
+        self.is_leader = True
         self.index = 0
 
     async def propose(self, entry: bytes) -> Result[Committed, ProposalError]:
@@ -63,23 +62,29 @@
             self.evidence,
         )
 
-    async def order(self) -> None:
+    async def order(self, version: str = 'v2') -> None:
         await self.log.propose(
             encode_frame(
                 StartTransfer(
                     service='forms',
-                    version='v2',
+                    version=version,
                     duration_ms=_DURATION_S * 1000,
                     at_s=0,
                 ),
             ),
         )
 
-    def report(self, runs: int, failed: int) -> None:
+    def report(
+        self,
+        runs: int,
+        failed: int,
+        version: str = 'v2',
+        node: str = 'n1',
+    ) -> None:
         rows = [
             RouteOutcomeCounts(
                 service='forms',
-                version=version,
+                version=name,
                 route='drafts',
                 runs=count,
                 failed=failed_count,
@@ -89,12 +94,12 @@
                 latency_buckets=[],
                 latency_counts=[],
             )
-            for version, count, failed_count in (
+            for name, count, failed_count in (
                 ('v1', 500, 2),
-                ('v2', runs, failed),
+                (version, runs, failed),
             )
         ]
-        self.evidence.record(MeshEvidence(node='n1', incarnation=1, rows=rows))
+        self.evidence.record(MeshEvidence(node=node, incarnation=1, rows=rows))
 
 
 @in_virtual_time
@@ -159,3 +164,20 @@
     async with background(mesh.driver().run()):
         await asyncio.sleep(1)
     assert mesh.store.state.base_versions == {'forms': 'v1'}
+
+
+@in_virtual_time
+async def test_evidence_of_an_earlier_term_is_not_used() -> None:
+    """Failures of a previous version must not hide those of the next one."""
+    mesh = _Mesh()
+    mesh.registry.put(LOCAL_SOURCE, target('3', version='v3'))
+    # The node was removed with the targets of the version that failed.
+    mesh.report(400, 300, version='v2', node='removed')
+    mesh.log.is_leader = False
+    async with background(mesh.driver().run()):
+        await asyncio.sleep(1)
+        mesh.log.is_leader = True
+        await mesh.order('v3')
+        mesh.report(20, 10, version='v3')
+        await asyncio.sleep(1)
+    assert mesh.transfer.state == 'rolled_back'
