Raise the share of a version only while runs become known

A version that turns bad while no report reaches the leader is completed.

Cause: a raise needed 25 known runs since the start of the transfer, and no run since. Reports are dropped where there is no stream to the leader, and then the evidence stays free of faults. Class: silence taken for a good sign.

Change: between two raises at least 3 runs of the version must become known.

Result: test_lost_reports_do_not_hide_a_bad_version fails before (completed) and passes. Two tests of transfers reported once, at the start, and expected completion; their healthy version now goes on reporting runs, and the assertions are unchanged.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
@@ -31,6 +31,8 @@
 _LOG: Final = logging.getLogger(__name__)
 
 CHECK_INTERVAL_S: Final = 0.2
+# Runs of a version that must become known between two raises of its share.
+MIN_RUNS_AT_SHARE: Final = 3
 # Smaller raises of a share are skipped, since each step is a log entry.
 MIN_SHARE_STEP: Final = 0.02
 # Part of a transfer's duration after which its elapsed time is recorded even
@@ -63,6 +65,7 @@
         '_log',
         '_mesh',
         '_registry',
+        '_runs_by_share',
         '_starts_by_service',
         '_store',
     )
@@ -82,6 +85,8 @@
         self._registry = registry
         self._evidence = evidence
         self._starts_by_service: dict[str, tuple[str, float]] = {}
+        # Runs that were known when a share was first seen, by transfer.
+        self._runs_by_share: dict[tuple[str, str], tuple[float, int]] = {}
 
     async def run(self) -> None:
         """Check all transfers at an interval until cancelled."""
@@ -97,6 +102,7 @@
                 )
             else:
                 self._starts_by_service.clear()
+                self._runs_by_share.clear()
                 self._evidence.clear()
 
     async def _record_base_versions(self) -> None:
@@ -129,6 +135,8 @@
 
     async def _step(self, transfer: Transfer) -> None:
         if transfer.state != TransferState.RUNNING:
+            key = (transfer.service, transfer.version)
+            self._runs_by_share.pop(key, None)
             if self._starts_by_service.pop(transfer.service, None) is not None:
                 self._evidence.remove_service(transfer.service)
             return
@@ -174,7 +182,10 @@
             ),
             self._max_share_by_slots(transfer),
         )
-        if share >= transfer.share + MIN_SHARE_STEP:
+        runs_at_share = self._runs_at_share(transfer, verdict.answered_calls)
+        # Reports that are lost on their way show no fault either.
+        is_known = not transfer.share or runs_at_share >= MIN_RUNS_AT_SHARE
+        if is_known and share >= transfer.share + MIN_SHARE_STEP:
             self._log_decision(
                 transfer, f'share {share:.2f}', verdict, progress
             )
@@ -184,6 +195,23 @@
             return TransferState.RUNNING.value, transfer.share
         return None
 
+    def _runs_at_share(self, transfer: Transfer, runs: int) -> int:
+        """Return how many runs became known since the last raise.
+
+        Parameters
+        ----------
+        transfer : Transfer
+            A running transfer.
+        runs : int
+            Known runs of its version.
+        """
+        key = (transfer.service, transfer.version)
+        known = self._runs_by_share.get(key)
+        if known is None or known[0] != transfer.share:
+            known = (transfer.share, runs)
+            self._runs_by_share[key] = known
+        return runs - known[1]
+
     def _verdict(self, transfer: Transfer) -> TransferVerdict:
         service, version = transfer.service, transfer.version
         totals = self._evidence.totals(service)
--- a/tests/control/mesh/test_exposure.py
+++ b/tests/control/mesh/test_exposure.py
@@ -48,3 +48,12 @@
     assert {play.transfer.state for play in plays} == {'completed'}
     assert all(play.ended_s < DURATION_S for play in plays)
     assert not any(play.old_in_flight for play in plays)
+
+
+def test_lost_reports_do_not_hide_a_bad_version() -> None:
+    """The share is not raised while the leader learns of no runs."""
+    play = TransferPlay(1, FailingPart(0.5, from_s=8))
+    play.reports_until_s = 8
+    in_virtual_time(play.run)()
+    assert play.transfer.state != 'completed'
+    assert play.new_calls <= play.max_new_calls
--- a/tests/control/mesh/test_transfers.py
+++ b/tests/control/mesh/test_transfers.py
@@ -19,7 +19,7 @@
 from mustardspur_core.wire import encode_frame
 
 from tests.core.mesh.builders import mesh_settings, target
-from tests.support.virtual_time import in_virtual_time
+from tests.support.virtual_time import in_virtual_time, ticks
 
 _DURATION_S = 12.0
 
@@ -46,6 +46,7 @@
         self.registry = MeshRegistry()
         self.evidence = EvidenceAggregator()
         self.log = _Log(self.store)
+        self.runs = 200
         self.registry.put(LOCAL_SOURCE, target('1'))
         self.registry.put(LOCAL_SOURCE, target('2', version='v2'))
 
@@ -101,6 +102,12 @@
         ]
         self.evidence.record(MeshEvidence(node=node, incarnation=1, rows=rows))
 
+    async def report_runs_for(self, seconds: float) -> None:
+        """Report more runs of a healthy version each 0.2 s."""
+        async for _ in ticks(round(seconds / 0.2), 0.2):
+            self.runs += 10
+            self.report(self.runs, 1)
+
 
 @in_virtual_time
 async def test_healthy_version_completes_within_its_duration() -> None:
@@ -110,8 +117,7 @@
     async with background(mesh.driver().run()):
         await asyncio.sleep(2)
         assert 0 < round(100 * mesh.transfer.share) <= 10
-        mesh.report(200, 1)
-        await asyncio.sleep(_DURATION_S - 2 - 1)
+        await mesh.report_runs_for(_DURATION_S - 2 - 1)
     assert mesh.transfer.state == 'completed'
     assert mesh.store.state.base_versions['forms'] == 'v2'
 
@@ -146,13 +152,12 @@
     """A change of the leader does not restart a transfer."""
     mesh = _Mesh()
     await mesh.order()
-    mesh.report(200, 1)
     async with background(mesh.driver().run()):
-        await asyncio.sleep(6)
+        await mesh.report_runs_for(6)
     # The next leader is elected a second later.
     await asyncio.sleep(1)
     async with background(mesh.driver().run()):
-        await asyncio.sleep(4)
+        await mesh.report_runs_for(4)
     assert mesh.transfer.state == 'completed'
 
 
--- a/tests/control/mesh/transfer_play.py
+++ b/tests/control/mesh/transfer_play.py
@@ -70,6 +70,8 @@
         self._share: float = 0
         self._index = 0
         self.is_leader = True
+        # Time from which on no report reaches the leader.
+        self.reports_until_s = math.inf
         self.calls = 0
         self.new_calls = 0
         self.old_in_flight = 0
@@ -192,7 +194,7 @@
 
     def _report_of(self, node: str) -> None:
         evidence = self._evidence_by_node.get(node)
-        if evidence is not None:
+        if evidence is not None and _now() < self.reports_until_s:
             self._aggregator.record(
                 MeshEvidence(node=node, incarnation=1, rows=evidence.rows)
             )
