Refuse reports of targets with values out of range

Cause: a port above 65535, or one of other digits than ASCII, was accepted in a target's report. Each call and each check of the target then ended with an OverflowError or ValueError instead of a fault of the target; the tasks are restarted, so the process goes on, but the target gets no calls. A start time or a sequence of 2**62 was accepted as well and made all later reports of the real target look older. Announcements for profiles took ports up to 99999 and incarnations that cannot be encoded.

Evidence: trial with a target at port 99999: "OverflowError: connect(): port must be 0-65535" from a call and from the check of the target. Deep nesting was refused before (RecursionError is read as invalid JSON); announcements for profiles are now parsed in the same way.

Change: both kinds of reports are checked for ranges before they are stored, and refused with the name of the field.

--- a/packages/mustardspur_node/src/mustardspur_node/announcements.py
+++ b/packages/mustardspur_node/src/mustardspur_node/announcements.py
@@ -6,12 +6,14 @@
 
 from aiohttp import web
 from expression import Error, Ok, Result
+from mustardspur_core.addresses import has_valid_port
 from mustardspur_core.conversion import encode_mapping
 from mustardspur_core.findings import Finding, Findings
 from mustardspur_core.running_clock import RunningClock
 from mustardspur_core.schemas import load_schema, schema_findings
 from mustardspur_core.settings import Settings
 from mustardspur_core.state import Target
+from mustardspur_core.strict_json import parse_json
 
 _SOURCE: Final = 'announcement'
 _VALIDATOR = load_schema('mustardspur_node', 'announcement.schema.json')
@@ -107,7 +109,8 @@
             '$.address': (
                 f'an address of this instance ({host})',
                 document['address'],
-                _host(document['address']) == host,
+                _host(document['address']) == host
+                and has_valid_port(document['address']),
             ),
             '$.service': (
                 f'{service}, the service of this instance',
@@ -174,17 +177,10 @@
     request: web.BaseRequest,
 ) -> web.Response:
     """Answer ``POST /mustardspur/v1/targets``."""
-    try:
-        document = await request.json()
-    except ValueError as error:
-        finding = Finding(
-            source=_SOURCE,
-            path='$',
-            expected='JSON',
-            found=str(error),
-        )
-        return _refusal(Findings(entries=[finding]))
-    outcome = announcements.accept(document)
+    document = parse_json(await request.read(), _SOURCE)
+    if document.is_error():
+        return _refusal(document.error)
+    outcome = announcements.accept(document.ok)
     if outcome.is_error():
         return _refusal(outcome.error)
     return web.json_response({'id': outcome.ok.id})
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/http_api.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/http_api.py
@@ -10,7 +10,7 @@
 from mustardspur_core.strict_json import parse_json
 
 from mustardspur_node.mesh.instance import MeshNode
-from mustardspur_node.mesh.reports import TargetReport
+from mustardspur_node.mesh.reports import TargetReport, find_report_fault
 from mustardspur_node.paths import ANNOUNCEMENTS_PATH, READY_PATH
 
 _LOG: Final = logging.getLogger(__name__)
@@ -59,6 +59,9 @@
             report = decode_mapping(TargetReport, parsed.ok)
         except DecodeError as error:
             return _rejection(str(error))
+        fault = find_report_fault(report)
+        if fault:
+            return _rejection(fault)
         self.node.accept_report(report)
         return web.json_response({})
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/reports.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/reports.py
@@ -3,8 +3,10 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from types import MappingProxyType
 from typing import Any, Final
 
+from mustardspur_core.addresses import has_valid_port
 from mustardspur_core.mesh.model import MeshTargetState
 from mustardspur_core.record import Record, replaced
 
@@ -20,6 +22,17 @@
 # distinguish a late report of it from a new one. Reports are not expected to
 # be later than this.
 MAX_REPORT_DELAY_S: Final = 6.0
+MAX_SHOWN: Final = 80
+# Lowest and highest values of the numbers in reports. Start times are in Unix
+# milliseconds and end with the year 9999, cold times with a day.
+_RANGES: Final = MappingProxyType(
+    {
+        'slots': (1, 100_000),
+        'sequence': (0, 9_007_199_254_740_991),
+        'born': (0, 253_402_300_799_999),
+        'cold_ms': (0, 86_400_000),
+    },
+)
 
 
 class TargetReport(Record):
@@ -56,6 +69,22 @@
     born: int
 
 
+def find_report_fault(report: TargetReport) -> str:
+    """Return which field of a report is out of range, empty for none.
+
+    Another process may send a report with a value that no target has. Such a
+    value would end calls and checks with an unexpected error, or make all
+    later reports of the target look older.
+    """
+    if not has_valid_port(report.address):
+        shown = report.address[:MAX_SHOWN]
+        return f'address: expected ip:port, found {shown!r}'
+    for name, (lowest, highest) in _RANGES.items():
+        if not lowest <= getattr(report, name) <= highest:
+            return '{}: expected {} to {}'.format(name, lowest, highest)
+    return ''
+
+
 class ReportStore:
     """Stores the latest valid report of the local target.
 
--- a/tests/node/test_announcements.py
+++ b/tests/node/test_announcements.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 import pytest
+from mustardspur_core.strict_json import parse_json
 from mustardspur_node.announcements import Announcements
 
 from tests.support.samples import announcement, node_settings
@@ -41,6 +42,9 @@
         ({'id': 't2', 'incarnation': 4}, '$.incarnation'),
         ({'state': 'asleep'}, '$.state'),
         ({'slots': 0}, '$.slots'),
+        ({'incarnation': 10**30}, '$.incarnation'),
+        ({'address': '127.0.0.1:65536'}, '$.address'),
+        ({'address': '127.0.0.1:0'}, '$.address'),
         ({'colour': 'red'}, '$'),
     ],
 )
@@ -58,6 +62,19 @@
     assert [each.incarnation for each in announcements.targets] == [5]
 
 
+@pytest.mark.parametrize('depth', [100, 900, 100_000])
+def test_deeply_nested_announcement_is_refused(depth: int) -> None:
+    """Guards against a recursion error that ends the request."""
+    nested = b'{"extra":%b%b}' % (
+        b'['.ljust(depth, b'['),
+        b']'.ljust(depth, b']'),
+    )
+    parsed = parse_json(nested, 'announcement')
+    if parsed.is_ok():
+        announcements = Announcements(node_settings())
+        assert announcements.accept(parsed.ok).is_error()
+
+
 def test_lease_ends_and_can_begin_again() -> None:
     """Guards against targets that outlive their lease or cannot return."""
     clock = Clock()
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -106,6 +106,15 @@
         ('address', 'somewhere'),
         ('cold_remaining', 250),
         ('born', 1.5),
+        ('address', '127.0.0.1:65536'),
+        ('address', '127.0.0.1:0'),
+        ('address', '127.0.0.1:\N{SUPERSCRIPT TWO}'),
+        ('slots', 2**62),
+        ('sequence', 2**62),
+        ('born', 2**62),
+        ('born', -1),
+        ('cold_remaining', '1e300s'),
+        ('cold_remaining', '-1ms'),
     ],
 )
 def test_foreign_heartbeat_names_no_target(name: str, found: Any) -> None:
