Keep requests off connections that carried their refusal

Cause: answers are matched to requests by their identifier. A request that is sent again with the same identifier, or requests of callers that send none, cannot be told apart, so that a refusal that the target writes once more on a kept connection was taken for the answer to the next of them. The node then said that it did not run, or placed it at a second target. The calls of profiles are not affected: their connection is closed after a refusal.

Change: a connection remembers the identifiers of the requests refused on it and is not used for a request with one of them; requests without an identifier count as one. Refused requests with other identifiers keep their connection.

Result: both cases of test_repeated_refusal_is_no_answer fail before ("target answered 503" for a request that ran) and pass; tests/node/mesh passes.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -244,7 +244,8 @@
         deadline_s: float,
         before_send: BeforeSend,
     ) -> RawAnswer:
-        async with self.pool.acquire() as connection:
+        request_id = self._requests.request_id(call)
+        async with self.pool.acquire(request_id) as connection:
             left_ms = await self._confirm_send(call, deadline_s, before_send)
             with self.admission.run_times.tracked(call.route):
                 return await self._exchange(call, connection, left_ms)
@@ -294,7 +295,11 @@
             self.runs.record_broken(call, report, started_ns, self.pool)
             raise maybe_run_fault('broken', str(error)) from error
         self.statements.apply(report, answer, sent_s)
-        self._requests.raise_if_refused(answer)
+        try:
+            self._requests.raise_if_refused(answer)
+        except PlacementFault:
+            connection.refused_ids.append(self._requests.request_id(call))
+            raise
         self.runs.record_answer(call, report, started_ns, failed=answer.failed)
         return answer
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_connection.py
@@ -27,6 +27,8 @@
 IDLE_MARGIN_S: Final = 0.6
 # Answers to other requests that are skipped before the connection is aborted.
 MAX_SKIPPED_ANSWERS: Final = 4
+# Refused requests whose identifiers a connection remembers.
+MAX_REFUSED_IDS: Final = 64
 
 
 # Returns whether an answer belongs to the request; None if it has no
@@ -48,6 +50,9 @@
     ----------
     heard_s : float
         Time on the event loop's clock of the latest received bytes.
+    refused_ids : deque of str
+        Identifiers of the latest requests that the target refused on this
+        connection, empty strings for requests without one.
     """
 
     __slots__ = (
@@ -58,6 +63,7 @@
         '_in_flight',
         'heard_s',
         'idle_since_s',
+        'refused_ids',
         'reusable',
     )
 
@@ -76,6 +82,7 @@
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.heard_s = float('-inf')
         self.idle_since_s: float = 0
+        self.refused_ids: deque[str] = deque(maxlen=MAX_REFUSED_IDS)
         self.reusable = True
 
     @property
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_pool.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_pool.py
@@ -58,21 +58,31 @@
         self.connected_s: float = 0
 
     @asynccontextmanager
-    async def acquire(self) -> AsyncIterator[TargetConnection]:
+    async def acquire(
+        self,
+        request_id: str | None = None,
+    ) -> AsyncIterator[TargetConnection]:
         """Provide an idle connection while the context is active.
 
         Explanation
         ===========
 
         The connection is released however the context ends, since a leaked
-        one counts towards the connection limit of the target.
+        one counts towards the connection limit of the target. It has not
+        carried a refusal of a request with the same identifier, whose late
+        copy could not be told from the answer.
+
+        Parameters
+        ----------
+        request_id : str, optional
+            Identifier of the request, empty if it has none.
 
         Raises
         ------
         PlacementFault
             If the target accepts no connection; nothing was sent.
         """
-        connection = await self._checkout()
+        connection = self._take_idle(request_id) or await self._connect()
         try:
             yield connection
         finally:
@@ -120,13 +130,13 @@
         while self._idle:
             self._idle.pop().abort()
 
-    async def _checkout(self) -> TargetConnection:
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_fresh:
+    def _take_idle(self, request_id: str | None) -> TargetConnection | None:
+        for connection in reversed(self._idle):
+            is_refused = request_id in connection.refused_ids
+            if connection.is_fresh and not is_refused:
+                self._idle.remove(connection)
                 return connection
-            connection.abort()
-        return await self._connect()
+        return None
 
     def _release(self, connection: TargetConnection) -> None:
         if self.closed:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_requests.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_requests.py
@@ -54,6 +54,10 @@
         lines.append('\r\n')
         return '\r\n'.join(lines).encode('utf-8', 'surrogateescape')
 
+    def request_id(self, call: CallOpen) -> str:
+        """Return the identifier of a call, empty if it has none."""
+        return _header(call, self._names.request_id)
+
     def identify(
         self,
         call: CallOpen,
@@ -65,7 +69,7 @@
         without one.
         """
         echoed = message.headers.get(self._names.request_id)
-        sent = _header(call, self._names.request_id)
+        sent = self.request_id(call)
         if sent and echoed is None:
             return None
         return (echoed or '') == sent
--- a/tests/node/mesh/test_target_connection.py
+++ b/tests/node/mesh/test_target_connection.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import errno
+import re
 import socket
+from contextlib import suppress
 from typing import Any, Final
 
 import pytest
@@ -15,6 +17,7 @@
 from mustardspur_node.mesh.target_connection import TargetConnection
 
 from tests.node.mesh.builders import call_open, local_target, target_report
+from tests.node.stand_ins.mesh import run_raw_target
 from tests.node.stand_ins.scripted import (
     CLOSE,
     ENDLESS,
@@ -134,6 +137,55 @@
         assert not fault.value.not_run
 
 
+class _RefusingTarget:
+    """Refuses the first request, and repeats that on its connection later."""
+
+    def __init__(self) -> None:
+        """Initialise without requests."""
+        self.runs = 0
+        self._refusal = b''
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Run all requests but the first one."""
+        repeated = b''
+        with suppress(asyncio.IncompleteReadError):
+            while head := await reader.readuntil(b'\r\n\r\n'):
+                found = re.search(b'x-request-id: [^\r]+\r\n', head)
+                identifier = found.group(0) if found else b''
+                if self._refusal:
+                    self.runs += 1
+                    writer.write(repeated)
+                    writer.write(_GOOD_HEAD % identifier)
+                else:
+                    self._refusal = _REFUSAL_HEAD % identifier
+                    repeated = self._refusal
+                    writer.write(repeated)
+
+
+_GOOD_HEAD: Final = b'HTTP/1.1 200 OK\r\n%scontent-length: 4\r\n\r\ngood'
+_REFUSAL_HEAD: Final = (
+    b'HTTP/1.1 503 Service Unavailable\r\nx-mustardspur-refused: 1\r\n'
+    b'%scontent-length: 0\r\n\r\n'
+)
+
+
+@pytest.mark.parametrize('headers', [[], [['x-request-id', 'r1']]])
+async def test_repeated_refusal_is_no_answer(headers: list[list[str]]) -> None:
+    """Guards against a call that runs and is said not to have run, as a
+    refusal of an earlier request with its identifier is sent once more.
+    """
+    target = _RefusingTarget()
+    async with run_raw_target(target.serve) as address:
+        local = local_target(address)
+        call = call_open(headers=[['host', 'forms.example'], *headers])
+        with pytest.raises(PlacementFault, match='refused'):
+            await local.run(call, _ignore)
+        answer = await local.run(call, _ignore)
+    assert (answer.status, answer.body, target.runs) == (200, b'good', 1)
+
+
 async def test_answer_without_identifier_ends_its_connection() -> None:
     """Guards against a copy of an answer without an identifier that follows
     on the same connection.
