Leave damaged counts out of the evidence on transfers

Cause: a report with a count of 0 or less in its histogram would end the evaluation with a division by zero or the logarithm of a negative number, and the task that drives the transfers with it.

Change: only counts above 0 are added. The counts of other versions are summed once for a route where they are the reference as well.

Result: test_damaged_histogram_is_left_out fails before ({20: 9, 28: 0, 36: -4}) and passes; valid reports are evaluated as before.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/evaluation.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/evaluation.py
@@ -77,17 +77,15 @@
     for route in routes:
         new = version_totals(totals, version, route)
         old = other_version_totals(totals, version, route)
+        usual = old
+        if reference is not None:
+            usual = other_version_totals(reference, version, route)
         answered_calls += new.runs
         reason = (
             reason
             or _failure_reason(route, new, old)
             or _mean_latency_reason(route, new, old)
-            or _slow_calls_reason(
-                route,
-                totals,
-                version,
-                other_version_totals(reference or totals, version, route),
-            )
+            or _slow_calls_reason(route, totals, version, usual)
         )
     return TransferVerdict(
         is_faulty=bool(reason),
@@ -156,10 +154,10 @@
     route: str,
     totals: Totals,
     version: str,
-    old: RunTotals,
+    usual: RunTotals,
 ) -> str:
     log_ratio = slowdown_log_ratio(
-        old.latency_counts,
+        usual.latency_counts,
         [
             counts.latency_counts
             for key, counts in totals.items()
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/evidence.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/evidence.py
@@ -54,12 +54,12 @@
         self.timed += row.timed
         self.timed_ms += row.timed_ms
         self.unanswered += row.unanswered
-        for bucket, count in zip(
-            row.latency_buckets, row.latency_counts, strict=False
-        ):
-            self.latency_counts[bucket] = (
-                self.latency_counts.get(bucket, 0) + count
-            )
+        histogram = zip(row.latency_buckets, row.latency_counts, strict=False)
+        for bucket, count in histogram:
+            # A damaged frame may hold any number.
+            if count > 0:
+                known = self.latency_counts.get(bucket, 0)
+                self.latency_counts[bucket] = known + count
 
     def add(self, other: 'RunTotals') -> None:
         """Add other sums, in place."""
@@ -81,7 +81,7 @@
         )
         for bucket, count in self.latency_counts.items():
             added = count - before.latency_counts.get(bucket, 0)
-            if added:
+            if added > 0:
                 since.latency_counts[bucket] = added
         return since
 
--- a/tests/control/mesh/test_evidence.py
+++ b/tests/control/mesh/test_evidence.py
@@ -94,3 +94,13 @@
     aggregator.record(_evidence('n1', 20, 8))
     aggregator.remove_service('forms')
     assert not aggregator.totals('forms')
+
+
+def test_damaged_histogram_is_left_out() -> None:
+    """Counts below 1 must not end the evaluation of a transfer."""
+    aggregator = EvidenceAggregator()
+    evidence = _evidence('n1', 10, 1)
+    evidence.rows[0].latency_buckets = [20, 28, 36, 44]
+    evidence.rows[0].latency_counts = [9, 0, -4]
+    aggregator.record(evidence)
+    assert aggregator.totals('forms')[_KEY].latency_counts == {20: 9}
