--- a/packages/mustardspur_control/src/mustardspur_control/mesh/slowdown.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/slowdown.py
@@ -3,7 +3,9 @@
 The run times of a route at a healthy target have the distribution of the other
 versions, multiplied by the speed of that target. At a target of a slow version,
 a part of the runs takes several times as long. Each target has its own speed in
-both hypotheses, so that slow targets are not taken for a slow version.
+both hypotheses, so that slow targets are not taken for a slow version. The
+statistic is a generalised likelihood ratio: speed and alternative are those of
+the highest likelihood.
 """
 
 import math
@@ -33,7 +35,9 @@
 _TWICE_BUCKETS: Final = 4
 
 Histogram = Mapping[int, int]
+# Fraction of the runs that are slow, and their slowdown in buckets.
 _Alternative = tuple[float, int]
+_HEALTHY: Final = (0, 0)
 _ALTERNATIVES: Final = tuple(product(SLOW_FRACTIONS, SLOW_SHIFTS))
 
 
@@ -47,19 +51,19 @@
         `MIN_REFERENCE_RUNS`.
     """
 
-    __slots__ = ('_logs_by_alternative', '_probabilities', '_total')
+    __slots__ = ('_logs_by_alternative', '_probabilities')
 
     def __init__(self, reference: Histogram) -> None:
         """Initialise the model without a logarithm computed."""
-        self._total = sum(reference.values())
+        runs = sum(reference.values())
         self._probabilities = {
-            bucket: count / self._total for bucket, count in reference.items()
+            bucket: count / runs for bucket, count in reference.items()
         }
         self._logs_by_alternative: dict[_Alternative, dict[int, float]] = {}
 
     def log_ratios(self, latencies: Histogram) -> list[float]:
         """Return the log likelihood ratio of each alternative at a target."""
-        healthy = self._max_log(latencies, (0, 0))
+        healthy = self._max_log(latencies, _HEALTHY)
         return [
             self._max_log(latencies, alternative) - healthy
             for alternative in _ALTERNATIVES
