Do not blame a version for failures at the full share

Cause: from 15.0 s on, 0.6 of all targets lost 0.4 of their answers. The version had all calls since 0.698 of the duration, so its failures were compared with the time before, when the other version had run. The full share came earlier before, and the version was completed at 15.06 s.

Change: at the full share a version is compared only while runs of the others have ended within a second. A fault that begins with the step to the full share is still found, since calls of the other version end for that long.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/evidence.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/evidence.py
@@ -158,6 +158,19 @@
             for key, counts in totals.items()
         }
 
+    def other_runs(self, service: str, version: str, window_s: float) -> int:
+        """Return the runs of other versions that became known in a window.
+
+        The window ends with the latest call of `recent` and is at most
+        `WINDOW_S` long.
+        """
+        history = self._history[service]
+        now_s, totals = history[-1]
+        before = next(
+            counts for at_s, counts in history if at_s >= now_s - window_s
+        )
+        return _other_runs(totals, version) - _other_runs(before, version)
+
     def remove_service(self, service: str) -> None:
         """Remove the counts of a service, before its next transfer."""
         self._history.pop(service, None)
@@ -172,3 +185,9 @@
         self._received_s.clear()
         self._before_restart.clear()
         self._history.clear()
+
+
+def _other_runs(totals: Totals, version: str) -> int:
+    return sum(
+        counts.runs for key, counts in totals.items() if key.version != version
+    )
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
@@ -16,7 +16,7 @@
     Transfer,
     TransferState,
 )
-from mustardspur_core.record import Record
+from mustardspur_core.record import Record, replaced
 from mustardspur_core.settings import MeshSettings
 from mustardspur_core.units import MS_PER_S
 from mustardspur_core.wire import encode_frame
@@ -33,6 +33,9 @@
 CHECK_INTERVAL_S: Final = 0.2
 # Runs of a version that must become known between two raises of its share.
 MIN_RUNS_AT_SHARE: Final = 3
+# At the full share a version is compared only while runs of the others have
+# ended within this time.
+COMPARED_S: Final = 1.0
 # Smaller raises of a share are skipped, since each step is a log entry.
 MIN_SHARE_STEP: Final = 0.02
 # Part of a transfer's duration after which its elapsed time is recorded even
@@ -217,7 +220,13 @@
         totals = self._evidence.totals(service)
         overall = evaluate(totals, version)
         recent = evaluate(self._evidence.recent(service), version, totals)
-        return recent if recent.is_faulty else overall
+        verdict = recent if recent.is_faulty else overall
+        if transfer.share < 1 or self._evidence.other_runs(
+            service, version, COMPARED_S
+        ):
+            return verdict
+        # Failures that begin at the full share may be those of any version.
+        return replaced(verdict, is_faulty=False)
 
     def _log_decision(
         self,
--- a/tests/control/mesh/test_exposure.py
+++ b/tests/control/mesh/test_exposure.py
@@ -57,3 +57,12 @@
     in_virtual_time(play.run)()
     assert play.transfer.state != 'completed'
     assert play.new_calls <= play.max_new_calls
+
+
+@pytest.mark.parametrize('progress', [0.5, 0.66, 0.77])
+def test_failures_of_both_versions_at_any_share(progress: float) -> None:
+    """A good version has no other one to compare with at the full share."""
+    play = TransferPlay(1, Healthy())
+    play.failing_from_s = progress * DURATION_S
+    in_virtual_time(play.run)()
+    assert play.transfer.state == 'completed'
--- a/tests/control/mesh/transfer_play.py
+++ b/tests/control/mesh/transfer_play.py
@@ -39,6 +39,8 @@
 STEP_DELAY_S: Final = 0.1
 # Start and end of the changed load, since the order.
 LOADED_S: Final = (5.0, 13.0)
+# Part of the runs that fail while both versions are disrupted.
+DISRUPTED_PART: Final = 0.3
 # The promise on bad versions.
 MAX_BAD_SHARE: Final = 0.1
 MAX_BAD_CALLS: Final = 50
@@ -72,6 +74,8 @@
         self.is_leader = True
         # Time from which on no report reaches the leader.
         self.reports_until_s = math.inf
+        # Time from which on a part of the runs of both versions fails.
+        self.failing_from_s = math.inf
         self.calls = 0
         self.new_calls = 0
         self.old_in_flight = 0
@@ -163,6 +167,9 @@
             self._fault.apply(run, self._random, _now(), number)
         else:
             self.old_in_flight += 1
+        is_disrupted = _now() >= self.failing_from_s
+        if is_disrupted and self._random.random() < DISRUPTED_PART:
+            run.failed = True
         version = 'v2' if is_new else 'v1'
         asyncio.get_running_loop().call_later(
             min(run.run_ms, DEADLINE_MS) / 1000,
