--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -131,12 +131,17 @@
                 fields['listen'][name] = self.address(name)
         return fields
 
-    async def start(self):
-        """Start the process as the platform does."""
+    def write_settings(self):
+        """Place the settings file, and return the role and the path."""
         role = self.deployment.roles['control' if self.is_core else 'node']
         template = (REPOSITORY / role['template']).read_text('utf-8')
         path = self.deployment.folder / f'{self.ip}.json'
         path.write_text(render(template, self.settings()), 'utf-8')
+        return role, path
+
+    async def start(self):
+        """Start the process as the platform does."""
+        role, path = self.write_settings()
         environment = {
             name: os.environ[name]
             for name in ('PATH', 'HOME', 'LANG')
@@ -165,14 +170,14 @@
         await self.process.wait()
 
     def rss_mb(self):
-        """Return the memory that the process uses, in MB; 0 if it ended."""
+        """Return the memory that the process uses, in MiB; 0 if it ended."""
         try:
             status = Path(f'/proc/{self.process.pid}/status').read_text()
         except OSError:
             return 0.0
         for line in status.splitlines():
             if line.startswith('VmRSS:'):
-                return int(line.split()[1]) / 1000
+                return int(line.split()[1]) / 1024
         return 0.0
 
 
@@ -188,6 +193,7 @@
         self.born = time.time_ns() // 1_000_000
         self.sequence = 0
         self.state = 'ready'
+        self.first_report_after_s = 0
         self.runs = []
         self.answer = self.answer_soundly
         self._server = None
@@ -229,6 +235,7 @@
         return await send_report(self.machine, self.id, self.report_body())
 
     async def _report_forever(self):
+        await asyncio.sleep(self.first_report_after_s)
         while True:
             await self.report()
             await asyncio.sleep(HEARTBEAT_S)
