--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -508,7 +508,8 @@
         deployment.note('result', breaks=len(breaks))
         print('the rule was broken' if breaks else 'the rule held')
         status = 1 if breaks else 0
-    except (CannotRun, TimeoutError, OSError) as error:
+    except Exception as error:
+        # A fault of the case itself says nothing about the rule.
         deployment.note('cannot run', reason=repr(error))
         print(f'the case could not run: {error!r}')
     finally:
