Refuse reports of another service than the settings name

Cause: the node took the service of the local target, and the origin of its callers, from the latest report. Nothing compared it with the service in the settings, and a report with a newer start time makes all reports of the real target look outdated.

Change: a report of another service than the settings name is refused with its reason. The origin is the service of the settings. When they change, a target of the former service is removed at once, so a late first report of its successor no longer leaves the old service in force.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
@@ -135,6 +135,11 @@
         """Discard the call values of routes removed from the table."""
         self._calls.discard_route_values()
 
+    @property
+    def origin_service(self) -> str:
+        """Service that forwarded calls state as their origin."""
+        return self._calls.origin_service
+
     def set_origin(self, service: str) -> None:
         """Set the service that forwarded calls state as their origin."""
         self._calls.origin_service = service
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/http_api.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/http_api.py
@@ -59,10 +59,9 @@
             report = decode_mapping(TargetReport, parsed.ok)
         except DecodeError as error:
             return _rejection(str(error))
-        fault = find_report_fault(report)
+        fault = find_report_fault(report) or self.node.accept_report(report)
         if fault:
             return _rejection(fault)
-        self.node.accept_report(report)
         return web.json_response({})
 
     async def remove(self, request: web.Request) -> web.Response:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -17,7 +17,11 @@
 from mustardspur_node.mesh.names import HeaderNames
 from mustardspur_node.mesh.peer_server import PeerServer
 from mustardspur_node.mesh.placing import Placer
-from mustardspur_node.mesh.reports import ReportStore, TargetReport
+from mustardspur_node.mesh.reports import (
+    ReportStore,
+    TargetReport,
+    find_foreign_field,
+)
 from mustardspur_node.mesh.target_supervision import TargetSupervision
 from mustardspur_node.mesh.view import MeshView
 
@@ -113,9 +117,18 @@
         """Whether the node accepts callers."""
         return not self._stopping and self.view.routes is not None
 
-    def accept_report(self, report: TargetReport) -> None:
-        """Accept a report of the local target."""
-        self.reports.accept(report)
+    def accept_report(self, report: TargetReport) -> str:
+        """Accept a report of the local target.
+
+        Returns
+        -------
+        str
+            Why the report is of another target, empty if it is not.
+        """
+        foreign = find_foreign_field(report, self.settings)
+        if not foreign:
+            self.reports.accept(report)
+        return foreign
 
     def remove_target(self, target_id: str) -> None:
         """Remove a target that shuts down."""
@@ -126,6 +139,7 @@
         if settings.mesh is not None:
             self._mesh.seeds = settings.mesh.seeds
         self.settings.service = settings.service
+        self.reports.remove_other_service(settings.service)
         self._update_origin()
 
     async def drain(self) -> None:
@@ -204,14 +218,15 @@
         return bool(self.callers.open_connections or self.peers.running)
 
     def _update_origin(self) -> None:
-        """Update the service that forwarded calls state as their origin."""
-        report = self.reports.current
-        service = report.service if report else self.settings.service
-        self.callers.set_origin(service or '')
+        """Update the service that forwarded calls state as their origin.
+
+        It is the one of the settings, since the last report may be of a target
+        whose address has gone to another service.
+        """
+        self.callers.set_origin(self.settings.service or '')
 
     def _apply_target_change(self) -> None:
         self.local.refresh()
-        self._update_origin()
         self.link.announcement_changed.set()
 
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/reports.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/reports.py
@@ -9,6 +9,7 @@
 from mustardspur_core.addresses import has_valid_port
 from mustardspur_core.mesh.model import MeshTargetState
 from mustardspur_core.record import Record, replaced
+from mustardspur_core.settings import Settings
 
 from mustardspur_node.mesh.cold_state import ColdState
 
@@ -85,6 +86,25 @@
     return ''
 
 
+def find_foreign_field(report: TargetReport, settings: Settings) -> str:
+    """Return which field shows that a report is of another target.
+
+    The settings name the service of the local target. A report of another
+    service would take the place of the local target, whose own reports then
+    look outdated.
+
+    Returns
+    -------
+    str
+        The field with what was expected and found, empty if the report can be
+        of the local target.
+    """
+    if report.service == settings.service:
+        return ''
+    shown = report.service[:MAX_SHOWN]
+    return f'service: expected {settings.service!r}, found {shown!r}'
+
+
 class ReportStore:
     """Stores the latest valid report of the local target.
 
@@ -195,6 +215,16 @@
         self._notify()
         return True
 
+    def remove_other_service(self, service: str | None) -> None:
+        """Remove the target if it is of another service than the given one.
+
+        Its address has gone to a target of that service, which may not have
+        reported yet.
+        """
+        current = self.current
+        if current is not None and current.service != service:
+            self.remove(current.id)
+
     def _notify(self) -> None:
         for callback in self._callbacks:
             callback()
--- /dev/null
+++ b/tests/node/mesh/test_instance.py
@@ -0,0 +1,60 @@
+"""Tests of a mesh node as a whole, without connections."""
+
+from typing import Any
+
+import pytest
+import pytest_asyncio
+from mustardspur_core.metrics import NullMetrics
+from mustardspur_core.record import replaced
+from mustardspur_node.mesh.instance import MeshNode
+from mustardspur_node.mesh.names import HEADER_NAMES
+
+from tests.node.mesh.builders import node_settings, target_report
+
+_REPORT = target_report(address='127.0.0.1:1')
+
+
+@pytest_asyncio.fixture(name='node')
+async def make_node() -> MeshNode:
+    """Return a node whose target of ``forms`` has reported."""
+    settings = node_settings()
+    assert settings.mesh is not None
+    node = MeshNode(settings, settings.mesh, HEADER_NAMES, NullMetrics())
+    assert not node.accept_report(_REPORT)
+    return node
+
+
+@pytest.mark.parametrize(
+    'field', [{'service': 'nobody'}, {'service': 'stamps'}]
+)
+async def test_foreign_report_does_not_replace_the_target(
+    node: MeshNode,
+    field: dict[str, Any],
+) -> None:
+    """Guards against a report of another service that takes the place of the
+    local target and is stated as the origin of its callers.
+    """
+    foreign = replaced(_REPORT, id='t2', born=2000, sequence=1, **field)
+    reason = node.accept_report(foreign)
+    assert node.reports.current == _REPORT
+    assert node.callers.origin_service == 'forms'
+    assert reason.startswith(next(iter(field)))
+    assert not node.accept_report(replaced(_REPORT, sequence=5))
+    assert node.reports.current == replaced(_REPORT, sequence=5)
+
+
+async def test_reused_address_states_the_new_service(
+    node: MeshNode,
+) -> None:
+    """Guards against calls under the service of a crashed target whose
+    address has gone to another service.
+    """
+    changed = node_settings()
+    changed.service = 'stamps'
+    node.apply_settings(changed)
+    assert node.callers.origin_service == 'stamps'
+    assert node.reports.current is None
+    assert node.accept_report(replaced(_REPORT, sequence=5))
+    assert not node.accept_report(
+        replaced(_REPORT, id='t2', service='stamps', born=2000),
+    )
