Refuse reports whose names cannot be sent in a head

Change: identifier, service and version have to be printable ASCII of at most 256 characters; other reports are refused with the name of the field.

Evidence: 6 new cases of test_odd_reports.py fail without the change and pass with it.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/reports.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/reports.py
@@ -24,6 +24,9 @@
 # be later than this.
 MAX_REPORT_DELAY_S: Final = 6.0
 MAX_SHOWN: Final = 80
+# The identifier is sent to the target in the head of each call.
+_NAMES: Final = ('id', 'service', 'version')
+MAX_NAME_CHARS: Final = 256
 # Lowest and highest values of the numbers in reports. Start times are in Unix
 # milliseconds and end with the year 9999, cold times with a day.
 _RANGES: Final = MappingProxyType(
@@ -74,9 +77,15 @@
     """Return which field of a report is out of range, empty for none.
 
     Another process may send a report with a value that no target has. Such a
-    value would end calls and checks with an unexpected error, or make all
-    later reports of the target look older.
+    value would end calls and checks with an unexpected error, make all later
+    reports of the target look older, or add lines to the heads of calls.
     """
+    for name in _NAMES:
+        if not _is_name(getattr(report, name)):
+            return (
+                f'{name}: expected printable ASCII characters, '
+                f'at most {MAX_NAME_CHARS}'
+            )
     if not has_valid_port(report.address):
         shown = report.address[:MAX_SHOWN]
         return f'address: expected ip:port, found {shown!r}'
@@ -268,6 +277,11 @@
         return ''
 
 
+def _is_name(text: str) -> bool:
+    is_printable = text.isascii() and text.isprintable()
+    return is_printable and len(text) <= MAX_NAME_CHARS
+
+
 def is_same_start(report: TargetReport, other: TargetReport | None) -> bool:
     """Return whether two reports are of the same start of one target."""
     return other is not None and (
--- a/tests/node/mesh/test_odd_reports.py
+++ b/tests/node/mesh/test_odd_reports.py
@@ -23,11 +23,18 @@
         ('cold_ms', float('inf')),
         ('cold_ms', float('nan')),
         ('cold_ms', -1),
+        ('id', 't1\r\nx-added: 1'),
+        ('id', 't1\nGET / HTTP/1.1'),
+        ('id', 't\N{LATIN SMALL LETTER E WITH ACUTE}'),
+        ('id', 't' * 257),
+        ('service', 'forms\r\n\r\nPOST /x HTTP/1.1'),
+        ('version', 'v1\x00'),
     ],
 )
 def test_value_out_of_range_is_named(name: str, found: Any) -> None:
-    """A port out of range ended calls and checks with an OverflowError, and
-    a start time in the far future hid all later reports.
+    """A port out of range ended calls and checks with an OverflowError, a
+    start time in the far future hid all later reports, and a line break in a
+    name put further requests into the head of a call.
     """
     fault = find_report_fault(target_report(**{name: found}))
     assert fault.startswith(name)
