--- a/packages/mustardspur_node/src/mustardspur_node/mesh/reports.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/reports.py
@@ -4,11 +4,11 @@
 import logging
 from collections.abc import Callable
 from types import MappingProxyType
-from typing import Any, Final
+from typing import Any, ClassVar, Final
 
 from mustardspur_core.addresses import has_valid_port
 from mustardspur_core.mesh.model import MeshTargetState
-from mustardspur_core.record import Record, replaced
+from mustardspur_core.record import Defaults, Record, replaced
 from mustardspur_core.settings import Settings
 
 from mustardspur_node.mesh.cold_state import ColdState
@@ -49,6 +49,8 @@
         target with the same identity has a higher one.
     sequence : int
         Number of the report since the start of the target.
+    data_centre : str
+        Data centre of the target, empty if it states none.
     """
 
     __slots__ = (
@@ -61,7 +63,9 @@
         'cold_ms',
         'sequence',
         'born',
+        'data_centre',
     )
+    optional: ClassVar[Defaults] = MappingProxyType({'data_centre': str})
     id: str
     service: str
     version: str
@@ -71,6 +75,7 @@
     cold_ms: float
     sequence: int
     born: int
+    data_centre: str
 
 
 def find_report_fault(report: TargetReport) -> str:
@@ -98,9 +103,9 @@
 def find_foreign_field(report: TargetReport, settings: Settings) -> str:
     """Return which field shows that a report is of another target.
 
-    The settings name the service of the local target. A report of another
-    service would take the place of the local target, whose own reports then
-    look outdated.
+    The settings name the service and the data centre of the local target. A
+    report of another target would take the place of the local one, whose own
+    reports then look outdated.
 
     Returns
     -------
@@ -108,10 +113,15 @@
         The field with what was expected and found, empty if the report can be
         of the local target.
     """
-    if report.service == settings.service:
-        return ''
-    shown = report.service[:MAX_SHOWN]
-    return f'service: expected {settings.service!r}, found {shown!r}'
+    expected_by_field = {'service': settings.service}
+    if report.data_centre:
+        expected_by_field['data_centre'] = settings.data_centre
+    for name, expected in expected_by_field.items():
+        found = getattr(report, name)
+        if found != expected:
+            shown = found[:MAX_SHOWN]
+            return f'{name}: expected {expected!r}, found {shown!r}'
+    return ''
 
 
 class ReportStore:
--- a/tests/node/mesh/builders.py
+++ b/tests/node/mesh/builders.py
@@ -45,6 +45,7 @@
         'cold_ms': 0,
         'sequence': 4,
         'born': 1000,
+        'data_centre': '',
     }
     return TargetReport(**(fields | changes))
 
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -124,6 +124,15 @@
         decode_heartbeat('i-1', json.dumps(body).encode())
 
 
+@pytest.mark.parametrize('name', sorted(report().keys() - {'born'}))
+def test_heartbeat_with_a_missing_field(name: str) -> None:
+    """Guards against a target created from an incomplete heartbeat."""
+    body = report()
+    body.pop(name)
+    with pytest.raises(BadField, match=name):
+        decode_heartbeat('i-1', json.dumps(body).encode())
+
+
 @pytest.mark.parametrize('content', [b'', b'\xff\xfe', b'[]', b'{"a":1,"a":2}'])
 def test_bytes_that_cannot_be_read(content: bytes) -> None:
     """Guards against an exception other than BadField."""
