Refuse reports of another address than the settings name

A report with another port on the instance replaced the local target, and all calls went to that port until the node was restarted.

Change: if the settings name the address of the target, a report has to state the same one. A change of the address in the settings is applied without a restart.

Evidence: the case of test_instance.py with another port fails without the change.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -138,6 +138,7 @@
         """Apply the settings that can change while the node runs."""
         if settings.mesh is not None:
             self._mesh.seeds = settings.mesh.seeds
+            self._mesh.target_address = settings.mesh.target_address
         self.settings.service = settings.service
         self.reports.remove_other_service(settings.service)
         self._update_origin()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/reports.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/reports.py
@@ -103,9 +103,9 @@
 def find_foreign_field(report: TargetReport, settings: Settings) -> str:
     """Return which field shows that a report is of another target.
 
-    The settings name the service and the data centre of the local target. A
-    report of another target would take the place of the local one, whose own
-    reports then look outdated.
+    The settings name the service, the address and the data centre of the local
+    target. A report of another target would take the place of the local one,
+    whose own reports then look outdated.
 
     Returns
     -------
@@ -114,6 +114,8 @@
         of the local target.
     """
     expected_by_field = {'service': settings.service}
+    if settings.mesh and settings.mesh.target_address:
+        expected_by_field['address'] = settings.mesh.target_address
     if report.data_centre:
         expected_by_field['data_centre'] = settings.data_centre
     for name, expected in expected_by_field.items():
--- a/tests/node/mesh/test_instance.py
+++ b/tests/node/mesh/test_instance.py
@@ -19,6 +19,7 @@
     """Return a node whose target of ``forms`` has reported."""
     settings = node_settings()
     assert settings.mesh is not None
+    settings.mesh.target_address = _REPORT.address
     node = MeshNode(settings, settings.mesh, HEADER_NAMES, NullMetrics())
     assert not node.accept_report(_REPORT)
     return node
@@ -30,6 +31,7 @@
         {'service': 'nobody'},
         {'service': 'stamps'},
         {'data_centre': 'zadar-a'},
+        {'address': '127.0.0.1:9'},
     ],
 )
 async def test_foreign_report_does_not_replace_the_target(
@@ -56,10 +58,12 @@
     """
     changed = node_settings()
     changed.service = 'stamps'
+    assert changed.mesh is not None
+    changed.mesh.target_address = '127.0.0.1:9'
     node.apply_settings(changed)
     assert node.callers.origin_service == 'stamps'
     assert node.reports.current is None
     assert node.accept_report(replaced(_REPORT, sequence=5))
-    assert not node.accept_report(
-        replaced(_REPORT, id='t2', service='stamps', born=2000),
-    )
+    successor = {'service': 'stamps', 'address': '127.0.0.1:9', 'born': 2000}
+    assert not node.accept_report(replaced(_REPORT, id='t2', **successor))
+    assert node.reports.current is not None
