Require keys also from a table whose accounts are empty

Callers saw: after a change that removed the last account, its withdrawn key and keys that no table ever had opened the routes.

Cause: whether calls need a key was derived from the number of accounts. An empty table of accounts and none at all became the same routing table in the adapter, in the stored table and in the delta to nodes, so a node could not tell them apart.

Change: a routing table states `keys_required` where its accounts don't imply it. Stored tables and deltas carry it; tables with accounts, and those without any statement, keep their bytes. On the same cause: the differences of two tables said `need no key any more`, and check-table warns of a table whose routes no key opens.

--- a/packages/mustardspur_core/src/mustardspur_core/mesh/model.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/model.py
@@ -167,15 +167,37 @@
 
 
 class RoutingTable(Record):
-    """Routes, services and accounts, versioned as a whole by a number."""
+    """Routes, services and accounts, versioned as a whole by a number.
 
-    __slots__ = ('number', 'routes', 'services', 'limits', 'accounts')
-    optional: ClassVar[Defaults] = MappingProxyType({'accounts': dict})
+    Parameters
+    ----------
+    keys_required : bool
+        Whether calls need a key although the table has no account, so that no
+        key opens a route. A table with accounts always requires keys.
+    """
+
+    __slots__ = (
+        'number',
+        'routes',
+        'services',
+        'limits',
+        'accounts',
+        'keys_required',
+    )
+    optional: ClassVar[Defaults] = MappingProxyType(
+        {'accounts': dict, 'keys_required': bool},
+    )
     number: int
     routes: dict[str, MeshRoute]
     services: dict[str, ServiceRule]
     limits: CallerLimits
     accounts: dict[str, ClientAccount]
+    keys_required: bool
+
+    @property
+    def requires_keys(self) -> bool:
+        """Whether calls on routes that are not public need a key."""
+        return self.keys_required or bool(self.accounts)
 
 
 class MeshTargetState(StrEnum):
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/packing.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/packing.py
@@ -27,15 +27,23 @@
     This is the form in which tables are stored, sent and compared.
     """
 
-    __slots__ = ('number', 'routes', 'services', 'limits', 'accounts')
+    __slots__ = (
+        'number',
+        'routes',
+        'services',
+        'limits',
+        'accounts',
+        'keys_required',
+    )
     optional: ClassVar[Defaults] = MappingProxyType(
-        {'accounts': dict},
+        {'accounts': dict, 'keys_required': bool},
     )
     number: int
     routes: EncodedByName
     services: EncodedByName
     limits: list[Any]
     accounts: EncodedByName
+    keys_required: bool
 
 
 class TableDelta(Record):
@@ -59,6 +67,8 @@
         New and changed accounts, encoded.
     removed_accounts : list of str
         Names of the removed accounts.
+    keys_required : bool
+        As in the resulting table.
     """
 
     __slots__ = (
@@ -71,9 +81,10 @@
         'limits',
         'accounts',
         'removed_accounts',
+        'keys_required',
     )
     optional: ClassVar[Defaults] = MappingProxyType(
-        {'accounts': dict, 'removed_accounts': list},
+        {'accounts': dict, 'removed_accounts': list, 'keys_required': bool},
     )
     base_index: int
     index: int
@@ -84,6 +95,7 @@
     limits: list[Any]
     accounts: EncodedByName
     removed_accounts: list[str]
+    keys_required: bool
 
 
 def encode_table(table: RoutingTable) -> EncodedTable:
@@ -94,6 +106,7 @@
         services=encode_array(table.services),
         limits=encode_array(table.limits),
         accounts=encode_array(table.accounts),
+        keys_required=table.keys_required,
     )
 
 
@@ -134,6 +147,7 @@
         removed_accounts=[
             name for name in old_accounts if name not in table.accounts
         ],
+        keys_required=table.keys_required,
     )
 
 
@@ -182,6 +196,7 @@
         services=_decoded(ServiceRule, delta.services),
         limits=decode_array(CallerLimits, delta.limits),
         accounts=accounts,
+        keys_required=delta.keys_required,
     )
 
 
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/table_differences.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/table_differences.py
@@ -38,8 +38,8 @@
 
 
 def _account_differences(old: RoutingTable, new: RoutingTable) -> Iterator[str]:
-    if bool(old.accounts) != bool(new.accounts):
-        needed = 'need a key' if new.accounts else 'need no key any more'
+    if old.requires_keys != new.requires_keys:
+        needed = 'need a key' if new.requires_keys else 'need no key any more'
         yield f'calls on routes that are not public {needed}'
     for name in _added(old.accounts, new.accounts):
         yield f'account {name} is added'
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/table_warnings.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/table_warnings.py
@@ -115,6 +115,17 @@
             )
 
 
+@table_warning
+def closed_routes(table: RoutingTable) -> Iterator[Finding]:
+    """Yield the table itself if it requires keys and has no account."""
+    if table.requires_keys and not table.accounts:
+        yield _warning(
+            'accounts',
+            'an account, since calls need a key',
+            'none, so only public routes accept calls',
+        )
+
+
 @table_warning
 def conflicting_homes(table: RoutingTable) -> Iterator[Finding]:
     """Yield the routes that no target may serve for an account."""
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_accounts.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_accounts.py
@@ -27,7 +27,7 @@
 
     The accounts are looked up for each call in the table in force, so that a
     withdrawn key ends with the next table, also on open connections. A table
-    without accounts leaves calls and their headers unchanged.
+    that requires no keys leaves calls and their headers unchanged.
 
     Parameters
     ----------
@@ -131,9 +131,8 @@
             for account in accounts.values()
             for digest in account.key_digests
         }
-        # Accounts whose keys have all been withdrawn still count, so that
-        # the last withdrawal does not open the routes.
-        self._enabled = bool(accounts)
+        # The removal of the last key or account does not open the routes.
+        self._enabled = routes.table.requires_keys
         self._indexed = routes
 
 
--- a/tests/core/mesh/builders.py
+++ b/tests/core/mesh/builders.py
@@ -58,6 +58,7 @@
         },
         limits=LIMITS,
         accounts={},
+        keys_required=False,
     )
 
 
--- a/tests/core/mesh/test_packing.py
+++ b/tests/core/mesh/test_packing.py
@@ -1,14 +1,19 @@
 """Tests of the packing of tables and the deltas between them."""
 
+from mustardspur_core.conversion import encode_array
 from mustardspur_core.mesh.packing import (
     apply_delta,
     encode_table,
+    pack_delta,
     pack_table,
     table_delta,
+    unpack_delta,
     unpack_table,
 )
 
-from tests.core.mesh.builders import route, table
+from mustardspur_core.record import replaced
+
+from tests.core.mesh.builders import account, route, table
 
 
 def test_unpacked_table_equals_the_packed_one() -> None:
@@ -34,3 +39,20 @@
     delta = table_delta(None, 4, encode_table(new), 9)
     assert delta.base_index == 0
     assert apply_delta(old, delta) == new
+
+
+def test_delta_keeps_the_need_for_keys() -> None:
+    """Guards against a node that opens its routes when the last account is
+    removed, and against other bytes for tables that earlier builds can read.
+    """
+    old = replaced(table(1, route('a')), accounts={'cafe': account('cafe')})
+    new = replaced(table(2, route('a')), keys_required=True)
+    for base in (old, None):
+        encoded = unpack_table(pack_table(encode_table(new)))
+        encoded_base = encode_table(base) if base else None
+        delta = unpack_delta(
+            pack_delta(table_delta(encoded_base, 7, encoded, 9))
+        )
+        assert apply_delta(base, delta) == new
+    assert len(encode_array(encode_table(old))) == 5
+    assert len(encode_array(encode_table(table(1)))) == 4
--- a/tests/core/mesh/test_table_warnings.py
+++ b/tests/core/mesh/test_table_warnings.py
@@ -101,3 +101,19 @@
         'account clinic: 1 keys are added',
         'account clinic: rate_per_s 10 becomes 5',
     ]
+
+
+def test_table_whose_routes_open_for_no_key() -> None:
+    """Guards against an operator who closes all routes unnoticed, or is told
+    that calls need no key any more while they are refused.
+    """
+    plain = table(1, route('drafts', shares=list(SHARES)))
+    opened = replaced(plain, accounts={'clinic': account()})
+    closed = replaced(plain, keys_required=True)
+    assert [finding.path for finding in table_warnings(closed)] == ['accounts']
+    assert table_differences(opened, closed) == [
+        'account clinic is removed: its keys are refused',
+    ]
+    assert table_differences(plain, closed) == [
+        'calls on routes that are not public need a key',
+    ]
--- a/tests/node/mesh/test_caller_accounts.py
+++ b/tests/node/mesh/test_caller_accounts.py
@@ -87,6 +87,27 @@
         accounts.identify(_routes(account('cafe')), _CLOSED, headers)
 
 
+@in_virtual_time
+async def test_removal_of_the_last_account_opens_no_route() -> None:
+    """Guards against withdrawn and unknown keys that open the routes, and are
+    passed on, once a table that requires keys has no account left.
+    """
+    accounts = _accounts()
+    accounts.identify(
+        _routes(account('cafe', _KEY)), _CLOSED, _headers(f'Bearer {_KEY}')
+    )
+    emptied = RouteIndex(
+        replaced(table(2, _CLOSED, _PUBLIC), keys_required=True)
+    )
+    for key in (_KEY, 'never-known'):
+        headers = _headers(f'Bearer {key}')
+        with pytest.raises(UnansweredCall):
+            accounts.identify(emptied, _CLOSED, headers)
+        assert accounts.identify(emptied, _PUBLIC, headers) is None
+    sent = [['Authorization', f'Bearer {_KEY}'], [HEADER_NAMES.account, 'y']]
+    assert not accounts.replace_headers(None, sent)
+
+
 def test_table_without_accounts_changes_nothing() -> None:
     """Guards against changes for deployments without accounts."""
     accounts = _accounts()
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -26,6 +26,23 @@
     assert table.limits.idle_timeout_ms == 15_000
 
 
+@pytest.mark.parametrize(
+    ('tenants', 'requires_keys'),
+    [
+        ({}, False),
+        ({'tenants': {}}, True),
+        ({'tenants': {'north': {'api_keys': []}}}, True),
+    ],
+)
+def test_stated_tenants_require_keys(
+    tenants: dict[str, Any],
+    requires_keys: bool,
+) -> None:
+    """Guards against an empty table of tenants that opens the routes."""
+    decoded = decode_table(json.dumps({**configuration(), **tenants}).encode())
+    assert decoded.requires_keys == requires_keys
+
+
 @pytest.mark.parametrize(
     ('path', 'found'),
     [
