Undo a failed write in the segment that it was made in

Cause: if a full disk also refuses to shorten a file, a failed write is undone before the next one, but in the segment that is then the last.

After a restart it is damage, and an instance with damage does not vote: with such a rest on most disks no leader can be elected.

Change: the segment of the failed write is remembered and undone.

Evidence: test_failed_write_is_undone_in_its_own_segment fails without the change (`an entry in the middle of the log fails its checksum`).

--- a/packages/mustardspur_agreement/src/mustardspur_agreement/segments.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/segments.py
@@ -65,7 +65,8 @@
         """Initialise without reading the files."""
         self._disk = disk
         self._segments: list[Segment] = []
-        self._uncertain = False
+        # Segment with a failed write that is not undone yet.
+        self._uncertain: Segment | None = None
         self.state = FileState.WHOLE
 
     def load(self) -> list[Entry]:
@@ -96,12 +97,13 @@
         UncertainWriteError
             If the failed write could not be undone.
         """
+        if self._uncertain is not None:
+            # A snapshot may have started another segment since.
+            self._undo(self._uncertain)
         segment = self._segment_for_append(entries[0].index)
         records = [
             encode_record(pack(encode_array(entry))) for entry in entries
         ]
-        if self._uncertain:
-            self._undo(segment)
         try:
             self._write(segment, b''.join(records))
         except OSError:
@@ -180,14 +182,14 @@
             self._disk.sync_folder()
 
     def _undo(self, segment: Segment) -> None:
-        self._uncertain = True
+        self._uncertain = segment
         try:
             self._cut_file(segment)
         except FileNotFoundError:
-            self._uncertain = False
+            self._uncertain = None
         except OSError as error:
             raise UncertainWriteError(str(error)) from error
-        self._uncertain = False
+        self._uncertain = None
 
     def _cut_file(self, segment: Segment) -> None:
         self._disk.cut(segment.name, segment.length)
--- a/tests/agreement/fake_disk.py
+++ b/tests/agreement/fake_disk.py
@@ -23,6 +23,8 @@
         self.files: dict[str, _StoredFile] = {}
         self._synced_files: dict[str, _StoredFile] = {}
         self.full = False
+        # Whether a full disk also refuses to overwrite and to shorten files.
+        self.refuses_changes = False
         self.operations_left: int | None = None
 
     def names(self) -> list[str]:
@@ -37,6 +39,9 @@
         """Write; on a full disk write only a part and fail."""
         self._count_operation()
         stored = self.files.setdefault(name, _StoredFile())
+        if self.full and self.refuses_changes:
+            stored.content += content[: len(content) // 2]
+            raise OSError('no space left on device')
         writable_bytes = len(content)
         if self.full:
             writable_bytes = max(
@@ -54,6 +59,8 @@
         self._count_operation()
         if name not in self.files:
             raise FileNotFoundError(name)
+        if self.full and self.refuses_changes:
+            raise OSError('no space left on device')
         self.files[name].content = self.files[name].content[:length]
 
     def sync(self, name: str) -> None:
--- a/tests/agreement/test_faults.py
+++ b/tests/agreement/test_faults.py
@@ -6,7 +6,7 @@
 from mustardspur_core.record import replaced
 from mustardspur_core.units import MS_PER_S
 
-from tests.agreement.cluster import Cluster
+from tests.agreement.cluster import Cluster, Instance
 from tests.agreement.conftest import MakeCluster
 from tests.agreement.test_cluster import VOTERS
 
@@ -82,6 +82,39 @@
     assert b'refused' not in full.machine.entries.values()
 
 
+@pytest.mark.parametrize('refuses_changes', [False, True])
+@pytest.mark.parametrize('seed', [1, 2, 3, 4, 5])
+def test_disks_that_were_full_in_turn(
+    make_cluster: MakeCluster,
+    seed: int,
+    *,
+    refuses_changes: bool,
+) -> None:
+    """Guards against edits that are refused for good, or lost, after the disks
+    of all voters were full for some seconds, one after another.
+    """
+    cluster = make_cluster(VOTERS, snapshot_entries=5, seed=seed)
+    cluster.start()
+    accepted = _propose_for(cluster, 2, 'before')
+    for name, instance in cluster.instances.items():
+        instance.disk.refuses_changes = refuses_changes
+        instance.disk.full = True
+        accepted |= _propose_for(cluster, 4, f'full-{name}')
+        instance.disk.full = False
+        accepted |= _propose_for(cluster, 1, f'freed-{name}')
+    cluster.advance(5)
+    for step in ('at the end', 'after a restart'):
+        last = step.encode()
+        assert cluster.propose(last).is_ok()
+        accepted.add(last)
+        cluster.settle()
+        for instance in cluster.live():
+            assert accepted <= set(instance.machine.entries.values())
+            assert instance.running.is_trusted
+        cluster.stop()
+        cluster.start()
+
+
 def test_lagging_voter_gets_a_snapshot(make_cluster: MakeCluster) -> None:
     """Guards against a voter that waits for entries that were compacted."""
     cluster = make_cluster(VOTERS, snapshot_entries=10)
@@ -102,6 +135,30 @@
     cluster.settle()
 
 
+async def _record_accepted(
+    instance: Instance,
+    content: bytes,
+    accepted: set[bytes],
+) -> None:
+    if (await instance.running.propose(content)).is_ok():
+        accepted.add(content)
+
+
+def _propose_for(cluster: Cluster, seconds: int, name: str) -> set[bytes]:
+    """Propose entries at the leaders for a while; return the accepted ones."""
+    accepted: set[bytes] = set()
+
+    for number in range(5 * seconds):
+        for instance in cluster.live():
+            if instance.running.is_leader:
+                content = f'{name}-{number}'.encode()
+                cluster.loop.create_task(
+                    _record_accepted(instance, content, accepted)
+                )
+        cluster.advance(0.2)
+    return accepted
+
+
 def _remove_then_add(cluster: Cluster, lost: str, spare: str) -> None:
     log = cluster.leader().running
     assert cluster.run(log.remove_voter(lost)).is_ok()
--- a/tests/agreement/test_storage.py
+++ b/tests/agreement/test_storage.py
@@ -168,6 +168,25 @@
     assert loaded(disk).entries[-1].index == 10
 
 
+def test_failed_write_is_undone_in_its_own_segment() -> None:
+    """Guards against an instance that finds damage after a restart, and is
+    not trusted, since a snapshot was taken between a failed write that could
+    not be undone and the next entry.
+    """
+    disk = FakeDisk()
+    storage = written(disk)
+    disk.refuses_changes = True
+    disk.full = True
+    with pytest.raises(UncertainWriteError):
+        storage.append([entry(10)])
+    disk.full = False
+    storage.save_snapshot(Snapshot(index=5, term=3, voters=[], content=b''))
+    storage.append([entry(10)])
+    found = loaded(disk)
+    assert not found.damage
+    assert found.entries[-1].index == 10
+
+
 def test_replaced_entries_stay_replaced() -> None:
     """Guards against overwritten entries of an earlier leader."""
     disk = FakeDisk()
