--- a/packages/mustardspur_agreement/src/mustardspur_agreement/segments.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/segments.py
@@ -141,7 +141,9 @@
 
     def start_segment(self) -> None:
         """Start a new segment, so that older ones can be removed."""
-        if self._segments:
+        # Two segments without entries would share one file, which the removal
+        # of the older one would take from the newer one.
+        if self._segments and self._segments[-1].offsets:
             last = self._segments[-1]
             self._segments.append(
                 Segment(first_index=last.last_index + 1, offsets=[], length=0)
--- a/tests/agreement/test_storage.py
+++ b/tests/agreement/test_storage.py
@@ -187,6 +187,24 @@
     assert found.entries[-1].index == 10
 
 
+def test_snapshots_without_entries_in_between() -> None:
+    """Guards against the removal of old entries that also removes later ones,
+    after two snapshots were taken while no entry was appended.
+    """
+    disk = FakeDisk()
+    storage = written(disk)
+    for index in (5, 9):
+        storage.save_snapshot(
+            Snapshot(index=index, term=3, voters=[], content=b''),
+        )
+    storage.append([entry(10)])
+    storage.append([entry(11)])
+    storage.drop_through(9)
+    found = loaded(disk)
+    assert not found.damage
+    assert [each.index for each in found.entries] == [10, 11]
+
+
 def test_replaced_entries_stay_replaced() -> None:
     """Guards against overwritten entries of an earlier leader."""
     disk = FakeDisk()
