Refuse calls that the end of a stopping node would cut off

Callers saw: a request whose body arrived late in the grace time of a planned stop was passed on to a target and ended without its answer when the process did (report of another operator; reproduced here with one node and a target that runs 1.5 s: `502 broken: node stops`, and the target had begun to work).

Cause: a node that stops takes no new connections and requests after 2.3 s, but a request whose head was read before was placed whenever its body was complete. Only calls that were not sent 0.5 s before the end were refused.

Change: from half of the grace time on, a call is placed only if its deadline comes before the end of the calls in flight. Others are refused at once as not run, so that their callers can go to another node. Calls that arrive before that are served as they were.

Evidence: test_stopping_node_starts_no_run_too_late and test_stopping_node_places_calls_that_end_in_time fail without the change.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -33,6 +33,9 @@
 # flight may use the rest. A reserve of 0.8 of 6 s was too short on a busy
 # instance, where two processes were killed.
 EXIT_RESERVE_PART: Final = 1 / 6
+# Part of the grace time after which no call is placed any more that could
+# still run at its end.
+LATE_PART: Final = 0.5
 CHECK_INTERVAL_S: Final = 0.2
 # Time before the end of the drain at which calls that were not sent are ended,
 # so that their refusals reach the callers.
@@ -152,7 +155,9 @@
         The node still serves callers for `READINESS_DELAY_S`, until their
         readiness checks have failed. It then accepts no new connections and no
         calls of other nodes, and waits until no connection or call is open.
-        Callers that went on to connect until the end would be cut off there.
+        Callers that went on to connect until the end would be cut off there,
+        and so would a call whose body arrives late in the grace time: it is
+        refused unless its deadline comes first.
         """
         self._stopping = True
         self.callers.draining = True
@@ -166,7 +171,10 @@
         self.callers.stop_listening()
         self.local.admission.close()
         deadline_s = started_s + self._mesh.grace_s * (1 - EXIT_RESERVE_PART)
+        late_s = started_s + self._mesh.grace_s * LATE_PART
         while self._is_busy() and _now() < deadline_s:
+            if _now() >= late_s:
+                self.placer.latest_deadline_s = deadline_s
             if _now() >= deadline_s - END_UNSENT_S:
                 self.placer.end_unsent()
             await asyncio.sleep(CHECK_INTERVAL_S)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -55,6 +55,12 @@
         The target on the instance of this node.
     metrics : Metrics
         Receives the counts of outcomes.
+
+    Attributes
+    ----------
+    latest_deadline_s : float
+        Latest deadline, in loop time, with which further calls are placed. A
+        node that stops lowers it, as it would cut off runs that take longer.
     """
 
     __slots__ = (
@@ -68,6 +74,7 @@
         '_timeouts_by_progress',
         '_view',
         'chooser',
+        'latest_deadline_s',
         'links',
         'log',
         'retries',
@@ -90,6 +97,7 @@
         self._services = WeightedServiceChooser(self._random)
         # Deadlines of the calls in flight.
         self._timeouts_by_progress: dict[CallProgress, asyncio.Timeout] = {}
+        self.latest_deadline_s = float('inf')
         self.retries = CallRetries(mesh, view, local, self._random)
         self.chooser = TargetChooser(settings, self._random)
         self.links = PeerLinks(
@@ -117,6 +125,8 @@
         """
         service = self._services.next_service(call.route)
         progress = self.retries.new_progress(call, service)
+        if call.deadline_s > self.latest_deadline_s:
+            raise self._unanswered(progress, 'the node stops before it ends')
         with self._link.uplink.holding(call.body) as has_memory:
             if not has_memory:
                 raise self._unanswered(progress, 'busy: memory for bodies')
--- a/tests/node/mesh/test_placing.py
+++ b/tests/node/mesh/test_placing.py
@@ -248,6 +248,26 @@
         assert not scripted.requests
 
 
+async def test_stopping_node_places_calls_that_end_in_time() -> None:
+    """Guards against runs that are cut off at the end of the grace time, and
+    against refusals of calls that are answered before it.
+    """
+    async with run_scripted() as (address, scripted):
+        view = MeshView()
+        view.apply_targets(
+            MeshTargets(full=True, upserts=[target('2', id='t1')], removed=[]),
+        )
+        placer = _placer(view, address)
+        placer.latest_deadline_s = asyncio.get_running_loop().time() + 2
+        call = mesh_call()
+        assert (await placer.place(call)).body == b'good'
+        call.deadline_s = placer.latest_deadline_s + 1
+        with pytest.raises(UnansweredCall, match='node stops') as refusal:
+            await placer.place(call)
+        assert refusal.value.status == HTTPStatus.SERVICE_UNAVAILABLE
+        assert scripted.requests == 1
+
+
 async def test_calls_earn_retries_once_they_arrive() -> None:
     """Guards against retries without any call, and calls that earn none."""
     view = MeshView()
--- a/tests/platform/mesh_processes.py
+++ b/tests/platform/mesh_processes.py
@@ -208,10 +208,18 @@
 
 
 @asynccontextmanager
-async def running_target(mesh: Mesh, host: str) -> AsyncIterator[list[str]]:
-    """Run the local target of a node; yield the paths of its calls."""
+async def running_target(
+    mesh: Mesh,
+    host: str,
+    run_s: float = 0,
+) -> AsyncIterator[list[str]]:
+    """Run the local target of a node; yield the paths of its calls.
+
+    Each call runs for `run_s` seconds.
+    """
     paths: list[str] = []
-    runner = web.ServerRunner(web.Server(partial(_serve_target, host, paths)))
+    handler = partial(_serve_target, host, paths, run_s)
+    runner = web.ServerRunner(web.Server(handler))
     await runner.setup()
     try:
         await web.TCPSite(runner, host, mesh.ports['target']).start()
@@ -237,11 +245,13 @@
 async def _serve_target(
     host: str,
     paths: list[str],
+    run_s: float,
     request: web.BaseRequest,
 ) -> web.Response:
     if request.path == _HEALTH_PATH:
         return web.Response()
     paths.append(request.path)
+    await asyncio.sleep(run_s)
     headers = {
         'Request-Id': request.headers['Request-Id'],
         'Response-Signature': f'signed by {host}',
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from tests.platform.mesh_processes import (
+    HOST,
     POLL_S,
     Mesh,
     body_of,
@@ -24,11 +25,19 @@
     )
 
 
-async def _put(mesh: Mesh, host: str, number: int, base: int) -> None:
+async def _put(
+    mesh: Mesh,
+    host: str,
+    number: int,
+    base: int,
+    timeout: str = '2000ms',
+) -> None:
+    document = configuration(number)
+    document['routes']['drafts']['timeout'] = timeout
     await mesh.until(
         'PUT',
         mesh.url(host, 'http', '/api/config'),
-        json=configuration(number),
+        json=document,
         headers={'If-Match': f'r{base}'},
     )
 
@@ -141,3 +150,43 @@
         await mesh.until('GET', mesh.url(NODES[0], 'ready', '/api/readyz'))
         assert await mesh.stop(NODES[0]) == 0
         assert await mesh.stop(CONTROLS[0]) == 0
+
+
+async def test_stopping_node_starts_no_run_too_late(
+    tmp_path: Path,
+) -> None:
+    """Guards against a request that arrives late in the grace time, is passed
+    on, and is cut off without an answer when the process ends.
+    """
+    async with running_mesh(tmp_path) as mesh:
+        await _start_controls(mesh)
+        await asyncio.gather(
+            *(mesh.start_node(host, grace='4s') for host in NODES),
+        )
+        await _put(mesh, CONTROLS[0], 3, 0, timeout='9s')
+        async with running_target(mesh, NODES[1], run_s=1.5) as paths:
+            await mesh.report(NODES[1])
+            await mesh.until('GET', mesh.url(NODES[0], 'ready', '/api/readyz'))
+            await _until_routed(mesh, NODES[0], f'answer of {NODES[1]}')
+            before = len(paths)
+            stopping = asyncio.create_task(mesh.stop(NODES[0]))
+            # The body is complete 1 s before the calls in flight are ended.
+            answer = await _slow_upload(mesh, NODES[0], 2.4)
+            await stopping
+            assert answer.startswith(b'HTTP/1.1 503')
+            assert len(paths) == before
+
+
+async def _slow_upload(mesh: Mesh, host: str, body_s: float) -> bytes:
+    """Return the answer to a request whose body takes some time to arrive."""
+    reader, writer = await asyncio.open_connection(host, mesh.ports['http'])
+    head = (
+        f'POST /drafts/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: late\r\n'
+        'Deadline-Ms: 10000\r\nContent-Length: 2\r\n\r\n'
+    )
+    writer.write(head.encode())
+    await asyncio.sleep(body_s)
+    writer.write(b'ab')
+    answer = await reader.read()
+    writer.close()
+    return answer
