--- a/packages/mustardspur_core/src/mustardspur_core/mesh/model.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/model.py
@@ -171,7 +171,7 @@
 
     Parameters
     ----------
-    keys_required : bool
+    closed_without_accounts : bool
         Whether calls need a key although the table has no account, so that no
         key opens a route. A table with accounts always requires keys.
     """
@@ -182,22 +182,22 @@
         'services',
         'limits',
         'accounts',
-        'keys_required',
+        'closed_without_accounts',
     )
     optional: ClassVar[Defaults] = MappingProxyType(
-        {'accounts': dict, 'keys_required': bool},
+        {'accounts': dict, 'closed_without_accounts': bool},
     )
     number: int
     routes: dict[str, MeshRoute]
     services: dict[str, ServiceRule]
     limits: CallerLimits
     accounts: dict[str, ClientAccount]
-    keys_required: bool
+    closed_without_accounts: bool
 
     @property
     def requires_keys(self) -> bool:
         """Whether calls on routes that are not public need a key."""
-        return self.keys_required or bool(self.accounts)
+        return self.closed_without_accounts or bool(self.accounts)
 
 
 class MeshTargetState(StrEnum):
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/packing.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/packing.py
@@ -33,17 +33,17 @@
         'services',
         'limits',
         'accounts',
-        'keys_required',
+        'closed_without_accounts',
     )
     optional: ClassVar[Defaults] = MappingProxyType(
-        {'accounts': dict, 'keys_required': bool},
+        {'accounts': dict, 'closed_without_accounts': bool},
     )
     number: int
     routes: EncodedByName
     services: EncodedByName
     limits: list[Any]
     accounts: EncodedByName
-    keys_required: bool
+    closed_without_accounts: bool
 
 
 class TableDelta(Record):
@@ -67,7 +67,7 @@
         New and changed accounts, encoded.
     removed_accounts : list of str
         Names of the removed accounts.
-    keys_required : bool
+    closed_without_accounts : bool
         As in the resulting table.
     """
 
@@ -81,10 +81,14 @@
         'limits',
         'accounts',
         'removed_accounts',
-        'keys_required',
+        'closed_without_accounts',
     )
     optional: ClassVar[Defaults] = MappingProxyType(
-        {'accounts': dict, 'removed_accounts': list, 'keys_required': bool},
+        {
+            'accounts': dict,
+            'removed_accounts': list,
+            'closed_without_accounts': bool,
+        },
     )
     base_index: int
     index: int
@@ -95,7 +99,7 @@
     limits: list[Any]
     accounts: EncodedByName
     removed_accounts: list[str]
-    keys_required: bool
+    closed_without_accounts: bool
 
 
 def encode_table(table: RoutingTable) -> EncodedTable:
@@ -106,7 +110,7 @@
         services=encode_array(table.services),
         limits=encode_array(table.limits),
         accounts=encode_array(table.accounts),
-        keys_required=table.keys_required,
+        closed_without_accounts=table.closed_without_accounts,
     )
 
 
@@ -147,7 +151,7 @@
         removed_accounts=[
             name for name in old_accounts if name not in table.accounts
         ],
-        keys_required=table.keys_required,
+        closed_without_accounts=table.closed_without_accounts,
     )
 
 
@@ -196,7 +200,7 @@
         services=_decoded(ServiceRule, delta.services),
         limits=decode_array(CallerLimits, delta.limits),
         accounts=accounts,
-        keys_required=delta.keys_required,
+        closed_without_accounts=delta.closed_without_accounts,
     )
 
 
--- a/tests/core/mesh/builders.py
+++ b/tests/core/mesh/builders.py
@@ -58,7 +58,7 @@
         },
         limits=LIMITS,
         accounts={},
-        keys_required=False,
+        closed_without_accounts=False,
     )
 
 
--- a/tests/core/mesh/test_packing.py
+++ b/tests/core/mesh/test_packing.py
@@ -46,7 +46,7 @@
     removed, and against other bytes for tables that earlier builds can read.
     """
     old = replaced(table(1, route('a')), accounts={'cafe': account('cafe')})
-    new = replaced(table(2, route('a')), keys_required=True)
+    new = replaced(table(2, route('a')), closed_without_accounts=True)
     for base in (old, None):
         encoded = unpack_table(pack_table(encode_table(new)))
         encoded_base = encode_table(base) if base else None
--- a/tests/core/mesh/test_table_warnings.py
+++ b/tests/core/mesh/test_table_warnings.py
@@ -109,7 +109,7 @@
     """
     plain = table(1, route('drafts', shares=list(SHARES)))
     opened = replaced(plain, accounts={'clinic': account()})
-    closed = replaced(plain, keys_required=True)
+    closed = replaced(plain, closed_without_accounts=True)
     assert [finding.path for finding in table_warnings(closed)] == ['accounts']
     assert table_differences(opened, closed) == [
         'account clinic is removed: its keys are refused',
--- a/tests/node/mesh/test_caller_accounts.py
+++ b/tests/node/mesh/test_caller_accounts.py
@@ -97,7 +97,7 @@
         _routes(account('cafe', _KEY)), _CLOSED, _headers(f'Bearer {_KEY}')
     )
     emptied = RouteIndex(
-        replaced(table(2, _CLOSED, _PUBLIC), keys_required=True)
+        replaced(table(2, _CLOSED, _PUBLIC), closed_without_accounts=True)
     )
     for key in (_KEY, 'never-known'):
         headers = _headers(f'Bearer {key}')
