Compare the target with all settings that name it after a change

Cause: after a change of the settings, only the service of the target was compared with them, so a target whose address was changed stayed until the next report.

Change: the check of reports is used for it as well.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/http_api.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/http_api.py
@@ -59,9 +59,12 @@
             report = decode_mapping(TargetReport, parsed.ok)
         except DecodeError as error:
             return _rejection(str(error))
-        fault = find_report_fault(report) or self.node.accept_report(report)
+        fault = find_report_fault(report)
         if fault:
             return _rejection(fault)
+        foreign = self.node.accept_report(report)
+        if foreign:
+            return _rejection(foreign)
         return web.json_response({})
 
     async def remove(self, request: web.Request) -> web.Response:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -143,7 +143,7 @@
             self._mesh.seeds = settings.mesh.seeds
             self._mesh.target_address = settings.mesh.target_address
         self.settings.service = settings.service
-        self.reports.remove_other_service(settings.service)
+        self.reports.remove_foreign(self.settings)
         self._update_origin()
 
     async def drain(self) -> None:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -126,7 +126,9 @@
         service = self._services.next_service(call.route)
         progress = self.retries.new_progress(call, service)
         if call.deadline_s > self.latest_deadline_s:
-            raise self._unanswered(progress, 'the node stops before it ends')
+            raise self._unanswered(
+                progress, 'the node stops before the deadline'
+            )
         with self._link.uplink.holding(call.body) as has_memory:
             if not has_memory:
                 raise self._unanswered(progress, 'busy: memory for bodies')
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/reports.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/reports.py
@@ -236,14 +236,13 @@
         self._notify()
         return True
 
-    def remove_other_service(self, service: str | None) -> None:
-        """Remove the target if it is of another service than the given one.
+    def remove_foreign(self, settings: Settings) -> None:
+        """Remove the target if the settings name another one by now.
 
-        Its address has gone to a target of that service, which may not have
-        reported yet.
+        Its address may have gone to the other one, which has not reported yet.
         """
         current = self.current
-        if current is not None and current.service != service:
+        if current is not None and find_foreign_field(current, settings):
             self.remove(current.id)
 
     def _notify(self) -> None:
