--- a/tests/platform/mesh_processes.py
+++ b/tests/platform/mesh_processes.py
@@ -60,6 +60,7 @@
         self.session = session
         self.ports = dict(zip(_PORTS, ports, strict=True))
         self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self._data_centres_by_node: dict[str, str] = {}
         # Length of the log in bytes at the last start of the process.
         self._log_start_bytes: dict[str, int] = {}
 
@@ -88,6 +89,7 @@
     ) -> None:
         """Start a node, with further settings of the part ``mesh``."""
         target = f'{host}:{self.ports["target"]}'
+        self._data_centres_by_node[host] = data_centre
         await self._start(
             host,
             {
@@ -145,7 +147,7 @@
             json={
                 'service': 'forms',
                 'address': f'{host}:{self.ports["target"]}',
-                'zone': 'split-a',
+                'zone': self._data_centres_by_node[host],
                 'version': 'v1',
                 'slots': 4,
                 'state': 'ready',
