Accept a target again once the settings name it again

Cause: a target that the settings no longer named was removed as if it had said that it leaves, which makes its further reports look late. After a change of the settings that was taken back, the real target stayed unused until it restarted.

Change: such a target is dropped without a record of its leave; reports of it are refused by the settings as long as they name another one.

Evidence: test_corrected_settings_take_the_target_back fails without the change (no current target) and passes with it.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/reports.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/reports.py
@@ -231,19 +231,24 @@
             return False
         self._born_by_removed_id[target_id] = current.born
         _evict_oldest(self._born_by_removed_id)
-        self.current = None
-        _LOG.info('target left', extra={'target': target_id})
-        self._notify()
+        self._drop(current)
         return True
 
     def remove_foreign(self, settings: Settings) -> None:
         """Remove the target if the settings name another one by now.
 
         Its address may have gone to the other one, which has not reported yet.
+        The target has not said that it leaves, so its reports are accepted
+        again if the settings name it again.
         """
         current = self.current
         if current is not None and find_foreign_field(current, settings):
-            self.remove(current.id)
+            self._drop(current)
+
+    def _drop(self, target: TargetReport) -> None:
+        self.current = None
+        _LOG.info('target left', extra={'target': target.id})
+        self._notify()
 
     def _notify(self) -> None:
         for callback in self._callbacks:
--- a/tests/node/mesh/test_instance.py
+++ b/tests/node/mesh/test_instance.py
@@ -67,3 +67,18 @@
     successor = {'service': 'stamps', 'address': '127.0.0.1:9', 'born': 2000}
     assert not node.accept_report(replaced(_REPORT, id='t2', **successor))
     assert node.reports.current is not None
+
+
+async def test_corrected_settings_take_the_target_back(node: MeshNode) -> None:
+    """Guards against a target that stays ignored until it restarts, after the
+    settings named another service for a while.
+    """
+    changed = node_settings()
+    changed.service = 'stamps'
+    node.apply_settings(changed)
+    corrected = node_settings()
+    assert corrected.mesh is not None
+    corrected.mesh.target_address = _REPORT.address
+    node.apply_settings(corrected)
+    assert not node.accept_report(replaced(_REPORT, sequence=5))
+    assert node.reports.current == replaced(_REPORT, sequence=5)
