Read settings again at the start that cannot be used yet

A process that started while its settings file was written read a part of it and ended with exit code 2; its callers got no answer until it was started again. A reload already kept the settings in force in that case.

--- a/packages/mustardspur_core/src/mustardspur_core/settings/watching.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/watching.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import signal
+import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -19,6 +20,9 @@
 
 # The file can change without a signal; a check costs one system call.
 POLL_INTERVAL_S: Final = 1.0
+# Longest time for which a file that cannot be used is read again at a start.
+SETTLE_S: Final = 1.0
+_RETRY_S: Final = 0.05
 
 ApplySettings = Callable[[Settings], None]
 
@@ -50,6 +54,20 @@
         self._loaded_version = self._version()
         return load_settings(self._path)
 
+    def load_settled(self) -> Result[Settings, Findings]:
+        """Load the file as `load`, again for `SETTLE_S` if it has findings.
+
+        A process that starts while its file is written reads only a part.
+        """
+        latest_s = time.monotonic() + SETTLE_S
+        loaded = self.load()
+        if loaded.is_error():
+            _LOG.warning('settings are read again')
+        while loaded.is_error() and time.monotonic() < latest_s:
+            time.sleep(_RETRY_S)
+            loaded = self.load()
+        return loaded
+
     def _version(self) -> tuple[int, int]:
         try:
             status = self._path.stat()
