Start the processes of the tests by the deployed command

They were started by a command of the tests' own, so a fault of the deployed one, or a change of it, was not played by tests and soak. `Mesh` reads the command of a role from deploy/system.toml, and runs it at the root of the repository. Words in front of it play a supervisor.

--- a/tests/platform/mesh_processes.py
+++ b/tests/platform/mesh_processes.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import sys
+import tomllib
 from collections.abc import AsyncIterator, Iterator
 from contextlib import (
     ExitStack,
@@ -34,6 +35,16 @@
 _SHOWN_LINES: Final = 5
 _PORTS: Final = ('stream', 'http', 'ready', 'targets', 'target')
 _HEALTH_PATH: Final = '/healthz'
+_DEPLOYMENT: Final = REPOSITORY / 'deploy' / 'system.toml'
+
+
+def deployed_command(role: str) -> list[str]:
+    """Return the deployed command of a role, with the Python of the tests."""
+    deployment = tomllib.loads(_DEPLOYMENT.read_text('utf-8'))
+    command: str = deployment['roles'][role]['run']
+    program, *arguments = command.split()
+    assert program == 'python3'
+    return [sys.executable, *arguments]
 
 
 class Mesh:
@@ -47,6 +58,13 @@
         Session for requests to the processes.
     ports : list of int
         Ports that the processes listen on, see `reserved_ports`.
+
+    Attributes
+    ----------
+    supervisor : tuple of str
+        Words in front of the deployed command, empty as it is deployed.
+    python_path : tuple of str
+        Folders that Python searches for modules.
     """
 
     def __init__(
@@ -60,6 +78,8 @@
         self.session = session
         self.ports = dict(zip(_PORTS, ports, strict=True))
         self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.supervisor: tuple[str, ...] = ()
+        self.python_path: tuple[str, ...] = (str(REPOSITORY / 'platform'),)
         self._data_centres_by_node: dict[str, str] = {}
         # Length of the log in bytes at the last start of the process.
         self._log_start_bytes: dict[str, int] = {}
@@ -182,14 +202,14 @@
         environment = {
             **os.environ,
             'MUSTARDSPUR_BOOT': str(path),
-            'PYTHONPATH': str(REPOSITORY / 'platform'),
+            'PYTHONPATH': os.pathsep.join(self.python_path),
         }
         with (self.folder / f'{host}.log').open('ab') as output:
             self._log_start_bytes[host] = output.tell()
             self.processes[host] = await asyncio.create_subprocess_exec(
-                sys.executable,
-                '-m',
-                'mustardspur_platform',
+                *self.supervisor,
+                *deployed_command(document['role']),
+                cwd=REPOSITORY,
                 env=environment,
                 stdout=output,
                 stderr=output,
