--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -4,7 +4,9 @@
 import json
 import os
 import signal
+import time
 from asyncio.subprocess import Process
+from collections.abc import Iterator
 from contextlib import suppress
 from pathlib import Path
 
@@ -14,6 +16,69 @@
 
 _HOST = '127.0.7.21'
 _POLL_S = 0.002
+# Time after a start in which Python and the modules of a process are loaded.
+_START_S = 0.2
+_SIGNAL_INTERVAL_S = 0.001
+# Start command of a supervisor that ignores SIGHUP for its processes.
+_SUPERVISOR = ('env', '--ignore-signal=HUP')
+# Imported by the module `site`, before the first line of the program unless
+# the start command says otherwise.
+_SIGNAL_IN_SITE = """
+import os
+import signal
+
+os.kill(os.getpid(), signal.SIGHUP)
+"""
+
+
+@pytest.fixture(autouse=True)
+def default_action() -> Iterator[None]:
+    """Let processes start with the default action of SIGHUP.
+
+    They would inherit that it is ignored, as `nohup` does for the tests.
+    """
+    former = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    yield
+    signal.signal(signal.SIGHUP, former)
+
+
+async def _until_sighup_ignored(process: Process) -> None:
+    """Wait until a process ignores SIGHUP, without giving it time."""
+    path = Path('/proc', str(process.pid), 'status')
+    ignored = 0
+    async with asyncio.timeout(HANG_LIMIT_S):
+        while not ignored & (1 << (signal.SIGHUP - 1)):
+            await asyncio.sleep(0)
+            _, _, rest = path.read_text('utf-8').partition('SigIgn:')
+            ignored = int(rest.split()[0], base=16)
+
+
+async def _signal_while_starting(process: Process) -> None:
+    until_s = time.monotonic() + _START_S
+    while time.monotonic() < until_s and process.returncode is None:
+        process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(_SIGNAL_INTERVAL_S)
+
+
+async def _until_logged_again(mesh: Mesh, event: str, count: int) -> None:
+    """Wait until a running process has logged an event so many times."""
+    log = mesh.folder / f'{_HOST}.log'
+    async with asyncio.timeout(HANG_LIMIT_S):
+        while log.read_text('utf-8').count(event) < count:
+            assert mesh.processes[_HOST].returncode is None
+            await asyncio.sleep(_POLL_S)
+
+
+async def _change_is_applied(mesh: Mesh) -> None:
+    """Change the settings of a running process, which reloads them."""
+    await _until_logged_again(mesh, '"started"', 1)
+    log = mesh.folder / f'{_HOST}.log'
+    former = log.read_text('utf-8').count('settings reloaded')
+    path = mesh.folder / f'{_HOST}.json'
+    document = json.loads(path.read_text('utf-8'))
+    document['mesh']['seeds'] = []
+    path.write_text(json.dumps(document), 'utf-8')
+    await _until_logged_again(mesh, 'settings reloaded', former + 1)
 
 
 async def _until_loop_is_imported(process: Process) -> None:
@@ -43,6 +108,47 @@
     return mesh.processes[_HOST]
 
 
+@pytest.mark.parametrize('role', ['node', 'control'])
+@pytest.mark.parametrize(
+    'supervisor',
+    [
+        pytest.param((), id='deployed'),
+        pytest.param(_SUPERVISOR, id='supervised'),
+    ],
+)
+async def test_sighup_from_the_first_millisecond(
+    role: str,
+    supervisor: tuple[str, ...],
+    tmp_path: Path,
+) -> None:
+    """Guards against a SIGHUP that ends a process before its first line."""
+    async with running_mesh(tmp_path) as mesh:
+        mesh.supervisor = supervisor
+        process = await _start(mesh, role)
+        if supervisor:
+            # Until it has run, the signal ends the supervisor's own command.
+            await _until_sighup_ignored(process)
+        await _signal_while_starting(process)
+        assert process.returncode is None
+        await _change_is_applied(mesh)
+        assert process.returncode is None
+
+
+@pytest.mark.parametrize('role', ['node', 'control'])
+async def test_sighup_while_python_reads_its_folders(
+    role: str,
+    tmp_path: Path,
+) -> None:
+    """Guards against a SIGHUP that ends a process while Python reads its
+    folders of modules, before the program runs.
+    """
+    (tmp_path / 'sitecustomize.py').write_text(_SIGNAL_IN_SITE, 'utf-8')
+    async with running_mesh(tmp_path) as mesh:
+        mesh.python_path = (str(tmp_path), *mesh.python_path)
+        await _start(mesh, role)
+        await _change_is_applied(mesh)
+
+
 @pytest.mark.parametrize('role', ['node', 'control'])
 @pytest.mark.parametrize('signals', [0, 1])
 async def test_change_at_the_start_is_applied(
