Count no silence of other nodes while this one does not run

Callers of a node that had got no processor time for a while saw 502, or their calls were run a second time elsewhere, although the answers had arrived meanwhile. The check for silent streams is a timer, and after a pause the event loop runs timers before it reads: with the latest heartbeat up to 0.3 s before the pause, 0.9 s without processor time were taken for 1.2 s of silence of the other node, and the call was given up.

Seen in test_ready_answer_is_delivered_after_a_pause beside 20 busy processes (load 55, 1 of 10 runs; 502, "broken: node is silent" at 3.5 s after the signal, where the pause ended). The new test failed before: the call ended with "broken".

After a gap of over 0.5 s in which the loop did not run, the silence of all streams counts from its end, so that a check follows only after frames were read. A node that is silent indeed is found out 1.2 s after the pause.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -149,7 +149,8 @@
 
     def check(self) -> None:
         """Close silent and idle connections, discard old data, set gauges."""
-        self._gaps.record()
+        if self._gaps.record():
+            self.placer.links.restart_silences()
         self.placer.links.check()
         self.local.apply_rule()
         self.local.pool.prune()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_connection.py
@@ -57,12 +57,17 @@
         Called with the node and the load of its target on each report.
     uplink : Uplink
         Paces large bodies.
+
+    Attributes
+    ----------
+    last_received_s : float
+        Time on the event loop's clock from which the silence of the other node
+        counts: of the latest frame, or of the end of a pause of this node.
     """
 
     __slots__ = (
         '_budget',
         '_in_flight_by_id',
-        '_last_received_s',
         '_last_used_s',
         '_next_id',
         '_node',
@@ -71,6 +76,7 @@
         '_settings',
         '_task',
         '_uplink',
+        'last_received_s',
     )
 
     def __init__(
@@ -88,7 +94,7 @@
         self._budget = uplink.answers
         self._in_flight_by_id: dict[int, CallInFlight] = {}
         self._next_id = 0
-        self._last_received_s: float = 0
+        self.last_received_s: float = 0
         self._last_used_s = _now()
         self._ready: asyncio.Future[FrameStream] = asyncio.Future()
         self._task = asyncio.create_task(self._run_stream())
@@ -104,7 +110,7 @@
         """Whether calls are in flight and no frame arrives."""
         if not self._in_flight_by_id or not self._ready.done():
             return False
-        return _now() - self._last_received_s > SILENCE_S
+        return _now() - self.last_received_s > SILENCE_S
 
     @property
     def is_idle(self) -> bool:
@@ -172,7 +178,7 @@
         self._next_id += 1
         call_id = self._next_id
         if not self._in_flight_by_id:
-            self._last_received_s = _now()
+            self.last_received_s = _now()
         self._in_flight_by_id[call_id] = call_in_flight
         self._last_used_s = _now()
         try:
@@ -182,7 +188,7 @@
                 call,
                 call_in_flight,
                 self._uplink,
-                lambda: _now() - self._last_received_s,
+                lambda: _now() - self.last_received_s,
             )
             return await call_in_flight.answer
         except OSError as error:
@@ -205,7 +211,7 @@
                         region=self._settings.region,
                     ),
                 )
-                self._last_received_s = _now()
+                self.last_received_s = _now()
                 self._ready.set_result(stream)
                 await self._receive(stream)
         except STREAM_ERRORS as error:
@@ -225,7 +231,7 @@
     async def _receive(self, stream: FrameStream) -> None:
         while True:
             frame = await stream.receive()
-            self._last_received_s = _now()
+            self.last_received_s = _now()
             if isinstance(frame.body, _FRAMES_WITH_LOAD):
                 self._on_load(self._node, frame.body.load)
             call_in_flight = self._in_flight_by_id.get(frame.request_id)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_link.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_link.py
@@ -1,5 +1,6 @@
 """Calls to another node over the streams to it."""
 
+import asyncio
 import logging
 from collections.abc import Callable
 from typing import Final
@@ -107,6 +108,11 @@
                 silent.close('node is silent')
         self._silent = [each for each in self._silent if each.calls_in_flight]
 
+    def restart_silence(self) -> None:
+        """Count the silence of the other node from now on."""
+        if self._current is not None:
+            self._current.last_received_s = asyncio.get_running_loop().time()
+
     def close(self) -> None:
         """Close the streams and fail the calls in flight."""
         for connection in (self._current, *self._silent):
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_links.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_links.py
@@ -57,6 +57,15 @@
         while unused:
             self._by_node.pop(unused.pop())
 
+    def restart_silences(self) -> None:
+        """Count the silence of all nodes from now on.
+
+        A node that does not run reads no frames, and its first check is run
+        before it reads those that have arrived.
+        """
+        for link in self._by_node.values():
+            link.restart_silence()
+
     def close(self) -> None:
         """Close all streams to other nodes."""
         for link in self._by_node.values():
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/stop_times.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/stop_times.py
@@ -49,13 +49,21 @@
         self._gap_start_s = self._last_s
         self._gap_end_s = self._last_s - HANDLING_S
 
-    def record(self) -> None:
-        """Record that the loop runs; called more often than `MIN_GAP_S`."""
+    def record(self) -> bool:
+        """Record that the loop runs; called more often than `MIN_GAP_S`.
+
+        Returns
+        -------
+        bool
+            Whether the loop did not run before.
+        """
         now_s = clock_s()
-        if now_s - self._last_s > MIN_GAP_S:
+        has_gap = now_s - self._last_s > MIN_GAP_S
+        if has_gap:
             self._gap_start_s = self._last_s
             self._gap_end_s = now_s
         self._last_s = now_s
+        return has_gap
 
     def earliest_arrival_s(self) -> float:
         """Return the earliest time at which a signal handled now arrived."""
--- a/tests/node/mesh/test_peer_streams.py
+++ b/tests/node/mesh/test_peer_streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from functools import partial
@@ -16,14 +17,18 @@
     NodeHello,
     TargetLoad,
 )
+from mustardspur_core.metrics import NullMetrics
 from mustardspur_core.wire import FrameStream, connect_stream
 from mustardspur_node.mesh.answer_budget import MAX_HELD_BYTES
 from mustardspur_node.mesh.body_parts import PART_BYTES
 from mustardspur_node.mesh.calls import PlacementFault, TargetAnswer
+from mustardspur_node.mesh.instance import MeshNode
 from mustardspur_node.mesh.local_target import LocalTarget
+from mustardspur_node.mesh.names import HEADER_NAMES
 from mustardspur_node.mesh.peer_connection import SILENCE_S
 from mustardspur_node.mesh.peer_link import PeerCallLink
 from mustardspur_node.mesh.peer_server import PeerServer
+from mustardspur_node.mesh.stop_times import MIN_GAP_S
 
 from tests.node.mesh.builders import call_open, local_target, node_settings
 from tests.node.stand_ins.scripted import KEEP, ScriptedTarget, run_scripted
@@ -236,14 +241,22 @@
     monkeypatch.setattr(
         'mustardspur_node.mesh.peer_connection.SILENCE_S', -SILENCE_S
     )
+    async with _serving_silent_node() as (node, address):
+        link = PeerCallLink(address, node_settings(), _ignore_load)
+        try:
+            yield node, link
+        finally:
+            link.close()
+
+
+@asynccontextmanager
+async def _serving_silent_node() -> AsyncIterator[tuple[_SilentNode, str]]:
     node = _SilentNode()
     server = await asyncio.start_server(node.serve, '127.0.0.1', 0)
     host, port = server.sockets[0].getsockname()
-    link = PeerCallLink(f'{host}:{port}', node_settings(), _ignore_load)
     try:
-        yield node, link
+        yield node, f'{host}:{port}'
     finally:
-        link.close()
         server.close()
 
 
@@ -283,6 +296,26 @@
         assert node.streams == 2
 
 
+async def test_pause_of_a_node_is_no_silence_of_others() -> None:
+    """Guards against calls that a node ends after a pause of its own, as the
+    frames that arrived during it have not been read.
+    """
+    settings = node_settings()
+    assert settings.mesh is not None
+    node = MeshNode(settings, settings.mesh, HEADER_NAMES, NullMetrics())
+    async with _serving_silent_node() as (silent, address):
+        link = node.placer.links.link_to(address)
+        call = asyncio.create_task(link.run(call_open(), _ignore_sent))
+        await silent.received.wait()
+        node.check()
+        time.sleep(SILENCE_S + MIN_GAP_S)
+        node.check()
+        silent.awake.set()
+        async with asyncio.timeout(5):
+            assert (await call).body == b'late'
+        node.placer.links.close()
+
+
 def _fail(*_: Any) -> None:
     raise KeyError('unexpected')
 
