Leave pauses of a node out of the stalls of uploads

Callers saw 408 in the middle of an upload at which they had not been slow: after a time in which the node did not run, a large body counted as stalled if another one waited for room.

Cause: a stall is measured from the latest received bytes to the time of a check. After a pause the check comes before the parts that arrived in it are read, and counts the pause as the caller's.

While large bodies are held, the node checks every 0.1 s. A longer time than 0.3 s between two checks is added to the time from which stalls are measured, so that only a time in which the node could read counts.

Evidence: test_body_does_not_stall_while_the_node_is_paused got 408 instead of 200, with parts that arrived in the pause and without.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_uploads.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_uploads.py
@@ -19,8 +19,11 @@
     late_body,
 )
 
-# Interval between two checks while bodies wait for room.
+# Interval between two checks while large bodies are held.
 CHECK_INTERVAL_S: Final = 0.1
+# A longer time between two checks does not count as a stall, since a node that
+# does not run reads nothing.
+MAX_INTERVAL_S: Final = 0.3
 
 
 class CallerUploads:
@@ -32,7 +35,14 @@
         Bytes of all bodies that the node holds.
     """
 
-    __slots__ = ('_readings', '_refusals', '_room', '_update_due', 'admission')
+    __slots__ = (
+        '_checked_s',
+        '_readings',
+        '_refusals',
+        '_room',
+        '_update_due',
+        'admission',
+    )
 
     def __init__(self, room: BodyRoom) -> None:
         """Initialise without bodies."""
@@ -42,6 +52,8 @@
         # Readings of large bodies.
         self._readings: dict[Upload, _LargeReading] = {}
         self._update_due: asyncio.Handle | None = None
+        # Time of the latest check.
+        self._checked_s: float = 0
         room.on_freed = self._update_soon
 
     async def read(self, body: RequestBody, terms: UploadTerms) -> bytes:
@@ -144,13 +156,16 @@
     def _update(self) -> None:
         """Apply the decisions that are due, and set the timer."""
         now_s = _now()
+        if now_s - self._checked_s > MAX_INTERVAL_S:
+            self.admission.excuse(now_s - self._checked_s)
+        self._checked_s = now_s
         for stalled in self.admission.stalled_uploads(now_s):
             self._end_stalled(self._readings[stalled])
         self._admit(now_s)
         for late in self.admission.late_uploads(now_s):
             self._refuse(self._readings[late])
         self._admit(now_s)
-        if self.admission.waiting:
+        if self._readings:
             loop = asyncio.get_running_loop()
             self._schedule(
                 loop.call_later(CHECK_INTERVAL_S, self._check_waiting),
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/upload_admission.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/upload_admission.py
@@ -139,6 +139,11 @@
         self.stalled += len(stalled)
         return stalled
 
+    def excuse(self, pause_s: float) -> None:
+        """Leave a time in which the node read nothing out of all stalls."""
+        for upload in self._active:
+            upload.excuse(pause_s)
+
     def close(self, upload: Upload, now_s: float) -> None:
         """Release the room of a body, or end its wait."""
         if upload in self._waiting:
--- a/tests/node/mesh/test_caller_uploads.py
+++ b/tests/node/mesh/test_caller_uploads.py
@@ -192,6 +192,28 @@
     assert node.room.held_bytes == 0
 
 
+@pytest.mark.parametrize('sent_in_pause', [0, 200_000])
+async def test_body_does_not_stall_while_the_node_is_paused(
+    sent_in_pause: int,
+) -> None:
+    """Guards against a body that is refused, as if its caller had stalled,
+    after a time in which the node did not run.
+    """
+    node = _Node(time_s=30)
+    node.release.set()
+    async with _serving(node) as port:
+        paused = await _post(port, bytes(100_000), 3_000_000)
+        other = await _post(port, b'')
+        await _until_waiting(node, 1)
+        paused[1].write(bytes(sent_in_pause))
+        time.sleep(1.5 * STALL_S)
+        paused[1].write(bytes(2_900_000 - sent_in_pause))
+        assert await _status(paused) == 200
+        other[1].write(bytes(_BODY))
+        assert await _status(other) == 200
+    assert node.room.held_bytes == 0
+
+
 async def test_refused_caller_reads_its_answer() -> None:
     """Guards against a reset in place of a refusal while the caller sends."""
     node = _Node(time_s=0.2)
