Answer a request without a route though its body does not arrive

Callers whose request matches no route stayed without an answer for as long as they did not send the rest of its body, and a caller that sends slowly for as long as it sent. The body was also asked for where the caller waits for `100 Continue`.

Cause: the body is read to its end before the 404, and no time limit applies, as the time limit of a body is that of its route.

The body now has 0.2 s. If it does not arrive in that time, or the caller waits to be asked for it, 404 is the answer at once and closes the connection, as every answer within a body does. An answer without any wait would close the connections of callers that send head and body one after the other, with the requests behind.

Evidence: test_body_that_does_not_end_is_answered got no answer within 3 s for a missing route. Its cases of a malformed request and of an account that is refused passed before: the first one is answered at once, the second one by the timeout of its route.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
@@ -28,6 +28,9 @@
 _LOG: Final = logging.getLogger(__name__)
 
 BACKLOG: Final = 1024
+# Time for the body of a request that no route matches. An answer at once would
+# close the connections of callers that send it just after the head.
+BODY_TIME_S: Final = 0.2
 # New connections between two removals of closed ones.
 _PRUNE_CONNECTIONS: Final = 64
 # Statuses of calls that did not run and may be sent again after a time.
@@ -222,7 +225,6 @@
         host = message.headers['host'].partition(':')[0].lower()
         route = self._view.routes.find(host, message.path)
         if route is None:
-            await body.discard()
             self._placer.log.decisions.write(
                 'no route',
                 host=host,
@@ -230,6 +232,7 @@
                 request=message.headers.get(self._names.request_id),
                 table_index=self._view.table_index,
             )
+            await body.discard(BODY_TIME_S)
             return node_answer(HTTPStatus.NOT_FOUND, 'no route matches')
         return forward_answer(
             await self._placer.place(
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/request_body.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/request_body.py
@@ -3,6 +3,7 @@
 import asyncio
 import select
 from collections.abc import AsyncIterator, Callable
+from contextlib import suppress
 from http import HTTPStatus
 from typing import Final
 
@@ -148,15 +149,23 @@
                 raise _too_long(self._limit)
             yield part
 
-    async def discard(self) -> int:
-        """Read the body, hold nothing of it, and return its size.
+    async def discard(self, time_s: float) -> None:
+        """Read the body and hold nothing of it, if it arrives within a time.
+
+        A caller that waits to be asked for its body is not asked. The answer
+        to a body that has not arrived closes the connection.
 
         Raises
         ------
         CallerBodyError
             If the body is too long or malformed.
         """
-        return sum([len(part) async for part in self.parts()])
+        if _is_awaited(self._message):
+            return
+        with suppress(TimeoutError):
+            async with asyncio.timeout(time_s):
+                async for _ in self.parts():
+                    """Drop the part."""
 
     def fail(self, error: CallerBodyError) -> None:
         """Raise an error where a part is waited for."""
@@ -200,11 +209,16 @@
             ) from error
 
     def _send_continue(self) -> None:
-        expected = self._message.headers.get('expect', '')
-        if expected.lower() == '100-continue' and self._transport:
+        if _is_awaited(self._message) and self._transport:
             self._transport.write(_CONTINUE)
 
 
+def _is_awaited(message: RawRequestMessage) -> bool:
+    """Return whether the caller waits to be asked for the body."""
+    expected: str = message.headers.get('expect', '')
+    return expected.lower() == '100-continue'
+
+
 def _too_long(limit: int) -> CallerBodyError:
     return CallerBodyError(
         HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
--- a/tests/node/mesh/test_caller_server.py
+++ b/tests/node/mesh/test_caller_server.py
@@ -98,6 +98,63 @@
         assert await _status(address) == '503'
 
 
+async def _unfinished(address: str, request: bytes) -> str:
+    """Return the status and headers of an answer to a body without its end."""
+    host, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(request.replace(b'GET', b'POST')[:-2])
+    writer.write(b'content-length: 9000\r\n\r\npart')
+    async with asyncio.timeout(3):
+        head = await reader.readuntil(b'\r\n\r\n')
+    writer.close()
+    return head.decode()
+
+
+@pytest.mark.parametrize(
+    ('request_head', 'status'),
+    [
+        (_REQUEST.replace(b'drafts', b'missing'), '404'),
+        (
+            _REQUEST.replace(b'drafts', b'missing').replace(
+                b'host', b'expect: 100-continue\r\nhost'
+            ),
+            '404',
+        ),
+        (_REQUEST.replace(b'/drafts/', b'drafts/'), '400'),
+        (_REQUEST, '408'),
+    ],
+)
+async def test_body_that_does_not_end_is_answered(
+    request_head: bytes, status: str
+) -> None:
+    """Guards against a request that stays without an answer for as long as
+    its caller does not send the rest of the body.
+    """
+    async with _serving(account('cafe', 'k-1')) as (address, _):
+        head = await _unfinished(address, request_head)
+    assert head.split()[1] == status
+    assert 'connection: close' in head
+
+
+async def test_missing_route_keeps_the_connection() -> None:
+    """Guards against a connection that is closed, with the requests behind,
+    because the body of a refused request arrives a bit after its head.
+    """
+    missing = _REQUEST.replace(b'GET /drafts', b'POST /missing')
+    async with _serving() as (address, _):
+        host, _, port = address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b'%bcontent-length: 4\r\n\r\n' % missing[:-2])
+        await asyncio.sleep(0.05)
+        writer.write(b'body%b' % _REQUEST)
+        async with asyncio.timeout(5):
+            first = await reader.readuntil(b'\r\n\r\n')
+            await reader.readuntil(b'\r\n\r\n')
+        writer.close()
+    assert first.split()[1] == b'404'
+    assert b'connection: close' not in first
+
+
 _KEY = b'k-5f0c77aa'
 _KNOWN = b'authorization: Bearer %b\r\n' % _KEY
 _NAMES = (b'authorization', b'Authorization', b'x-mustardspur-account')
