Send SIGHUP in soaks as early as a process ignores it

The faults waited until SIGHUP was handled, or looked each 50 ms, since an early signal ended processes; signals in the first 0.3 s of a start were not played. They are now sent within about a millisecond of the moment at which the process ignores SIGHUP, and again at a planned time while it starts. An earlier one still ends a process as it is deployed, and is not sent.

The fault `reload` sends damaged settings only once the process handles the signal, for another reason than was stated: a process does not start with settings that it cannot read.

--- a/tests/platform/mesh_processes.py
+++ b/tests/platform/mesh_processes.py
@@ -26,6 +26,7 @@
 # Upper bound for a hanging test; no result depends on the time of a step.
 HANG_LIMIT_S: Final = 60.0
 POLL_S: Final = 0.05
+_SIGNAL_POLL_S: Final = 0.001
 HOST: Final = 'forms.example'
 # Below the ports that the kernel assigns to outgoing connections.
 _PORT_RANGE: Final = range(10_240, 32_768)
@@ -256,6 +257,22 @@
         await runner.cleanup()
 
 
+async def until_sighup_harmless(pid: int) -> None:
+    """Wait until a process ignores or handles SIGHUP, at once if it does.
+
+    Before the first line of its program runs, the signal ends a process.
+    """
+    path = Path('/proc', str(pid), 'status')
+    bit = 1 << (signal.SIGHUP - 1)
+    async with asyncio.timeout(HANG_LIMIT_S):
+        while not any(
+            int(line.split()[1], base=16) & bit
+            for line in path.read_text('utf-8').splitlines()
+            if line.startswith(('SigIgn:', 'SigCgt:'))
+        ):
+            await asyncio.sleep(_SIGNAL_POLL_S)
+
+
 async def _try(
     session: ClientSession,
     method: str,
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -10,7 +10,11 @@
 from pathlib import Path
 from typing import Any, Final
 
-from tests.platform.mesh_processes import HANG_LIMIT_S, POLL_S
+from tests.platform.mesh_processes import (
+    HANG_LIMIT_S,
+    POLL_S,
+    until_sighup_harmless,
+)
 from tests.platform.soak.ends import kill_process, stop_process
 from tests.platform.soak.plan import MIN_LENGTH_S, PlannedFault
 from tests.platform.soak.world import CONTROLS, DATA_CENTRES, NODES, World
@@ -59,7 +63,9 @@
 
 
 async def _until_sighup_handled(pid: int) -> None:
-    """Wait until a process has started; before, the signal would end it."""
+    """Wait until a process has started; it does not start with settings that
+    it cannot read.
+    """
     path = Path('/proc', str(pid), 'status')
     handled = 0
     async with asyncio.timeout(HANG_LIMIT_S):
@@ -149,7 +155,10 @@
     async with claimed(world, host) as free:
         if not free:
             return
-        await _until_sighup_handled(world.mesh.processes[host].pid)
+        pid = world.mesh.processes[host].pid
+        await until_sighup_harmless(pid)
+        world.signal(host, signal.SIGHUP)
+        await _until_sighup_handled(pid)
         path = world.mesh.folder / f'{host}.json'
         valid = path.read_text('utf-8')
         path.write_text(valid[: len(valid) // 2], 'utf-8')
--- a/tests/platform/soak/works.py
+++ b/tests/platform/soak/works.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import signal
-from pathlib import Path
 from typing import Final
 
-from tests.platform.mesh_processes import HANG_LIMIT_S, POLL_S
+from tests.platform.mesh_processes import until_sighup_harmless
 from tests.platform.soak.faults import FaultFunction, claimed
 from tests.platform.soak.ends import stop_process
 from tests.platform.soak.plan import PlannedFault
@@ -15,6 +14,8 @@
 works_by_kind: dict[str, FaultFunction] = {}
 RELOADS: Final = 8
 RELOAD_INTERVAL_S: Final = 0.05
+# Share of the length of the work; up to 0.3 s, about as long as a start.
+EARLY_SHARE: Final = 0.1
 # Longest time around a stop in which a node gets no processor time; with more,
 # a request that is placed before the stop may be cut off by the kill.
 MAX_PAUSE_S: Final = 1.5
@@ -77,20 +78,24 @@
     async with claimed(world, host) as free:
         if not free:
             return
-        await _until_sighup_harmless(world.mesh.processes[host].pid)
+        await until_sighup_harmless(world.mesh.processes[host].pid)
         async for _ in ticks(RELOADS, RELOAD_INTERVAL_S):
             world.signal(host, signal.SIGHUP)
 
 
 @work
 async def reload_early(world: World, planned: PlannedFault) -> None:
-    """Restart a node, and send it SIGHUP while it starts."""
+    """Restart a node, and send it SIGHUP as early as it is harmless, and
+    again while it starts.
+    """
     host = planned.choose(NODES)
     async with claimed(world, host) as free:
         if free:
             await stop_process(world, host)
             await world.restart(host)
-            await _until_sighup_harmless(world.mesh.processes[host].pid)
+            await until_sighup_harmless(world.mesh.processes[host].pid)
+            world.signal(host, signal.SIGHUP)
+            await asyncio.sleep(planned.length_s * EARLY_SHARE)
             world.signal(host, signal.SIGHUP)
 
 
@@ -100,16 +105,3 @@
         if free:
             await stop_process(world, host)
             await world.restart(host)
-
-
-async def _until_sighup_harmless(pid: int) -> None:
-    """Wait until a process ignores or handles the signal."""
-    path = Path('/proc', str(pid), 'status')
-    bit = 1 << (signal.SIGHUP - 1)
-    async with asyncio.timeout(HANG_LIMIT_S):
-        while not any(
-            int(line.split()[1], base=16) & bit
-            for line in path.read_text('utf-8').splitlines()
-            if line.startswith(('SigIgn:', 'SigCgt:'))
-        ):
-            await asyncio.sleep(POLL_S)
--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -12,7 +12,12 @@
 
 import pytest
 
-from tests.platform.mesh_processes import HANG_LIMIT_S, Mesh, running_mesh
+from tests.platform.mesh_processes import (
+    HANG_LIMIT_S,
+    Mesh,
+    running_mesh,
+    until_sighup_harmless,
+)
 
 _HOST = '127.0.7.21'
 _POLL_S = 0.002
@@ -42,17 +47,6 @@
     signal.signal(signal.SIGHUP, former)
 
 
-async def _until_sighup_ignored(process: Process) -> None:
-    """Wait until a process ignores SIGHUP, without giving it time."""
-    path = Path('/proc', str(process.pid), 'status')
-    ignored = 0
-    async with asyncio.timeout(HANG_LIMIT_S):
-        while not ignored & (1 << (signal.SIGHUP - 1)):
-            await asyncio.sleep(0)
-            _, _, rest = path.read_text('utf-8').partition('SigIgn:')
-            ignored = int(rest.split()[0], base=16)
-
-
 async def _signal_while_starting(process: Process) -> None:
     until_s = time.monotonic() + _START_S
     while time.monotonic() < until_s and process.returncode is None:
@@ -127,7 +121,7 @@
         process = await _start(mesh, role)
         if supervisor:
             # Until it has run, the signal ends the supervisor's own command.
-            await _until_sighup_ignored(process)
+            await until_sighup_harmless(process.pid)
         await _signal_while_starting(process)
         assert process.returncode is None
         await _change_is_applied(mesh)
