Keep a daemon alive on SIGHUP, and reload the settings of a mesh

Seen by operators: SIGHUP, the usual request to reload, ended mustardspurd at any time (-1), and with it the calls that a node held; a second SIGTERM after the end of a stop gave the exit code of a failure.

Cause: the daemon had no handler for SIGHUP, and the event loop resets its handlers when it is closed.

--- a/packages/mustardspur_core/src/mustardspur_core/settings/__init__.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/__init__.py
@@ -10,6 +10,7 @@
 )
 from mustardspur_core.settings.watching import (
     SettingsFile,
+    refusing_reloads,
     watching_settings,
 )
 
@@ -22,5 +23,6 @@
     'SettingsFile',
     'load_settings',
     'parse_settings',
+    'refusing_reloads',
     'watching_settings',
 ]
--- a/packages/mustardspur_core/src/mustardspur_core/settings/watching.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/watching.py
@@ -127,5 +127,24 @@
         loop.add_signal_handler(signal.SIGHUP, _ignore)
 
 
+@asynccontextmanager
+async def refusing_reloads() -> AsyncIterator[None]:
+    """Log on SIGHUP that the settings are not reloaded, and go on."""
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, _refuse)
+    try:
+        yield
+    finally:
+        # Without a handler the signal would end the process.
+        loop.add_signal_handler(signal.SIGHUP, _ignore)
+
+
+def _refuse() -> None:
+    _LOG.warning(
+        'settings not reloaded',
+        extra={'reason': 'settings without a mesh are read at the start only'},
+    )
+
+
 def _ignore() -> None:
     """Do nothing."""
--- a/packages/mustardspur_daemon/src/mustardspur_daemon/main.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/main.py
@@ -5,11 +5,12 @@
 import logging
 import sys
 from collections.abc import Callable, Sequence
+from functools import partial
 from pathlib import Path
 
-from mustardspur_core.event_loop import run_in_loop
+from mustardspur_core.event_loop import ignore_stop_signals, run_in_loop
 from mustardspur_core.logs import configure_logs
-from mustardspur_core.settings import Settings, load_settings
+from mustardspur_core.settings import Settings, SettingsFile
 
 from mustardspur_daemon import processes
 from mustardspur_daemon.exit_codes import ExitCode
@@ -36,14 +37,16 @@
         One of `ExitCode`.
     """
     options = _parser().parse_args(arguments)
-    loaded = load_settings(options.settings)
+    settings_file = SettingsFile(options.settings)
+    loaded = settings_file.load()
     if loaded.is_error():
         sys.stderr.write(f'{loaded.error}\n')
         return ExitCode.BAD_SETTINGS
     if options.check:
         sys.stdout.write(f'{options.settings}: no findings\n')
         return ExitCode.STOPPED
-    return _run(loaded.ok, recover if options.recover_alone else _serve)
+    serve = partial(_serve, settings_file)
+    return _run(loaded.ok, recover if options.recover_alone else serve)
 
 
 def _run(settings: Settings, command: Command) -> int:
@@ -61,11 +64,19 @@
         return ExitCode.CANNOT_START
 
 
-def _serve(settings: Settings) -> int:
-    run_in_loop(run_role(settings))
+def _serve(settings_file: SettingsFile, settings: Settings) -> int:
+    run_in_loop(_run_until_stopped(settings_file, settings))
     return ExitCode.STOPPED
 
 
+async def _run_until_stopped(
+    settings_file: SettingsFile,
+    settings: Settings,
+) -> None:
+    await run_role(settings_file, settings)
+    ignore_stop_signals()
+
+
 def describe_os_error(error: OSError) -> str:
     """Return a description of an operating system error for an operator.
 
--- a/packages/mustardspur_daemon/src/mustardspur_daemon/mesh_processes.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/mesh_processes.py
@@ -12,7 +12,12 @@
 from mustardspur_core.event_loop import stop_event
 from mustardspur_core.exposition import MetricsRegistry, serving_metrics
 from mustardspur_core.http_serving import serving_app
-from mustardspur_core.settings import MeshSettings, Settings
+from mustardspur_core.settings import (
+    MeshSettings,
+    Settings,
+    SettingsFile,
+    watching_settings,
+)
 from mustardspur_core.timeline import Timeline
 from mustardspur_node.mesh import HEADER_NAMES, running_mesh_node
 from mustardspur_node.mesh.http_api import NodeApi
@@ -20,7 +25,11 @@
 _LOG = logging.getLogger(__name__)
 
 
-async def run_mesh_control(settings: Settings, mesh: MeshSettings) -> None:
+async def run_mesh_control(
+    settings_file: SettingsFile,
+    settings: Settings,
+    mesh: MeshSettings,
+) -> None:
     """Run a control instance of a mesh until a stop signal."""
     stopped = stop_event()
     metrics = MetricsRegistry()
@@ -31,6 +40,7 @@
             running_mesh_control(settings, mesh, timeline, metrics) as control,
             serving_app(_control_app(control), settings.listen.http),
             serving_metrics(settings.listen.metrics, metrics),
+            watching_settings(settings_file, control.apply_settings),
         ):
             _LOG.info('started', extra={'role': settings.role})
             await stopped.wait()
@@ -43,7 +53,11 @@
     return BlocksApi(control.blocks).add_to(app)
 
 
-async def run_mesh_node(settings: Settings, mesh: MeshSettings) -> None:
+async def run_mesh_node(
+    settings_file: SettingsFile,
+    settings: Settings,
+    mesh: MeshSettings,
+) -> None:
     """Run a node of a mesh until a stop signal."""
     stopped = stop_event()
     metrics = MetricsRegistry()
@@ -54,6 +68,7 @@
             serving_metrics(settings.listen.metrics, metrics),
             # Started last, so that a ready node answers on all addresses.
             serving_app(api.ready_app(), settings.listen.ready),
+            watching_settings(settings_file, node.apply_settings),
         ):
             _LOG.info('started', extra={'role': settings.role})
             await stopped.wait()
--- a/packages/mustardspur_daemon/src/mustardspur_daemon/roles.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/roles.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Awaitable, Callable
 
-from mustardspur_core.settings import Settings
+from mustardspur_core.settings import Settings, SettingsFile
 
-Role = Callable[[Settings], Awaitable[None]]
+Role = Callable[[SettingsFile, Settings], Awaitable[None]]
 _roles_by_name: dict[str, Role] = {}
 
 
@@ -18,6 +18,6 @@
     return decorator
 
 
-async def run_role(settings: Settings) -> None:
+async def run_role(settings_file: SettingsFile, settings: Settings) -> None:
     """Run the role given in the settings until the process is stopped."""
-    await _roles_by_name[settings.role](settings)
+    await _roles_by_name[settings.role](settings_file, settings)
