Leave a stopping node time for its exit when its signal came late

A node that handled its stop signal late was killed at the end of its grace time although its last answer had gone out (exit code -9 in test_grace_time_counts_from_the_signal, once at a load of 28). No answer was lost in that run, but the process had no room left on a busy machine.

Cause: new connections were accepted for 2.3 s from when the signal was handled, and a connection whose caller keeps it open was waited for until 1 s after its last answer. In that test the signal is handled 1.2 s after it was sent, so the node listened until 3.5 s and ended at 3.6 to 3.85 s, by its logs in ten runs, where the kill comes at 4.0 s.

A stopping node now listens no longer than until it refuses all calls that were not sent, which counts from the earliest time of the signal; 0.5 s before the usable part of the grace time ends. From then on it waits only for connections whose callers may not have their answers yet: a caller has 0.2 s for the last one. Late calls are refused from the first moment of the stop on, not from the first check 0.2 s later.

test_ready_answer_is_delivered_after_a_pause sent its request 0.1 s before half of the grace time, from when on the node refuses calls, and got 503 in 2 of 10 runs at loads of 35 and 50 since the request was read later. It now sends it 0.7 s before, with a run that is longer by as much, so that the answer is ready within the pause as before.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -145,6 +145,11 @@
             auto_decompress=False,
         )
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether the last answer was written, and the caller could read it."""
+        return self._linger is not None and self._linger.is_sufficient
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start writing answers and the idle timer."""
         super().connection_made(transport)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_linger.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_linger.py
@@ -6,6 +6,8 @@
 # Time for the caller to read the last answer and close its side. Closing with
 # unread bytes would reset the connection and lose the answer.
 LINGER_S: Final = 1.0
+# Part of it that is waited for even if the process has to end.
+MIN_LINGER_S: Final = 0.2
 # Longest time for which the bytes of a body are discarded whose caller sends
 # on after its refusal.
 MAX_LINGER_S: Final = 5.0
@@ -27,7 +29,13 @@
         Time on the event loop's clock of the latest received bytes.
     """
 
-    __slots__ = ('_latest_s', '_loop', '_transport', 'received_s')
+    __slots__ = (
+        '_latest_s',
+        '_loop',
+        '_started_s',
+        '_transport',
+        'received_s',
+    )
 
     def __init__(
         self,
@@ -39,11 +47,19 @@
         self._loop = asyncio.get_running_loop()
         self._transport = transport
         now_s = self._loop.time()
+        self._started_s = now_s
         self.received_s = now_s
         longest_s = MAX_LINGER_S if within_body else LINGER_S
         self._latest_s = now_s + longest_s
         self._loop.call_later(LINGER_S, self._close_if_quiet)
 
+    @property
+    def is_sufficient(self) -> bool:
+        """Whether the caller has had the answer for `MIN_LINGER_S`."""
+        if self._transport.get_write_buffer_size():
+            return False
+        return self._loop.time() - self._started_s >= MIN_LINGER_S
+
     def receive(self) -> None:
         """Record that bytes were received, and discarded."""
         self.received_s = self._loop.time()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
@@ -130,6 +130,12 @@
         self._remove_closed()
         return len(self._connections)
 
+    @property
+    def unanswered_connections(self) -> int:
+        """Number of connections whose callers may not have all answers."""
+        self._remove_closed()
+        return sum(not each.is_answered for each in self._connections)
+
     def stop_listening(self) -> None:
         """Accept no new connections."""
         if self._server is not None:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/draining.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/draining.py
@@ -63,6 +63,7 @@
         refused unless its deadline comes first.
         """
         self._callers.draining = True
+        self._refuse_late_calls(times)
         while not self._has_ended(times):
             await asyncio.sleep(CHECK_INTERVAL_S)
             await self._receive_arrived()
@@ -98,7 +99,10 @@
         self._callers.stop_listening()
         self._local.admission.close()
         self._callers.drain_connections()
-        is_used = self._callers.open_connections or self._peers.running
+        connections = self._callers.open_connections
+        if now_s >= times.unsent_until_s:
+            connections = self._callers.unanswered_connections
+        is_used = connections or self._peers.running
         return not is_used or now_s >= times.end_s
 
     def _refuse_late_calls(self, times: StopTimes) -> None:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/stop_times.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/stop_times.py
@@ -100,7 +100,8 @@
     late_from_s : float
         From then on, calls that could run after `runs_until_s` are refused.
     unsent_until_s : float
-        From then on, all calls that were not sent are refused.
+        From then on, all calls that were not sent are refused, and connections
+        whose callers have their last answers are not waited for.
     runs_until_s : float
         Deadline of the calls that are placed late.
     end_s : float
@@ -123,10 +124,15 @@
         self._handled_s = handled_s
         usable_s = grace_s * (1 - EXIT_RESERVE_PART)
         self.delayed_s = handled_s - arrived_s
-        self.listening_until_s = handled_s + READINESS_DELAY_S
         self.late_from_s = arrived_s + grace_s * LATE_PART
         self.runs_until_s = arrived_s + usable_s
         self.unsent_until_s = self.runs_until_s - END_UNSENT_S
+        # Later connections would be refused all their calls, and a process
+        # that handles its signal late would use up its time for the exit.
+        self.listening_until_s = min(
+            handled_s + READINESS_DELAY_S,
+            self.unsent_until_s,
+        )
         self.end_s = handled_s + usable_s
 
     def elapsed_s(self) -> float:
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -144,10 +144,10 @@
     """Guards against an answer that is ready but not delivered, as the node got
     no processor time until the end of its grace time.
     """
-    async with _serving(tmp_path, run_s=1.0) as mesh:
+    async with _serving(tmp_path, run_s=1.6) as mesh:
         connection = await _used_connection(mesh)
         stop = _Stop(mesh)
-        await stop.until(1.9)
+        await stop.until(1.3)
         connection.send()
         await stop.until(2.6)
         stop.send(signal.SIGSTOP)
@@ -191,6 +191,22 @@
         assert await stop.exit_code == 0
 
 
+async def test_late_signal_leaves_time_for_the_exit(tmp_path: Path) -> None:
+    """Guards against a node that is killed after its last answer, as it went
+    on listening and waited for its callers to close.
+    """
+    async with _serving(tmp_path, run_s=0) as mesh:
+        connection = await _used_connection(mesh)
+        os.kill(mesh.processes[_NODE].pid, signal.SIGSTOP)
+        await asyncio.sleep(0.1)
+        stop = _Stop(mesh)
+        connection.send()
+        await stop.until(2.2)
+        stop.send(signal.SIGCONT)
+        assert await connection.status() in {'200', '503'}
+        assert await stop.exit_code == 0
+
+
 async def test_waiting_call_is_refused_rather_than_cut_off(
     tmp_path: Path,
 ) -> None:
