Complete a truncation that the disk refused before the next append

An entry that a voter had acknowledged could be gone after its restart. If the disk refused to sync a truncation or to remove a file, the file was already shorter, but memory and the offsets of the segment still held the entries: a later leader with the same entries got them acknowledged, and the next append was written behind a gap, which the next start takes for damage.

The entries now leave memory before the disk is asked, and the log remembers the truncation and completes it before it appends. Memory never holds more than the disk then, whichever step the disk refuses.

--- a/packages/mustardspur_agreement/src/mustardspur_agreement/journal.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/journal.py
@@ -140,9 +140,11 @@
 
     async def _truncate(self, from_index: int) -> None:
         if from_index <= self.entries.last_index:
-            await self.blocking(lambda: self.storage.truncate(from_index))
+            # A truncation that fails may have taken effect in part, and what
+            # is in memory is acknowledged.
             self.entries.truncate(from_index)
             self.membership = self._current_membership()
+            await self.blocking(lambda: self.storage.truncate(from_index))
 
     def _current_membership(self) -> Membership:
         return voters_at(
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/segments.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/segments.py
@@ -59,7 +59,13 @@
         The folder.
     """
 
-    __slots__ = ('_disk', '_segments', '_uncertain', 'state')
+    __slots__ = (
+        '_disk',
+        '_segments',
+        '_truncated_from',
+        '_uncertain',
+        'state',
+    )
 
     def __init__(self, disk: Disk) -> None:
         """Initialise without reading the files."""
@@ -67,6 +73,8 @@
         self._segments: list[Segment] = []
         # Segment with a failed write that is not undone yet.
         self._uncertain: Segment | None = None
+        # Where a truncation starts that is not durable yet.
+        self._truncated_from: int | None = None
         self.state = FileState.WHOLE
 
     def load(self) -> list[Entry]:
@@ -97,6 +105,8 @@
         UncertainWriteError
             If the failed write could not be undone.
         """
+        if self._truncated_from is not None:
+            self.truncate(self._truncated_from)
         if self._uncertain is not None:
             # A snapshot may have started another segment since.
             self._undo(self._uncertain)
@@ -114,13 +124,21 @@
             segment.length += len(record)
 
     def truncate(self, from_index: int) -> None:
-        """Remove an entry and all after it, durably, newest files first."""
+        """Remove an entry and all after it, durably, newest files first.
+
+        Raises
+        ------
+        OSError
+            If the disk refuses a step; the next `append` completes the rest.
+        """
+        self._truncated_from = from_index
         while self._segments and self._segments[-1].first_index >= from_index:
             self._disk.remove(self._segments[-1].name)
             self._disk.sync_folder()
             self._segments.pop()
         if self._segments:
             self._cut(self._segments[-1], from_index)
+        self._truncated_from = None
 
     def clean(self) -> None:
         """Remove what `load` could not read, after the damage is recorded."""
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/storage.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/storage.py
@@ -1,5 +1,7 @@
 """All files of the replicated log of one instance."""
 
+from contextlib import suppress
+
 from mustardspur_core.record import Record
 
 from mustardspur_agreement.ballot import (
@@ -128,9 +130,14 @@
         self._segments.drop_through(index)
 
     def install(self, snapshot: Snapshot) -> None:
-        """Replace the snapshot and remove all entries."""
+        """Replace the snapshot and remove all entries.
+
+        Once the snapshot is durable the call succeeds: entries that the disk
+        does not remove now are removed before the next append.
+        """
         save_snapshot(self._disk, snapshot)
-        self._segments.truncate(0)
+        with suppress(OSError):
+            self._segments.truncate(0)
 
     def _sync(self) -> None:
         for name in self._disk.names():
--- a/tests/agreement/fake_disk.py
+++ b/tests/agreement/fake_disk.py
@@ -25,6 +25,10 @@
         self.full = False
         # Whether a full disk also refuses to overwrite and to shorten files.
         self.refuses_changes = False
+        # Whether contents and names are changed, but cannot be made durable.
+        self.refuses_syncs = False
+        # Name of a file that is not removed.
+        self.refused_name = ''
         self.operations_left: int | None = None
 
     def names(self) -> list[str]:
@@ -66,6 +70,7 @@
     def sync(self, name: str) -> None:
         """Make the contents of a file durable."""
         self._count_operation()
+        self._check_sync()
         self.files[name].synced = self.files[name].content
 
     def rename(self, name: str, new_name: str) -> None:
@@ -76,11 +81,14 @@
     def remove(self, name: str) -> None:
         """Remove a file, if there is one."""
         self._count_operation()
+        if name == self.refused_name:
+            raise OSError('input/output error')
         self.files.pop(name, None)
 
     def sync_folder(self) -> None:
         """Make the names durable."""
         self._count_operation()
+        self._check_sync()
         self._synced_files = dict(self.files)
 
     def lose_power(self, random: Random) -> None:
@@ -111,6 +119,10 @@
         content[offset] ^= 0x10
         self.files[name].content = bytes(content)
 
+    def _check_sync(self) -> None:
+        if self.refuses_syncs:
+            raise OSError('input/output error')
+
     def _count_operation(self) -> None:
         if self.operations_left is not None:
             if self.operations_left <= 0:
--- a/tests/agreement/test_appending.py
+++ b/tests/agreement/test_appending.py
@@ -9,6 +9,7 @@
 from mustardspur_agreement.receiving import Receiver
 from mustardspur_core.wire import MalformedFrame
 
+from tests.agreement.cluster import Cluster
 from tests.agreement.conftest import MakeCluster
 from tests.agreement.test_cluster import VOTERS
 from tests.agreement.test_storage import entry
@@ -27,6 +28,10 @@
     return AppendRequest(**{**fields, **changes})
 
 
+def _replica(cluster: Cluster) -> Any:
+    return cluster.instances['c1'].running._components.replica
+
+
 @pytest.mark.parametrize(
     ('sent', 'accepted', 'terms'),
     [
@@ -58,6 +63,37 @@
     assert [stored.term for stored in found] == terms
 
 
+@pytest.mark.parametrize('last_index', [3, 4])
+def test_entries_of_a_refused_truncation_are_not_acknowledged(
+    make_cluster: MakeCluster,
+    last_index: int,
+) -> None:
+    """Guards against an acknowledged entry that is gone after a restart, as it
+    was in memory only after the disk had refused to sync a truncation.
+    """
+    cluster = make_cluster(VOTERS)
+    cluster.start('c1')
+    instance = cluster.instances['c1']
+    receiver = Receiver(_replica(cluster))
+    first = _append_request(entry(1), entry(2), entry(3), prev_term=0)
+    assert cluster.run(receiver.answer_append(first)).accepted
+    # The new term is recorded before the disk refuses.
+    heartbeat = _append_request(entry(1), prev_term=0, term=4)
+    assert cluster.run(receiver.answer_append(heartbeat)).accepted
+    instance.disk.refuses_syncs = True
+    other = _append_request(entry(2, term=4), term=4)
+    cluster.run(receiver.answer_append(other))
+    instance.disk.refuses_syncs = False
+    for index in range(3, last_index + 1):
+        late = _append_request(entry(index), term=5)
+        reply = cluster.run(receiver.answer_append(late))
+    acknowledged = reply.index if reply.accepted else 0
+    cluster.stop()
+    cluster.start('c1')
+    assert _replica(cluster).entries.last_index >= acknowledged
+    assert instance.running.is_trusted
+
+
 @pytest.mark.parametrize(
     'sent',
     [
--- a/tests/agreement/test_storage.py
+++ b/tests/agreement/test_storage.py
@@ -187,6 +187,48 @@
     assert found.entries[-1].index == 10
 
 
+@pytest.mark.parametrize('first_index', [6, 8])
+def test_refused_truncation_is_completed(first_index: int) -> None:
+    """Guards against entries behind a gap in the file, and against entries in
+    memory that the disk no longer holds, once it refused to sync a truncation.
+    """
+    disk = FakeDisk()
+    storage = written(disk, last_index=5)
+    storage.save_snapshot(Snapshot(index=5, term=3, voters=[], content=b''))
+    storage.append([entry(index) for index in (6, 7, 8, 9)])
+    disk.refuses_syncs = True
+    with pytest.raises(OSError, match='input'):
+        storage.truncate(first_index)
+    with pytest.raises(OSError, match='input'):
+        storage.append([entry(first_index, term=4)])
+    disk.refuses_syncs = False
+    storage.append([entry(first_index, term=4)])
+    found = loaded(disk)
+    assert not found.damage
+    assert not found.torn
+    terms = [each.term for each in found.entries if each.index > 5]
+    assert terms == [*[3] * (first_index - 6), 4]
+
+
+def test_refused_removal_after_an_installation_is_completed() -> None:
+    """Guards against entries on both sides of a gap, once the disk refused to
+    remove the entries that an installed snapshot replaces.
+    """
+    disk = FakeDisk()
+    storage = written(disk)
+    storage.save_snapshot(Snapshot(index=5, term=3, voters=[], content=b''))
+    storage.append([entry(10)])
+    snapshot = Snapshot(index=20, term=4, voters=[], content=b'')
+    disk.refused_name = SEGMENT
+    storage.install(snapshot)
+    disk.refused_name = ''
+    storage.append([entry(21, term=4)])
+    found = loaded(disk)
+    assert not found.damage
+    assert found.snapshot == snapshot
+    assert [each.index for each in found.entries] == [21]
+
+
 def test_snapshots_without_entries_in_between() -> None:
     """Guards against the removal of old entries that also removes later ones,
     after two snapshots were taken while no entry was appended.
