Apply changed limits to connections that are open

After a change that raised a limit, callers on connections that were open before saw what the older limit allows: 413 for bodies within the limit in force, and connections that closed while they could still be used, so that their next requests crossed the close. Limits that were lowered never applied to a connection that stayed in use.

Cause: a connection copied the limits when it was accepted, and kept them.

A connection now reads the limits in force, of the body and the head at each request. It may idle for the limit in force, or for the one that was in force when its latest request arrived if that is longer, since its caller may not have heard of the lower one yet; an idle timer that was set under a lower limit is set again when it runs.

The limit of a header is still the one of the accept: it is fixed in the parser of the connection.

Evidence: test_raised_idle_limit_holds_on_open_connections found the connection closed, test_raised_body_limit_holds_on_open_connections got 413, and test_lowered_idle_limit_holds_after_a_request a connection that stayed open.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -77,8 +77,8 @@
 
     Parameters
     ----------
-    limits : CallerLimits
-        Limits on the size and time of requests.
+    limits : callable
+        Returns the limits in force on the size and time of requests.
     answer : callable
         Coroutine function that answers a request.
     node_is_draining : callable
@@ -103,7 +103,7 @@
 
     def __init__(
         self,
-        limits: CallerLimits,
+        limits: Callable[[], CallerLimits],
         answer: Answer,
         node_is_draining: Callable[[], bool],
     ) -> None:
@@ -138,8 +138,8 @@
             self,
             loop,
             READ_BUFFER_BYTES,
-            max_line_size=limits.header_bytes,
-            max_field_size=limits.header_bytes,
+            max_line_size=limits().header_bytes,
+            max_field_size=limits().header_bytes,
             max_headers=MAX_HEADERS,
             payload_exception=ConnectionError,
             auto_decompress=False,
@@ -209,9 +209,9 @@
             # The caller sends it again, since the answer before it closes.
             self._is_closing = True
             return
-        self._timers.cancel()
+        self._timers.start_request()
         self._body = payload
-        limit = self._limits.body_bytes
+        limit = self._limits().body_bytes
         body = RequestBody(message, payload, limit, self.transport)
         task = self._loop.create_task(
             _answer_unless_left(self._answer, message, body)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
@@ -196,7 +196,7 @@
     def _create_connection(self) -> CallerConnection:
         self.accepted += 1
         connection = CallerConnection(
-            self._view.limits,
+            lambda: self._view.limits,
             self.answer,
             lambda: self.draining,
         )
--- a/tests/node/mesh/test_caller_connection.py
+++ b/tests/node/mesh/test_caller_connection.py
@@ -11,6 +11,7 @@
 import pytest
 import uvloop
 from aiohttp.http_parser import RawRequestMessage
+from mustardspur_core.record import replaced
 from mustardspur_node.mesh.caller_answers import CallerAnswer, node_answer
 from mustardspur_node.mesh.caller_connection import CallerConnection, ReadBody
 from mustardspur_node.mesh.request_body import CallerBodyError
@@ -33,12 +34,15 @@
 
     def __init__(self) -> None:
         self.closing = False
+        self.limits = LIMITS
         self.cancelled = 0
         self.paths: list[str] = []
         self.connections: list[CallerConnection] = []
 
     def connect(self) -> CallerConnection:
-        connection = CallerConnection(LIMITS, self.answer, self.is_closing)
+        connection = CallerConnection(
+            lambda: self.limits, self.answer, self.is_closing
+        )
         self.connections.append(connection)
         return connection
 
@@ -161,6 +165,59 @@
     assert not node.paths
 
 
+@pytest.mark.parametrize('idles', [True, False])
+async def test_raised_idle_limit_holds_on_open_connections(
+    *, idles: bool
+) -> None:
+    """Guards against a connection that closes while its caller may use it, as
+    the limit in force when it was opened was shorter.
+    """
+    node = _Node()
+    node.limits = replaced(LIMITS, idle_timeout_ms=200.0)
+    async with _connected(node) as (reader, writer):
+        await asyncio.sleep(0.1)
+        node.limits = LIMITS
+        if not idles:
+            writer.write(_get('/first'))
+            await _answer(reader)
+        await asyncio.sleep(0.5)
+        writer.write(_get('/second'))
+        _, body = await _answer(reader)
+    assert body == b'/second'
+
+
+async def test_lowered_idle_limit_holds_after_a_request() -> None:
+    """Guards against a connection that closes while its caller, which has not
+    heard of a lower limit, may use it, and one that never closes.
+    """
+    node = _Node()
+    async with _connected(node) as (reader, writer):
+        writer.write(_get('/slow'))
+        while not node.paths:
+            await asyncio.sleep(0.005)
+        node.limits = replaced(LIMITS, idle_timeout_ms=100.0)
+        await _answer(reader)
+        await asyncio.sleep(0.5)
+        writer.write(_get('/second'))
+        _, body = await _answer(reader)
+        async with asyncio.timeout(1):
+            assert await reader.read() == b''
+    assert body == b'/second'
+
+
+async def test_raised_body_limit_holds_on_open_connections() -> None:
+    """Guards against 413 for a body within the limit in force."""
+    node = _Node()
+    async with _connected(node) as (reader, writer):
+        writer.write(_get('/first'))
+        await _answer(reader)
+        node.limits = replaced(LIMITS, body_bytes=20_000)
+        writer.write(b'POST /a HTTP/1.1\r\nhost: forms.example\r\n')
+        writer.write(b'content-length: 15000\r\n\r\n%b' % bytes(15_000))
+        head, _ = await _answer(reader)
+    assert head.split()[1] == '200'
+
+
 async def test_disconnected_caller_cancels_its_calls() -> None:
     """Guards against calls that continue after the caller disconnects."""
     node = _Node()
--- a/tests/node/mesh/test_caller_uploads.py
+++ b/tests/node/mesh/test_caller_uploads.py
@@ -37,7 +37,7 @@
         self.bodies: list[bytes] = []
 
     def connect(self) -> CallerConnection:
-        return CallerConnection(_LIMITS, self.answer, bool)
+        return CallerConnection(lambda: _LIMITS, self.answer, bool)
 
     async def answer(
         self,
