Answer the calls that a stopping node ends

At the end of the grace time some callers got no answer where others got 502.

Cause: the node ended its calls by closing its streams to other nodes. A call that may run again was then placed on another target, and was cancelled with its connection by the exit of the process; so was each call at the target beside the node, which uses no stream. Only calls without another candidate were answered.

The drain now ends all calls itself, as it did those that were not sent, and runs the event loop until they are answered. A target gets no second run at that moment any more.

test_pipelined_calls_are_answered_at_the_end failed before in both cases: three requests without an answer, at the target of another node and at the own one.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/draining.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/draining.py
@@ -15,6 +15,9 @@
 _LOG: Final = logging.getLogger(__name__)
 
 CHECK_INTERVAL_S: Final = 0.2
+# Iterations of the event loop within which the calls that are ended are
+# answered; on a busy instance a time could pass without one.
+MAX_FLUSH_ITERATIONS: Final = 100
 # Time for the last answers and refusals to be written before the exit.
 FLUSH_S: Final = 0.05
 
@@ -68,8 +71,8 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             await self._receive_arrived()
             self._refuse_late_calls(times)
-        self._placer.end_unsent()
-        await asyncio.sleep(FLUSH_S)
+        self._placer.end_unsent(includes_sent=True)
+        await self._write_last_answers()
         _LOG.info(
             'drained',
             extra={
@@ -80,6 +83,13 @@
             },
         )
 
+    async def _write_last_answers(self) -> None:
+        iterations = MAX_FLUSH_ITERATIONS
+        while self._callers.in_flight and iterations:
+            iterations -= 1
+            await asyncio.sleep(0)
+        await asyncio.sleep(FLUSH_S)
+
     async def _receive_arrived(self) -> None:
         """Accept and read what arrived while the process did not run.
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -140,7 +140,12 @@
         self._latest_deadline_s = latest_deadline_s
         self.end_unsent(latest_deadline_s)
 
-    def end_unsent(self, after_s: float = 0) -> None:
+    def end_unsent(
+        self,
+        after_s: float = 0,
+        *,
+        includes_sent: bool = False,
+    ) -> None:
         """End the calls that no target may run, as the node stops.
 
         Their callers are told that they did not run, where a connection that
@@ -150,10 +155,14 @@
         ----------
         after_s : float
             Time in loop time; calls with an earlier deadline go on.
+        includes_sent : bool
+            Whether to end those that a target may run as well. If only their
+            streams were closed, they could be placed again.
         """
         now_s = asyncio.get_running_loop().time()
         for progress, timeout in self._timeouts_by_progress.items():
-            if progress.may_run or progress.possible_runs:
+            is_sent = progress.may_run or progress.possible_runs
+            if is_sent and not includes_sent:
                 continue
             # A deadline that has passed cannot be changed any more; timers may
             # expire a bit before their time.
@@ -177,7 +186,10 @@
             async with deadline:
                 return await self._place_until_final(progress)
         except TimeoutError as error:
-            raise self._unanswered(progress, 'no answer in time') from error
+            reason = 'the node stops'
+            if progress.left_ms() <= 0:
+                reason = 'no answer in time'
+            raise self._unanswered(progress, reason) from error
         except asyncio.CancelledError as error:
             self.log.record_cut_off(progress, str(error))
             raise
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -10,6 +10,8 @@
 from pathlib import Path
 from typing import Final
 
+import pytest
+
 from tests.platform.mesh_processes import (
     HANG_LIMIT_S,
     HOST,
@@ -22,10 +24,12 @@
 _CONTROLS: Final = ('127.0.7.1', '127.0.7.2', '127.0.7.3')
 _NODE: Final = '127.0.7.21'
 _TARGET_NODE: Final = '127.0.7.22'
+_OTHER_NODE: Final = '127.0.7.23'
 _GRACE_S: Final = 4.0
 # Slots of a target, see `Mesh.report`.
 _SLOTS: Final = 4
 _OPENED: Final = 12
+_PIPELINED: Final = 3
 _PATH: Final = 'drafts/1'
 _CALLER_WAIT_MS: Final = 10_000
 
@@ -81,7 +85,7 @@
         )
         await asyncio.gather(*controls)
         await mesh.start_node(_NODE, grace=f'{_GRACE_S}s')
-        await mesh.start_node(_TARGET_NODE)
+        await mesh.start_node(_TARGET_NODE, grace=f'{_GRACE_S}s')
         document = configuration(3)
         document['routes']['drafts'].update(timeout='9s', **route)
         await mesh.until(
@@ -96,11 +100,11 @@
             yield mesh
 
 
-async def _used_connection(mesh: Mesh) -> _Connection:
+async def _used_connection(mesh: Mesh, node: str = _NODE) -> _Connection:
     """Return a connection on which a call was answered with success."""
     async with asyncio.timeout(HANG_LIMIT_S):
         while True:
-            address = (_NODE, mesh.ports['http'])
+            address = (node, mesh.ports['http'])
             connection = _Connection(*await asyncio.open_connection(*address))
             connection.send()
             if await connection.status() == '200':
@@ -117,9 +121,9 @@
         The exit code of the process.
     """
 
-    def __init__(self, mesh: Mesh) -> None:
+    def __init__(self, mesh: Mesh, node: str = _NODE) -> None:
         """Send the stop signal."""
-        self._process = mesh.processes.pop(_NODE)
+        self._process = mesh.processes.pop(node)
         self._started_s = time.monotonic()
         self.send(signal.SIGTERM)
         self.exit_code = asyncio.create_task(self._end())
@@ -227,6 +231,32 @@
         assert await stop.exit_code == 0
 
 
+@pytest.mark.parametrize('node', [_NODE, _TARGET_NODE])
+async def test_pipelined_calls_are_answered_at_the_end(
+    tmp_path: Path,
+    node: str,
+) -> None:
+    """Guards against calls at the target of another node, or of the stopping
+    one, that get no answer at the end of the grace time.
+    """
+    async with (
+        _serving(tmp_path, run_s=4.0) as mesh,
+        running_target(mesh, _OTHER_NODE, run_s=4.0),
+    ):
+        await mesh.start_node(_OTHER_NODE)
+        await mesh.report(_OTHER_NODE)
+        connection = await _used_connection(mesh, node)
+        for _ in range(_PIPELINED):
+            connection.send()
+        await asyncio.sleep(0.2)
+        stop = _Stop(mesh, node)
+        statuses: list[str] = []
+        while len(statuses) < _PIPELINED:
+            statuses.append(await connection.status())
+        assert statuses == ['502' for _ in range(_PIPELINED)]
+        assert await stop.exit_code == 0
+
+
 async def test_connections_of_a_pause_are_answered(tmp_path: Path) -> None:
     """Guards against connections that a stopping node resets although it was
     still listening when they were made, while it got no processor time.
