Deliver the answers that are ready before a stop ends the calls

The drain now lets the event loop read and write what is ready, ends the calls that are left, and lets it write their answers.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/draining.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/draining.py
@@ -15,8 +15,8 @@
 _LOG: Final = logging.getLogger(__name__)
 
 CHECK_INTERVAL_S: Final = 0.2
-# Iterations of the event loop within which the calls that are ended are
-# answered; on a busy instance a time could pass without one.
+# Iterations of the event loop within which an answer that has arrived is read
+# and written; on a busy instance a time could pass without one.
 MAX_FLUSH_ITERATIONS: Final = 100
 # Time for the last answers and refusals to be written before the exit.
 FLUSH_S: Final = 0.05
@@ -71,8 +71,10 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             await self._receive_arrived()
             self._refuse_late_calls(times)
+        self._placer.end_unsent()
+        await self._deliver_answers()
         self._placer.end_unsent(includes_sent=True)
-        await self._write_last_answers()
+        await self._deliver_answers()
         _LOG.info(
             'drained',
             extra={
@@ -83,7 +85,11 @@
             },
         )
 
-    async def _write_last_answers(self) -> None:
+    async def _deliver_answers(self) -> None:
+        """Read and write the answers that are ready.
+
+        After a pause, the event loop runs this before it reads any of them.
+        """
         iterations = MAX_FLUSH_ITERATIONS
         while self._callers.in_flight and iterations:
             iterations -= 1
