Let a stopping node wait for the answers of silent nodes

After a stop signal some callers got 502 although a target was at work on their requests, or had answered already: its node had got no processor time for 1.2 s, which counted as silence, so the call was given up there and was refused by the targets that it was placed on next.

A node that is stopping still sends further calls over a new stream, but all calls on the silent one wait for their answers until their deadlines or the end of the grace time. A call at a node that is lost for good is therefore not placed again by a stopping node unless its stream ends.

test_call_outlives_the_pause_of_another_node failed before (502 instead of 200).

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/draining.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/draining.py
@@ -66,6 +66,9 @@
         refused unless its deadline comes first.
         """
         self._callers.draining = True
+        # The target of a silent node may be at work, and a call that is placed
+        # elsewhere may be refused there.
+        self._placer.links.keeps_waits = True
         self._refuse_late_calls(times)
         while not self._has_ended(times):
             await asyncio.sleep(CHECK_INTERVAL_S)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_link.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_link.py
@@ -94,15 +94,21 @@
             )
         return await self._current.run(call, on_may_run)
 
-    def check(self) -> None:
-        """Close unused streams, and replace the current one if silent."""
+    def check(self, *, keeps_waits: bool = False) -> None:
+        """Close unused streams, and replace the current one if silent.
+
+        Parameters
+        ----------
+        keeps_waits : bool
+            Whether all calls wait for the answers of a silent stream.
+        """
         current = self._current
         if current is not None:
             if current.has_ended or current.is_idle:
                 current.close('stream is idle')
                 self._current = None
             elif current.is_silent:
-                self._set_aside(current)
+                self._set_aside(current, keeps_waits=keeps_waits)
         for silent in self._silent:
             if not silent.calls_in_flight:
                 silent.close('node is silent')
@@ -121,8 +127,14 @@
         self._current = None
         self._silent = []
 
-    def _set_aside(self, connection: PeerConnection) -> None:
-        connection.end_waits('node is silent')
+    def _set_aside(
+        self,
+        connection: PeerConnection,
+        *,
+        keeps_waits: bool,
+    ) -> None:
+        if not keeps_waits:
+            connection.end_waits('node is silent')
         _LOG.warning(
             'node is silent',
             extra={
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_links.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_links.py
@@ -18,9 +18,21 @@
         Called with the node and the load of its target on each report.
     uplink : Uplink
         Paces large bodies.
+
+    Attributes
+    ----------
+    keeps_waits : bool
+        Whether calls wait for the answers of nodes that are silent, also those
+        that could be placed elsewhere.
     """
 
-    __slots__ = ('_by_node', '_on_load', '_settings', '_uplink')
+    __slots__ = (
+        '_by_node',
+        '_on_load',
+        '_settings',
+        '_uplink',
+        'keeps_waits',
+    )
 
     def __init__(
         self,
@@ -33,6 +45,7 @@
         self._on_load = on_load
         self._uplink = uplink
         self._by_node: dict[str, PeerCallLink] = {}
+        self.keeps_waits = False
 
     def link_to(self, node: str) -> PeerCallLink:
         """Return the link to a node."""
@@ -50,7 +63,7 @@
     def check(self) -> None:
         """Close streams to other nodes that are silent or unused."""
         for link in self._by_node.values():
-            link.check()
+            link.check(keeps_waits=self.keeps_waits)
         unused = [
             name for name, each in self._by_node.items() if each.is_unused
         ]
--- a/tests/node/mesh/test_peer_streams.py
+++ b/tests/node/mesh/test_peer_streams.py
@@ -278,6 +278,21 @@
     assert answer.body == b'late'
 
 
+async def test_call_of_a_stopping_node_outlives_a_silence(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a call that a stopping node gives up, and then answers
+    itself, as the node of its target was only silent for a while.
+    """
+    async with _silent_node(monkeypatch) as (node, link):
+        call = asyncio.create_task(link.run(call_open(), _ignore_sent))
+        await node.received.wait()
+        link.check(keeps_waits=True)
+        node.awake.set()
+        async with asyncio.timeout(5):
+            assert (await call).body == b'late'
+
+
 async def test_call_that_may_run_again_leaves_a_silent_node(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -161,6 +161,22 @@
         assert await stop.exit_code == 0
 
 
+async def test_call_outlives_the_pause_of_another_node(tmp_path: Path) -> None:
+    """Guards against a call that a stopping node answers itself, as the node of
+    its target gets no processor time while the target is at work.
+    """
+    async with _serving(tmp_path, run_s=0.5) as mesh:
+        connection = await _used_connection(mesh)
+        connection.send()
+        await asyncio.sleep(0.2)
+        mesh.processes[_TARGET_NODE].send_signal(signal.SIGSTOP)
+        stop = _Stop(mesh)
+        await stop.until(2.2)
+        mesh.processes[_TARGET_NODE].send_signal(signal.SIGCONT)
+        assert await connection.status() == '200'
+        assert await stop.exit_code == 0
+
+
 async def test_request_of_a_pause_is_answered(tmp_path: Path) -> None:
     """Guards against a kept connection that a stopping node closes although a
     request arrived on it while the node got no processor time.
