Read the head that a caller is sending when its node stops

A caller whose request head arrived in parts around 2.3 s after the stop signal of its node got no answer: the connection counted as idle, since no request was in flight, and was closed; the rest of the head was read and discarded.

A connection on which a part of a head was received is left open until the head is complete, and answered with "connection: close", or late, and refused.

test_head_that_arrives_in_parts_at_a_stop failed before (no answer).

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -197,11 +197,14 @@
         """Accept no further requests; close now if none is in flight.
 
         A new connection is left open for `FIRST_REQUEST_S`, since its first
-        request is on its way.
+        request is on its way, and one whose caller is sending a head until it
+        is complete or late.
         """
         age_s = self._loop.time() - self._connected_s
         if not self._received_any and age_s < FIRST_REQUEST_S:
             return
+        if self._timers.is_receiving_head:
+            return
         if self._pending and self._pending[-1].is_written:
             # That answer may not have said that it closes. The next call of
             # this method finds the connection idle or another request.
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_timers.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_timers.py
@@ -41,6 +41,11 @@
         self._head_timer: asyncio.TimerHandle | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
 
+    @property
+    def is_receiving_head(self) -> bool:
+        """Whether a part of a head has been received."""
+        return self._head_timer is not None
+
     def start_head(self) -> None:
         """Start the head timer unless it is running."""
         if self._head_timer is None:
--- a/tests/node/mesh/test_caller_connection.py
+++ b/tests/node/mesh/test_caller_connection.py
@@ -223,6 +223,25 @@
         assert 'connection: close' in head
 
 
+async def test_head_that_arrives_in_parts_at_a_stop() -> None:
+    """Guards against a request that is read and has no answer, as the node
+    closed its connection while the caller was sending the head.
+    """
+    node = _Node()
+    async with _connected(node) as (reader, writer):
+        writer.write(_get('/first'))
+        await _answer(reader)
+        request = _get('/parts')
+        writer.write(request[:20])
+        await asyncio.sleep(0.05)
+        node.closing = True
+        node.connections[0].drain()
+        writer.write(request[20:])
+        head, body = await _answer(reader)
+        assert body == b'/parts'
+        assert 'connection: close' in head
+
+
 @pytest.mark.parametrize(
     ('name', 'sent', 'status'),
     [
