--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_timers.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_timers.py
@@ -62,6 +62,11 @@
         self.cancel()
         self._known_idle_s = self._limit_s
 
+    @property
+    def is_receiving_head(self) -> bool:
+        """Whether a part of a head has been received."""
+        return self._head_timer is not None
+
     def start_head(self) -> None:
         """Start the head timer unless it is running."""
         if self._head_timer is None:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/draining.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/draining.py
@@ -15,6 +15,9 @@
 _LOG: Final = logging.getLogger(__name__)
 
 CHECK_INTERVAL_S: Final = 0.2
+# Iterations of the event loop within which an answer that has arrived is read
+# and written; on a busy instance a time could pass without one.
+MAX_FLUSH_ITERATIONS: Final = 100
 # Time for the last answers and refusals to be written before the exit.
 FLUSH_S: Final = 0.05
 
@@ -63,13 +66,18 @@
         refused unless its deadline comes first.
         """
         self._callers.draining = True
+        # The target of a silent node may be at work, and a call that is placed
+        # elsewhere may be refused there.
+        self._placer.links.keeps_waits = True
         self._refuse_late_calls(times)
         while not self._has_ended(times):
             await asyncio.sleep(CHECK_INTERVAL_S)
             await self._receive_arrived()
             self._refuse_late_calls(times)
         self._placer.end_unsent()
-        await asyncio.sleep(FLUSH_S)
+        await self._deliver_answers()
+        self._placer.end_unsent(includes_sent=True)
+        await self._deliver_answers()
         _LOG.info(
             'drained',
             extra={
@@ -80,6 +88,17 @@
             },
         )
 
+    async def _deliver_answers(self) -> None:
+        """Read and write the answers that are ready.
+
+        After a pause, the event loop runs this before it reads any of them.
+        """
+        iterations = MAX_FLUSH_ITERATIONS
+        while self._callers.in_flight and iterations:
+            iterations -= 1
+            await asyncio.sleep(0)
+        await asyncio.sleep(FLUSH_S)
+
     async def _receive_arrived(self) -> None:
         """Accept and read what arrived while the process did not run.
 
