Keep a connection open at whose socket a request waits

A caller that sent its next request just before the node closed the unused connection found the connection closed without an answer, though its request had arrived in time: at the end of the idle time, and at a planned stop.

Cause: the decision to close looks at the requests that the event loop has read, not at what waits in the kernel. The two differ for as long as the loop is busy; a connection that is not in use is closed by a timer, and what is read after that is ignored.

Both closes now ask the kernel first.

Evidence: test_waiting_request_is_answered_at_a_close found the connection closed in both cases.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -22,6 +22,7 @@
 from mustardspur_node.mesh.caller_linger import LINGER_S, Linger
 from mustardspur_node.mesh.caller_timers import CallerTimers
 from mustardspur_node.mesh.request_body import RequestBody
+from mustardspur_node.mesh.socket_state import has_arrived
 
 READ_BUFFER_BYTES: Final = 65_536
 MAX_HEADERS: Final = 256
@@ -184,9 +185,13 @@
         super().connection_lost(exc)
 
     def close_idle(self) -> None:
-        """Close the connection if no request is in flight."""
-        if not self._pending and not self._is_closing:
-            self._close_gracefully()
+        """Close the connection if no request is in flight or has arrived."""
+        if self._pending or self._is_closing:
+            return
+        if has_arrived(self.transport):
+            self._timers.restart_idle()
+            return
+        self._close_gracefully()
 
     def drain(self) -> None:
         """Accept no further requests; close now if none is in flight.
@@ -201,6 +206,9 @@
             # That answer may not have said that it closes. The next call of
             # this method finds the connection idle or another request.
             return
+        if not self._pending and has_arrived(self.transport):
+            # The next call finds this request in flight, or answered.
+            return
         self._is_ending = True
         self.close_idle()
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/request_body.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/request_body.py
@@ -1,7 +1,6 @@
 """Body of a caller's request, read on demand."""
 
 import asyncio
-import select
 from collections.abc import AsyncIterator, Callable
 from contextlib import suppress
 from http import HTTPStatus
@@ -13,9 +12,9 @@
 
 from mustardspur_node.mesh.body_buffer import BodyBuffer
 from mustardspur_node.mesh.calls import UnansweredCall
+from mustardspur_node.mesh.socket_state import has_ended
 
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
-_CALLER_LEFT: Final = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 class CallerBodyError(UnansweredCall):
@@ -176,16 +175,8 @@
 
         The end of a connection that is not read is not reported otherwise.
         """
-        transport = self._transport
-        if transport is None or transport.is_closing():
-            return
-        poll = select.poll()
-        poll.register(
-            transport.get_extra_info('socket').fileno(),
-            select.POLLRDHUP,
-        )
-        if any(events & _CALLER_LEFT for _, events in poll.poll(0)):
-            transport.abort()
+        if self._transport is not None and has_ended(self._transport):
+            self._transport.abort()
 
     def end_read(self) -> None:
         """Hold the body no longer, since its call has ended."""
--- a/tests/node/mesh/test_caller_connection.py
+++ b/tests/node/mesh/test_caller_connection.py
@@ -165,6 +165,27 @@
     assert not node.paths
 
 
+@pytest.mark.parametrize(
+    'ask_to_end', [CallerConnection.drain, CallerConnection.close_idle]
+)
+async def test_waiting_request_is_answered_at_a_close(
+    ask_to_end: Callable[[CallerConnection], None],
+) -> None:
+    """Guards against a request without an answer that arrived before its
+    connection was asked to end or idled for too long, and was not read yet.
+    """
+    node = _Node()
+    async with _connected(node) as (reader, writer):
+        writer.write(_get('/first'))
+        await _answer(reader)
+        node.closing = True
+        writer.write(_get('/second'))
+        ask_to_end(node.connections[0])
+        head, body = await _answer(reader)
+    assert body == b'/second'
+    assert 'connection: close' in head
+
+
 @pytest.mark.parametrize('idles', [True, False])
 async def test_raised_idle_limit_holds_on_open_connections(
     *, idles: bool
