Go on with the other answers after an unexpected error

After an unexpected error in an answer, callers on that connection got no answers any more, and the connection stayed open: neither the request nor those behind it, which targets may have been running, were answered, and no line was logged.

Cause: one task writes the answers of a connection. An error of an answer, or of writing one, ended it, and nobody read its result; the timers stand still while requests are in flight. The server for callers answers errors of the placement with 500, not those of what follows it.

Every error of an answer is now answered with 500 and logged, and if the task ends with an error, the connection ends too.

Evidence: test_failed_answer_does_not_hold_up_the_others and test_unwritable_answer_ends_the_connection waited until their limits. Found by reading; no error of this kind is known or was played.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 connection of a caller."""
 
 import asyncio
+import logging
 from collections import deque
 from collections.abc import Callable, Coroutine, Iterable
 from functools import partial
@@ -24,6 +25,8 @@
 from mustardspur_node.mesh.request_body import RequestBody
 from mustardspur_node.mesh.socket_state import has_arrived
 
+_LOG: Final = logging.getLogger(__name__)
+
 READ_BUFFER_BYTES: Final = 65_536
 MAX_HEADERS: Final = 256
 # Requests in flight on one connection; at this limit reading pauses until
@@ -150,6 +153,7 @@
         """Start writing answers and the idle timer."""
         super().connection_made(transport)
         self._writer = self._loop.create_task(self._write_answers())
+        self._writer.add_done_callback(partial(_end_if_failed, transport))
         self._timers.restart_idle()
 
     def data_received(self, received: bytes) -> None:
@@ -321,7 +325,26 @@
     # After a delay of the loop, the close of a caller that gave up can wait
     # behind its request. It is read in the next iteration.
     await asyncio.sleep(0)
-    return await answer(message, body)
+    try:
+        return await answer(message, body)
+    except Exception:
+        # Whether a target has run it is unknown, so the answer promises
+        # nothing.
+        _LOG.exception('request failed unexpectedly')
+        return node_answer(
+            HTTPStatus.INTERNAL_SERVER_ERROR,
+            'unexpected error of the node',
+        )
+
+
+def _end_if_failed(
+    transport: asyncio.BaseTransport,
+    writer: 'asyncio.Task[None]',
+) -> None:
+    """End a connection on which no answer can be written any more."""
+    if not writer.cancelled() and writer.exception() is not None:
+        _LOG.error('answers are not written', exc_info=writer.exception())
+        transport.close()
 
 
 def _cancel(requests: Iterable[_Pending]) -> None:
--- a/tests/node/mesh/test_caller_connection.py
+++ b/tests/node/mesh/test_caller_connection.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Final
@@ -55,6 +55,10 @@
         read_body: ReadBody,
     ) -> CallerAnswer:
         self.paths.append(message.path)
+        if message.path == '/failing':
+            raise KeyError('unexpected')
+        if message.path == '/unwritable':
+            return node_answer(HTTPStatus.OK, 'x', [['name', '\ud800']])
         if message.path == '/unread':
             return node_answer(HTTPStatus.SERVICE_UNAVAILABLE, 'no table')
         try:
@@ -186,6 +190,30 @@
     assert 'connection: close' in head
 
 
+async def test_failed_answer_does_not_hold_up_the_others(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a connection on which nothing is answered any more after
+    an unexpected error.
+    """
+    async with _connected(_Node()) as (reader, writer):
+        writer.write(_get('/failing') + _get('/fast'))
+        head, _ = await _answer(reader)
+        _, body = await _answer(reader)
+    assert head.split()[1] == '500'
+    assert body == b'/fast'
+    assert 'request failed unexpectedly' in caplog.text
+
+
+async def test_unwritable_answer_ends_the_connection() -> None:
+    """Guards against a caller that waits for ever for such an answer."""
+    async with _connected(_Node()) as (reader, writer):
+        writer.write(_get('/unwritable'))
+        async with asyncio.timeout(2):
+            with suppress(OSError):
+                assert await reader.read() == b''
+
+
 @pytest.mark.parametrize('idles', [True, False])
 async def test_raised_idle_limit_holds_on_open_connections(
     *, idles: bool
