Sync each folder that is created above the files of the log

After a power loss the whole data folder could be gone, with all that was acknowledged, if the process had created it: its files and the folder itself were synced, but not its name in the folder above, nor the names of further folders that mkdir had created on the way.

Each missing folder is now created and synced into its parent, from the top, so that a folder is only ever used once its name is durable. A start also syncs the name of the deepest folder that exists, which a killed process may have left. An unreadable parent of a folder that was given to the process is passed over.

--- a/packages/mustardspur_agreement/src/mustardspur_agreement/disk.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/disk.py
@@ -3,7 +3,11 @@
 import os
 from pathlib import Path
 
-from mustardspur_core.files import open_descriptor, sync_path
+from mustardspur_core.files import (
+    make_folder_synced,
+    open_descriptor,
+    sync_path,
+)
 
 
 class FolderDisk:
@@ -20,8 +24,7 @@
     def __init__(self, folder: Path) -> None:
         """Create the folder."""
         self._folder = folder
-        folder.mkdir(parents=True, exist_ok=True)
-        sync_path(folder.parent)
+        make_folder_synced(folder)
 
     def names(self) -> list[str]:
         """Return the names of all files, sorted."""
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/formation.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/formation.py
@@ -12,7 +12,11 @@
 
 from mustardspur_agreement import first_voters
 from mustardspur_core.conversion import decode_mapping, encode_mapping
-from mustardspur_core.files import replace_synced, sync_path
+from mustardspur_core.files import (
+    make_folder_synced,
+    replace_synced,
+    sync_path,
+)
 from mustardspur_core.record import replaced
 from mustardspur_core.settings import MeshSettings, Peer, Settings
 
@@ -109,6 +113,6 @@
 
 
 def _save(folder: Path, peers: list[Peer]) -> None:
-    folder.mkdir(parents=True, exist_ok=True)
+    make_folder_synced(folder)
     text = json.dumps([encode_mapping(peer) for peer in peers])
     replace_synced(folder / _FILE_NAME, text.encode())
--- a/packages/mustardspur_core/src/mustardspur_core/files.py
+++ b/packages/mustardspur_core/src/mustardspur_core/files.py
@@ -2,7 +2,7 @@
 
 import os
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from pathlib import Path
 
 _PARTIAL_SUFFIX = '.partial'
@@ -24,6 +24,34 @@
         os.fsync(descriptor)
 
 
+def make_folder_synced(folder: Path) -> None:
+    """Create a folder and its missing parents; return once they are on disk.
+
+    Explanation
+    ===========
+
+    Each folder is synced into its parent before another one is created below
+    it. Only the deepest one that exists can have been left without a sync, by
+    a process that was killed in between.
+
+    Raises
+    ------
+    OSError
+        If a folder cannot be created or synced.
+    """
+    missing: list[Path] = []
+    existing = folder
+    while not existing.exists():
+        missing.append(existing)
+        existing = existing.parent
+    # The parent of a folder that was given to the process may be unreadable.
+    with suppress(PermissionError):
+        sync_path(existing.parent)
+    for each in reversed(missing):
+        each.mkdir(exist_ok=True)
+        sync_path(each.parent)
+
+
 def replace_synced(path: Path, content: bytes) -> None:
     """Replace a file atomically and return once it is on disk.
 
