Exchange signal handlers without a moment of the default action

Cause: the event loop restores the action that ends the process when it removes a handler. The signals were blocked meanwhile, but only in the main thread; the kernel gave them to another one, such as a thread that writes files.

Handlers are now installed with signal.signal and call into the loop, so that they are exchanged for "ignore" in one step, and closing the loop changes nothing. The test of this moment passed although the fault was there, as its process had one thread and it hooked the removal only. It now has a second thread, and sends signals after each change of an action and after the loop was closed: it failed before with -15.

--- a/packages/mustardspur_core/src/mustardspur_core/event_loop.py
+++ b/packages/mustardspur_core/src/mustardspur_core/event_loop.py
@@ -4,7 +4,7 @@
 import importlib
 import os
 import signal
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, Final, TypeVar
 
 _ReturnT = TypeVar('_ReturnT')
@@ -51,29 +51,51 @@
         return runner.run(main)
 
 
-def ignore_stop_signals() -> None:
-    """Ignore the signals that stop or reload a process, as it has stopped.
+def handle_signal(number: signal.Signals, on_signal: Callable[[], Any]) -> None:
+    """Call a function in the running event loop on each signal.
 
     Explanation
     ===========
 
-    The event loop resets the signals that it handles when it is closed; one
-    that arrives later would end the process with the exit code of a failure.
+    The event loop's own handlers cannot be replaced by `ignore_signal`: the
+    loop restores the action that ends the process when it removes them, also
+    when it is closed, and another thread may get a signal at that moment.
+
+    Parameters
+    ----------
+    number : signal.Signals
+        The signal.
+    on_signal : callable
+        Called without arguments until another function handles the signal or
+        it is ignored, which has to come before the loop is closed.
     """
     loop = asyncio.get_running_loop()
-    numbers = (*_STOP_SIGNALS, signal.SIGHUP)
-    # The removal of a handler restores the action that ends the process. A
-    # blocked signal waits, and is discarded once it is ignored.
-    signal.pthread_sigmask(signal.SIG_BLOCK, numbers)
-    for number in numbers:
-        loop.remove_signal_handler(number)
-        signal.signal(number, signal.SIG_IGN)
+    signal.signal(
+        number,
+        lambda *_: loop.call_soon_threadsafe(on_signal),
+    )
+    # Interrupted system calls of libraries go on.
+    signal.siginterrupt(number, False)
+
+
+def ignore_signal(number: signal.Signals) -> None:
+    """Ignore a signal from now on."""
+    signal.signal(number, signal.SIG_IGN)
+
+
+def ignore_stop_signals() -> None:
+    """Ignore the signals that stop or reload a process, as it has stopped.
+
+    One that arrives later would end the process with the exit code of a
+    failure.
+    """
+    for number in (*_STOP_SIGNALS, signal.SIGHUP):
+        ignore_signal(number)
 
 
 def stop_event() -> asyncio.Event:
     """Return an event that is set on SIGTERM or SIGINT."""
     event = asyncio.Event()
-    loop = asyncio.get_running_loop()
     for number in _STOP_SIGNALS:
-        loop.add_signal_handler(number, event.set)
+        handle_signal(number, event.set)
     return event
--- a/packages/mustardspur_core/src/mustardspur_core/settings/watching.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/watching.py
@@ -11,6 +11,7 @@
 
 from expression import Result
 
+from mustardspur_core.event_loop import handle_signal, ignore_signal
 from mustardspur_core.findings import Findings
 from mustardspur_core.settings.loading import load_settings
 from mustardspur_core.settings.model import Settings
@@ -135,26 +136,22 @@
 ) -> AsyncIterator[None]:
     """Apply changes of a settings file while the context is active."""
     watch = SettingsWatch(settings_file, apply_settings)
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGHUP, watch.reload)
+    handle_signal(signal.SIGHUP, watch.reload)
     try:
         async with background(watch.run()):
             yield
     finally:
-        # Without a handler the signal would end the process.
-        loop.add_signal_handler(signal.SIGHUP, _ignore)
+        ignore_signal(signal.SIGHUP)
 
 
 @asynccontextmanager
 async def refusing_reloads() -> AsyncIterator[None]:
     """Log on SIGHUP that the settings are not reloaded, and go on."""
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGHUP, _refuse)
+    handle_signal(signal.SIGHUP, _refuse)
     try:
         yield
     finally:
-        # Without a handler the signal would end the process.
-        loop.add_signal_handler(signal.SIGHUP, _ignore)
+        ignore_signal(signal.SIGHUP)
 
 
 def _refuse() -> None:
@@ -162,7 +159,3 @@
         'settings not reloaded',
         extra={'reason': 'settings without a mesh are read at the start only'},
     )
-
-
-def _ignore() -> None:
-    """Do nothing."""
--- a/tests/core/test_event_loop.py
+++ b/tests/core/test_event_loop.py
@@ -3,10 +3,19 @@
 import subprocess
 import sys
 
-_SIGNAL_WHILE_HANDLERS_ARE_REMOVED = """
-import asyncio, os, signal
+# Another thread gets the signals that are blocked in the main thread.
+_SIGNALS_AT_THE_END = """
+import asyncio, os, signal, threading, time
 from mustardspur_core import event_loop
 
+threading.Thread(target=time.sleep, args=(60,), daemon=True).start()
+set_action = signal.signal
+
+def set_action_and_send(number, action):
+    former = set_action(number, action)
+    os.kill(os.getpid(), number)
+    return former
+
 class Loop:
     def __init__(self, loop):
         self._loop = loop
@@ -19,13 +28,39 @@
     loop = Loop(asyncio.get_running_loop())
     event_loop.stop_event()
     event_loop.asyncio.get_running_loop = lambda: loop
+    signal.signal = set_action_and_send
     event_loop.ignore_stop_signals()
 
 event_loop.run_in_loop(main())
+for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+    os.kill(os.getpid(), number)
 """
+_STOP_BY_A_SIGNAL = """
+import asyncio, os, signal
+from mustardspur_core import event_loop
+
+async def main():
+    stopped = event_loop.stop_event()
+    os.kill(os.getpid(), signal.{name})
+    async with asyncio.timeout(10):
+        await stopped.wait()
+    event_loop.ignore_stop_signals()
+
+event_loop.run_in_loop(main())
+"""
+
+
+def _exit_code(program: str) -> int:
+    command = [sys.executable, '-c', program]
+    return subprocess.run(command, check=False).returncode
 
 
 def test_signal_at_the_very_end_does_not_end_a_process() -> None:
     """Guards against the exit code of a failure after a complete stop."""
-    command = [sys.executable, '-c', _SIGNAL_WHILE_HANDLERS_ARE_REMOVED]
-    assert subprocess.run(command, check=False).returncode == 0
+    assert _exit_code(_SIGNALS_AT_THE_END) == 0
+
+
+def test_stop_signals_wake_the_event_loop() -> None:
+    """Guards against a stop signal that is handled only after other events."""
+    assert _exit_code(_STOP_BY_A_SIGNAL.format(name='SIGTERM')) == 0
+    assert _exit_code(_STOP_BY_A_SIGNAL.format(name='SIGINT')) == 0
