Play replaced control instances that get SIGHUP at their start

In the users' plays, new instances ended by an early SIGHUP left no leader. The successor of the soak's fault `replace` gets the signal as well.

--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -138,12 +138,17 @@
 
 @fault
 async def replace(world: World, planned: PlannedFault) -> None:
-    """Replace a control instance for good, once; the first one is read."""
+    """Replace a control instance for good, once; the first one is read.
+
+    Its successor gets SIGHUP as early as it is harmless.
+    """
     host = planned.choose(CONTROLS[1:])
     if world.busy & set(world.controls) or world.controls != CONTROLS:
         return
     async with claimed(world, host), claimed(world, SUCCESSOR):
         await world.replace(host, SUCCESSOR)
+        await until_sighup_harmless(world.mesh.processes[SUCCESSOR].pid)
+        world.signal(SUCCESSOR, signal.SIGHUP)
         await world.mesh.until_logged(SUCCESSOR, 'leader_known')
         await asyncio.sleep(CATCH_UP_S)
 
