Take the calls of a target at work until it is idle at a planned stop

Calls failed with the 500 of their target when the node beside it was stopped while they ran: the target calls other services through that node, which accepted no connections from 2.3 s after the signal on, although it went on to wait for the calls at its target. Found by reading.

The node now goes on listening while calls are at its target, at most until it refuses all calls that were not sent (4.5 s of a grace time of 6 s). It takes no further calls of other nodes from 2.3 s on as before, so the target is idle after its longest run, and its callers have stopped using the node by then.

test_target_at_work_can_call_at_a_stop failed before (connection refused).

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/draining.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/draining.py
@@ -59,8 +59,9 @@
         ===========
 
         The node still serves callers for some time, until their readiness
-        checks have failed. It then accepts no new connections and no calls of
-        other nodes, and waits until no connection or call is open. Callers
+        checks have failed. It then accepts no calls of other nodes, and no new
+        connections once its target is idle, since that may make calls of its
+        own before. It waits until no connection or call is open. Callers
         that went on to connect until the end would be cut off there, and so
         would a call that is sent to a target late in the grace time: it is
         refused unless its deadline comes first.
@@ -115,9 +116,13 @@
         now_s = clock_s()
         if now_s < times.listening_until_s:
             return False
-        self._callers.stop_listening()
-        self._local.admission.close()
+        admission = self._local.admission
+        admission.close()
         self._callers.drain_connections()
+        if now_s < times.unsent_until_s and admission.capacity.running:
+            # The target may make calls of its own before it answers.
+            return False
+        self._callers.stop_listening()
         connections = self._callers.open_connections
         if now_s >= times.unsent_until_s:
             connections = self._callers.unanswered_connections
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -32,6 +32,7 @@
 _PIPELINED: Final = 3
 _PATH: Final = 'drafts/1'
 _CALLER_WAIT_MS: Final = 10_000
+_INNER_WAIT_MS: Final = 500
 
 
 class _Connection:
@@ -43,11 +44,16 @@
         self._reader = reader
         self._writer = writer
 
-    def send(self, body_bytes: int = 0, body: bytes = b'') -> None:
+    def send(
+        self,
+        body_bytes: int = 0,
+        body: bytes = b'',
+        wait_ms: int = _CALLER_WAIT_MS,
+    ) -> None:
         """Send a request, or the part of it that has the given body."""
         head = (
             f'POST /{_PATH} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: r\r\n'
-            f'Deadline-Ms: {_CALLER_WAIT_MS}\r\n'
+            f'Deadline-Ms: {wait_ms}\r\n'
             f'Content-Length: {body_bytes}\r\n\r\n'
         )
         self._writer.write(head.encode() + body)
@@ -104,14 +110,18 @@
     """Return a connection on which a call was answered with success."""
     async with asyncio.timeout(HANG_LIMIT_S):
         while True:
-            address = (node, mesh.ports['http'])
-            connection = _Connection(*await asyncio.open_connection(*address))
+            connection = await _connect(mesh, node)
             connection.send()
             if await connection.status() == '200':
                 return connection
             await asyncio.sleep(0.1)
 
 
+async def _connect(mesh: Mesh, node: str) -> _Connection:
+    address = (node, mesh.ports['http'])
+    return _Connection(*await asyncio.open_connection(*address))
+
+
 class _Stop:
     """A planned stop, which ends with a kill after the grace time.
 
@@ -177,6 +187,27 @@
         assert await stop.exit_code == 0
 
 
+async def test_target_at_work_can_call_at_a_stop(tmp_path: Path) -> None:
+    """Guards against calls that fail as the node beside their target accepts
+    none of the calls that the target makes within them.
+    """
+    async with (
+        _serving(tmp_path, run_s=2.9) as mesh,
+        running_target(mesh, _OTHER_NODE),
+    ):
+        outer = await _used_connection(mesh)
+        await mesh.start_node(_OTHER_NODE)
+        await mesh.report(_OTHER_NODE)
+        outer.send()
+        stop = _Stop(mesh, _TARGET_NODE)
+        await stop.until(2.6)
+        inner = await _connect(mesh, _TARGET_NODE)
+        inner.send(wait_ms=_INNER_WAIT_MS)
+        assert await inner.status() in {'200', '503', '504'}
+        assert await outer.status() == '200'
+        assert await stop.exit_code == 0
+
+
 async def test_request_of_a_pause_is_answered(tmp_path: Path) -> None:
     """Guards against a kept connection that a stopping node closes although a
     request arrived on it while the node got no processor time.
