Refuse to remove a voter that the others need

If a voter was removed that the others needed for a quorum, the removal was in force at once but could not be committed: its caller got 'unknown', no entry was accepted, and every further change of voters was refused as busy, until the missing voter came back. With one that never does that is for good.

The leader now refuses the removal as no_quorum unless itself and the trusted voters that answered it within an election timeout are a quorum of those left. A lost voter can still be removed as long as there is a quorum at all, since the smaller group needs no more instances.

test_needed_voter_is_not_removed got 'unknown' before. make check-agreement DEPTH=8: no violation; the tests of agreement, 280 of 280.

--- a/packages/mustardspur_agreement/src/mustardspur_agreement/voters.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/voters.py
@@ -1,5 +1,6 @@
 """Membership changes, one voter at a time."""
 
+import asyncio
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager
 
@@ -10,7 +11,7 @@
 from mustardspur_agreement.entries import EntryKind
 from mustardspur_agreement.leadership import Leadership, Outcome
 from mustardspur_agreement.log_rules import may_change_voters
-from mustardspur_agreement.membership import pack_voters
+from mustardspur_agreement.membership import Membership, pack_voters
 from mustardspur_agreement.ports import ProposalError
 from mustardspur_agreement.proposals import Proposals
 from mustardspur_agreement.replica import Replica
@@ -66,7 +67,15 @@
             return await self._commit(list(voters.values()))
 
     async def remove(self, peer_id: str) -> Outcome:
-        """Remove a voter; a removed leader steps down afterwards."""
+        """Remove a voter; a removed leader steps down afterwards.
+
+        Returns
+        -------
+        Result
+            The committed entry; an error of kind ``busy`` while another
+            change is in progress, ``no_quorum`` if the other voters that are
+            trusted and in contact could not commit it.
+        """
         async with self._exclusive_change() as leadership:
             if leadership.is_error():
                 return Error(leadership.error)
@@ -76,8 +85,23 @@
                 return Error(
                     self._error('busy', 'the last voter cannot be removed')
                 )
+            if not self._is_quorum(leadership.ok, voters):
+                # The pending removal would block all further changes.
+                return Error(
+                    self._error('no_quorum', 'the others are no quorum')
+                )
             return await self._commit(list(voters.values()))
 
+    def _is_quorum(
+        self, leadership: Leadership, voters: dict[str, Peer]
+    ) -> bool:
+        replica = self._replica
+        since_s = asyncio.get_running_loop().time() - replica.election_s
+        in_contact = set(leadership.acked_since(since_s))
+        trusted = in_contact & leadership.match_by_id().keys()
+        membership = Membership(voters.values())
+        return membership.is_quorum({*trusted, replica.own_id})
+
     @asynccontextmanager
     async def _exclusive_change(
         self,
--- a/tests/agreement/test_faults.py
+++ b/tests/agreement/test_faults.py
@@ -238,6 +238,25 @@
     assert second.error.kind == 'busy'
 
 
+def test_needed_voter_is_not_removed(make_cluster: MakeCluster) -> None:
+    """Guards against a removal that the voters left cannot commit, and that
+    blocks all further changes and entries as long as one of them is away.
+    """
+    cluster = make_cluster(VOTERS, {'c4': 'erie'})
+    cluster.start()
+    _propose_entries(cluster)
+    leader = cluster.leader()
+    needed, away = sorted(set(VOTERS) - {leader.settings.id})
+    cluster.stop(away)
+    cluster.advance(2)
+    outcome = cluster.run(leader.running.remove_voter(needed))
+    assert outcome.error.kind == 'no_quorum'
+    assert cluster.propose(b'after').is_ok()
+    added = cluster.run(leader.running.add_voter(cluster.peer('c4')))
+    assert added.is_ok()
+    assert cluster.run(leader.running.remove_voter(needed)).is_ok()
+
+
 def test_removed_leader_steps_down(make_cluster: MakeCluster) -> None:
     """Guards against a leader that is no longer a voter."""
     cluster = make_cluster(VOTERS)
