Let headers and paths that are not UTF-8 cross the streams between nodes

Callers got 502 for calls that a target on another instance had run and answered, if a header of the answer had bytes that are not UTF-8, and 500 if one of the request had, or its path. Calls at the local target were answered.

Cause: the parsers keep such bytes in text as surrogate escapes, which the encoding of frames refuses.

CallOpen and CallAnswer are encoded and decoded with surrogate escapes. All other messages stay strict, since their names are logged, stored and hashed.

A node of an earlier landing ends the stream at such a frame, with the calls on it, while a mesh is upgraded node by node.

Evidence: test_bytes_that_are_not_utf8_cross_a_stream ended with UnicodeEncodeError.

--- a/packages/mustardspur_core/src/mustardspur_core/mesh/call_messages.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/call_messages.py
@@ -57,7 +57,7 @@
     link_wait_ms: float
 
 
-@message(161)
+@message(161, has_any_bytes=True)
 class CallOpen(Record):
     """A call for the target of the receiving node.
 
@@ -167,7 +167,7 @@
     reason: str
 
 
-@message(165)
+@message(165, has_any_bytes=True)
 class CallAnswer(Record):
     """Answer of the target, with the first part of its body."""
 
--- a/packages/mustardspur_core/src/mustardspur_core/wire/codec.py
+++ b/packages/mustardspur_core/src/mustardspur_core/wire/codec.py
@@ -15,6 +15,10 @@
 _MessageT = TypeVar('_MessageT', bound=type[Record])
 _types_by_code: dict[int, type[Record]] = {}
 _codes_by_type: dict[type[Record], int] = {}
+# Codes of the messages whose texts may have bytes that are not UTF-8.
+_codes_of_any_bytes: set[int] = set()
+# How the parsers keep such bytes in text.
+_BYTES_IN_TEXT: Final = 'surrogateescape'
 
 
 class MalformedFrame(ValueError):
@@ -43,13 +47,20 @@
     body: Record
 
 
-def message(code: int) -> Callable[[_MessageT], _MessageT]:
+def message(
+    code: int,
+    *,
+    has_any_bytes: bool = False,
+) -> Callable[[_MessageT], _MessageT]:
     """Register a record class as the message type with a code.
 
     Parameters
     ----------
     code : int
         Type code in the frame; it must be unique and is never reused.
+    has_any_bytes : bool
+        Whether its texts may have bytes that are not UTF-8, as the paths and
+        headers of HTTP may.
 
     Raises
     ------
@@ -64,6 +75,8 @@
                 f'message code {code} is already registered for {registered}',
             )
         _codes_by_type[record_type] = code
+        if has_any_bytes:
+            _codes_of_any_bytes.add(code)
         return record_type
 
     return decorator
@@ -71,9 +84,12 @@
 
 def encode_frame(body: Record, request_id: int = 0) -> bytes:
     """Encode a registered message without the length prefix."""
-    header = [PROTOCOL_VERSION, _codes_by_type[type(body)], request_id]
+    code = _codes_by_type[type(body)]
+    errors = _BYTES_IN_TEXT if code in _codes_of_any_bytes else 'strict'
     packed: bytes = msgpack.packb(
-        [*header, encode_array(body)], use_bin_type=True
+        [PROTOCOL_VERSION, code, request_id, encode_array(body)],
+        use_bin_type=True,
+        unicode_errors=errors,
     )
     return packed
 
@@ -106,10 +122,31 @@
 
 def _split(encoded: bytes) -> tuple[Any, Any, Any, Any]:
     try:
-        parts = msgpack.unpackb(encoded, raw=False, strict_map_key=False)
+        parts = _unpack(encoded)
     # msgpack raises several unrelated exception types on invalid input.
     except (ValueError, TypeError, RecursionError) as error:
         raise MalformedFrame('msgpack', repr(error)) from error
     if not isinstance(parts, list) or len(parts) != FRAME_FIELDS:
         raise MalformedFrame('shape', f'expected {FRAME_FIELDS} parts')
     return parts[0], parts[1], parts[2], parts[3]
+
+
+def _unpack(encoded: bytes) -> Any:
+    try:
+        return msgpack.unpackb(encoded, raw=False, strict_map_key=False)
+    except UnicodeDecodeError:
+        parts = msgpack.unpackb(
+            encoded,
+            raw=False,
+            strict_map_key=False,
+            unicode_errors=_BYTES_IN_TEXT,
+        )
+        if _is_of_any_bytes(parts):
+            return parts
+        raise
+
+
+def _is_of_any_bytes(parts: Any) -> bool:
+    """Return whether a frame is of a type that may have any bytes in text."""
+    is_frame = isinstance(parts, list) and len(parts) == FRAME_FIELDS
+    return is_frame and parts[1] in _codes_of_any_bytes
--- a/tests/core/wire/test_codec.py
+++ b/tests/core/wire/test_codec.py
@@ -16,6 +16,14 @@
     assert frame.body == body
 
 
+def test_only_calls_have_bytes_that_are_not_utf8() -> None:
+    """Guards against names that cannot be logged, stored or hashed."""
+    frame = msgpack.packb([1, 1, 0, [b'\xe9', True]], use_bin_type=False)
+    with pytest.raises(MalformedFrame) as caught:
+        decode_frame(frame)
+    assert caught.value.kind == 'msgpack'
+
+
 @pytest.mark.parametrize(
     ('parts', 'kind'),
     [
--- a/tests/node/mesh/test_peer_streams.py
+++ b/tests/node/mesh/test_peer_streams.py
@@ -91,6 +91,16 @@
     assert answer.body == body
 
 
+async def test_bytes_that_are_not_utf8_cross_a_stream() -> None:
+    """Guards against a call that fails after its run, or before it, because a
+    header or the path has bytes of another encoding.
+    """
+    sent = b'HTTP/1.1 200 OK\r\nx-name: caf\xe9\r\ncontent-length: 0\r\n\r\n'
+    async with _pair((sent, KEEP)) as (pair, _):
+        answer = await pair.run(path='/a\udce9', headers=[['x', 'l\udce9']])
+    assert ['x-name', 'caf\udce9'] in answer.headers
+
+
 async def test_cancelled_call_reaches_the_target() -> None:
     """Guards against calls that continue to run after their cancellation."""
     async with _pair((b'', KEEP)) as (pair, target):
