Let the test of a part after a stall find the stall again

Since pauses of the node are left out of the stalls of uploads, the stall of test_part_after_a_stall_is_counted_once was found 1 s after the part and not in the iteration that receives it: the test passed with the fix that it guards taken out. It now counts its pause, and fails without that fix as before (-1048576 bytes held).

--- a/tests/node/mesh/test_caller_uploads.py
+++ b/tests/node/mesh/test_caller_uploads.py
@@ -249,8 +249,13 @@
     assert node.room.held_bytes == 0
 
 
-async def test_part_after_a_stall_is_counted_once() -> None:
+async def test_part_after_a_stall_is_counted_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Guards against room that is given back twice, so that the limit rises."""
+    # The stall is found in the iteration that receives a part.
+    limit = 'mustardspur_node.mesh.caller_uploads.MAX_INTERVAL_S'
+    monkeypatch.setattr(limit, 60)
     node = _Node(time_s=30)
     node.release.set()
     async with _serving(node) as port:
