Close a connection whose request behind an upgrade was dropped

A caller that sent a request in one segment behind one with `Upgrade` (h2c, websocket) or CONNECT got no answer to it: the connection stayed open until the idle time closed it.

Cause: the parser drops the rest of a segment behind such a request, as bytes of another protocol, which the node does not speak. Nothing said so.

If bytes follow the head of such a request, its answer now closes the connection, so that the caller knows that what is behind was not read. Bytes that cannot be parsed and come behind are ignored then, as requests are; they got an answer of their own. A request with `Upgrade` that comes alone keeps its connection.

Evidence: test_request_behind_an_upgrade_is_not_forgotten saw an answer without `connection: close` in all four cases.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -27,6 +27,7 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
+_HEAD_END: Final = b'\r\n\r\n'
 READ_BUFFER_BYTES: Final = 65_536
 MAX_HEADERS: Final = 256
 # Requests in flight on one connection; at this limit reading pauses until
@@ -170,6 +171,10 @@
             return
         for message, payload in messages:
             self._start(message, payload)
+        if messages and messages[-1][0].upgrade and _goes_on(received):
+            # The parser has dropped what follows, which the caller sends
+            # again, since the answer closes.
+            self._is_ending = True
         if received and not messages and not self._pending:
             self._timers.start_head()
 
@@ -237,7 +242,12 @@
             self._pause_reading_for_buffer()
 
     def _refuse_malformed(self, error: HttpProcessingError) -> None:
-        if self._body.is_eof():
+        is_behind = self._body.is_eof()
+        if is_behind and self._is_ending and self._pending:
+            # The last answer closes, and this belongs to none.
+            self._is_closing = True
+            return
+        if is_behind:
             self._refuse_with(*_malformed_request(error))
             return
         # The answer to the request of this body says that it is malformed.
@@ -337,6 +347,11 @@
         )
 
 
+def _goes_on(received: bytes) -> bool:
+    """Return whether bytes follow the first head."""
+    return bool(received.partition(_HEAD_END)[2])
+
+
 def _end_if_failed(
     transport: asyncio.BaseTransport,
     writer: 'asyncio.Task[None]',
--- a/tests/node/mesh/test_caller_connection.py
+++ b/tests/node/mesh/test_caller_connection.py
@@ -214,6 +214,41 @@
                 assert await reader.read() == b''
 
 
+_UPGRADE: Final = (
+    b'POST /first HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\n'
+    b'upgrade: %b\r\ncontent-length: %d\r\n\r\n'
+)
+
+
+@pytest.mark.parametrize('protocol', [b'h2c', b'websocket'])
+@pytest.mark.parametrize('body', [b'', b'body'])
+async def test_request_behind_an_upgrade_is_not_forgotten(
+    protocol: bytes, body: bytes
+) -> None:
+    """Guards against a request that is read and dropped, since the request
+    before it asks for another protocol, and whose caller waits in vain.
+    """
+    first = _UPGRADE % (protocol, len(body)) + body
+    async with _connected(_Node()) as (reader, writer):
+        writer.write(first + _get('/second'))
+        head, _ = await _answer(reader)
+        assert 'connection: close' in head
+        writer.write(b'not HTTP\r\n\r\n')
+        async with asyncio.timeout(1):
+            assert await reader.read() == b''
+
+
+async def test_upgrade_alone_keeps_the_connection() -> None:
+    """Guards against a new connection for each request of such a caller."""
+    async with _connected(_Node()) as (reader, writer):
+        writer.write(_UPGRADE % (b'h2c', 0))
+        head, _ = await _answer(reader)
+        writer.write(_get('/second'))
+        _, body = await _answer(reader)
+    assert 'connection: close' not in head
+    assert body == b'/second'
+
+
 @pytest.mark.parametrize('idles', [True, False])
 async def test_raised_idle_limit_holds_on_open_connections(
     *, idles: bool
