--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -5,7 +5,7 @@
 import signal
 import time
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from typing import Final
@@ -84,7 +84,7 @@
     folder: Path,
     run_s: float,
     grace_s: float = _GRACE_S,
-    **route: str,
+    route: Mapping[str, str] | None = None,
 ) -> AsyncIterator[Mesh]:
     """Run a node, and another one beside the target."""
     async with running_mesh(folder) as mesh:
@@ -95,7 +95,7 @@
         await mesh.start_node(_NODE, grace=f'{grace_s}s')
         await mesh.start_node(_TARGET_NODE, grace=f'{_GRACE_S}s')
         document = configuration(3)
-        document['routes']['drafts'].update(timeout='9s', **route)
+        document['routes']['drafts'].update(timeout='9s', **(route or {}))
         await mesh.until(
             'PUT',
             mesh.url(_CONTROLS[0], 'http', '/api/config'),
@@ -273,7 +273,7 @@
     the grace time, and is cut off when the process ends.
     """
     route = {'target_latency': '30s', 'kind': 'non_idempotent'}
-    async with _serving(tmp_path, run_s=2.0, **route) as mesh:
+    async with _serving(tmp_path, run_s=2.0, route=route) as mesh:
         used = (_used_connection(mesh) for _ in range(_SLOTS + 1))
         connections = await asyncio.gather(*used)
         stop = _Stop(mesh)
