Play final faults on real processes whose disks lose unsynced writes

What was acknowledged was checked after a loss of power with fake disks only, and real processes were only ever killed. Tests now start control instances below a module that records their file calls, refuses them with an error of the system, delays syncs and steps the clock, so that the parent can put the files of a killed process into a state that a loss of power may leave: what was synced is kept, each later write is present, missing or torn, and each name that was not synced is kept or lost by itself.

--- /dev/null
+++ b/tests/platform/final_faults/mesh.py
@@ -0,0 +1,120 @@
+"""Control instances whose disks and clocks can be made faulty."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from random import Random
+from typing import Any, Final
+
+from aiohttp import ClientSession
+
+from tests.platform.mesh_processes import (
+    REPOSITORY,
+    Launcher,
+    Mesh,
+    reserved_ports,
+)
+from tests.support.power_loss import RecordedFolder, clear
+from tests.support.recorded_start import (
+    FAULTS_SUFFIX,
+    FOLDER_VARIABLE,
+    SNAPSHOT_VARIABLE,
+)
+
+# Folder of another commit, with its virtual environment, to play on it.
+LANDING_VARIABLE: Final = 'PLAYED_LANDING'
+_START: Final = REPOSITORY / 'tests' / 'support' / 'recorded_start.py'
+
+
+class RecordingLauncher(Launcher):
+    """Starts processes whose file calls are recorded."""
+
+    # Entries between two snapshots.
+    snapshot_entries = 4096
+
+    def disk(self, host: str) -> Path:
+        """Return the recorded folder, which exists before the first start."""
+        folder = self.folder / f'{host}.disk'
+        folder.mkdir(exist_ok=True)
+        return folder
+
+    def data_dir(self, host: str) -> Path:
+        """Return the recorded folder, where files are stored."""
+        return self.disk(host)
+
+    def command(self, host: str) -> list[str]:
+        """Return the command that records the file calls."""
+        python = _landing() / '.venv' / 'bin' / 'python'
+        if not python.exists():
+            python = Path(sys.executable)
+        return [str(python), '-P', str(_START)]
+
+    def variables(self, host: str) -> dict[str, str]:
+        """Return the variables of the recorder and of the played commit."""
+        landing = _landing()
+        sources = [landing / 'platform', *landing.glob('packages/*/src')]
+        return {
+            FOLDER_VARIABLE: str(self.disk(host)),
+            SNAPSHOT_VARIABLE: str(self.snapshot_entries),
+            'PYTHONPATH': os.pathsep.join(map(str, sources)),
+        }
+
+
+class FaultyMesh(Mesh):
+    """A mesh whose control instances have recorded disks."""
+
+    launcher: RecordingLauncher
+
+    def set_faults(self, host: str, **faults: Any) -> None:
+        """Replace the faults of the disk and the clock of an instance."""
+        disk = self.launcher.disk(host)
+        path = disk.with_name(disk.name + FAULTS_SUFFIX)
+        partial = path.with_suffix('.partial')
+        partial.write_text(json.dumps(faults), 'utf-8')
+        partial.replace(path)
+
+    async def end(self, host: str) -> int | None:
+        """Kill a process; return its exit code if it had ended by itself."""
+        process = self.processes.pop(host)
+        code = process.returncode
+        if code is None:
+            process.send_signal(signal.SIGKILL)
+        await process.wait()
+        return code
+
+    async def end_all(self) -> list[int | None]:
+        """Kill all processes at once."""
+        return await asyncio.gather(*map(self.end, list(self.processes)))
+
+    def lose_power(self, host: str, random: Random) -> int:
+        """Take writes of a killed process back; return how many were open."""
+        return RecordedFolder(self.launcher.disk(host)).lose_power(random)
+
+    def wipe(self, host: str) -> None:
+        """Remove the disk's content of a killed process."""
+        clear(self.launcher.disk(host))
+
+
+@asynccontextmanager
+async def running_faulty_mesh(
+    folder: Path,
+    launcher: RecordingLauncher | None = None,
+) -> AsyncIterator[FaultyMesh]:
+    """Yield a mesh without processes; kill its processes at the end."""
+    launcher = launcher or RecordingLauncher(folder)
+    with reserved_ports() as ports:
+        async with ClientSession() as session:
+            mesh = FaultyMesh(folder, session, ports, launcher)
+            try:
+                yield mesh
+            finally:
+                await mesh.end_all()
+
+
+def _landing() -> Path:
+    return Path(os.environ.get(LANDING_VARIABLE, REPOSITORY))
--- a/tests/platform/mesh_processes.py
+++ b/tests/platform/mesh_processes.py
@@ -36,6 +36,32 @@
 _HEALTH_PATH: Final = '/healthz'
 
 
+class Launcher:
+    """Where a process stores its files, and how it is started.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder of the settings, data and logs.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        """Initialise with the folder of a mesh."""
+        self.folder = folder
+
+    def data_dir(self, host: str) -> Path:
+        """Return the data folder of a control instance."""
+        return self.folder / host
+
+    def command(self, host: str) -> list[str]:
+        """Return the command that starts a process."""
+        return [sys.executable, '-m', 'mustardspur_platform']
+
+    def variables(self, host: str) -> dict[str, str]:
+        """Return the environment variables of a process."""
+        return {'PYTHONPATH': str(REPOSITORY / 'platform')}
+
+
 class Mesh:
     """Processes of control instances and nodes, each on its own address.
 
@@ -47,6 +73,8 @@
         Session for requests to the processes.
     ports : list of int
         Ports that the processes listen on, see `reserved_ports`.
+    launcher : Launcher, optional
+        Starts the processes.
     """
 
     def __init__(
@@ -54,9 +82,11 @@
         folder: Path,
         session: ClientSession,
         ports: list[int],
+        launcher: Launcher | None = None,
     ) -> None:
         """Initialise a mesh without processes."""
         self.folder = folder
+        self.launcher = launcher or Launcher(folder)
         self.session = session
         self.ports = dict(zip(_PORTS, ports, strict=True))
         self.processes: dict[str, asyncio.subprocess.Process] = {}
@@ -80,7 +110,7 @@
             host,
             {
                 'role': 'control',
-                'data_dir': str(self.folder / host),
+                'data_dir': str(self.launcher.data_dir(host)),
                 'peers': [],
                 'listen': self._listen(host, 'stream', 'http'),
                 'mesh': {**self._seeds(), 'first_start': first_start, **mesh},
@@ -124,7 +154,7 @@
 
     def wipe(self, host: str) -> None:
         """Remove the data of a stopped control instance."""
-        shutil.rmtree(self.folder / host)
+        shutil.rmtree(self.launcher.data_dir(host))
 
     async def until(self, method: str, url: str, **options: Any) -> bytes:
         """Repeat a request until the status is 200; return the body."""
@@ -182,14 +212,12 @@
         environment = {
             **os.environ,
             'MUSTARDSPUR_BOOT': str(path),
-            'PYTHONPATH': str(REPOSITORY / 'platform'),
+            **self.launcher.variables(host),
         }
         with (self.folder / f'{host}.log').open('ab') as output:
             self._log_start_bytes[host] = output.tell()
             self.processes[host] = await asyncio.create_subprocess_exec(
-                sys.executable,
-                '-m',
-                'mustardspur_platform',
+                *self.launcher.command(host),
                 env=environment,
                 stdout=output,
                 stderr=output,
