Start although the folder above the data folder cannot be synced

The name of a data folder that exists was made durable by whoever created it. A start would have ended for a parent that the process may read but not sync, so any refusal is passed over there; folders that the process creates itself are still required to be synced.

--- a/packages/mustardspur_core/src/mustardspur_core/files.py
+++ b/packages/mustardspur_core/src/mustardspur_core/files.py
@@ -44,8 +44,8 @@
     while not existing.exists():
         missing.append(existing)
         existing = existing.parent
-    # The parent of a folder that was given to the process may be unreadable.
-    with suppress(PermissionError):
+    # A folder may be given to the process in one that it cannot sync.
+    with suppress(OSError):
         sync_path(existing.parent)
     for each in reversed(missing):
         each.mkdir(exist_ok=True)
