--- a/tests/platform/mesh_processes.py
+++ b/tests/platform/mesh_processes.py
@@ -48,17 +48,13 @@
     return [sys.executable, *arguments]
 
 
-class Mesh:
-    """Processes of control instances and nodes, each on its own address.
+class Launcher:
+    """Where a process stores its files, and how it is started.
 
     Parameters
     ----------
     folder : Path
         Folder of the settings, data and logs.
-    session : aiohttp.ClientSession
-        Session for requests to the processes.
-    ports : list of int
-        Ports that the processes listen on, see `reserved_ports`.
 
     Attributes
     ----------
@@ -68,19 +64,53 @@
         Folders that Python searches for modules.
     """
 
+    def __init__(self, folder: Path) -> None:
+        """Initialise with the folder of a mesh."""
+        self.folder = folder
+        self.supervisor: tuple[str, ...] = ()
+        self.python_path: tuple[str, ...] = (str(REPOSITORY / 'platform'),)
+
+    def data_dir(self, host: str) -> Path:
+        """Return the data folder of a control instance."""
+        return self.folder / host
+
+    def command(self, host: str, role: str) -> list[str]:
+        """Return the command that starts a process."""
+        return [*self.supervisor, *deployed_command(role)]
+
+    def variables(self, host: str) -> dict[str, str]:
+        """Return the environment variables of a process."""
+        return {'PYTHONPATH': os.pathsep.join(self.python_path)}
+
+
+class Mesh:
+    """Processes of control instances and nodes, each on its own address.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder of the settings, data and logs.
+    session : aiohttp.ClientSession
+        Session for requests to the processes.
+    ports : list of int
+        Ports that the processes listen on, see `reserved_ports`.
+    launcher : Launcher, optional
+        Starts the processes.
+    """
+
     def __init__(
         self,
         folder: Path,
         session: ClientSession,
         ports: list[int],
+        launcher: Launcher | None = None,
     ) -> None:
         """Initialise a mesh without processes."""
         self.folder = folder
+        self.launcher = launcher or Launcher(folder)
         self.session = session
         self.ports = dict(zip(_PORTS, ports, strict=True))
         self.processes: dict[str, asyncio.subprocess.Process] = {}
-        self.supervisor: tuple[str, ...] = ()
-        self.python_path: tuple[str, ...] = (str(REPOSITORY / 'platform'),)
         self._data_centres_by_node: dict[str, str] = {}
         # Length of the log in bytes at the last start of the process.
         self._log_start_bytes: dict[str, int] = {}
@@ -101,7 +131,7 @@
             host,
             {
                 'role': 'control',
-                'data_dir': str(self.folder / host),
+                'data_dir': str(self.launcher.data_dir(host)),
                 'peers': [],
                 'listen': self._listen(host, 'stream', 'http'),
                 'mesh': {**self._seeds(), 'first_start': first_start, **mesh},
@@ -145,7 +175,7 @@
 
     def wipe(self, host: str) -> None:
         """Remove the data of a stopped control instance."""
-        shutil.rmtree(self.folder / host)
+        shutil.rmtree(self.launcher.data_dir(host))
 
     async def until(self, method: str, url: str, **options: Any) -> bytes:
         """Repeat a request until the status is 200; return the body."""
@@ -203,13 +233,12 @@
         environment = {
             **os.environ,
             'MUSTARDSPUR_BOOT': str(path),
-            'PYTHONPATH': os.pathsep.join(self.python_path),
+            **self.launcher.variables(host),
         }
         with (self.folder / f'{host}.log').open('ab') as output:
             self._log_start_bytes[host] = output.tell()
             self.processes[host] = await asyncio.create_subprocess_exec(
-                *self.supervisor,
-                *deployed_command(document['role']),
+                *self.launcher.command(host, document['role']),
                 cwd=REPOSITORY,
                 env=environment,
                 stdout=output,
--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -117,7 +117,7 @@
 ) -> None:
     """Guards against a SIGHUP that ends a process before its first line."""
     async with running_mesh(tmp_path) as mesh:
-        mesh.supervisor = supervisor
+        mesh.launcher.supervisor = supervisor
         process = await _start(mesh, role)
         if supervisor:
             # Until it has run, the signal ends the supervisor's own command.
@@ -138,7 +138,7 @@
     """
     (tmp_path / 'sitecustomize.py').write_text(_SIGNAL_IN_SITE, 'utf-8')
     async with running_mesh(tmp_path) as mesh:
-        mesh.python_path = (str(tmp_path), *mesh.python_path)
+        mesh.launcher.python_path = (str(tmp_path), *mesh.launcher.python_path)
         await _start(mesh, role)
         await _change_is_applied(mesh)
 
