--- a/packages/mustardspur_agreement/src/mustardspur_agreement/storage.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/storage.py
@@ -213,9 +213,10 @@
 
 
 def _last_index(loaded: Loaded) -> int:
-    if loaded.entries:
-        return loaded.entries[-1].index
-    return _snapshot_index(loaded)
+    # An installation that was interrupted leaves entries that all are before
+    # the snapshot.
+    last_entry_index = loaded.entries[-1].index if loaded.entries else 0
+    return max(last_entry_index, _snapshot_index(loaded))
 
 
 def _is_contiguous(entries: list[Entry], snapshot: Snapshot | None) -> bool:
--- a/tests/agreement/test_storage.py
+++ b/tests/agreement/test_storage.py
@@ -229,6 +229,27 @@
     assert [each.index for each in found.entries] == [21]
 
 
+def test_installation_that_a_restart_interrupts() -> None:
+    """Guards against an instance that loses its vote at a restart, as only some
+    of the files that an installed snapshot replaces were removed before it.
+    """
+    disk = FakeDisk()
+    storage = written(disk)
+    storage.save_snapshot(Snapshot(index=5, term=3, voters=[], content=b''))
+    storage.append([entry(10)])
+    storage.mark_commit(10)
+    snapshot = Snapshot(index=20, term=4, voters=[], content=b'')
+    disk.refused_name = SEGMENT
+    storage.install(snapshot)
+    disk.refused_name = ''
+    found = loaded(disk)
+    assert not found.damage
+    assert found.ballot.trusted
+    assert found.snapshot == snapshot
+    assert not found.entries
+    assert found.commit_index == 20
+
+
 def test_snapshots_without_entries_in_between() -> None:
     """Guards against the removal of old entries that also removes later ones,
     after two snapshots were taken while no entry was appended.
