Give a stalled upload no more time after a pause of its node

A caller whose bytes were read right after a pause, before the next check of the uploads, kept its room for as long as the pause had lasted although it sent nothing more, and other bodies waited for it or were refused.

Cause: the pause was added to the time of the latest bytes also if those had been read after the pause, so that this time lay in the future. It now ends at the time of the check.

test_pause_gives_a_stalled_body_no_more_time failed before: the body was not among the stalled ones 1.1 s after its latest bytes.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_uploads.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_uploads.py
@@ -157,7 +157,7 @@
         """Apply the decisions that are due, and set the timer."""
         now_s = _now()
         if now_s - self._checked_s > MAX_INTERVAL_S:
-            self.admission.excuse(now_s - self._checked_s)
+            self.admission.excuse(now_s - self._checked_s, now_s)
         self._checked_s = now_s
         for stalled in self.admission.stalled_uploads(now_s):
             self._end_stalled(self._readings[stalled])
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/upload.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/upload.py
@@ -77,9 +77,10 @@
             self._moved_bytes = 0
             self._moved_s = now_s
 
-    def excuse(self, pause_s: float) -> None:
-        """Leave out a time in which the node read nothing."""
-        self._moved_s += pause_s
+    def excuse(self, pause_s: float, now_s: float) -> None:
+        """Leave out a time up to now in which the node read nothing."""
+        # Bytes of the pause may have been read already.
+        self._moved_s = min(self._moved_s + pause_s, now_s)
 
     def is_stalled(self, now_s: float) -> bool:
         """Return whether its caller sends too slowly to keep the room."""
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/upload_admission.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/upload_admission.py
@@ -139,10 +139,10 @@
         self.stalled += len(stalled)
         return stalled
 
-    def excuse(self, pause_s: float) -> None:
-        """Leave a time in which the node read nothing out of all stalls."""
+    def excuse(self, pause_s: float, now_s: float) -> None:
+        """Leave a time up to now without reads out of all stalls."""
         for upload in self._active:
-            upload.excuse(pause_s)
+            upload.excuse(pause_s, now_s)
 
     def close(self, upload: Upload, now_s: float) -> None:
         """Release the room of a body, or end its wait."""
--- a/tests/node/mesh/test_upload_admission.py
+++ b/tests/node/mesh/test_upload_admission.py
@@ -5,7 +5,7 @@
 import pytest
 from mustardspur_core.units import BYTES_PER_MIB
 from mustardspur_node.mesh.body_room import BodyRoom
-from mustardspur_node.mesh.upload import Upload
+from mustardspur_node.mesh.upload import STALL_BYTES, STALL_S, Upload
 from mustardspur_node.mesh.upload_admission import NoRoom, UploadAdmission
 
 _BODY: Final = 30_000_000
@@ -137,6 +137,21 @@
     assert admission.next_admitted(30) is not None
 
 
+def test_pause_gives_a_stalled_body_no_more_time() -> None:
+    """Guards against a caller that keeps its room as long as a pause of the
+    node lasted, as its bytes were read before the pause was noticed.
+    """
+    admission = UploadAdmission(BodyRoom(300))
+    stalled = Upload(_LARGEST, 1, 600, 0)
+    admission.open(stalled, 0)
+    assert admission.next_admitted(0) is stalled
+    stalled.receive(STALL_BYTES, 30)
+    admission.excuse(30, 30)
+    admission.open(Upload(_LARGEST, 1, 600, 30), 30)
+    assert not admission.stalled_uploads(30 + STALL_S)
+    assert admission.stalled_uploads(30.1 + STALL_S) == [stalled]
+
+
 def _grow(bodies: list[Upload]) -> None:
     for body in bodies:
         body.wanted = BYTES_PER_MIB
