Look once at the socket of a connection that a stop ends

A request on a kept connection could be read by a stopping node and never get an answer, while the connection stayed open until the process ended.

Cause: the stop looked at the socket, marked the connection as ending, and then looked again before it closed it. A request that arrived in between kept the connection open, and was ignored since the connection was ending. On a busy instance the process may not run for a while between the two system calls.

The connection is now marked only if it has requests in flight; otherwise one look decides whether it is closed at once or stays open for the request.

test_request_that_arrives_while_a_connection_ends failed before: neither an answer nor an end arrived.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -218,11 +218,12 @@
             # That answer may not have said that it closes. The next call of
             # this method finds the connection idle or another request.
             return
-        if not self._pending and has_arrived(self.transport):
-            # The next call finds this request in flight, or answered.
-            return
-        self._is_ending = True
-        self.close_idle()
+        if self._pending:
+            self._is_ending = True
+        else:
+            # If a request has arrived, the next call finds it in flight, or
+            # answered. It is started, as the connection is not ending yet.
+            self.close_idle()
 
     def _start(self, message: RawRequestMessage, payload: StreamReader) -> None:
         if self._is_closing or self._is_ending:
--- a/tests/node/mesh/test_caller_connection.py
+++ b/tests/node/mesh/test_caller_connection.py
@@ -4,6 +4,7 @@
 import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
+from functools import partial
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Final
@@ -14,7 +15,9 @@
 from mustardspur_core.record import replaced
 from mustardspur_node.mesh.caller_answers import CallerAnswer, node_answer
 from mustardspur_node.mesh.caller_connection import CallerConnection, ReadBody
+from mustardspur_node.mesh.caller_linger import LINGER_S
 from mustardspur_node.mesh.request_body import CallerBodyError
+from mustardspur_node.mesh.socket_state import has_arrived
 
 from tests.core.mesh.builders import LIMITS
 
@@ -190,6 +193,37 @@
     assert 'connection: close' in head
 
 
+def _look_before_a_request(
+    writer: asyncio.StreamWriter,
+    transport: asyncio.Transport,
+) -> bool:
+    arrived = has_arrived(transport)
+    if not arrived:
+        writer.write(_get('/second'))
+    return arrived
+
+
+async def test_request_that_arrives_while_a_connection_ends(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a request that is ignored on a connection that stays open,
+    as it arrived between two looks at the socket in one request to end.
+    """
+    node = _Node()
+    async with _connected(node) as (reader, writer):
+        writer.write(_get('/first'))
+        await _answer(reader)
+        node.closing = True
+
+        monkeypatch.setattr(
+            'mustardspur_node.mesh.caller_connection.has_arrived',
+            partial(_look_before_a_request, writer),
+        )
+        node.connections[0].drain()
+        async with asyncio.timeout(LINGER_S / 2):
+            assert await reader.read(1) == b''
+
+
 async def test_failed_answer_does_not_hold_up_the_others(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
