Place the calls that a silent node has not reserved elsewhere at a stop

A stopping node kept all calls at a silent node until their deadlines or the end of its grace time, also those that no target could have begun: a call at a node that was lost for good waited for seconds and was refused, though another target could have answered it.

Cause: keeps_waits applied to all calls. Only an answer that a target may be making is worth the wait; a call that was not confirmed has certainly not run.

test_unreserved_call_of_a_stopping_node_goes_on failed before: the call still waited after a second. test_call_outlives_the_pause_of_another_node and test_call_of_a_stopping_node_outlives_a_silence pass as before.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_connection.py
@@ -140,7 +140,7 @@
             call_in_flight = CallInFlight(call, held, on_may_run)
             return await self._exchange(stream, call, call_in_flight)
 
-    def end_waits(self, reason: str) -> None:
+    def end_waits(self, reason: str, *, keeps_runs: bool = False) -> None:
         """Fail the calls whose outcome does not depend on this stream.
 
         Explanation
@@ -149,10 +149,18 @@
         A node that is only silent for a while may still answer. A call that
         may have run and may not run again waits for that answer; the others
         can be placed elsewhere, and are cancelled at the node.
+
+        Parameters
+        ----------
+        reason : str
+            Why the calls are not waited for.
+        keeps_runs : bool
+            Whether all calls that may have run wait for their answers.
         """
         stream = self._ready.result()
         for call_id, call_in_flight in list(self._in_flight_by_id.items()):
-            if not call_in_flight.must_wait:
+            keeps_run = keeps_runs and call_in_flight.may_run
+            if not (keeps_run or call_in_flight.must_wait):
                 call_in_flight.fail_on_disconnect(reason)
                 stream.enqueue(CallCancel(reason=reason), call_id)
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_link.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_link.py
@@ -100,7 +100,8 @@
         Parameters
         ----------
         keeps_waits : bool
-            Whether all calls wait for the answers of a silent stream.
+            Whether all calls that may have run wait for the answers of a
+            silent stream.
         """
         current = self._current
         if current is not None:
@@ -133,8 +134,7 @@
         *,
         keeps_waits: bool,
     ) -> None:
-        if not keeps_waits:
-            connection.end_waits('node is silent')
+        connection.end_waits('node is silent', keeps_runs=keeps_waits)
         _LOG.warning(
             'node is silent',
             extra={
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_links.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_links.py
@@ -22,8 +22,8 @@
     Attributes
     ----------
     keeps_waits : bool
-        Whether calls wait for the answers of nodes that are silent, also those
-        that could be placed elsewhere.
+        Whether calls that may have run wait for the answers of nodes that are
+        silent, also those that may run again elsewhere.
     """
 
     __slots__ = (
--- a/tests/node/mesh/test_peer_streams.py
+++ b/tests/node/mesh/test_peer_streams.py
@@ -198,10 +198,14 @@
 
 
 class _SilentNode:
-    """A node that reserves and confirms calls, then is silent for a while."""
+    """A node that reserves and confirms calls, then is silent for a while.
+
+    It may also be silent before it reserves a call.
+    """
 
     def __init__(self) -> None:
         self.streams = 0
+        self.reserves = True
         self.awake = asyncio.Event()
         self.received = asyncio.Event()
 
@@ -216,7 +220,7 @@
         await stream.receive()
         opened = await stream.receive()
         assert isinstance(opened.body, CallOpen)
-        if opened.body.confirm:
+        if opened.body.confirm and self.reserves:
             await stream.send(CallReserved(load=load), opened.request_id)
             await stream.receive()
         self.received.set()
@@ -293,6 +297,26 @@
             assert (await call).body == b'late'
 
 
+async def test_unreserved_call_of_a_stopping_node_goes_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a call that waits at a lost node until the end of the
+    grace time, and is then refused, though no target can be at work on it.
+    """
+    async with _silent_node(monkeypatch) as (node, link):
+        node.reserves = False
+        call = asyncio.create_task(
+            link.run(call_open(confirm=True), _ignore_sent)
+        )
+        await node.received.wait()
+        link.check(keeps_waits=True)
+        with pytest.raises(PlacementFault, match='unreachable') as fault:
+            async with asyncio.timeout(1):
+                await call
+        node.awake.set()
+    assert fault.value.not_run
+
+
 async def test_call_that_may_run_again_leaves_a_silent_node(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
