Read settings that cannot be used yet again in a daemon

A mustardspurd that started while its settings file was written ended with exit code 2 and was missing until something started it again.

Cause: only the processes of the platform read the file again; docs/settings.md said it of all processes of a mesh.

test_settings_written_at_the_start_end_no_daemon failed before: the process ended with the finding of the half-written file.

--- a/packages/mustardspur_core/src/mustardspur_core/settings/page.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/page.py
@@ -15,9 +15,9 @@
 by `python -m mustardspur_core.settings.page`; a test compares them. A value
 that does not fit is named with its place, what is expected and what was
 found, and the process ends with exit code 2; at a reload the settings in
-force stay, with the log line `settings not reloaded`. A process of a mesh
-reads the file again for a second before it ends, since the file may be
-written at that moment. Keys that are not listed are refused.
+force stay, with the log line `settings not reloaded`. A process reads the
+file again for a second before it ends, since the file may be written at that
+moment; `--check` does not. Keys that are not listed are refused.
 
 | field | holds | values | default |
 |---|---|---|---|
--- a/packages/mustardspur_daemon/src/mustardspur_daemon/main.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/main.py
@@ -38,7 +38,8 @@
     """
     options = _parser().parse_args(arguments)
     settings_file = SettingsFile(options.settings)
-    loaded = settings_file.load()
+    load = settings_file.load if options.check else settings_file.load_settled
+    loaded = load()
     if loaded.is_error():
         sys.stderr.write(f'{loaded.error}\n')
         return ExitCode.BAD_SETTINGS
--- a/tests/daemon/test_main.py
+++ b/tests/daemon/test_main.py
@@ -1,5 +1,6 @@
 """Tests of the command line and the error reports of the daemon."""
 
+import asyncio
 import errno
 import json
 import os
@@ -9,6 +10,14 @@
 from mustardspur_daemon.exit_codes import ExitCode
 from mustardspur_daemon.main import describe_os_error, main
 
+from tests.daemon.processes import (
+    BINARY,
+    HANG_LIMIT_S,
+    POLL_S,
+    node_document,
+)
+from tests.support.ports import free_address
+
 BAD_NODE = '{"role": "node", "id": "", "listen": {}}'
 
 
@@ -48,6 +57,29 @@
     assert 'no findings' in capsys.readouterr().out
 
 
+async def test_settings_written_at_the_start_end_no_daemon(
+    tmp_path: Path,
+) -> None:
+    """Guards against a daemon that ends as it reads a part of its settings."""
+    path = tmp_path / 'n1.json'
+    valid = json.dumps(node_document(tmp_path, free_address()))
+    path.write_text(valid[: len(valid) // 2])
+    process = await asyncio.create_subprocess_exec(
+        str(BINARY), '--settings', str(path), stderr=asyncio.subprocess.PIPE
+    )
+    assert process.stderr is not None
+    assert b'settings are read again' in await process.stderr.readline()
+    path.write_text(valid)
+    timeline = tmp_path / 'n1.jsonl'
+    async with asyncio.timeout(HANG_LIMIT_S):
+        while not (timeline.exists() and 'started' in timeline.read_text()):
+            assert process.returncode is None
+            await asyncio.sleep(POLL_S)
+    process.terminate()
+    await process.communicate()
+    assert process.returncode == 0
+
+
 @pytest.mark.parametrize(
     ('number', 'text'),
     [
--- a/tests/node/mesh/test_caller_connection.py
+++ b/tests/node/mesh/test_caller_connection.py
@@ -301,6 +301,27 @@
     assert head.split()[1] == '200'
 
 
+async def test_raised_header_limit_holds_on_open_connections() -> None:
+    """Guards against 431 for a header within the limit in force: the caller is
+    asked to send its request again, on a connection with that limit.
+    """
+    node = _Node()
+    node.limits = replaced(LIMITS, header_bytes=1000)
+    request = _get('/first')[:-2] + b'x: %s\r\n\r\n' % (b'y' * 2000)
+    async with _connected(node) as (reader, writer):
+        while not node.connections:
+            await asyncio.sleep(0.005)
+        node.limits = LIMITS
+        writer.write(request)
+        head, _ = await _answer(reader)
+    assert head.split()[1] == '503'
+    assert 'connection: close' in head
+    async with _connected(node) as (reader, writer):
+        writer.write(request)
+        _, body = await _answer(reader)
+    assert body == b'/first'
+
+
 async def test_disconnected_caller_cancels_its_calls() -> None:
     """Guards against calls that continue after the caller disconnects."""
     node = _Node()
