Ask for a request again whose header an open connection cannot read

After the limit of headers was raised, requests on connections that were open before got 431 as long as these stayed in use. Callers do not send such a request again, though the configuration in force allows it.

Cause: the limit is fixed in the parser of a connection when it is accepted. A header that is too long for that, where a higher limit is in force, is now refused with 503, which says that the request has not run, and the connection closes; the next one has the limit in force.

test_raised_header_limit_holds_on_open_connections failed before with 431.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -93,6 +93,7 @@
         '_answer',
         '_body',
         '_connected_s',
+        '_header_bytes',
         '_is_closing',
         '_is_ending',
         '_limits',
@@ -138,12 +139,14 @@
             ),
             self.close_idle,
         )
+        # Fixed in the parser.
+        self._header_bytes = limits().header_bytes
         self._parser: Any = HttpRequestParser(
             self,
             loop,
             READ_BUFFER_BYTES,
-            max_line_size=limits().header_bytes,
-            max_field_size=limits().header_bytes,
+            max_line_size=self._header_bytes,
+            max_field_size=self._header_bytes,
             max_headers=MAX_HEADERS,
             payload_exception=ConnectionError,
             auto_decompress=False,
@@ -247,6 +250,14 @@
 
     def _refuse_malformed(self, error: HttpProcessingError) -> None:
         if self._body.is_eof():
+            is_outdated = self._header_bytes < self._limits().header_bytes
+            if is_outdated and isinstance(error, LineTooLong):
+                # The limit in force may allow it on a new connection.
+                self._refuse_with(
+                    HTTPStatus.SERVICE_UNAVAILABLE,
+                    'the limit of headers was raised after the connection',
+                )
+                return
             self._refuse_with(*_malformed_request(error))
             return
         # The answer to the request of this body says that it is malformed.
