Ignore the signals that arrive after the event loop was closed

A process that failed to start, and got a stop signal before its end, lost the description of the failure and its exit code: it ended with a traceback and 1.

Cause: the handlers stay when the loop is closed after a failure, and a closed loop raises in the main thread, wherever the signal interrupts it.

test_stop_signal_after_a_failure_changes_nothing failed before with 1.

--- a/packages/mustardspur_core/src/mustardspur_core/event_loop.py
+++ b/packages/mustardspur_core/src/mustardspur_core/event_loop.py
@@ -5,6 +5,7 @@
 import os
 import signal
 from collections.abc import Callable, Coroutine
+from contextlib import suppress
 from typing import Any, Final, TypeVar
 
 _ReturnT = TypeVar('_ReturnT')
@@ -67,17 +68,23 @@
         The signal.
     on_signal : callable
         Called without arguments until another function handles the signal or
-        it is ignored, which has to come before the loop is closed.
+        it is ignored. Signals after the end of the loop have no effect.
     """
     loop = asyncio.get_running_loop()
-    signal.signal(
-        number,
-        lambda *_: loop.call_soon_threadsafe(on_signal),
-    )
+    signal.signal(number, lambda *_: _call_in_loop(loop, on_signal))
     # Interrupted system calls of libraries go on.
     signal.siginterrupt(number, False)
 
 
+def _call_in_loop(
+    loop: asyncio.AbstractEventLoop,
+    on_signal: Callable[[], Any],
+) -> None:
+    # A loop that is closed raises where the signal interrupted the program.
+    with suppress(RuntimeError):
+        loop.call_soon_threadsafe(on_signal)
+
+
 def ignore_signal(number: signal.Signals) -> None:
     """Ignore a signal from now on."""
     signal.signal(number, signal.SIG_IGN)
--- a/tests/core/test_event_loop.py
+++ b/tests/core/test_event_loop.py
@@ -48,6 +48,20 @@
 
 event_loop.run_in_loop(main())
 """
+_STOP_AFTER_A_FAILURE = """
+import os, signal, sys
+from mustardspur_core import event_loop
+
+async def main():
+    event_loop.stop_event()
+    raise OSError('cannot start')
+
+try:
+    event_loop.run_in_loop(main())
+except OSError:
+    os.kill(os.getpid(), signal.SIGTERM)
+    sys.exit(3)
+"""
 
 
 def _exit_code(program: str) -> int:
@@ -64,3 +78,10 @@
     """Guards against a stop signal that is handled only after other events."""
     assert _exit_code(_STOP_BY_A_SIGNAL.format(name='SIGTERM')) == 0
     assert _exit_code(_STOP_BY_A_SIGNAL.format(name='SIGINT')) == 0
+
+
+def test_stop_signal_after_a_failure_changes_nothing() -> None:
+    """Guards against a failed start whose reason and exit code are lost, as a
+    stop signal arrives after the event loop was closed.
+    """
+    assert _exit_code(_STOP_AFTER_A_FAILURE) == 3
