Answer the calls that a stopping node without a mesh ends

A call that its target was still running at the end of the time for calls in flight got no answer: its connection was closed.

Cause: after the drain, the server's clean-up cancelled the handlers. The drain now lets the deadlines of the calls that are left pass first, as an ordinary deadline would: 502 and the outcome 'unknown' if a target may have run the call, otherwise 503 and 'not-run'. A response that has started is broken off.

test_call_at_the_end_of_a_drain_is_answered failed before: the connection ended without an answer.

--- a/packages/mustardspur_node/src/mustardspur_node/calls/forwarding.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/forwarding.py
@@ -1,6 +1,5 @@
 """Forwarding of admitted calls within their deadline."""
 
-import asyncio
 import random
 from functools import partial
 from http import HTTPStatus
@@ -68,22 +67,22 @@
         if names.IDEMPOTENCY_KEY in call.headers and not call.route.idempotent:
             return await self._forward_keyed(call)
         try:
-            async with asyncio.timeout_at(call.deadline_at):
+            async with self._in_flight.within(call.deadline_at):
                 call.body = await read_body(call.request)
                 completed = await self._retry_loop.run(call)
                 return await self._relay(*completed)
         except TimeoutError as error:
             if call.response is None:
-                raise _timeout_fault(call) from error
+                raise self._timeout_fault(call) from error
             abort_caller_connection(call.request)
             return call.response
 
     async def _forward_keyed(self, call: Call) -> web.StreamResponse:
         try:
-            async with asyncio.timeout_at(call.deadline_at):
+            async with self._in_flight.within(call.deadline_at):
                 call.body = await read_body(call.request)
         except TimeoutError as error:
-            raise _timeout_fault(call) from error
+            raise self._timeout_fault(call) from error
         return await self.idempotency_store.execute_once(
             call.request,
             call.service.name,
@@ -94,11 +93,11 @@
     async def _run_keyed(self, call: Call) -> web.Response:
         with self._in_flight.counted():
             try:
-                async with asyncio.timeout_at(call.deadline_at):
+                async with self._in_flight.within(call.deadline_at):
                     attempt, reply = await self._retry_loop.run(call)
                     return await self._buffer(attempt, reply)
             except TimeoutError as error:
-                raise _timeout_fault(call) from error
+                raise self._timeout_fault(call) from error
 
     async def _relay(
         self,
@@ -116,6 +115,14 @@
         with self.tracker.releasing(attempt):
             return await buffer_response(attempt, reply)
 
-
-def _timeout_fault(call: Call) -> CallFault:
-    return call_fault(call, HTTPStatus.GATEWAY_TIMEOUT, 'deadline has passed')
+    def _timeout_fault(self, call: Call) -> CallFault:
+        if not self._in_flight.has_ended:
+            return call_fault(
+                call,
+                HTTPStatus.GATEWAY_TIMEOUT,
+                'deadline has passed',
+            )
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+        if call.possible_runs:
+            status = HTTPStatus.BAD_GATEWAY
+        return call_fault(call, status, 'the node stops')
--- a/tests/node/calls/test_draining.py
+++ b/tests/node/calls/test_draining.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from aiohttp import web
+from aiohttp import ClientSession, web
 
 from tests.node.stand_ins.mesh import run_mesh, run_target
 from tests.node.stand_ins.views import (
@@ -38,6 +38,20 @@
         return answer
 
 
+class HangingTarget:
+    """Begins calls and never answers them."""
+
+    def __init__(self) -> None:
+        """Initialise without calls."""
+        self.started = asyncio.Event()
+
+    async def serve(self, _request: web.BaseRequest) -> web.StreamResponse:
+        """Wait for the caller to leave."""
+        self.started.set()
+        await asyncio.Event().wait()
+        return web.Response()
+
+
 async def test_draining_node_completes_its_calls() -> None:
     """Guards against a stop that truncates a response."""
     target = SlowTarget()
@@ -56,6 +70,23 @@
     assert refused[:2] == (503, 'not-run')
 
 
+async def test_call_at_the_end_of_a_drain_is_answered() -> None:
+    """Guards against a call without an answer, as its target is still at work
+    at the end of the time for calls in flight.
+    """
+    target = HangingTarget()
+    route = make_route(*LENS_ROUTES[1], timeout_ms=100_000)
+    async with run_target(target.serve) as address, ClientSession() as client:
+        view = make_view([make_target(address)], routes=[route])
+        async with run_mesh(view, drain_s=0.2) as mesh:
+            url = f'http://{mesh.address}/prescriptions'
+            call = asyncio.create_task(client.post(url))
+            await target.started.wait()
+        answer = await call
+    assert answer.status == 502
+    assert answer.headers['x-mustardspur-outcome'] == 'unknown'
+
+
 async def test_removed_target_completes_its_calls() -> None:
     """Guards against new calls to a removed target, or truncated ones."""
     removed, remaining = SlowTarget(), SlowTarget()
