--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -94,6 +94,7 @@
         '_answer',
         '_body',
         '_connected_s',
+        '_header_bytes',
         '_is_closing',
         '_is_ending',
         '_limits',
@@ -139,12 +140,14 @@
             ),
             self.close_idle,
         )
+        # Fixed in the parser.
+        self._header_bytes = limits().header_bytes
         self._parser: Any = HttpRequestParser(
             self,
             loop,
             READ_BUFFER_BYTES,
-            max_line_size=limits().header_bytes,
-            max_field_size=limits().header_bytes,
+            max_line_size=self._header_bytes,
+            max_field_size=self._header_bytes,
             max_headers=MAX_HEADERS,
             payload_exception=ConnectionError,
             auto_decompress=False,
@@ -223,11 +226,12 @@
             # That answer may not have said that it closes. The next call of
             # this method finds the connection idle or another request.
             return
-        if not self._pending and has_arrived(self.transport):
-            # The next call finds this request in flight, or answered.
-            return
-        self._is_ending = True
-        self.close_idle()
+        if self._pending:
+            self._is_ending = True
+        else:
+            # If a request has arrived, the next call finds it in flight, or
+            # answered. It is started, as the connection is not ending yet.
+            self.close_idle()
 
     def _start(self, message: RawRequestMessage, payload: StreamReader) -> None:
         if self._is_closing or self._is_ending:
@@ -256,7 +260,10 @@
             self._is_closing = True
             return
         if is_behind:
-            self._refuse_with(*_malformed_request(error))
+            is_outdated = self._header_bytes < self._limits().header_bytes
+            self._refuse_with(
+                *_malformed_request(error, is_outdated=is_outdated),
+            )
             return
         # The answer to the request of this body says that it is malformed.
         self._is_closing = True
@@ -326,8 +333,25 @@
         self._linger = Linger(transport, within_body=within_body)
 
 
-def _malformed_request(error: HttpProcessingError) -> tuple[HTTPStatus, str]:
-    """Return the status and reason of the refusal of a malformed request."""
+def _malformed_request(
+    error: HttpProcessingError,
+    *,
+    is_outdated: bool,
+) -> tuple[HTTPStatus, str]:
+    """Return the status and reason of the refusal of a malformed request.
+
+    Parameters
+    ----------
+    error : HttpProcessingError
+        What is wrong with its head.
+    is_outdated : bool
+        Whether a new connection would allow longer headers.
+    """
+    if is_outdated and isinstance(error, LineTooLong):
+        return (
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'the limit of headers was raised after the connection',
+        )
     status = HTTPStatus.BAD_REQUEST
     if isinstance(error, LineTooLong):
         status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
