Pause the node of a ready answer for as long as before

The test moved from a grace time of 4 s to one of 6 s, which is the stated one, with a pause of 1.0 s that ended 0.8 s before the kill. The times are now those of before multiplied by 1.5: a pause from 3.9 to 5.25 s, 0.75 s before the kill.

--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -171,9 +171,9 @@
         stop = _Stop(mesh, grace_s=_LONG_GRACE_S)
         await stop.until(1.3)
         connection.send()
-        await stop.until(4.2)
+        await stop.until(3.9)
         stop.send(signal.SIGSTOP)
-        await stop.until(5.2)
+        await stop.until(5.25)
         stop.send(signal.SIGCONT)
         assert await connection.status() == '200'
         assert await stop.exit_code == 0
