Time a head whose first part arrived before an earlier answer

A caller whose next request had begun to arrive while an earlier one was being answered was cut off by a planned stop without an answer, and had the idle limit instead of the limit for heads.

Cause: the timer of a head, which also keeps the connection open at a stop, was started only if no request was in flight when the part arrived. It now starts with the answer to the last one.

test_head_that_arrives_in_parts_at_a_stop failed before for a first part behind a request that was being answered.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -93,6 +93,7 @@
         '_answer',
         '_body',
         '_connected_s',
+        '_has_head_part',
         '_header_bytes',
         '_is_closing',
         '_is_ending',
@@ -128,6 +129,8 @@
         self._body: StreamReader = EMPTY_PAYLOAD
         self._connected_s: float = loop.time()
         self._received_any = False
+        # Whether a part of a head arrived before the answer to a request.
+        self._has_head_part = False
         self._linger: Linger | None = None
         self._writer: asyncio.Task[None] | None = None
         self._timers = CallerTimers(
@@ -171,6 +174,7 @@
                 self._linger.receive()
             return
         self._received_any = True
+        is_within_body = not self._body.is_eof()
         try:
             messages, _, _ = self._parser.feed_data(received)
         except HttpProcessingError as error:
@@ -178,7 +182,11 @@
             return
         for message, payload in messages:
             self._start(message, payload)
-        if received and not messages and not self._pending:
+        if not received or messages or is_within_body:
+            return
+        if self._pending:
+            self._has_head_part = True
+        else:
             self._timers.start_head()
 
     def eof_received(self) -> bool:
@@ -234,6 +242,7 @@
             self._is_closing = True
             return
         self._timers.start_request()
+        self._has_head_part = False
         self._body = payload
         limit = self._limits().body_bytes
         body = RequestBody(message, payload, limit, self.transport)
@@ -280,7 +289,10 @@
         while True:
             while not self._pending:
                 self._pending_added.clear()
-                self._timers.restart_idle()
+                if self._has_head_part:
+                    self._timers.start_head()
+                else:
+                    self._timers.restart_idle()
                 await self._pending_added.wait()
             await self._write_first()
             self._pending.popleft().end()
--- a/tests/node/mesh/test_caller_connection.py
+++ b/tests/node/mesh/test_caller_connection.py
@@ -384,16 +384,23 @@
         assert 'connection: close' in head
 
 
-async def test_head_that_arrives_in_parts_at_a_stop() -> None:
+@pytest.mark.parametrize('path', ['/first', '/slow'])
+async def test_head_that_arrives_in_parts_at_a_stop(path: str) -> None:
     """Guards against a request that is read and has no answer, as the node
-    closed its connection while the caller was sending the head.
+    closed its connection while the caller was sending the head; the first part
+    may have arrived before the answer to an earlier request.
     """
     node = _Node()
+    request = _get('/parts')
     async with _connected(node) as (reader, writer):
-        writer.write(_get('/first'))
-        await _answer(reader)
-        request = _get('/parts')
+        writer.write(_get(path))
+        if path == '/first':
+            await _answer(reader)
+        while not node.paths:
+            await asyncio.sleep(0.005)
         writer.write(request[:20])
+        if path == '/slow':
+            await _answer(reader)
         await asyncio.sleep(0.05)
         node.closing = True
         node.connections[0].drain()
