--- a/packages/mustardspur_control/src/mustardspur_control/mesh/evaluation.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/evaluation.py
@@ -1,26 +1,23 @@
 """Evaluation of a new version by the outcomes of its calls."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from typing import Final
 
 from mustardspur_core.record import Record
 
-from mustardspur_control.mesh.comparison import Comparison, compare
 from mustardspur_control.mesh.evidence import RunTotals, Totals
 from mustardspur_control.mesh.slowdown import slowdown_log_ratio
 
 # Fewer failures than this can occur by chance at any version.
 MIN_FAILED: Final = 4
-# If the other versions have answered too few calls of a route to compare with,
-# the route itself may be at fault, so more failures are required.
+# If the other versions have answered fewer calls of a route than this, the
+# route itself may be at fault, so more failures are required.
+MIN_OTHER_CALLS: Final = 5
 MIN_FAILED_WITHOUT_OTHERS: Final = 15
 # A version is faulty if its failure rate is above this and above
 # FAILURE_RATIO times the failure rate of the other versions.
 MIN_FAILURE_RATE: Final = 0.12
 FAILURE_RATIO: Final = 2.5
-# Log likelihood ratio, in nats, of a higher failure rate than that of the other
-# versions at the same moments: a few failures more can occur by chance.
-FAILURE_LOG_RATIO: Final = 4.0
 # Latencies are skewed, so the mean of fewer timed calls is unreliable.
 MIN_TIMED: Final = 15
 # Targets of one version differ in latency by a factor of up to three; a slow
@@ -55,7 +52,7 @@
 def evaluate(
     totals: Totals,
     version: str,
-    comparisons: Mapping[str, Comparison] | None = None,
+    reference: Totals | None = None,
 ) -> TransferVerdict:
     """Compare a version with the other versions, route by route.
 
@@ -65,9 +62,9 @@
         Counts by version, route and node.
     version : str
         The new version.
-    comparisons : mapping of Comparison, optional
-        Comparisons by route, by default one stratum of all counts. A route
-        without a comparison is evaluated by its failures only.
+    reference : dict of RunTotals, optional
+        Counts that the distribution of the other versions' latencies is
+        taken from, by default `totals`. A short window has too few.
 
     Returns
     -------
@@ -79,16 +76,17 @@
     reason = ''
     for route in routes:
         new = version_totals(totals, version, route)
-        answered_calls += new.runs
-        if comparisons is None:
-            comparison = compare(_route_counts(totals, route), version)
-        else:
-            comparison = comparisons.get(route)
-        if comparison is not None:
-            reason = reason or _compared_reason(route, comparison)
-            continue
         old = other_version_totals(totals, version, route)
-        reason = reason or _uncompared_reason(route, new, old)
+        usual = old
+        if reference is not None:
+            usual = other_version_totals(reference, version, route)
+        answered_calls += new.runs
+        reason = (
+            reason
+            or _failure_reason(route, new, old)
+            or _mean_latency_reason(route, new, old)
+            or _slow_calls_reason(route, totals, version, usual)
+        )
     return TransferVerdict(
         is_faulty=bool(reason),
         reason=reason,
@@ -121,36 +119,14 @@
     return total
 
 
-def _route_counts(totals: Totals, route: str) -> Totals:
-    return {key: counts for key, counts in totals.items() if key.route == route}
-
-
-def _uncompared_reason(route: str, new: RunTotals, old: RunTotals) -> str:
-    if new.failed < MIN_FAILED_WITHOUT_OTHERS:
-        return ''
-    return _failure_reason(route, new, old.failed / max(old.runs, 1))
-
-
-def _compared_reason(route: str, comparison: Comparison) -> str:
-    new = comparison.new
-    expected = comparison.expected
-    reason = ''
-    if (
-        new.failed >= MIN_FAILED
-        and max(comparison.failure_log_ratios) >= FAILURE_LOG_RATIO
-    ):
-        old_rate = expected.failed / max(expected.runs, 1)
-        reason = _failure_reason(route, new, old_rate)
-    return (
-        reason
-        or _mean_latency_reason(route, new, comparison)
-        or _slow_calls_reason(route, comparison)
-    )
-
-
-def _failure_reason(route: str, new: RunTotals, old_rate: float) -> str:
+def _failure_reason(route: str, new: RunTotals, old: RunTotals) -> str:
     rate = new.failed / max(new.runs, 1)
-    if rate > max(MIN_FAILURE_RATE, FAILURE_RATIO * old_rate):
+    old_rate = old.failed / max(old.runs, 1)
+    limit = max(MIN_FAILURE_RATE, FAILURE_RATIO * old_rate)
+    needed = (
+        MIN_FAILED if old.runs >= MIN_OTHER_CALLS else MIN_FAILED_WITHOUT_OTHERS
+    )
+    if new.failed >= needed and rate > limit:
         return (
             f'{route}: {new.failed} of {new.runs} calls failed, '
             f'failure rate of other versions {old_rate:.3f}'
@@ -158,14 +134,11 @@
     return ''
 
 
-def _mean_latency_reason(
-    route: str, new: RunTotals, comparison: Comparison
-) -> str:
-    if min(new.timed, comparison.others.timed) < MIN_TIMED:
+def _mean_latency_reason(route: str, new: RunTotals, old: RunTotals) -> str:
+    if min(new.timed, old.timed) < MIN_TIMED:
         return ''
-    expected = comparison.expected
     mean_ms = new.timed_ms / new.timed
-    old_mean_ms = expected.timed_ms / max(expected.timed, 1)
+    old_mean_ms = old.timed_ms / old.timed
     if mean_ms > max(
         SLOWDOWN_RATIO * old_mean_ms,
         old_mean_ms + MIN_SLOWDOWN_MS,
@@ -177,10 +150,19 @@
     return ''
 
 
-def _slow_calls_reason(route: str, comparison: Comparison) -> str:
+def _slow_calls_reason(
+    route: str,
+    totals: Totals,
+    version: str,
+    usual: RunTotals,
+) -> str:
     log_ratio = slowdown_log_ratio(
-        comparison.expected.latency_counts,
-        [counts.latency_counts for counts in comparison.new_by_node.values()],
+        usual.latency_counts,
+        [
+            counts.latency_counts
+            for key, counts in totals.items()
+            if key.route == route and key.version == version
+        ],
     )
     if log_ratio < SLOW_LOG_RATIO:
         return ''
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/slowdown.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/slowdown.py
@@ -35,8 +35,6 @@
 _TWICE_BUCKETS: Final = 4
 
 Histogram = Mapping[int, int]
-# Counts of other versions are weighted.
-Reference = Mapping[int, float]
 # Fraction of the runs that are slow, and their slowdown in buckets.
 _Alternative = tuple[float, int]
 _HEALTHY: Final = (0, 0)
@@ -48,14 +46,14 @@
 
     Parameters
     ----------
-    reference : mapping of float
+    reference : mapping of int
         Runs of other versions by latency bucket, at least
         `MIN_REFERENCE_RUNS`.
     """
 
     __slots__ = ('_logs_by_alternative', '_probabilities')
 
-    def __init__(self, reference: Reference) -> None:
+    def __init__(self, reference: Histogram) -> None:
         """Initialise the model without a logarithm computed."""
         runs = sum(reference.values())
         self._probabilities = {
@@ -107,16 +105,15 @@
 
 
 def slowdown_log_ratio(
-    reference: Reference,
+    reference: Histogram,
     by_target: Iterable[Histogram],
 ) -> float:
     """Return the log likelihood ratio of a slow version to a healthy one.
 
     Parameters
     ----------
-    reference : mapping of float
-        Runs of the other versions by latency bucket; their sum is the size of
-        the sample.
+    reference : mapping of int
+        Runs of the other versions by latency bucket.
     by_target : iterable of mapping of int
         Runs of the new version by latency bucket, for each target.
 
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
@@ -27,7 +27,6 @@
 from mustardspur_control.mesh.registry import MeshRegistry
 from mustardspur_control.mesh.schedule import COMPLETION_PROGRESS, planned_share
 from mustardspur_control.mesh.store import MeshStore
-from mustardspur_control.mesh.strata import ServiceStrata
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -72,7 +71,6 @@
         '_runs_by_share',
         '_starts_by_service',
         '_store',
-        '_strata_by_transfer',
     )
 
     def __init__(
@@ -92,7 +90,6 @@
         self._starts_by_service: dict[str, tuple[str, float]] = {}
         # Runs that were known when a share was first seen, by transfer.
         self._runs_by_share: dict[tuple[str, str], tuple[float, int]] = {}
-        self._strata_by_transfer: dict[tuple[str, str], ServiceStrata] = {}
 
     async def run(self) -> None:
         """Check all transfers at an interval until cancelled."""
@@ -109,7 +106,6 @@
             else:
                 self._starts_by_service.clear()
                 self._runs_by_share.clear()
-                self._strata_by_transfer.clear()
                 self._evidence.clear()
 
     async def _record_base_versions(self) -> None:
@@ -144,7 +140,6 @@
         if transfer.state != TransferState.RUNNING:
             key = (transfer.service, transfer.version)
             self._runs_by_share.pop(key, None)
-            self._strata_by_transfer.pop(key, None)
             if self._starts_by_service.pop(transfer.service, None) is not None:
                 self._evidence.remove_service(transfer.service)
             return
@@ -223,15 +218,8 @@
     def _verdict(self, transfer: Transfer) -> TransferVerdict:
         service, version = transfer.service, transfer.version
         totals = self._evidence.totals(service)
-        strata = self._strata_by_transfer.setdefault(
-            (service, version), ServiceStrata(version)
-        )
-        now_s = asyncio.get_running_loop().time()
-        strata.observe(now_s, totals, transfer.share)
-        overall = evaluate(totals, version, strata.overall())
-        recent = evaluate(
-            self._evidence.recent(service), version, strata.recent()
-        )
+        overall = evaluate(totals, version)
+        recent = evaluate(self._evidence.recent(service), version, totals)
         verdict = recent if recent.is_faulty else overall
         if transfer.share < 1 or self._evidence.other_runs(
             service, version, COMPARED_S
--- a/packages/mustardspur_moves/src/mustardspur_moves/histogram.py
+++ b/packages/mustardspur_moves/src/mustardspur_moves/histogram.py
@@ -46,13 +46,13 @@
     return sum(count for other, count in counts.items() if other >= bucket)
 
 
-def top_share_bucket(counts: Mapping[int, float], share: float) -> int:
+def top_share_bucket(counts: Mapping[int, int], share: float) -> int:
     """Return the lowest bucket that starts at most a share of the counts.
 
     Parameters
     ----------
-    counts : mapping of float
-        Count by bucket, which may be weighted.
+    counts : mapping of int
+        Count by bucket.
     share : float
         Largest share of all counts in the returned bucket and above.
 
