State the start of the demo's targets in milliseconds

make demo failed for all who ran it: no node had a ready target. It had been put down to load before.

--- a/demo/target.py
+++ b/demo/target.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import random
+import sys
 import time
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager, suppress
@@ -24,6 +25,7 @@
 DRAIN_NOTICE_S: Final = 2.5
 STATUS_FAULT: Final = 500
 MAX_POST_BYTES: Final = 65536
+NS_PER_MS: Final = 1_000_000
 
 
 class TargetSettings(Record):
@@ -83,7 +85,7 @@
         self.settings = settings
         self.state = TargetState.READY
         self.in_flight = 0
-        self._incarnation = time.time_ns()
+        self._incarnation = time.time_ns() // NS_PER_MS
         self._random = random.Random(settings.id)
         self._slots = asyncio.Semaphore(settings.slots)
         self._started_s = time.monotonic()
@@ -186,11 +188,14 @@
     url = f'http://{node}/mustardspur/v1/targets'
     while True:
         with suppress(ClientError, TimeoutError):
-            await session.post(
+            async with session.post(
                 url,
                 json=target.announcement(),
                 timeout=ClientTimeout(total=1),
-            )
+            ) as answer:
+                if not answer.ok:
+                    findings = await answer.text()
+                    sys.stderr.write(f'refused: {findings}\n')
         await asyncio.sleep(ANNOUNCE_INTERVAL_S)
 
 
--- a/tests/node/test_announcements.py
+++ b/tests/node/test_announcements.py
@@ -6,6 +6,7 @@
 from mustardspur_core.strict_json import parse_json
 from mustardspur_node.announcements import Announcements
 
+from demo.target import StandInTarget, TargetSettings
 from tests.support.samples import announcement, node_settings
 
 
@@ -97,3 +98,23 @@
     announcements.accept(announcement())
     announcements.accept(announcement(id='t2', incarnation=2))
     assert [each.id for each in announcements.targets] == ['t2']
+
+
+def test_announcement_of_the_demo_is_accepted() -> None:
+    """Guards against a demo whose nodes refuse its targets."""
+    settings = TargetSettings(
+        id='t1',
+        service=announcement()['service'],
+        version='1.4.0',
+        address=announcement()['address'],
+        node='',
+        slots=9,
+        fault_share=0,
+        fault_after_s=0,
+        work_s=0,
+        runs='',
+    )
+    accepted = Announcements(node_settings()).accept(
+        StandInTarget(settings).announcement(),
+    )
+    assert accepted.is_ok()
