--- a/packages/mustardspur_daemon/src/mustardspur_daemon/exit_codes.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/exit_codes.py
@@ -7,5 +7,6 @@
     """Exit codes of the daemon."""
 
     STOPPED = 0
+    UNEXPECTED_ERROR = 1
     BAD_SETTINGS = 2
     CANNOT_START = 3
--- a/packages/mustardspur_daemon/src/mustardspur_daemon/main.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/main.py
@@ -1,8 +1,6 @@
 """Entry point of the daemon ``mustardspurd``."""
 
 import argparse
-import errno
-import logging
 import sys
 from collections.abc import Callable, Sequence
 from functools import partial
@@ -16,8 +14,8 @@
 from mustardspur_daemon.exit_codes import ExitCode
 from mustardspur_daemon.recovering import recover
 from mustardspur_daemon.roles import run_role
+from mustardspur_daemon.starting import run_reported
 
-logger = logging.getLogger(__name__)
 # Importing the module registers the roles.
 ROLE_MODULES = (processes,)
 Command = Callable[[Settings], int]
@@ -52,17 +50,7 @@
 
 def _run(settings: Settings, command: Command) -> int:
     configure_logs(settings)
-    try:
-        return command(settings)
-    except OSError as error:
-        logger.error(
-            'cannot start',
-            extra={
-                'reason': describe_os_error(error),
-                'settings_id': settings.id,
-            },
-        )
-        return ExitCode.CANNOT_START
+    return run_reported(settings, partial(command, settings))
 
 
 def _serve(settings_file: SettingsFile, settings: Settings) -> int:
@@ -78,32 +66,12 @@
     ignore_stop_signals()
 
 
-def describe_os_error(error: OSError) -> str:
-    """Return a description of an operating system error for an operator.
-
-    Parameters
-    ----------
-    error : OSError
-        The error that ended the process.
-    """
-    if error.errno == errno.EADDRINUSE:
-        return f'address taken by another process: {error}'
-    if error.errno == errno.EADDRNOTAVAIL:
-        return f'address is not on this instance: {error}'
-    if error.errno in {errno.EACCES, errno.EROFS, errno.EPERM}:
-        return f'no permission, check data_dir and timeline: {error}'
-    if error.errno in {errno.ENOTDIR, errno.EEXIST, errno.ENOENT}:
-        return f'not a usable folder, check data_dir and timeline: {error}'
-    if error.errno in {errno.ENOSPC, errno.EDQUOT}:
-        return f'the disk is full: {error}'
-    return str(error)
-
-
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog='mustardspurd',
         description='Run a control instance or a node of mustardspur.',
-        epilog='Exit codes: 0 stopped, 2 bad settings, 3 cannot start.',
+        epilog='Exit codes: 0 stopped, 1 unexpected error, 2 bad settings, '
+        '3 cannot start.',
     )
     parser.add_argument(
         '--settings',
--- /dev/null
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/starting.py
@@ -0,0 +1,67 @@
+"""Running a process and reporting why it could not start."""
+
+import errno
+import logging
+from collections.abc import Callable
+from typing import Final
+
+from mustardspur_core.settings import Settings
+
+from mustardspur_daemon.exit_codes import ExitCode
+
+_LOG: Final = logging.getLogger(__name__)
+
+
+def run_reported(settings: Settings, command: Callable[[], int]) -> int:
+    """Run a command; log the error that ends it as one structured line.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the process.
+    command : callable
+        Runs the process until a stop signal and returns its exit code.
+
+    Returns
+    -------
+    int
+        One of `ExitCode`.
+    """
+    try:
+        return command()
+    except OSError as error:
+        _LOG.error(
+            'cannot start',
+            extra={
+                'reason': describe_os_error(error),
+                'settings_id': settings.id,
+            },
+        )
+        return ExitCode.CANNOT_START
+    except Exception:
+        _LOG.exception(
+            'ended by an unexpected error',
+            extra={'settings_id': settings.id},
+        )
+        return ExitCode.UNEXPECTED_ERROR
+
+
+def describe_os_error(error: OSError) -> str:
+    """Return a description of an operating system error for an operator.
+
+    Parameters
+    ----------
+    error : OSError
+        The error that ended the process.
+    """
+    if error.errno == errno.EADDRINUSE:
+        return f'address taken by another process: {error}'
+    if error.errno == errno.EADDRNOTAVAIL:
+        return f'address is not on this instance: {error}'
+    if error.errno in {errno.EACCES, errno.EROFS, errno.EPERM}:
+        return f'no permission, check data_dir and timeline: {error}'
+    if error.errno in {errno.ENOTDIR, errno.EEXIST, errno.ENOENT}:
+        return f'not a usable folder, check data_dir and timeline: {error}'
+    if error.errno in {errno.ENOSPC, errno.EDQUOT}:
+        return f'the disk is full: {error}'
+    return str(error)
--- a/tests/daemon/test_main.py
+++ b/tests/daemon/test_main.py
@@ -8,7 +8,8 @@
 
 import pytest
 from mustardspur_daemon.exit_codes import ExitCode
-from mustardspur_daemon.main import describe_os_error, main
+from mustardspur_daemon.main import main
+from mustardspur_daemon.starting import describe_os_error
 
 from tests.daemon.processes import (
     BINARY,
