Open the null device in place of closed standard streams

A process that was started without standard output ended with exit code 1 at its start (a traceback from the log handler, or nothing where standard error was closed too). Without standard error it served, and a stop ended it with signal 6 instead of exit code 0: descriptor 2 was that of the event loop, which libuv refuses to close. Callers saw a process that never serves; a supervisor counted an end each time.

Closed descriptors 0 to 2 are opened on the null device before any other file or socket can get their numbers.

--- a/packages/mustardspur_core/src/mustardspur_core/logs.py
+++ b/packages/mustardspur_core/src/mustardspur_core/logs.py
@@ -3,13 +3,11 @@
 import logging
 import os
 import stat
-from typing import Final
 
 from pythonjsonlogger.json import JsonFormatter
 
 from mustardspur_core.settings.model import Settings
-
-STDOUT: Final = 1
+from mustardspur_core.standard_streams import STDOUT
 
 
 class NonBlockingHandler(logging.Handler):
--- a/packages/mustardspur_daemon/src/mustardspur_daemon/main.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/main.py
@@ -11,6 +11,7 @@
 from mustardspur_core.event_loop import ignore_stop_signals, run_in_loop
 from mustardspur_core.logs import configure_logs
 from mustardspur_core.settings import Settings, SettingsFile
+from mustardspur_core.standard_streams import open_standard_streams
 
 from mustardspur_daemon import processes
 from mustardspur_daemon.exit_codes import ExitCode
@@ -36,6 +37,7 @@
     int
         One of `ExitCode`.
     """
+    open_standard_streams()
     options = _parser().parse_args(arguments)
     settings_file = SettingsFile(options.settings)
     load = settings_file.load if options.check else settings_file.load_settled
