--- a/tests/platform/final_faults/mesh.py
+++ b/tests/platform/final_faults/mesh.py
@@ -27,7 +27,7 @@
 )
 
 # Folder of another commit, with its virtual environment, to play on it.
-LANDING_VARIABLE: Final = 'PLAYED_LANDING'
+COMMIT_VARIABLE: Final = 'PLAYED_COMMIT'
 _START: Final = REPOSITORY / 'tests' / 'support' / 'recorded_start.py'
 
 
@@ -49,15 +49,15 @@
 
     def command(self, host: str, role: str) -> list[str]:
         """Return the command that records the file calls."""
-        python = _landing() / '.venv' / 'bin' / 'python'
+        python = played_commit() / '.venv' / 'bin' / 'python'
         if not python.exists():
             python = Path(sys.executable)
         return [str(python), '-P', str(_START)]
 
     def variables(self, host: str) -> dict[str, str]:
         """Return the variables of the recorder and of the played commit."""
-        landing = _landing()
-        sources = [landing / 'platform', *landing.glob('packages/*/src')]
+        commit = played_commit()
+        sources = [commit / 'platform', *commit.glob('packages/*/src')]
         return {
             FOLDER_VARIABLE: str(self.disk(host)),
             SNAPSHOT_VARIABLE: str(self.snapshot_entries),
@@ -116,5 +116,6 @@
                 await mesh.end_all()
 
 
-def _landing() -> Path:
-    return Path(os.environ.get(LANDING_VARIABLE, REPOSITORY))
+def played_commit() -> Path:
+    """Return the folder of the commit that is played."""
+    return Path(os.environ.get(COMMIT_VARIABLE, REPOSITORY))
