Play whole deployments under a supervisor

Change: tests/platform/deployment plays the two deployments with 4 control instances, 11 or 12 nodes, targets that report and call, callers on kept connections, faults in two series that overlap, a final fault right after an ack, and a supervisor that starts ended processes again after 0.3 s. Settings are written from the templates of the played commit. It uses the orders and faults of the final faults and the callers and checks of the soak.

--- /dev/null
+++ b/tests/platform/deployment/__init__.py
@@ -0,0 +1,1 @@
+"""Plays of a whole deployment under a supervisor."""
--- a/tests/platform/final_faults/mesh.py
+++ b/tests/platform/final_faults/mesh.py
@@ -28,6 +28,8 @@
 
 # Folder of another commit, with its virtual environment, to play on it.
 COMMIT_VARIABLE: Final = 'PLAYED_COMMIT'
+# Time from SIGTERM to SIGKILL.
+GRACE_S: Final = 6.0
 _START: Final = REPOSITORY / 'tests' / 'support' / 'recorded_start.py'
 
 
@@ -80,13 +82,26 @@
 
     async def end(self, host: str) -> int | None:
         """Kill a process; return its exit code if it had ended by itself."""
-        process = self.processes.pop(host)
+        process = self.processes.pop(host, None)
+        if process is None:
+            # It has ended and is to be started again.
+            return None
         code = process.returncode
         if code is None:
             process.send_signal(signal.SIGKILL)
         await process.wait()
         return code
 
+    async def stop(self, host: str) -> int:
+        """Stop a process, killed after the grace time; return its exit code."""
+        process = self.processes.pop(host, None)
+        if process is None:
+            # It has ended and is to be started again.
+            return 0
+        if process.returncode is None:
+            process.terminate()
+        return await until_ended(process)
+
     async def end_all(self) -> list[int | None]:
         """Kill all processes at once."""
         return await asyncio.gather(*map(self.end, list(self.processes)))
@@ -116,6 +131,15 @@
                 await mesh.end_all()
 
 
+async def until_ended(process: asyncio.subprocess.Process) -> int:
+    """Wait until a stopped process ends, killed after the grace time."""
+    try:
+        return await asyncio.wait_for(process.wait(), GRACE_S)
+    except TimeoutError:
+        process.kill()
+        return await process.wait()
+
+
 def played_commit() -> Path:
     """Return the folder of the commit that is played."""
     return Path(os.environ.get(COMMIT_VARIABLE, REPOSITORY))
--- a/tests/platform/final_faults/orders.py
+++ b/tests/platform/final_faults/orders.py
@@ -29,10 +29,19 @@
         The processes.
     random : random.Random
         Chooses instances and orders.
+
+    Attributes
+    ----------
+    pause_s : float
+        Longest time between two orders of a kind.
+    document : Callable
+        Returns a configuration by its number and a mark of its own.
     """
 
     def __init__(self, mesh: FaultyMesh, random: Random) -> None:
         """Initialise before the first order."""
+        self.pause_s = _PAUSE_S
+        self.document = document
         self.hosts: list[str] = []
         self.broken: list[str] = []
         # Number of the newest acknowledged configuration.
@@ -61,7 +70,7 @@
             'PUT',
             host,
             _CONFIGURATION,
-            json=_document(number, mark),
+            json=self.document(number, mark),
             headers={'If-Match': f'r{self._number}'},
         )
         if status == _OK:
@@ -110,11 +119,11 @@
     async def _read_configuration(self, host: str, acked: int) -> bool:
         status, body = await self._send('GET', host, _CONFIGURATION)
         if status == _OK:
-            document = json.loads(body)
-            number = _number_of(document['version'])
+            table = json.loads(body)
+            number = _number_of(table['version'])
             if number < acked:
                 self.broken.append(f'{host}: r{number} read, r{acked} acked')
-            if not self._marks.get(number, set()) & set(document['routes']):
+            if not self._marks.get(number, set()) & set(table['routes']):
                 self.broken.append(f'{host}: r{number} is not what was sent')
         elif status == _MISSING and acked:
             self.broken.append(f'{host}: nothing read, r{acked} acked')
@@ -146,7 +155,7 @@
     async def _repeat(self, order: Order) -> None:
         while True:
             await order(self._random.choice(self.hosts))
-            await asyncio.sleep(self._random.uniform(0, _PAUSE_S))
+            await asyncio.sleep(self._random.uniform(0, self.pause_s))
 
     async def _send(
         self, method: str, host: str, path: str, **options: Any
@@ -176,10 +185,11 @@
     return int(version[1:])
 
 
-def _document(number: int, mark: str) -> dict[str, Any]:
-    document = configuration(number)
-    drafts = document['routes']['drafts']
-    document['routes'][mark] = {**drafts, 'path_prefix': f'/{mark}/'}
+def document(number: int, mark: str) -> dict[str, Any]:
+    """Return a configuration with a route that no other one has."""
+    table = configuration(number)
+    drafts = table['routes']['drafts']
+    table['routes'][mark] = {**drafts, 'path_prefix': f'/{mark}/'}
     for service in SERVICES:
-        document['services'][service] = document['services']['forms']
-    return document
+        table['services'][service] = table['services']['forms']
+    return table
--- a/tests/platform/final_faults/play.py
+++ b/tests/platform/final_faults/play.py
@@ -10,7 +10,7 @@
 
 from tests.platform.final_faults.mesh import FaultyMesh
 from tests.platform.final_faults.orders import Orders
-from tests.platform.mesh_processes import HANG_LIMIT_S
+from tests.platform.mesh_processes import HANG_LIMIT_S, last_lines
 
 CONTROLS: Final = ('127.0.7.1', '127.0.7.2', '127.0.7.3', '127.0.7.4')
 NEW_CONTROLS: Final = ('127.0.7.5', '127.0.7.6', '127.0.7.7')
@@ -48,7 +48,7 @@
         self.new_controls = list(NEW_CONTROLS)
         mesh.launcher.snapshot_entries = random.choice(_SNAPSHOT_ENTRIES)
         port = mesh.ports['http']
-        self._seeds = [f'{host}:{port}' for host in random.sample(CONTROLS, 3)]
+        self.seeds = [f'{host}:{port}' for host in random.sample(CONTROLS, 3)]
         self._started_s = time.monotonic()
 
     def note(self, step: str) -> None:
@@ -59,7 +59,7 @@
     async def start(self, host: str, *, first_start: bool = False) -> None:
         """Start a control instance with the seeds of the play."""
         await self.mesh.start_control(
-            host, first_start=first_start, seeds=self._seeds
+            host, first_start=first_start, seeds=self.seeds
         )
 
     async def start_all(self, *, first_start: bool = False) -> None:
@@ -157,7 +157,8 @@
 
     def _note_end(self, host: str, code: int) -> None:
         self.note(f'{host} ended by itself: {code}')
-        self.ended.append(f'{host} {code}')
+        lines = last_lines(self.mesh.folder / f'{host}.log')
+        self.ended.append(f'{host} {code}: {lines}')
 
     async def _start_later(self, host: str, first_start: bool) -> None:
         await asyncio.sleep(self.random.uniform(0, START_SPREAD_S))
--- a/tests/platform/final_faults/steps.py
+++ b/tests/platform/final_faults/steps.py
@@ -94,7 +94,7 @@
     play.orders.hosts.append(new)
     if is_planned:
         await asyncio.sleep(play.random.uniform(0.5, 3))
-        await _stop(play, old)
+        await play.mesh.stop(old)
     await play.until_caught_up(new, 'vote_counts')
     await asyncio.sleep(play.random.uniform(1, 4))
 
@@ -129,7 +129,7 @@
     if kind == 'freeze':
         play.signal(other, signal.SIGSTOP)
     else:
-        await (_stop(play, other) if kind == 'stop' else play.end(other))
+        await (play.mesh.stop(other) if kind == 'stop' else play.end(other))
     await asyncio.sleep(play.random.uniform(0.1, 1))
     await play.start(victim)
     if kind == 'freeze':
@@ -141,12 +141,6 @@
     await asyncio.sleep(play.random.uniform(0, 2))
 
 
-async def _stop(play: Play, host: str) -> None:
-    process = play.mesh.processes.pop(host)
-    process.terminate()
-    await process.wait()
-
-
 async def formation(play: Play) -> None:
     """Kill all while the mesh forms, once or twice."""
     ordering = asyncio.create_task(play.orders.order_all_the_time())
--- a/tests/platform/mesh_processes.py
+++ b/tests/platform/mesh_processes.py
@@ -34,14 +34,14 @@
 _RESERVING_HOST: Final = '127.0.7.250'
 # Lines of the log of a process that are shown if it ended by itself.
 _SHOWN_LINES: Final = 5
-_PORTS: Final = ('stream', 'http', 'ready', 'targets', 'target')
+_PORTS: Final = ('stream', 'http', 'ready', 'targets', 'target', 'metrics')
 _HEALTH_PATH: Final = '/healthz'
-_DEPLOYMENT: Final = REPOSITORY / 'deploy' / 'system.toml'
+_DEPLOYMENT: Final = Path('deploy', 'system.toml')
 
 
-def deployed_command(role: str) -> list[str]:
+def deployed_command(role: str, commit: Path = REPOSITORY) -> list[str]:
     """Return the deployed command of a role, with the Python of the tests."""
-    deployment = tomllib.loads(_DEPLOYMENT.read_text('utf-8'))
+    deployment = tomllib.loads((commit / _DEPLOYMENT).read_text('utf-8'))
     command: str = deployment['roles'][role]['run']
     program, *arguments = command.split()
     assert program == 'python3'
@@ -62,6 +62,8 @@
         Words in front of the deployed command, empty as it is deployed.
     python_path : tuple of str
         Folders that Python searches for modules.
+    commit : Path
+        Root of the repository, where processes are started.
     """
 
     def __init__(self, folder: Path) -> None:
@@ -69,6 +71,7 @@
         self.folder = folder
         self.supervisor: tuple[str, ...] = ()
         self.python_path: tuple[str, ...] = (str(REPOSITORY / 'platform'),)
+        self.commit = REPOSITORY
 
     def data_dir(self, host: str) -> Path:
         """Return the data folder of a control instance."""
@@ -162,7 +165,7 @@
         """Kill a process."""
         process = self.processes.pop(host)
         if process.returncode is not None:
-            shown = _last_lines(self.folder / f'{host}.log')
+            shown = last_lines(self.folder / f'{host}.log')
             raise EndedProcess(host, process.returncode, shown)
         process.send_signal(signal.SIGKILL)
         await process.wait()
@@ -239,7 +242,7 @@
             self._log_start_bytes[host] = output.tell()
             self.processes[host] = await asyncio.create_subprocess_exec(
                 *self.launcher.command(host, document['role']),
-                cwd=REPOSITORY,
+                cwd=self.launcher.commit,
                 env=environment,
                 stdout=output,
                 stderr=output,
@@ -367,7 +370,8 @@
     return response.status, await response.text(), signature
 
 
-def _last_lines(path: Path) -> str:
+def last_lines(path: Path) -> str:
+    """Return the last lines of the log of a process."""
     return '\n'.join(path.read_text().splitlines()[-_SHOWN_LINES:])
 
 
--- a/tests/platform/soak/patterns.py
+++ b/tests/platform/soak/patterns.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from tests.platform.soak.promises import Outcome
-from tests.platform.soak.traffic import Caller
+from tests.platform.soak.traffic import Caller, send
 
 # Requests that are sent before the first of them is answered.
 BURST: Final = 4
@@ -25,7 +25,7 @@
         writer: asyncio.StreamWriter,
     ) -> Outcome:
         requests = [self._next_request(once=False) for _ in range(BURST)]
-        writer.writelines(head for _, head in requests)
+        send(writer, b''.join(head for _, head in requests))
         sent_s = time.monotonic()
         ids = [request_id for request_id, _ in requests]
         outcome = await self._outcome(reader, ids.pop(0), sent_s)
@@ -52,7 +52,7 @@
     ) -> Outcome:
         request_id, head = self._next_request(once=True, body_bytes=BODY_BYTES)
         body = bytes(BODY_BYTES)
-        writer.write(head + body[: BODY_BYTES // 2])
+        send(writer, head + body[: BODY_BYTES // 2])
         await asyncio.sleep(random.uniform(0, MAX_BODY_PAUSE_S))
-        writer.write(body[BODY_BYTES // 2 :])
+        send(writer, body[BODY_BYTES // 2 :])
         return await self._outcome(reader, request_id, time.monotonic())
--- a/tests/platform/soak/traffic.py
+++ b/tests/platform/soak/traffic.py
@@ -86,7 +86,7 @@
     ) -> Outcome:
         """Make one call on a connection."""
         request_id, head = self._next_request()
-        writer.write(head)
+        send(writer, head)
         return await self._outcome(reader, request_id, time.monotonic())
 
     def _pause_s(self, started_s: float) -> float:
@@ -165,6 +165,12 @@
             observations.broken.append(f'{request_id} with {key} got 401')
 
 
+def send(writer: asyncio.StreamWriter, content: bytes) -> None:
+    """Write to a connection; uvloop refuses this on one that has ended."""
+    if not writer.is_closing():
+        writer.write(content)
+
+
 async def _read_answer(reader: asyncio.StreamReader) -> Outcome:
     head = (await reader.readuntil(b'\r\n\r\n')).decode()
     first, *lines = head.split('\r\n')
--- /dev/null
+++ b/tests/platform/test_deployment.py
@@ -0,0 +1,67 @@
+"""Guards of a whole deployment under a supervisor."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from tests.platform.deployment import steps
+from tests.platform.deployment.run import play_deployment, running
+from tests.platform.mesh_processes import HANG_LIMIT_S, POLL_S
+
+_SITE = 'obrazac-kiosk'
+# A start, and an end after it, have happened by then.
+_WATCHED_S = 3.0
+
+
+async def test_deployment_keeps_its_promises(tmp_path: Path) -> None:
+    """Guards against requests without an answer, acknowledged changes that are
+    lost, and processes that end by themselves, under faults that overlap.
+    """
+    played = await play_deployment(
+        _SITE, 'killed', 1, tmp_path, load=0.1, length_s=4
+    )
+    assert not played['broken']
+    assert not played['ended']
+    assert played['statuses'][200]
+
+
+@pytest.mark.parametrize('kind', ['reuse_frozen', 'hold_port'])
+@pytest.mark.parametrize('role', ['node', 'control'])
+async def test_start_waits_for_its_addresses(
+    role: str, kind: str, tmp_path: Path
+) -> None:
+    """Guards against a process that ends at its start, since another one has
+    one of its addresses for some seconds.
+    """
+    async with running(_SITE, 'killed', 1, tmp_path) as play:
+        host = play.nodes[0] if role == 'node' else play.orders.hosts[0]
+        await play.start(host)
+        await play.mesh.until_logged(host, '"started"')
+        supervision = asyncio.create_task(play.restart_ended())
+        await steps.AT_ONE[kind](play, host)
+        await asyncio.sleep(_WATCHED_S)
+        supervision.cancel()
+        assert not play.ended
+
+
+async def test_successor_starts_beside_a_draining_node(
+    tmp_path: Path,
+) -> None:
+    """Guards against a node that ends at its start again and again, while the
+    node before it at its address completes its calls.
+    """
+    async with running(_SITE, 'killed', 1, tmp_path) as play:
+        host = play.nodes[0]
+        await asyncio.gather(play.start_all(first_start=True), play.start(host))
+        async with asyncio.timeout(HANG_LIMIT_S):
+            while not await play.orders.change(play.orders.hosts[0]):
+                await asyncio.sleep(POLL_S)
+        await play.mesh.until(
+            'GET', play.mesh.url(host, 'ready', '/api/readyz')
+        )
+        supervision = asyncio.create_task(play.restart_ended())
+        await steps.reuse_draining(play, host)
+        await asyncio.sleep(_WATCHED_S)
+        supervision.cancel()
+        assert not play.ended
