Excuse connections to a port that a play of a deployment holds

A recorded process also handles SIGHUP later than a deployed one. Change: the time of the hold is excused; with the recorder, SIGHUP is sent once it is harmless.

--- a/tests/platform/deployment/mesh.py
+++ b/tests/platform/deployment/mesh.py
@@ -66,6 +66,7 @@
         Service of the target beside each node.
     """
 
+    launcher: DeployedLauncher
     site: Site
     services: dict[str, str]
 
--- a/tests/platform/deployment/steps.py
+++ b/tests/platform/deployment/steps.py
@@ -6,6 +6,7 @@
 import sys
 from asyncio.subprocess import Process, create_subprocess_exec
 from collections.abc import Callable, Coroutine
+from contextlib import suppress
 from itertools import repeat, starmap
 from types import MappingProxyType
 from typing import Any, Final
@@ -15,6 +16,7 @@
 from tests.platform.final_faults import steps
 from tests.platform.final_faults.mesh import until_ended
 from tests.platform.final_faults.play import CATCH_UP_S
+from tests.platform.mesh_processes import until_sighup_harmless
 
 Step = Callable[[DeploymentPlay], Coroutine[Any, Any, None]]
 HeldStep = Callable[[DeploymentPlay, str], Coroutine[Any, Any, None]]
@@ -158,7 +160,7 @@
     await asyncio.sleep(play.random.uniform(0, 0.5))
     await play.start_all()
     if play.random.choice((True, False)):
-        exchange_seeds(play)
+        await exchange_seeds(play)
 
 
 async def kill_many(play: DeploymentPlay) -> None:
@@ -174,7 +176,7 @@
 
 async def exchange(play: DeploymentPlay) -> None:
     """Exchange the seeds once."""
-    exchange_seeds(play)
+    await exchange_seeds(play)
     await asyncio.sleep(play.random.uniform(0, 1))
 
 
@@ -218,19 +220,32 @@
     await play.start_all()
 
 
-def exchange_seeds(play: DeploymentPlay) -> None:
-    """Name other control instances as seeds, and signal all processes."""
+async def exchange_seeds(play: DeploymentPlay) -> None:
+    """Name other control instances as seeds, and signal all processes.
+
+    The recorder, which is not deployed, handles SIGHUP later than a process.
+    """
     port = play.mesh.ports['http']
     hosts = play.random.sample(play.orders.hosts, _LEAST_CONTROLS)
     play.note(f'seeds {hosts}')
+    if play.mesh.launcher.is_recorded:
+        processes = list(play.mesh.processes.values())
+        with suppress(FileNotFoundError):
+            # One that ends meanwhile has no status any more.
+            await asyncio.gather(
+                *(until_sighup_harmless(each.pid) for each in processes)
+            )
     play.signal_all([f'{host}:{port}' for host in hosts])
 
 
 async def hold(play: DeploymentPlay, host: str, port: str) -> None:
-    """Hold a port of a process that does not run for some seconds."""
+    """Hold a port of a process that does not run for some seconds.
+
+    Callers that connect to it meanwhile are the fault of this test.
+    """
     length_s = play.random.uniform(0.5, 5)
     play.note(f'port {port} of {host} held for {length_s:.1f} s')
-    with socket.socket() as held:
+    with socket.socket() as held, play.observations.losses.excused(host):
         held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         held.bind((host, play.mesh.ports[port]))
         held.listen()
