Find calls that a node breaks off before their time

Cause: a failure of a node's own in place of the answer of a target at work is a loss around a planned stop, and was only counted with those past deadlines. Change: plays of deployments list calls that ran and got a failure of a node's own before eight tenths of their deadline, unless they passed a node that was killed or frozen.

--- a/tests/platform/deployment/__main__.py
+++ b/tests/platform/deployment/__main__.py
@@ -13,6 +13,7 @@
 from tests.platform.deployment.run import KINDS, play_deployment
 from tests.platform.deployment.sites import SITES
 
+_LISTS: Final = ('broken', 'broken_off', 'ended')
 _SHOWN: Final = 5
 
 
@@ -52,7 +53,7 @@
         max_ends=options.max_ends,
     )
     result = uvloop.run(play)
-    red = bool(result['broken'] or result['ended'])
+    red = any(result[name] for name in _LISTS)
     if red and options.logs is not None:
         kept = options.logs / f'{site}-{kind}-{seed}'
         shutil.copytree(folder, kept, dirs_exist_ok=True)
@@ -64,7 +65,7 @@
 
 def _print(result: dict[str, Any]) -> None:
     short = result.copy()
-    for name in ('broken', 'broken_off', 'ended'):
+    for name in _LISTS:
         short[name] = [len(result[name]), *result[name][:_SHOWN]]
     sys.stdout.write(f'{json.dumps(short)}\n')
     sys.stdout.flush()
--- a/tests/platform/deployment/mesh.py
+++ b/tests/platform/deployment/mesh.py
@@ -64,11 +64,14 @@
         The deployment.
     services : dict of str
         Service of the target beside each node.
+    hosts_by_request : dict of str
+        Machine whose target ran a call last.
     """
 
     launcher: DeployedLauncher
     site: Site
     services: dict[str, str]
+    hosts_by_request: dict[str, str]
 
     async def start_control(
         self, host: str, *, first_start: bool, **mesh: Any
--- a/tests/platform/deployment/results.py
+++ b/tests/platform/deployment/results.py
@@ -10,11 +10,15 @@
 
 from tests.platform.deployment.play import DeploymentPlay
 from tests.platform.deployment.sites import INNER
+from tests.platform.deployment.traffic import FailedCall
+from tests.platform.soak.losses import MARGIN_S
 
 # Ends by itself of one process that count as a fault.
 FAULT_ENDS: Final = 3
 RECOVERY_S: Final = 15.0
 _POLL_S: Final = 0.05
+# A call that ends earlier than this part of its deadline was not late.
+_EARLY_PART: Final = 0.8
 
 
 async def until_served(play: DeploymentPlay) -> None:
@@ -55,12 +59,30 @@
 
 
 def _broken_off(play: DeploymentPlay) -> list[Any]:
-    """Return calls that ran and got a failure of a node's own."""
-    runs = play.observations.runs_by_id
+    """Return calls that a node ended before their time, while they ran.
+
+    Those that passed a node which was killed or frozen are left out.
+    """
     inner = (target.inner for target in play.targets.values())
     return [
         failed
         for caller in chain(play.callers, inner)
         for failed in caller.failed
-        if runs[failed[0]]
+        if _is_broken_off(play, failed, caller.route.deadline_ms / 1000)
     ]
+
+
+def _is_broken_off(
+    play: DeploymentPlay, failed: FailedCall, deadline_s: float
+) -> bool:
+    request_id, sent_s, ended_s, _ = failed
+    ran_at = play.mesh.hosts_by_request.get(request_id)
+    if ran_at is None or ended_s - sent_s > deadline_s * _EARLY_PART:
+        return False
+    hosts = {request_id.partition('-')[0], ran_at}
+    return not any(
+        hosts & set(each.hosts)
+        and ended_s > each.from_s - MARGIN_S
+        and sent_s < each.until_s + MARGIN_S
+        for each in play.observations.losses.unavailable
+    )
--- a/tests/platform/deployment/run.py
+++ b/tests/platform/deployment/run.py
@@ -141,6 +141,7 @@
         mesh = DeployedMesh(folder, session, ports, launcher)
         stack.push_async_callback(mesh.end_all)
         mesh.site = SITES[site]
+        mesh.hosts_by_request = {}
         mesh.services = {
             f'127.0.7.{number}': service
             for number, service in enumerate(mesh.site.services, _FIRST_NODE)
--- a/tests/platform/deployment/traffic.py
+++ b/tests/platform/deployment/traffic.py
@@ -26,6 +26,7 @@
 # Callers of a route, as a part of its calls a second.
 _CALLERS_S: Final = 0.25
 _OWN_FAILURES: Final = frozenset((500, 502, 504))
+FailedCall = tuple[str, float, float, int]
 Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
@@ -45,7 +46,7 @@
 
     route: Route
     interval_s: float
-    failed: list[tuple[str, float, float, int]]
+    failed: list[FailedCall]
 
     def _pause_s(self, started_s: float) -> float:
         return max(started_s + self.interval_s - time.monotonic(), 0)
@@ -218,6 +219,7 @@
         self, request: web.BaseRequest, request_id: str
     ) -> web.Response:
         self._observations.runs_by_id[request_id] += 1
+        self._mesh.hosts_by_request[request_id] = self._host
         name = request.path.split('/')[1]
         route = next(
             each for each in self._mesh.site.routes if each.name == name
