--- /dev/null
+++ b/tests/platform/deployment/results.py
@@ -0,0 +1,88 @@
+"""What was seen of a play of a deployment."""
+
+import asyncio
+import os
+import time
+from collections import Counter
+from http import HTTPStatus
+from itertools import chain
+from typing import Any, Final
+
+from tests.platform.deployment.play import DeploymentPlay
+from tests.platform.deployment.sites import INNER
+from tests.platform.deployment.traffic import FailedCall
+from tests.platform.soak.losses import MARGIN_S
+
+# Ends by itself of one process that count as a fault.
+FAULT_ENDS: Final = 3
+RECOVERY_S: Final = 15.0
+_POLL_S: Final = 0.05
+# A call that ends earlier than this part of its deadline was not late.
+_EARLY_PART: Final = 0.8
+
+
+async def until_served(play: DeploymentPlay) -> None:
+    """Wait until the callers of all nodes are served again."""
+    start_s = time.monotonic()
+    seen = set(play.observations.outcomes_by_id)
+    missing = set(play.nodes)
+    while missing and time.monotonic() < start_s + RECOVERY_S:
+        await asyncio.sleep(_POLL_S)
+        outcomes = play.observations.outcomes_by_id
+        missing -= {
+            request_id.partition('-')[0]
+            for request_id in outcomes.keys() - seen
+            if outcomes[request_id].status == HTTPStatus.OK
+        }
+    if missing:
+        play.orders.broken.append(f'not served at {sorted(missing)}')
+
+
+def result_of(play: DeploymentPlay) -> dict[str, Any]:
+    """Return what was seen."""
+    outcomes = play.observations.outcomes_by_id.values()
+    inner = sum(INNER in each for each in play.observations.outcomes_by_id)
+    ends = Counter(each.partition(' ')[0] for each in play.ended)
+    return {
+        'acks': play.orders.acks,
+        'per_s': round((len(outcomes) - inner) / play.called_s),
+        'inner_per_s': round(inner / play.called_s),
+        'statuses': dict(Counter(each.status for each in outcomes)),
+        'broken': [*play.orders.broken, *play.observations.findings()],
+        'broken_off': _broken_off(play),
+        'faults': [each for each in ends if ends[each] >= FAULT_ENDS],
+        'ends': dict(ends),
+        'ended': play.ended,
+        'steps': play.steps,
+        'load': os.getloadavg()[0],
+    }
+
+
+def _broken_off(play: DeploymentPlay) -> list[Any]:
+    """Return calls that a node ended before their time, while they ran.
+
+    Those that passed a node which was killed or frozen are left out.
+    """
+    inner = (target.inner for target in play.targets.values())
+    return [
+        failed
+        for caller in chain(play.callers, inner)
+        for failed in caller.failed
+        if _is_broken_off(play, failed, caller.route.deadline_ms / 1000)
+    ]
+
+
+def _is_broken_off(
+    play: DeploymentPlay, failed: FailedCall, deadline_s: float
+) -> bool:
+    request_id, sent_s, ended_s, _ = failed
+    ran_at = play.mesh.hosts_by_request.get(request_id)
+    if ran_at is None or ended_s - sent_s > deadline_s * _EARLY_PART:
+        return False
+    hosts = {request_id.partition('-')[0], ran_at}
+    return not any(
+        hosts & set(each.hosts)
+        and ended_s > each.from_s - MARGIN_S
+        and sent_s < each.until_s + MARGIN_S
+        for each in play.observations.losses.unavailable
+    )
