End no process for a line of its log

In a play with little memory left (30 MiB of address space above that of an idle node, 60 callers) a task of the node failed with MemoryError, and the line that reports it failed in the same way, inside the handler of the log. The error left the supervision of the task and ended the process with exit code 1; the calls that it held ended without an answer. Any line can fail so, also one of a healthy task.

The handler raises no error: what it cannot format or write counts as dropped, as with a full pipe. Supervision goes on where not even a record of a line can be made.

A socket as standard output, as log collectors hand it to a process, blocked the process for as long as nobody read it. It is written without blocking, as a pipe is.

--- a/packages/mustardspur_core/src/mustardspur_core/logs.py
+++ b/packages/mustardspur_core/src/mustardspur_core/logs.py
@@ -27,35 +27,40 @@
     """
 
     def __init__(self, descriptor: int) -> None:
-        """Make the descriptor non-blocking if it is a pipe.
+        """Make the descriptor non-blocking if it is a pipe or a socket.
 
         The flag applies to all processes that share the descriptor, so it is
         not set on a terminal; writes to files do not block.
         """
         super().__init__()
-        if stat.S_ISFIFO(os.fstat(descriptor).st_mode):
+        mode = os.fstat(descriptor).st_mode
+        if stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode):
             os.set_blocking(descriptor, False)
         self._descriptor = descriptor
         self._unwritten = b''
         self.dropped = 0
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Write the line of a record, or count it as dropped."""
+        """Write the line of a record, or count it as dropped.
+
+        No error is raised: the task that logs would fail for its line, and a
+        failed task is reported by a line. The pipe can be full or closed, the
+        disk full, and the memory exhausted as the line is formatted.
+        """
         if self.dropped:
             record.lines_dropped = self.dropped
-        line = f'{self.format(record)}\n'.encode()
         try:
-            written = os.write(self._descriptor, self._unwritten + line)
-        except BlockingIOError:
-            self.dropped += 1
-            return
-        except OSError:
-            # The reader has closed the pipe; there is no other log to use.
+            self._write(record)
+        except Exception:
             self.dropped += 1
-            return
+        else:
+            self.dropped = 0
+
+    def _write(self, record: logging.LogRecord) -> None:
+        line = self._unwritten + f'{self.format(record)}\n'.encode()
+        written = os.write(self._descriptor, line)
         # The remainder of a partly written line precedes the next line.
-        self._unwritten = (self._unwritten + line)[written:]
-        self.dropped = 0
+        self._unwritten = line[written:]
 
 
 def configure_logs(settings: Settings) -> None:
--- a/packages/mustardspur_core/src/mustardspur_core/tasks.py
+++ b/packages/mustardspur_core/src/mustardspur_core/tasks.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from collections.abc import AsyncIterator, Callable, Coroutine
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import Any, Final
 
 BackgroundCoroutine = Coroutine[Any, Any, None]
@@ -67,7 +67,9 @@
         try:
             return await run()
         except Exception:
-            _LOG.exception('task failed', extra={'task': name})
+            # Without memory the report fails as well.
+            with suppress(MemoryError):
+                _LOG.exception('task failed', extra={'task': name})
         await asyncio.sleep(RESTART_DELAY_S)
 
 
--- a/tests/core/test_tasks.py
+++ b/tests/core/test_tasks.py
@@ -1,6 +1,7 @@
 """Tests of the failure and cancellation of background tasks."""
 
 import asyncio
+import logging
 from functools import partial
 
 import pytest
@@ -88,3 +89,29 @@
     ):
         await asyncio.sleep(0)
     assert ended == ['waiting']
+
+
+class _NoMemory(logging.Handler):
+    """Handler without memory for a line."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        raise MemoryError
+
+
+@in_virtual_time
+async def test_task_whose_report_fails_runs_again() -> None:
+    """Guards against a process that ends, as there is no memory for the line
+    about a failed task.
+    """
+    logger = logging.getLogger('mustardspur_core.tasks')
+    no_memory = _NoMemory()
+    logger.addHandler(no_memory)
+    runs: list[int] = []
+    try:
+        async with background(
+            supervised('failing', partial(_fail_twice, runs)),
+        ):
+            await asyncio.sleep(10)
+    finally:
+        logger.removeHandler(no_memory)
+    assert len(runs) == 3
