Compare failures of versions at the same moments

Callers saw a good version rolled back if all versions failed for a while as its share rose. Cause: failures were compared by sums over the transfer, and most runs of the new version are later than those of the others.

Change: the failures that the others' rate at the same moments lets expect, and their current rate, raise the limit of the comparison. Latencies are compared as before, and where the others do not fail nothing changes.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/evaluation.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/evaluation.py
@@ -1,6 +1,7 @@
 """Evaluation of a new version by the outcomes of its calls."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 from typing import Final
 
 from mustardspur_core.record import Record
@@ -28,6 +29,7 @@
 # Log likelihood ratio, in nats, from which on a part of the calls counts
 # as slow: a likelihood ratio of about 55.
 SLOW_LOG_RATIO: Final = 4.0
+_NONE_EXPECTED: Final[Mapping[str, float]] = MappingProxyType({})
 
 
 class TransferVerdict(Record):
@@ -53,6 +55,7 @@
     totals: Totals,
     version: str,
     reference: Totals | None = None,
+    expected_failures: Mapping[str, float] = _NONE_EXPECTED,
 ) -> TransferVerdict:
     """Compare a version with the other versions, route by route.
 
@@ -65,6 +68,9 @@
     reference : dict of RunTotals, optional
         Counts that the distribution of the other versions' latencies is
         taken from, by default `totals`. A short window has too few.
+    expected_failures : mapping of float, optional
+        Failures of the version by route that the failure rates of the others
+        at the same moments imply, see `ConcurrentFailures`.
 
     Returns
     -------
@@ -83,7 +89,7 @@
         answered_calls += new.runs
         reason = (
             reason
-            or _failure_reason(route, new, old)
+            or _failure_reason(route, new, old, expected_failures.get(route, 0))
             or _mean_latency_reason(route, new, old)
             or _slow_calls_reason(route, totals, version, usual)
         )
@@ -119,17 +125,22 @@
     return total
 
 
-def _failure_reason(route: str, new: RunTotals, old: RunTotals) -> str:
+def _failure_reason(
+    route: str, new: RunTotals, old: RunTotals, expected: float
+) -> str:
     rate = new.failed / max(new.runs, 1)
     old_rate = old.failed / max(old.runs, 1)
-    limit = max(MIN_FAILURE_RATE, FAILURE_RATIO * old_rate)
+    concurrent_rate = expected / max(new.runs, 1)
+    usual_rate = max(old_rate, concurrent_rate)
+    limit = max(MIN_FAILURE_RATE, FAILURE_RATIO * usual_rate)
     needed = (
         MIN_FAILED if old.runs >= MIN_OTHER_CALLS else MIN_FAILED_WITHOUT_OTHERS
     )
     if new.failed >= needed and rate > limit:
         return (
             f'{route}: {new.failed} of {new.runs} calls failed, '
-            f'failure rate of other versions {old_rate:.3f}'
+            f'failure rate of other versions {old_rate:.3f}, '
+            f'at the same moments {concurrent_rate:.3f}'
         )
     return ''
 
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
@@ -21,6 +21,7 @@
 from mustardspur_core.units import MS_PER_S
 from mustardspur_core.wire import encode_frame
 
+from mustardspur_control.mesh.concurrent_failures import ConcurrentFailures
 from mustardspur_control.mesh.evaluation import TransferVerdict, evaluate
 from mustardspur_control.mesh.evidence import EvidenceAggregator
 from mustardspur_control.mesh.evidence_summary import summarize
@@ -64,6 +65,7 @@
     """
 
     __slots__ = (
+        '_concurrent',
         '_evidence',
         '_log',
         '_mesh',
@@ -88,6 +90,8 @@
         self._registry = registry
         self._evidence = evidence
         self._starts_by_service: dict[str, tuple[str, float]] = {}
+        # By service and version.
+        self._concurrent: dict[tuple[str, str], ConcurrentFailures] = {}
         # Runs that were known when a share was first seen, by transfer.
         self._runs_by_share: dict[tuple[str, str], tuple[float, int]] = {}
 
@@ -106,6 +110,7 @@
             else:
                 self._starts_by_service.clear()
                 self._runs_by_share.clear()
+                self._concurrent.clear()
                 self._evidence.clear()
 
     async def _record_base_versions(self) -> None:
@@ -140,6 +145,7 @@
         if transfer.state != TransferState.RUNNING:
             key = (transfer.service, transfer.version)
             self._runs_by_share.pop(key, None)
+            self._concurrent.pop(key, None)
             if self._starts_by_service.pop(transfer.service, None) is not None:
                 self._evidence.remove_service(transfer.service)
             return
@@ -218,8 +224,19 @@
     def _verdict(self, transfer: Transfer) -> TransferVerdict:
         service, version = transfer.service, transfer.version
         totals = self._evidence.totals(service)
-        overall = evaluate(totals, version)
-        recent = evaluate(self._evidence.recent(service), version, totals)
+        concurrent = self._concurrent.setdefault(
+            (service, version), ConcurrentFailures(version)
+        )
+        concurrent.observe(asyncio.get_running_loop().time(), totals)
+        overall = evaluate(
+            totals, version, expected_failures=concurrent.overall()
+        )
+        recent = evaluate(
+            self._evidence.recent(service),
+            version,
+            totals,
+            expected_failures=concurrent.recent(),
+        )
         verdict = recent if recent.is_faulty else overall
         if transfer.share < 1 or self._evidence.other_runs(
             service, version, COMPARED_S
