Wait for the addresses of a process at its start

Cause: a process whose address was taken at its start ended at once. On real machines an address is held for seconds: by the process before it, which drains or is frozen, or by an outgoing connection.

Change: before a process does anything else, `obtain_needs` binds sockets to all addresses of its role, and `StartWait` tries for the grace time plus 10 s. It logs `start waits` with what holds the address and `start continues`, ends with exit code 0 on a stop signal, and with `cannot start` and exit code 3 at the bound. Bound sockets do not listen until their server starts, so that no connection waits in a backlog; without SO_REUSEADDR meanwhile they are exclusive, and with it again once they listen, accepted connections leave the address free. A port that is bound is given to no outgoing connection.

--- a/packages/mustardspur_control/src/mustardspur_control/control_stream.py
+++ b/packages/mustardspur_control/src/mustardspur_control/control_stream.py
@@ -6,6 +6,7 @@
 from contextlib import asynccontextmanager, suppress
 from typing import Any, Final
 
+from mustardspur_core.listening import listening_socket
 from mustardspur_core.messages import ProtocolFault
 from mustardspur_core.metrics import Metrics
 from mustardspur_core.record import Record
@@ -112,8 +113,8 @@
     streams: ControlStreams,
 ) -> AsyncIterator[None]:
     """Serve nodes and peers on the stream address."""
-    host, _, port = (settings.listen.stream or '').rpartition(':')
-    server = await asyncio.start_server(streams.serve, host, int(port))
+    listening = listening_socket(settings.listen.stream or '')
+    server = await asyncio.start_server(streams.serve, sock=listening)
     try:
         yield
     finally:
--- a/packages/mustardspur_control/src/mustardspur_control/serving.py
+++ b/packages/mustardspur_control/src/mustardspur_control/serving.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 
 from aiohttp import web
+from mustardspur_core.listening import listening_socket
 from mustardspur_core.settings import Settings
 
 from mustardspur_control.operators_api import (
@@ -20,9 +21,9 @@
     """Serve operators on the HTTP address."""
     runner = web.AppRunner(build_operators_app(context), access_log=None)
     await runner.setup()
-    host, _, port = settings.listen.http.rpartition(':')
+    address = settings.listen.http
     try:
-        await web.TCPSite(runner, host, int(port)).start()
+        await web.SockSite(runner, listening_socket(address)).start()
         yield
     finally:
         await runner.cleanup()
--- a/packages/mustardspur_core/src/mustardspur_core/event_loop.py
+++ b/packages/mustardspur_core/src/mustardspur_core/event_loop.py
@@ -9,7 +9,7 @@
 from typing import Any, Final, TypeVar
 
 _ReturnT = TypeVar('_ReturnT')
-_STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
+STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
 
 
 def skip_certificates() -> None:
@@ -96,13 +96,13 @@
     One that arrives later would end the process with the exit code of a
     failure.
     """
-    for number in (*_STOP_SIGNALS, signal.SIGHUP):
+    for number in (*STOP_SIGNALS, signal.SIGHUP):
         ignore_signal(number)
 
 
 def stop_event() -> asyncio.Event:
     """Return an event that is set on SIGTERM or SIGINT."""
     event = asyncio.Event()
-    for number in _STOP_SIGNALS:
+    for number in STOP_SIGNALS:
         handle_signal(number, event.set)
     return event
--- a/packages/mustardspur_core/src/mustardspur_core/http_serving.py
+++ b/packages/mustardspur_core/src/mustardspur_core/http_serving.py
@@ -6,6 +6,8 @@
 
 from aiohttp import web
 
+from mustardspur_core.listening import listening_socket
+
 # Open requests are not waited for at shutdown, since their clients retry.
 _SHUTDOWN_S: Final = 0.1
 
@@ -38,9 +40,8 @@
         shutdown_timeout=_SHUTDOWN_S,
     )
     await runner.setup()
-    host, _, port = address.rpartition(':')
     try:
-        await web.TCPSite(runner, host, int(port)).start()
+        await web.SockSite(runner, listening_socket(address)).start()
         yield
     finally:
         await runner.cleanup()
--- a/packages/mustardspur_daemon/src/mustardspur_daemon/main.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/main.py
@@ -14,7 +14,7 @@
 from mustardspur_daemon.exit_codes import ExitCode
 from mustardspur_daemon.recovering import recover
 from mustardspur_daemon.roles import run_role
-from mustardspur_daemon.starting import run_reported
+from mustardspur_daemon.starting import obtain_needs, run_reported
 
 # Importing the module registers the roles.
 ROLE_MODULES = (processes,)
@@ -54,6 +54,7 @@
 
 
 def _serve(settings_file: SettingsFile, settings: Settings) -> int:
+    obtain_needs(settings)
     run_in_loop(_run_until_stopped(settings_file, settings))
     return ExitCode.STOPPED
 
--- a/packages/mustardspur_daemon/src/mustardspur_daemon/starting.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/starting.py
@@ -5,13 +5,33 @@
 from collections.abc import Callable
 from typing import Final
 
+from mustardspur_core.listening import hold_addresses, listened_addresses
 from mustardspur_core.settings import Settings
+from mustardspur_core.start_wait import StartWait, start_wait_s
 
 from mustardspur_daemon.exit_codes import ExitCode
 
 _LOG: Final = logging.getLogger(__name__)
 
 
+def obtain_needs(settings: Settings) -> None:
+    """Obtain what a process needs before it takes part in anything.
+
+    Explanation
+    ===========
+
+    A process that cannot listen neither votes nor announces itself, since it
+    does nothing else until all its addresses are held.
+
+    Raises
+    ------
+    OSError
+        If something is still missing after the longest wait.
+    """
+    wait = StartWait(start_wait_s(settings))
+    hold_addresses(listened_addresses(settings), wait)
+
+
 def run_reported(settings: Settings, command: Callable[[], int]) -> int:
     """Run a command; log the error that ends it as one structured line.
 
--- a/packages/mustardspur_node/src/mustardspur_node/calls/serving.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/serving.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from aiohttp import web
+from mustardspur_core.listening import listening_socket
 from mustardspur_core.units import BYTES_PER_KIB
 
 from mustardspur_node.calls.error_responses import (
@@ -101,8 +102,8 @@
     server = CallServer(_dispatch(forwarder, own), handler_cancellation=True)
     runner = web.ServerRunner(server, shutdown_timeout=_CLEANUP_S)
     await runner.setup()
-    host, _, port = address.rpartition(':')
-    await web.TCPSite(runner, host, int(port), backlog=_BACKLOG).start()
+    listening = listening_socket(address)
+    await web.SockSite(runner, listening, backlog=_BACKLOG).start()
     maintenance = asyncio.create_task(forwarder.maintenance.run())
     try:
         yield '{}:{}'.format(*runner.addresses[0][:2])
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_answers.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_answers.py
@@ -2,11 +2,18 @@
 
 import asyncio
 from http import HTTPStatus
+from typing import Final
 
 from mustardspur_core.record import Record
 
 from mustardspur_node.mesh.body_room import SMALL_BODY_BYTES
-from mustardspur_node.mesh.calls import Headers, TargetAnswer
+from mustardspur_node.mesh.calls import Headers, TargetAnswer, UnansweredCall
+from mustardspur_node.mesh.names import HeaderNames
+
+# Statuses of calls that did not run and may be sent again after a time.
+_RETRY_STATUSES: Final = frozenset(
+    (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS),
+)
 
 
 class CallerAnswer(Record):
@@ -43,6 +50,46 @@
     )
 
 
+def malformed_answer(reason: str) -> CallerAnswer:
+    """Return the answer to a request that does not follow the protocol."""
+    return node_answer(HTTPStatus.BAD_REQUEST, reason, closes=True)
+
+
+def unrouted_answer() -> CallerAnswer:
+    """Return the answer to a request that no route matches."""
+    return node_answer(HTTPStatus.NOT_FOUND, 'no route matches')
+
+
+def failed_answer() -> CallerAnswer:
+    """Return the answer to a call that failed unexpectedly.
+
+    Whether the call has run is unknown, so the answer promises nothing.
+    """
+    return node_answer(
+        HTTPStatus.INTERNAL_SERVER_ERROR,
+        'unexpected error of the node',
+    )
+
+
+def refusal_answer(
+    unanswered: UnansweredCall,
+    names: HeaderNames,
+) -> CallerAnswer:
+    """Return the answer to a call without an answer of a target."""
+    headers: Headers = []
+    if unanswered.status in _RETRY_STATUSES:
+        after_s = unanswered.retry_after_s
+        headers.append([names.retry_after, format(after_s, '.4g')])
+    if unanswered.status == HTTPStatus.UNAUTHORIZED:
+        headers.append(['www-authenticate', 'Bearer'])
+    return node_answer(
+        unanswered.status,
+        unanswered.reason,
+        headers,
+        closes=unanswered.closes,
+    )
+
+
 def forward_answer(answer: TargetAnswer) -> CallerAnswer:
     """Return the unchanged answer of a target for the caller."""
     return CallerAnswer(
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
@@ -4,22 +4,25 @@
 import logging
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from http import HTTPStatus
 from typing import Final
 
 from aiohttp.http_parser import RawRequestMessage
+from mustardspur_core.listening import listen
 from mustardspur_core.metrics import Metrics
 from mustardspur_core.settings import MeshSettings
 from mustardspur_core.units import MS_PER_S
 
 from mustardspur_node.mesh.caller_answers import (
     CallerAnswer,
+    failed_answer,
     forward_answer,
-    node_answer,
+    malformed_answer,
+    refusal_answer,
+    unrouted_answer,
 )
 from mustardspur_node.mesh.caller_connection import CallerConnection, ReadBody
 from mustardspur_node.mesh.caller_requests import CallBuilder
-from mustardspur_node.mesh.calls import Headers, UnansweredCall
+from mustardspur_node.mesh.calls import UnansweredCall
 from mustardspur_node.mesh.names import HeaderNames
 from mustardspur_node.mesh.placing import Placer
 from mustardspur_node.mesh.view import MeshView
@@ -33,10 +36,6 @@
 BODY_TIME_S: Final = 0.2
 # New connections between two removals of closed ones.
 _PRUNE_CONNECTIONS: Final = 64
-# Statuses of calls that did not run and may be sent again after a time.
-_RETRY_STATUSES: Final = frozenset(
-    (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS),
-)
 
 
 class CallerServer:
@@ -113,13 +112,7 @@
     @asynccontextmanager
     async def serving(self, address: str) -> AsyncIterator[None]:
         """Listen for callers while the context is active."""
-        host, _, port = address.rpartition(':')
-        server = await asyncio.get_running_loop().create_server(
-            self._create_connection,
-            host,
-            int(port),
-            backlog=BACKLOG,
-        )
+        server = await listen(self._create_connection, address, BACKLOG)
         self._server = server
         try:
             yield
@@ -174,18 +167,13 @@
         try:
             answer = await self._answer(message, body, started_s)
         except UnansweredCall as unanswered:
-            answer = self._refusal_answer(unanswered)
+            answer = refusal_answer(unanswered, self._names)
         except Exception:
-            # Whether the call has run is unknown, so the answer promises
-            # nothing.
             _LOG.exception(
                 'call failed unexpectedly',
                 extra={'request': message.headers.get(self._names.request_id)},
             )
-            answer = node_answer(
-                HTTPStatus.INTERNAL_SERVER_ERROR,
-                'unexpected error of the node',
-            )
+            answer = failed_answer()
         finally:
             self.in_flight -= 1
             body.end_read()
@@ -224,7 +212,7 @@
             message.headers,
         )
         if reason:
-            return node_answer(HTTPStatus.BAD_REQUEST, reason, closes=True)
+            return malformed_answer(reason)
         if self._view.routes is None:
             request_id = message.headers.get(self._names.request_id)
             raise self._placer.refuse_without_table(request_id)
@@ -239,27 +227,13 @@
                 table_index=self._view.table_index,
             )
             await body.discard(BODY_TIME_S)
-            return node_answer(HTTPStatus.NOT_FOUND, 'no route matches')
+            return unrouted_answer()
         return forward_answer(
             await self._placer.place(
                 await self._calls.build(message, body, route, started_s),
             ),
         )
 
-    def _refusal_answer(self, unanswered: UnansweredCall) -> CallerAnswer:
-        headers: Headers = []
-        if unanswered.status in _RETRY_STATUSES:
-            after_s = unanswered.retry_after_s
-            headers.append([self._names.retry_after, format(after_s, '.4g')])
-        if unanswered.status == HTTPStatus.UNAUTHORIZED:
-            headers.append(['www-authenticate', 'Bearer'])
-        return node_answer(
-            unanswered.status,
-            unanswered.reason,
-            headers,
-            closes=unanswered.closes,
-        )
-
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_server.py
@@ -7,6 +7,7 @@
 from functools import partial
 from typing import Final
 
+from mustardspur_core.listening import listening_socket
 from mustardspur_core.mesh.call_messages import (
     CallAnswer,
     CallCancel,
@@ -60,8 +61,8 @@
     @asynccontextmanager
     async def serving(self, address: str) -> AsyncIterator[None]:
         """Listen for other nodes while the context is active."""
-        host, _, port = address.rpartition(':')
-        server = await asyncio.start_server(self.serve, host, int(port))
+        listening = listening_socket(address)
+        server = await asyncio.start_server(self.serve, sock=listening)
         try:
             yield
         finally:
