Let an instance without files forget its first start in the play of voters

Cause: in tests/control/mesh/voter_play.py an instance that had lost its disk started as one that remembers its first start, as the log was told so whatever its settings named. It was trusted at once with an empty log, which the product never does. Change: the play asks the product's rule, remembers_first_start, at each start. form and wipe are functions of their own, for a play of the formation.

--- a/tests/control/mesh/voter_play.py
+++ b/tests/control/mesh/voter_play.py
@@ -6,7 +6,11 @@
 from random import Random
 from typing import Any, Final
 
-from mustardspur_control.mesh.formation import control_peer, own_peer
+from mustardspur_control.mesh.formation import (
+    control_peer,
+    own_peer,
+    remembers_first_start,
+)
 from mustardspur_control.mesh.membership import Membership
 from mustardspur_core.record import replaced
 from mustardspur_core.settings import MeshSettings, Settings, parse_settings
@@ -45,6 +49,7 @@
 
     async def start(self) -> None:
         """Run the log, the membership and the exchange of heartbeats."""
+        self.remembers_first_start = remembers_first_start(self.settings)
         await super().start()
         members: Any = Membership(self.settings, self.mesh, self.running)
         self._play.members_by_id[self.settings.id] = members
@@ -62,7 +67,7 @@
     """Instances under faults, of which one at a time is lost."""
 
     def __init__(self, seed: int) -> None:
-        """Start all instances and let them become voters."""
+        """Start the play; instances and their order depend on the seed."""
         super().__init__({'c0': 'erie'}, seed=seed)
         self.instances.clear()
         self.members_by_id: dict[str, Any] = {}
@@ -79,8 +84,12 @@
             instance = self.instances[name]
             instance.settings = replaced(instance.settings, peers=peers)
         self.counted = first
-        self.start(*first)
         self._proposing = self.loop.create_task(self._accept_entries())
+        self.form()
+
+    def form(self) -> None:
+        """Start all instances and let them become voters."""
+        self.start(*self.counted)
         self.advance(8)
 
     def close(self) -> None:
@@ -92,7 +101,7 @@
         """Send heartbeats to the known instances, and learn who is named."""
         while True:
             for peer_id in members.other_peers:
-                if self._reaches(name, peer_id):
+                if _reaches(self, name, peer_id):
                     self._exchange_once(name, members, peer_id)
             await asyncio.sleep(HEARTBEAT_S)
 
@@ -132,7 +141,7 @@
         wiped = self.victim()
         live = [each.settings.id for each in self.live()]
         self.stop(*live)
-        _wipe(self, wiped)
+        wipe(self, wiped)
         self.advance(self.pause_s(0.5, 1.0))
         self.start(*(name for name in self.counted))
 
@@ -144,12 +153,6 @@
         assert self.propose(b'after the final fault').is_ok()
         assert self.accepted.items() <= leader.machine.entries.items()
 
-    def _reaches(self, name: str, peer_id: str) -> bool:
-        other = self.instances.get(peer_id)
-        if other is None or other.log is None:
-            return False
-        return not self.network.is_blocked(name, peer_id)
-
     def _exchange_once(self, name: str, members: Any, peer_id: str) -> None:
         remote = self.members_by_id[peer_id]
         remote.record_seen(own_peer(self.instances[name].settings))
@@ -196,7 +199,7 @@
 def lose_disk(play: VoterPlay, name: str) -> None:
     """Lose power and disk of an instance, which returns empty."""
     play.stop(name)
-    _wipe(play, name)
+    wipe(play, name)
     play.advance(play.pause_s(0.3, 3.0))
     play.start(name)
 
@@ -234,11 +237,19 @@
     disk.full = False
 
 
-def _wipe(play: VoterPlay, name: str) -> None:
+def wipe(play: VoterPlay, name: str) -> None:
+    """Replace the disk of a stopped instance by an empty one."""
     instance: Any = play.instances[name]
     instance.lose_disk()
 
 
+def _reaches(play: VoterPlay, name: str, peer_id: str) -> bool:
+    other = play.instances.get(peer_id)
+    if other is None or other.log is None:
+        return False
+    return not play.network.is_blocked(name, peer_id)
+
+
 def _settings(name: str) -> Settings:
     region = REGIONS[int(name.rpartition('.')[2]) % len(REGIONS)]
     document = {
