Hold the first acknowledgements until a lost disk leaves a quorum

Cause: a first voter of a mesh that is stopped before it has written its file with the first voters remembers nothing. The leader acknowledged orders as soon as two of three first voters held them, so that one lost disk left one voter that remembers and no quorum for good.

A first voter that was not heard for 2 s is removed as soon as another instance has joined, and that one is added before the records of the voters. A first voter is recorded with its data centre only once it remembers, so later leaders know from the log that the formation is over. The kind "late" of the final faults leaves a seed out until the final fault.

--- a/packages/mustardspur_agreement/src/mustardspur_agreement/components.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/components.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from mustardspur_agreement.applying import Applier
+from mustardspur_agreement.assurance import Assurance
 from mustardspur_agreement.ballot_rules import ballot_at_start
 from mustardspur_agreement.barriers import Barriers
 from mustardspur_agreement.context import Context
@@ -34,6 +35,7 @@
         '_following',
         '_leader_checks',
         '_peers',
+        'assurance',
         'barriers',
         'proposals',
         'replica',
@@ -55,6 +57,7 @@
             lambda: self._following.upstream,
         )
         self.proposals = Proposals(replica, self._elections.pause)
+        self.assurance = Assurance(replica)
         self.voters = VoterChanges(replica, self.proposals)
         self.request_handler = RequestHandler(
             replica, self._elections, self.barriers
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/leadership.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/leadership.py
@@ -37,6 +37,8 @@
         time of the election, in seconds of the loop's clock.
     sent_commit : int
         Commit index last sent to it.
+    heard : bool
+        Whether it has answered this leader.
     trusted : bool
         Whether its answers count towards a quorum.
     refill_entries : int
@@ -51,6 +53,7 @@
         'acked_round',
         'acked_s',
         'sent_commit',
+        'heard',
         'trusted',
         'refill_entries',
         'refill_entry_s',
@@ -60,6 +63,7 @@
     acked_round: int
     acked_s: float
     sent_commit: int
+    heard: bool
     trusted: bool
     refill_entries: int
     refill_entry_s: float
@@ -76,11 +80,18 @@
         Index of the no-op entry that starts the term.
     elected_s : float
         Time of the election, in seconds of the loop's clock.
+
+    Attributes
+    ----------
+    held_since_s : float or None
+        When the first acknowledgement was held back, in seconds of the loop's
+        clock.
     """
 
     __slots__ = (
         '_elected_s',
         'first_index',
+        'held_since_s',
         'learners_by_id',
         'progress_by_id',
         'queue',
@@ -98,6 +109,7 @@
         self.queue: list[Proposal] = []
         self.waiting_by_index: dict[int, Proposal] = {}
         self.round = 0
+        self.held_since_s: float | None = None
         self._elected_s = elected_s
 
     def progress(self, peer_id: str) -> Progress:
@@ -110,6 +122,7 @@
                 acked_round=0,
                 acked_s=self._elected_s,
                 sent_commit=0,
+                heard=False,
                 trusted=False,
                 refill_entries=0,
                 refill_entry_s=float('-inf'),
@@ -154,6 +167,14 @@
             if progress.acked_round >= number
         ]
 
+    def heard_ids(self) -> set[str]:
+        """Return the peers that have answered this leader."""
+        return {
+            name
+            for name, progress in self.progress_by_id.items()
+            if progress.heard
+        }
+
     def fail_all(self, queued: Outcome, written: Outcome) -> None:
         """Complete all queued and written proposals at the end of the term."""
         for proposal in self.queue:
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/log.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/log.py
@@ -62,6 +62,20 @@
             )
         return await self._components.proposals.propose(EntryKind.DATA, entry)
 
+    async def assure(
+        self,
+        committed: Committed,
+    ) -> Result[bool, ProposalError]:
+        """Wait until an entry may be acknowledged, while the mesh forms.
+
+        Returns
+        -------
+        Result
+            Whether the entry survives the loss of any one disk; an error of
+            kind ``unknown`` if this instance has ceased to lead the term.
+        """
+        return await self._components.assurance.wait(committed)
+
     async def read_barrier(self) -> Result[int, ProposalError]:
         """Return a confirmed read index once it is applied locally.
 
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/log_rules.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/log_rules.py
@@ -4,6 +4,7 @@
 check call the same rules.
 """
 
+from collections.abc import Iterable
 from typing import TypeVar
 
 from mustardspur_agreement.entries import Entry, EntryKind
@@ -121,11 +122,43 @@
     first_index : int
         Index of the first entry of its term.
     """
-    pending = entries.between(commit_index + 1, entries.last_index)
-    is_changing = any(entry.kind == EntryKind.VOTERS for entry in pending)
+    is_changing = is_changing_voters(entries, commit_index)
     return commit_index >= first_index and not is_changing
 
 
+def is_changing_voters(entries: EntryList, commit_index: int) -> bool:
+    """Whether a change of voters is not committed yet."""
+    pending = entries.between(commit_index + 1, entries.last_index)
+    return any(entry.kind == EntryKind.VOTERS for entry in pending)
+
+
+def survives_disk_loss(
+    membership: Membership,
+    remembering: Iterable[str],
+) -> bool:
+    """Whether a quorum is left after the loss of any one more disk.
+
+    Explanation
+    ===========
+
+    What a quorum has committed can be read after the loss of a disk as long
+    as the other voters that remember what they acknowledged are a quorum,
+    since every two quorums share a voter. Fewer than three voters never
+    survive it, and nothing is gained by waiting.
+
+    Parameters
+    ----------
+    membership : Membership
+        The voters.
+    remembering : iterable of str
+        Instances that have what they acknowledged.
+    """
+    voters = membership.voters_by_id.keys()
+    if len(voters) <= membership.quorum:
+        return True
+    return len(voters & set(remembering)) > membership.quorum
+
+
 def is_refilled(commit_index: int, answer: BarrierAnswer) -> bool:
     """Whether a log holds an entry that was committed after a confirmation."""
     return commit_index > answer.last_index
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/log_state.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/log_state.py
@@ -2,6 +2,7 @@
 
 from mustardspur_core.settings import Peer
 
+from mustardspur_agreement.assurance import is_assured, remembering_ids
 from mustardspur_agreement.replica import Replica
 from mustardspur_agreement.voting import has_leader_contact
 
@@ -64,6 +65,20 @@
         """Voters with their addresses, by identifier."""
         return dict(self._replica.membership.voters_by_id)
 
+    @property
+    def remembering_ids(self) -> set[str]:
+        """Instances that this one, as leader, knows to remember."""
+        return remembering_ids(self._replica)
+
+    @property
+    def is_assured(self) -> bool:
+        """Whether committed entries survive the loss of any one disk.
+
+        False while the first voters of a mesh have not all been heard, and no
+        other instances have taken their place.
+        """
+        return is_assured(self._replica)
+
     @property
     def is_current(self) -> bool:
         """Whether this instance leads or is in direct contact with a leader.
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/membership.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/membership.py
@@ -53,6 +53,16 @@
         indexes = [index_by_id.get(name, 0) for name in self.voters_by_id]
         return sorted(indexes, reverse=True)[self.quorum - 1]
 
+    def recorded_ids(self) -> set[str]:
+        """Return the voters whose data centre is recorded.
+
+        The seeds of a mesh are recorded without it at first; the leader adds
+        it once the voter remembers what it acknowledged.
+        """
+        return {
+            name for name, peer in self.voters_by_id.items() if peer.data_centre
+        }
+
     def preferred_region(self) -> str:
         """Return the region with most voters; ties go to the first by name.
 
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/replication.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/replication.py
@@ -166,6 +166,7 @@
         if reply.term > leadership.term:
             await self._adopt_term(reply.term)
             return None
+        progress.heard = True
         progress.trusted = reply.trusted
         if reply.trusted:
             progress.refill_entries = 0
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/log_access.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/log_access.py
@@ -71,15 +71,16 @@
                 outcome = await asyncio.shield(
                     self._log.propose(encode_frame(entry)),
                 )
+                assured = await self._assure(outcome)
         except TimeoutError:
             return Error(
                 self._unavailable('no quorum answered before the timeout')
             )
-        if outcome.is_error():
-            return Error(self._proposal_error(outcome.error))
+        if assured.is_error():
+            return Error(self._proposal_error(assured.error))
         answer = outcome.ok.answer
         assert isinstance(answer, MeshAnswer)
-        _log_committed(entry, outcome.ok, answer)
+        _log_committed(entry, outcome.ok, answer, is_assured=assured.ok)
         return Ok(answer)
 
     async def confirm(self) -> Result[int, OperationError]:
@@ -95,6 +96,13 @@
             return Error(self._unavailable(barrier.error.detail))
         return Ok(barrier.ok)
 
+    async def _assure(
+        self, outcome: Result[Committed, ProposalError]
+    ) -> Result[bool, ProposalError]:
+        if outcome.is_error():
+            return Error(outcome.error)
+        return await self._log.assure(outcome.ok)
+
     def _proposal_error(self, error: ProposalError) -> OperationError:
         if error.kind == 'not_leader':
             return self._error(error.detail)
@@ -116,6 +124,8 @@
     entry: Record,
     committed: Committed,
     answer: MeshAnswer,
+    *,
+    is_assured: bool,
 ) -> None:
     _LOG.info(
         'order committed',
@@ -125,5 +135,6 @@
             'index': committed.index,
             'term': committed.term,
             'holders': committed.holders,
+            'survives_disk_loss': is_assured,
         },
     )
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/membership.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/membership.py
@@ -24,12 +24,16 @@
 # further loss can leave no quorum. The change is committed within the 4 s after
 # which the further loss of an instance is allowed for.
 REMOVE_REPLACED_AFTER_S: Final = 3.0
+# While the mesh forms, a first voter that was never heard is removed as soon as
+# another instance has joined, since no order is acknowledged until then.
+REMOVE_UNHEARD_AFTER_S: Final = 2.0
 # A planned replacement starts the new instance this long before the old one
 # ends, at most.
 JOINED_BEFORE_S: Final = 8.0
 # An instance that does not catch up within this time is retried later.
 CATCH_UP_TIMEOUT_S: Final = 6.0
 CHECK_INTERVAL_S: Final = 0.5
+FORMING_CHECK_INTERVAL_S: Final = 0.1
 
 
 class Membership(KnownControls):
@@ -77,7 +81,11 @@
         """
         self._connected_since_s = _now()
         while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
+            await asyncio.sleep(
+                CHECK_INTERVAL_S
+                if self._log.is_assured
+                else FORMING_CHECK_INTERVAL_S
+            )
             self._observe()
             if self._log.is_leader:
                 await self._reconcile_voters()
@@ -109,24 +117,48 @@
         if lost and len(voters) > MIN_VOTERS:
             await self._remove(lost[0])
         elif to_add:
-            await self._add(min(to_add, key=self._last_attempt_s))
+            await self._add(min(to_add, key=self._turn))
 
     def _is_lost(self, voter: str) -> bool:
         silent_s = self.silent_for_s(voter, self._connected_since_s)
+        if not self._log.is_assured and not self._is_recorded(voter):
+            return silent_s > REMOVE_UNHEARD_AFTER_S
         earliest_s = _now() - silent_s - JOINED_BEFORE_S
         replaced = self._last_joined_s > earliest_s
         limit_s = REMOVE_REPLACED_AFTER_S if replaced else REMOVE_AFTER_S
         return silent_s > limit_s
 
-    def _last_attempt_s(self, peer: Peer) -> float:
-        return self._attempted_s.get(peer.id, float('-inf'))
+    def _turn(self, peer: Peer) -> tuple[float, bool]:
+        """Return a key that is least for the peer to add next.
+
+        While the mesh forms, a further instance goes before the records of
+        voters, but the first record brings it the addresses of the others.
+        """
+        is_later = not self._log.is_assured and (
+            peer.id != self._settings.id and peer.id in self._log.voter_peers
+        )
+        return self._attempted_s.get(peer.id, float('-inf')), is_later
 
     def _peers_to_add(self, voters: dict[str, Peer]) -> list[Peer]:
-        live = [peer for peer in self.controls if voters.get(peer.id) != peer]
+        live = [
+            peer
+            for peer in self.controls
+            if voters.get(peer.id) != peer and self._may_record(peer.id)
+        ]
         if len(voters) < MAX_VOTERS:
             return live
         return [peer for peer in live if peer.id in voters]
 
+    def _may_record(self, peer_id: str) -> bool:
+        """Whether a first voter remembers, which its record then states."""
+        return self._is_recorded(peer_id) or (
+            peer_id in self._log.remembering_ids
+        )
+
+    def _is_recorded(self, peer_id: str) -> bool:
+        voter = self._log.voter_peers.get(peer_id)
+        return voter is None or bool(voter.data_centre)
+
     async def _add(self, peer: Peer) -> None:
         self._attempted_s[peer.id] = _now()
         try:
--- a/tests/agreement/cluster.py
+++ b/tests/agreement/cluster.py
@@ -111,6 +111,8 @@
 class Instance:
     """One control instance that can lose power and start again."""
 
+    machine_type = ListMachine
+
     def __init__(self, settings: Settings, cluster: 'InstanceGroup') -> None:
         """Initialise a stopped instance with an empty disk."""
         self.settings = settings
@@ -119,7 +121,7 @@
         self.disk_delay_s = 0.001
         # What the file with the first voters states in a mesh.
         self.remembers_first_start = cluster.first_start
-        self.machine = ListMachine(cluster.history)
+        self.machine = self.machine_type(cluster.history)
         self._cluster = cluster
         self._tasks: list[asyncio.Task[None]] = []
         self._applied_index = 0
@@ -138,7 +140,7 @@
     async def start(self) -> None:
         """Load the files and run the log."""
         cluster = self._cluster
-        self.machine = ListMachine(cluster.history)
+        self.machine = self.machine_type(cluster.history)
         self.log = ReplicatedLog(self._context())
         assert self.log.applied_index >= self._applied_index
         self._spawn(self.log.run)
--- a/tests/control/mesh/test_log_access.py
+++ b/tests/control/mesh/test_log_access.py
@@ -23,6 +23,9 @@
             Committed(index=7, term=2, holders=['c1', 'c3'], answer=answer)
         )
 
+    async def assure(self, _: Committed) -> Result[bool, ProposalError]:
+        return Ok(True)
+
 
 @in_virtual_time
 async def _propose() -> None:
@@ -45,3 +48,4 @@
     assert line.order == 'SetBaseVersion'
     assert (line.outcome, line.index, line.term) == ('accepted', 7, 2)
     assert line.holders == ['c1', 'c3']
+    assert line.survives_disk_loss
--- a/tests/control/mesh/test_membership.py
+++ b/tests/control/mesh/test_membership.py
@@ -11,6 +11,7 @@
 from mustardspur_control.mesh.membership import (
     REMOVE_AFTER_S,
     REMOVE_REPLACED_AFTER_S,
+    REMOVE_UNHEARD_AFTER_S,
     Membership,
 )
 from mustardspur_core.record import replaced
@@ -46,12 +47,20 @@
     """A log of which this instance is the leader; each change commits."""
 
     is_leader = True
+    is_assured = True
 
     def __init__(self, *voters: str) -> None:
+        # Voters that remember nothing.
+        self.blank: set[str] = set()
         self.voter_peers = {name: _peer(name) for name in voters}
         # Instances that do not catch up.
         self.behind: set[str] = set()
 
+    @property
+    def remembering_ids(self) -> set[str]:
+        """The voters that remember."""
+        return self.voter_peers.keys() - self.blank
+
     async def add_voter(self, peer: Peer) -> Result[Any, ProposalError]:
         if peer.id in self.behind:
             await asyncio.Event().wait()
@@ -211,3 +220,46 @@
     assert sorted(members.peers_to_name) == ['c1', 'c2', 'c3']
     await asyncio.sleep(PEER_EXPIRY_S + 1)
     assert 'c2' in members.peers_to_name
+
+
+def _forming(*voters: str) -> _Group:
+    """Return a group that forms, without records of its first voters."""
+    group = _Group(*voters)
+    group.log.is_assured = False
+    for name, peer in group.log.voter_peers.items():
+        group.log.voter_peers[name] = replaced(peer, data_centre='', region='')
+    return group
+
+
+@in_virtual_time
+async def test_unheard_first_voter_is_replaced() -> None:
+    """Guards against acknowledgements that are held back until they are late
+    because a first voter that never started still counts.
+    """
+    group = _forming('c1', 'c2', 'c3')
+    voters = await group.hear(REMOVE_UNHEARD_AFTER_S + 0.5, 'c2', 'c4')
+    assert voters == ['c1', 'c2', 'c4']
+
+
+@in_virtual_time
+async def test_unheard_first_voter_stays_alone() -> None:
+    """Guards against a group of two voters, which bears no loss."""
+    group = _forming('c1', 'c2', 'c3')
+    assert await group.hear(REMOVE_AFTER_S + 2, 'c2') == ['c1', 'c2', 'c3']
+
+
+@in_virtual_time
+async def test_first_voter_is_recorded_once_it_remembers() -> None:
+    """Guards against a later leader that takes a first voter for one that
+    remembers what it acknowledged, although it has not been refilled yet.
+    """
+    group = _forming('c1', 'c2', 'c3')
+    group.log.blank = {'c3'}
+    await group.hear(2, 'c2', 'c3')
+    recorded = {
+        name for name, peer in group.log.voter_peers.items() if peer.data_centre
+    }
+    assert recorded == {'c1', 'c2'}
+    group.log.blank.clear()
+    await group.hear(2, 'c2', 'c3')
+    assert group.log.voter_peers['c3'].data_centre
--- a/tests/control/operators_api/fakes.py
+++ b/tests/control/operators_api/fakes.py
@@ -55,6 +55,10 @@
         self.lost_answers -= 1
         return Error(failure('unknown'))
 
+    async def assure(self, _: Committed) -> Result[bool, ProposalError]:
+        """Answer as a group that has formed."""
+        return Ok(True)
+
     async def read_barrier(self) -> Result[int, ProposalError]:
         """Confirm the index, or fail."""
         if self.failure is not None:
--- a/tests/platform/final_faults/play.py
+++ b/tests/platform/final_faults/play.py
@@ -46,9 +46,11 @@
         # Processes that ended without having been stopped.
         self.ended: list[str] = []
         self.new_controls = list(NEW_CONTROLS)
+        # First voters that are stopped before they have written anything.
+        self.absent: list[str] = []
         mesh.launcher.snapshot_entries = random.choice(_SNAPSHOT_ENTRIES)
         port = mesh.ports['http']
-        self._seeds = [f'{host}:{port}' for host in random.sample(CONTROLS, 3)]
+        self.seeds = [f'{host}:{port}' for host in random.sample(CONTROLS, 3)]
         self._started_s = time.monotonic()
 
     def note(self, step: str) -> None:
@@ -59,11 +61,17 @@
     async def start(self, host: str, *, first_start: bool = False) -> None:
         """Start a control instance with the seeds of the play."""
         await self.mesh.start_control(
-            host, first_start=first_start, seeds=self._seeds
+            host, first_start=first_start, seeds=self.seeds
         )
 
     async def start_all(self, *, first_start: bool = False) -> None:
-        """Start all control instances within 0.3 s, in any order."""
+        """Start all control instances within 0.3 s, in any order.
+
+        Those that were left out at the first start take part from the next.
+        """
+        if not first_start:
+            self.orders.hosts.extend(self.absent)
+            self.absent.clear()
         await asyncio.gather(
             *(
                 self._start_later(host, first_start)
--- a/tests/platform/final_faults/run.py
+++ b/tests/platform/final_faults/run.py
@@ -11,7 +11,9 @@
 
 # Reads go on this long after all instances answered.
 READ_ON_S: Final = 8.0
-KINDS: Final = (*steps.BEFORE, 'mixed', 'formation', 'early')
+KINDS: Final = (*steps.BEFORE, 'mixed', 'formation', 'early', 'late')
+# Kinds that begin with the first orders, before all instances count.
+_UNFORMED: Final = ('early', 'late')
 _MIXED: Final = ('full', 'clock', 'frozen', 'wiped')
 
 
@@ -37,17 +39,19 @@
     for host in play.orders.hosts:
         play.mesh.set_faults(host, sync_s=play.random.choice(SYNC_S))
     restarts = asyncio.create_task(play.restart_ended())
+    if kind == 'late':
+        steps.leave_one_out(play)
     await play.start_all(first_start=True)
     if kind == 'formation':
         await steps.formation(play)
-    if kind != 'early':
+    if kind not in _UNFORMED:
         await play.until_counting()
     ordering = asyncio.create_task(play.orders.order_all_the_time())
     disturbances = _disturbances(play, kind)
     while disturbances:
         await disturbances.pop(0)(play)
     finals = sorted(steps.FINAL)
-    if kind in {'early', 'often'}:
+    if kind in {'often', *_UNFORMED}:
         finals = ['disk+killed', 'disk+power']
     await steps.FINAL[play.random.choice(finals)](play)
     await asyncio.sleep(play.random.uniform(0.2, 1))
@@ -58,7 +62,7 @@
 
 
 def _disturbances(play: Play, kind: str) -> list[steps.Step]:
-    if kind == 'early':
+    if kind in _UNFORMED:
         return [steps.until_first_ack]
     names = [kind] if kind in steps.BEFORE else []
     if kind == 'mixed':
--- a/tests/platform/final_faults/steps.py
+++ b/tests/platform/final_faults/steps.py
@@ -176,6 +176,14 @@
     )
 
 
+def leave_one_out(play: Play) -> None:
+    """Leave out a seed until all instances start again."""
+    seed = play.random.choice(play.seeds).partition(':')[0]
+    play.absent.append(seed)
+    play.orders.hosts.remove(seed)
+    play.note(f'{seed} left out')
+
+
 async def until_first_ack(play: Play) -> None:
     """Wait for the first acks of the mesh."""
     async with asyncio.timeout(HANG_LIMIT_S):
--- a/tests/platform/test_final_faults.py
+++ b/tests/platform/test_final_faults.py
@@ -52,3 +52,12 @@
     play = await play_seed('full', 1, tmp_path, read_on_s=2)
     assert not play.orders.broken
     assert not play.ended
+
+
+async def test_first_acks_survive_a_final_fault(tmp_path: Path) -> None:
+    """Guards against acknowledgements while a seed has not started, after which
+    one lost disk leaves no quorum.
+    """
+    play = await play_seed('late', 1, tmp_path, read_on_s=1)
+    assert not play.orders.broken
+    assert not play.ended
