Show requests that a node loses as its start fails

Cause: a node listens for callers before it has the addresses for targets and readiness (running_mesh_node, then serving_app in platform's node_process). With one of these taken it has accepted and forwarded calls when it ends with exit code 1; the supervisor starts it again, and each start loses more. Change: a test that holds the readiness address of a node beside callers.

--- a/tests/platform/deployment/run.py
+++ b/tests/platform/deployment/run.py
@@ -65,7 +65,7 @@
 ) -> None:
     await asyncio.gather(play.start_all(first_start=True), play.start_nodes())
     await play.until_counting()
-    async with _calling(play, load):
+    async with calling(play, load):
         await asyncio.sleep(CALM_S)
         ordering = asyncio.create_task(play.orders.order_all_the_time())
         until_s = time.monotonic() + length_s
@@ -89,7 +89,7 @@
 
 
 @asynccontextmanager
-async def _calling(play: DeploymentPlay, load: float) -> AsyncIterator[None]:
+async def calling(play: DeploymentPlay, load: float) -> AsyncIterator[None]:
     """Call all nodes while the context is active."""
     play.callers = [
         caller
--- a/tests/platform/deployment/steps.py
+++ b/tests/platform/deployment/steps.py
@@ -238,13 +238,15 @@
     play.signal_all([f'{host}:{port}' for host in hosts])
 
 
-async def hold(play: DeploymentPlay, host: str, port: str) -> None:
+async def hold(
+    play: DeploymentPlay, host: str, port: str, least_s: float = 0.5
+) -> None:
     """Hold a port of a process that does not run for some seconds.
 
     Callers that connect to the test on the port for callers get no answer; on
     the others, a process may listen for callers before it needs the port.
     """
-    length_s = play.random.uniform(0.5, 5)
+    length_s = play.random.uniform(least_s, 5)
     play.note(f'port {port} of {host} held for {length_s:.1f} s')
     excused = play.observations.losses.excused(host)
     with socket.socket() as held, excused if port == 'http' else nullcontext():
--- a/tests/platform/test_deployment.py
+++ b/tests/platform/test_deployment.py
@@ -6,10 +6,13 @@
 import pytest
 
 from tests.platform.deployment import steps
-from tests.platform.deployment.run import play_deployment, running
+from tests.platform.deployment.play import DeploymentPlay
+from tests.platform.deployment.run import calling, play_deployment, running
 from tests.platform.mesh_processes import HANG_LIMIT_S, POLL_S
 
 _SITE = 'obrazac-kiosk'
+# Part of the stated load.
+_LOAD = 0.3
 # A start, and an end after it, have happened by then.
 _WATCHED_S = 3.0
 
@@ -45,6 +48,12 @@
         assert not play.ended
 
 
+async def _until_ordered(play: DeploymentPlay) -> None:
+    async with asyncio.timeout(HANG_LIMIT_S):
+        while not await play.orders.change(play.orders.hosts[0]):
+            await asyncio.sleep(POLL_S)
+
+
 async def test_successor_starts_beside_a_draining_node(
     tmp_path: Path,
 ) -> None:
@@ -54,9 +63,7 @@
     async with running(_SITE, 'killed', 1, tmp_path) as play:
         host = play.nodes[0]
         await asyncio.gather(play.start_all(first_start=True), play.start(host))
-        async with asyncio.timeout(HANG_LIMIT_S):
-            while not await play.orders.change(play.orders.hosts[0]):
-                await asyncio.sleep(POLL_S)
+        await _until_ordered(play)
         await play.mesh.until(
             'GET', play.mesh.url(host, 'ready', '/api/readyz')
         )
@@ -65,3 +72,26 @@
         await asyncio.sleep(_WATCHED_S)
         supervision.cancel()
         assert not play.ended
+
+
+async def test_failed_start_takes_no_call(tmp_path: Path) -> None:
+    """Guards against requests without an answer at a node that listens for
+    callers and then ends, since its readiness address is taken.
+    """
+    async with running(_SITE, 'killed', 1, tmp_path) as play:
+        host, other = play.nodes[:2]
+        await asyncio.gather(
+            play.start_all(first_start=True), *map(play.start, (host, other))
+        )
+        await _until_ordered(play)
+        supervision = asyncio.create_task(play.restart_ended())
+        async with calling(play, _LOAD):
+            await asyncio.sleep(_WATCHED_S)
+            await play.stop(host)
+            holding = asyncio.create_task(steps.hold(play, host, 'ready', 4))
+            await asyncio.sleep(0)
+            await play.start(host)
+            await holding
+            await asyncio.sleep(_WATCHED_S)
+        supervision.cancel()
+        assert not play.observations.findings()
