--- a/tests/platform/deployment/results.py
+++ b/tests/platform/deployment/results.py
@@ -10,14 +10,21 @@
 
 from tests.platform.deployment.play import DeploymentPlay
 from tests.platform.deployment.sites import INNER
-from tests.platform.deployment.traffic import FailedCall
+from tests.platform.deployment.traffic import (
+    FailedCall,
+    RoutedCaller,
+    RoutedSlowCaller,
+)
 from tests.platform.soak.losses import MARGIN_S
+from tests.platform.soak.patterns import MAX_BODY_PAUSE_S
 
 # Ends by itself of one process that count as a fault.
 FAULT_ENDS: Final = 3
 RECOVERY_S: Final = 15.0
 _POLL_S: Final = 0.05
-# A call that ends earlier than this part of its deadline was not late.
+# Timeout of all routes.
+TIMEOUT_S: Final = 2.0
+# A call that ends earlier than this part of its time was not late.
 _EARLY_PART: Final = 0.8
 
 
@@ -68,16 +75,24 @@
         failed
         for caller in chain(play.callers, inner)
         for failed in caller.failed
-        if _is_broken_off(play, failed, caller.route.deadline_ms / 1000)
+        if _is_broken_off(play, failed, _least_s(caller))
     ]
 
 
+def _least_s(caller: RoutedCaller) -> float:
+    """Return a time after its last byte before which no call is late."""
+    limit_s = min(caller.route.deadline_ms / 1000, TIMEOUT_S) * _EARLY_PART
+    if isinstance(caller, RoutedSlowCaller):
+        return limit_s - MAX_BODY_PAUSE_S
+    return limit_s
+
+
 def _is_broken_off(
-    play: DeploymentPlay, failed: FailedCall, deadline_s: float
+    play: DeploymentPlay, failed: FailedCall, least_s: float
 ) -> bool:
     request_id, sent_s, ended_s, _ = failed
     ran_at = play.mesh.hosts_by_request.get(request_id)
-    if ran_at is None or ended_s - sent_s > deadline_s * _EARLY_PART:
+    if ran_at is None or ended_s - sent_s > least_s:
         return False
     hosts = {request_id.partition('-')[0], ran_at}
     return not any(
