Start the deployed processes by the program that ignores SIGHUP

The start of Python lasted 11 ms (80 beside load) in which SIGHUP ended a process, as an executed program has the default action until it changes it. Both roles now run target/bin/mustardspur-python, which the build makes; it lists the packages of the compiler. Tests, soak and final faults start their processes by the same program, built once per test run into build/tests.

--- a/tests/platform/final_faults/mesh.py
+++ b/tests/platform/final_faults/mesh.py
@@ -4,7 +4,6 @@
 import json
 import os
 import signal
-import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -19,6 +18,7 @@
     Mesh,
     reserved_ports,
 )
+from tests.support.built_program import built_program
 from tests.support.power_loss import RecordedFolder, clear
 from tests.support.recorded_start import (
     FAULTS_SUFFIX,
@@ -49,10 +49,7 @@
 
     def command(self, host: str, role: str) -> list[str]:
         """Return the command that records the file calls."""
-        python = _landing() / '.venv' / 'bin' / 'python'
-        if not python.exists():
-            python = Path(sys.executable)
-        return [str(python), '-P', str(_START)]
+        return [str(self._python()), '-P', str(_START)]
 
     def variables(self, host: str) -> dict[str, str]:
         """Return the variables of the recorder and of the played commit."""
@@ -64,6 +61,14 @@
             'PYTHONPATH': os.pathsep.join(map(str, sources)),
         }
 
+    def _python(self) -> Path:
+        """Return the built program, unless another landing has its Python."""
+        landing = _landing()
+        python = landing / '.venv' / 'bin' / 'python'
+        if landing == REPOSITORY or not python.exists():
+            return built_program()
+        return python
+
 
 class FaultyMesh(Mesh):
     """A mesh whose control instances have recorded disks."""
--- a/tests/platform/mesh_processes.py
+++ b/tests/platform/mesh_processes.py
@@ -7,7 +7,6 @@
 import shutil
 import signal
 import socket
-import sys
 import tomllib
 from collections.abc import AsyncIterator, Iterator
 from contextlib import (
@@ -22,6 +21,8 @@
 
 from aiohttp import ClientError, ClientResponse, ClientSession, web
 
+from tests.support.built_program import built_program
+
 REPOSITORY: Final = Path(__file__).parents[2]
 # Upper bound for a hanging test; no result depends on the time of a step.
 HANG_LIMIT_S: Final = 60.0
@@ -37,15 +38,23 @@
 _PORTS: Final = ('stream', 'http', 'ready', 'targets', 'target')
 _HEALTH_PATH: Final = '/healthz'
 _DEPLOYMENT: Final = REPOSITORY / 'deploy' / 'system.toml'
+# The last step of the build.
+_BUILD: Final = 'python3 -m mustardspur_daemon.interpreter'
 
 
 def deployed_command(role: str) -> list[str]:
-    """Return the deployed command of a role, with the Python of the tests."""
+    """Return the deployed command of a role, with the Python of the tests.
+
+    Raises
+    ------
+    AssertionError
+        If the build of the deployment does not make its program.
+    """
     deployment = tomllib.loads(_DEPLOYMENT.read_text('utf-8'))
     command: str = deployment['roles'][role]['run']
     program, *arguments = command.split()
-    assert program == 'python3'
-    return [sys.executable, *arguments]
+    assert deployment['build'].endswith(f'{_BUILD} {program}')
+    return [str(built_program()), *arguments]
 
 
 class Launcher:
