Test mustardspurd under the program that ignores SIGHUP

Started by PROGRAM -P -m mustardspur_daemon, a daemon is no longer ended by SIGHUP while Python reads its folders, before the daemon's first line.

--- a/tests/daemon/processes.py
+++ b/tests/daemon/processes.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import ExitStack, asynccontextmanager
 from pathlib import Path
 from typing import Any, Final
@@ -60,6 +60,7 @@
     folder: Path,
     document: dict[str, Any],
     log: Path | None = None,
+    command: Sequence[str] = (str(BINARY),),
 ) -> AsyncIterator[asyncio.subprocess.Process]:
     """Run the daemon while the context is active.
 
@@ -69,7 +70,7 @@
         output: Any = asyncio.subprocess.PIPE
         if log is not None:
             output = stack.enter_context(log.open('wb'))
-        async with _running(folder, document, output) as process:
+        async with _running(folder, document, output, command) as process:
             yield process
 
 
@@ -78,12 +79,13 @@
     folder: Path,
     document: dict[str, Any],
     output: Any,
+    command: Sequence[str],
 ) -> AsyncIterator[asyncio.subprocess.Process]:
     name = document['id']
     path = folder / f'{name}.json'
     path.write_text(json.dumps(document), encoding='utf-8')
     process = await asyncio.create_subprocess_exec(
-        str(BINARY),
+        *command,
         '--settings',
         str(path),
         stdout=output,
--- a/tests/daemon/test_signals.py
+++ b/tests/daemon/test_signals.py
@@ -19,10 +19,18 @@
     running_daemon,
 )
 from tests.daemon.test_mesh import mesh_documents
+from tests.support.built_program import built_program
 from tests.support.ports import free_address
 
 _POLL_S: Final = 0.002
 _SIGHUPS: Final = 5
+# Imported by the module `site`, before the first line of the daemon.
+_SIGNAL_IN_SITE: Final = """
+import os
+import signal
+
+os.kill(os.getpid(), signal.SIGHUP)
+"""
 _NAMES: Final = ('control', 'node', 'mesh-control', 'mesh-node')
 # What a change of the settings is answered with, with and without a mesh.
 _ANSWERS: Final = ('settings not reloaded', 'settings reloaded')
@@ -104,6 +112,26 @@
         assert await process.wait() == 0
 
 
+@pytest.mark.parametrize('name', _NAMES)
+async def test_sighup_while_python_reads_its_folders(
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    name: str,
+) -> None:
+    """Guards against a SIGHUP that ends a daemon before its first line,
+    although it is started by the program that ignores the signal.
+    """
+    (tmp_path / 'sitecustomize.py').write_text(_SIGNAL_IN_SITE, 'utf-8')
+    monkeypatch.setenv('PYTHONPATH', str(tmp_path))
+    document = _document(tmp_path, name)
+    log = tmp_path / 'log'
+    command = (str(built_program()), '-P', '-m', 'mustardspur_daemon')
+    async with running_daemon(tmp_path, document, log, command) as process:
+        await _until_logged(process, log, '"started"')
+        process.terminate()
+        assert await process.wait() == 0
+
+
 @pytest.mark.parametrize('name', _NAMES)
 async def test_signals_at_the_end_do_not_harm(
     tmp_path: Path, name: str
