Check in the model that acknowledged entries outlive one lost disk

The search did not know acknowledgements, nor instances that forget their first start.

It also found that an instance can be refilled before it knows the voters: trusted, unable to stand, and the only one with all entries. Logs of the product cannot do that, since such an instance has no address to ask for a refill; is_refilled now states the rule. Leaders of the model record the voters for a refill, as the control instances do.

--- a/packages/mustardspur_agreement/src/mustardspur_agreement/assurance.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/assurance.py
@@ -10,9 +10,8 @@
     is_changing_voters,
     survives_disk_loss,
 )
-from mustardspur_agreement.membership import voters_at
 from mustardspur_agreement.ports import Committed, ProposalError
-from mustardspur_agreement.replica import Replica
+from mustardspur_agreement.replica import Replica, committed_voters
 
 # Operators expect an acknowledgement within 4 s, and resend what has no answer
 # after about a second.
@@ -123,11 +122,7 @@
     """
     memberships = [replica.membership]
     if is_changing_voters(replica.entries, replica.commit_index):
-        memberships.append(
-            voters_at(
-                replica.entries, replica.commit_index, replica.context.settings
-            )
-        )
+        memberships.append(committed_voters(replica))
     remembering = remembering_ids(replica)
     return all(
         survives_disk_loss(membership, membership.recorded_ids())
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/checking/barriers.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/checking/barriers.py
@@ -43,7 +43,8 @@
     answer = BarrierAnswer(
         confirmed=True, term=term, index=last, last_index=last
     )
-    if log_rules.is_refilled(instance.commit, answer):
+    voters = membership_of(instance.log[: instance.commit], instance.first)
+    if log_rules.is_refilled(instance.commit, answer, voters):
         ballot = ballot_rules.after_refill(ballot_of(instance), answer)
         return as_trusted(with_ballot(instance, ballot))
     return None
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/checking/effects.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/checking/effects.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from mustardspur_agreement.checking.acks import with_acked
 from mustardspur_agreement.checking.barriers import is_confirmed
 from mustardspur_agreement.checking.elections import adopted, request_of
 from mustardspur_agreement.checking.model import (
@@ -84,7 +85,8 @@
     earlier = before.instance(leader.name)
     if earlier.role != LEADER or earlier.term != leader.term:
         after = with_leader(after, leader)
-    return _answered(with_committed(after, leader), leader)
+    after = with_acked(with_committed(after, leader), leader)
+    return _answered(after, leader)
 
 
 def _answered(state: State, leader: Instance) -> State:
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/checking/faults.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/checking/faults.py
@@ -45,6 +45,17 @@
             yield from _start_again(spent, after, 'loses its disk')
 
 
+@action
+def forget_first_start(state: State, setup: Setup) -> Iterator[Move]:
+    """An instance that has done nothing yet stops, and starts without files."""
+    spent = spend(state, 'forgotten')
+    if spent:
+        for one in state.instances:
+            if one == started(one.name, setup, first_start=True):
+                after = started(one.name, setup, first_start=False)
+                yield from _start_again(spent, after, 'forgets its first start')
+
+
 @action
 def arrive_late(state: State, _setup: Setup) -> Iterator[Move]:
     """A request arrives whose sender has stopped or stepped down."""
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/checking/log_actions.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/checking/log_actions.py
@@ -63,8 +63,12 @@
 
 
 @action
-def append_for_refill(state: State, _setup: Setup) -> Iterator[Move]:
-    """A leader without entries to commit appends one for a refill."""
+def append_for_refill(state: State, setup: Setup) -> Iterator[Move]:
+    """A leader without entries to commit appends one for a refill.
+
+    In a mesh it may record the voters again, from which an instance that knows
+    none learns them.
+    """
     spent = spend(state, 'refills')
     if spent is None:
         return
@@ -73,6 +77,10 @@
         if untrusted and leader.commit == len(leader.log):
             text = f'{leader.name} appends an entry to refill peers'
             yield Move(text, put(spent, proposed(leader, ())))
+            if not setup.lists_voters_again:
+                after = proposed(leader, voters_of(leader))
+                text = f'{leader.name} records the voters to refill peers'
+                yield Move(text, put(spent, after))
 
 
 @action
@@ -119,5 +127,8 @@
         changed = voters ^ {name}
         match = match_of(leader, name)
         is_caught_up = match.trusted and match.last >= len(leader.log)
-        if changed and (name in voters or is_caught_up):
+        is_allowed = is_caught_up
+        if name in voters:
+            is_allowed = len(changed) >= setup.min_voters
+        if is_allowed:
             yield tuple(sorted(changed))
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/checking/model.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/checking/model.py
@@ -131,6 +131,9 @@
         Appends that carry only entries from before the leader's election.
     late : int
         Requests that arrive after their sender has stopped or stepped down.
+    forgotten : int
+        First starts that an instance forgets, as it is stopped before its
+        file with the first voters is written.
     terms : int
         The highest term.
     """
@@ -144,6 +147,7 @@
     refills: int = 2
     parts: int = 0
     late: int = 0
+    forgotten: int = 0
     terms: int = 2
 
 
@@ -160,12 +164,15 @@
         Whether an instance without files takes the voters from its settings,
         as outside of a mesh, and does not remember its first start. In a mesh
         it then knows no voters.
+    min_voters : int
+        Number of voters below which none is removed.
     """
 
     instances: int = 3
     seeds: int = 3
     budget: Budget = Budget()
     lists_voters_again: bool = False
+    min_voters: int = 1
 
     @property
     def names(self) -> str:
@@ -200,6 +207,11 @@
         Requests that may still arrive.
     budget : Budget
         What may still happen.
+    acked : int
+        Number of committed entries that a leader has acknowledged.
+    has_formed : bool
+        Whether the voters that remember once were a quorum without any one of
+        them, after which a leader acknowledges at once.
     broken : frozenset of str
         The properties that the last action violated.
     """
@@ -209,6 +221,8 @@
     leaders: tuple[tuple[int, str], ...]
     late: frozenset[Late]
     budget: Budget
+    acked: int = 0
+    has_formed: bool = False
     broken: frozenset[str] = frozenset()
 
     def instance(self, name: str) -> Instance:
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/checking/moves.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/checking/moves.py
@@ -35,6 +35,8 @@
         leaders=(),
         late=frozenset(),
         budget=setup.budget,
+        # Voters from the settings are recorded from the first moment.
+        has_formed=setup.lists_voters_again,
     )
 
 
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/checking/properties.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/checking/properties.py
@@ -14,7 +14,10 @@
 COMPLETE: Final = 'a leader lacks a committed entry'
 CURRENT: Final = 'a read is older than a committed entry'
 REACHABLE: Final = 'no leader with every committed entry can be elected'
-ALL: Final = frozenset((ONE_LEADER, ONE_ENTRY, COMPLETE, CURRENT, REACHABLE))
+REMEMBERED: Final = 'an acknowledged entry is gone with one lost disk'
+ALL: Final = frozenset(
+    (ONE_LEADER, ONE_ENTRY, COMPLETE, CURRENT, REACHABLE, REMEMBERED)
+)
 
 
 def with_committed(state: State, leader: Instance) -> State:
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/checking/recovery.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/checking/recovery.py
@@ -30,10 +30,12 @@
     """Whether a leader with every committed entry can be elected.
 
     All instances restart and reach each other. The property is required while
-    a minority of the first voters has lost its disk, and only before a change
-    of voters: a new set of voters may have no quorum that has been filled.
+    a minority of the first voters has lost its disk or forgotten its first
+    start, and only before a change of voters: a new set of voters may have no
+    quorum that has been filled.
     """
     lost = setup.budget.losses - state.budget.losses
+    lost += setup.budget.forgotten - state.budget.forgotten
     is_changed = state.budget.changes < setup.budget.changes
     if is_changed or 2 * lost >= setup.seeds:
         return True
@@ -45,6 +47,25 @@
     return log is not None and log[: len(required)] == required
 
 
+def keeps_acked(state: State, setup: Setup) -> bool:
+    """Whether what was acknowledged can be read after one lost disk.
+
+    All instances restart and reach each other, those too that have forgotten
+    their first start. With changes of voters the property is required only
+    where too few voters are never left.
+    """
+    lost = setup.budget.losses - state.budget.losses
+    may_shrink = setup.budget.changes and setup.min_voters < setup.seeds
+    if may_shrink or not state.acked or lost > 1:
+        return True
+    instances = tuple(
+        restarted(one, keeps_mark=True) for one in state.instances
+    )
+    log = committed_log(instances)
+    required = tuple(entry.item for entry in state.committed[: state.acked])
+    return log is not None and log[: len(required)] == required
+
+
 @step
 def committed_log(instances: Instances) -> Log | None:
     """Return the log of a leader that a quorum elects and follows."""
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/checking/search.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/checking/search.py
@@ -12,8 +12,12 @@
 from mustardspur_agreement.checking.caching import clear_steps
 from mustardspur_agreement.checking.model import Setup, State
 from mustardspur_agreement.checking.moves import Move, first_state, moves
-from mustardspur_agreement.checking.properties import ALL, REACHABLE
-from mustardspur_agreement.checking.recovery import can_recover
+from mustardspur_agreement.checking.properties import (
+    ALL,
+    REACHABLE,
+    REMEMBERED,
+)
+from mustardspur_agreement.checking.recovery import can_recover, keeps_acked
 from mustardspur_agreement.checking.symmetry import key_of
 
 
@@ -133,6 +137,9 @@
         if REACHABLE in self._properties:
             if not can_recover(state, self._setup):
                 return REACHABLE
+        if REMEMBERED in self._properties:
+            if not keeps_acked(state, self._setup):
+                return REMEMBERED
         return ''
 
     def _violation(self, depth: int, key: int, broken: str) -> Found:
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/checking/setups.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/checking/setups.py
@@ -34,6 +34,12 @@
             instances=4,
             budget=Budget(losses=1, changes=1),
         ),
+        'forgotten-start': Setup(budget=Budget(losses=1, forgotten=1)),
+        'forgotten-start-and-changes': Setup(
+            instances=4,
+            budget=Budget(losses=1, forgotten=1, changes=2),
+            min_voters=3,
+        ),
         'four-voters': Setup(instances=4, seeds=4, budget=Budget(losses=1)),
     }
 )
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/checking/symmetry.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/checking/symmetry.py
@@ -105,7 +105,7 @@
         for position in renaming.order
     ]
     parts.append(_shared(state.committed, state.leaders, state.late, renaming))
-    parts.append(bytes(state.budget))
+    parts.append(bytes((*state.budget, state.acked, state.has_formed)))
     # A read is wrong although it leaves the same state as a right one.
     parts.append(' '.join(sorted(state.broken)).encode())
     return b''.join(parts)
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/log_rules.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/log_rules.py
@@ -159,6 +159,25 @@
     return len(voters & set(remembering)) > membership.quorum
 
 
-def is_refilled(commit_index: int, answer: BarrierAnswer) -> bool:
-    """Whether a log holds an entry that was committed after a confirmation."""
-    return commit_index > answer.last_index
+def is_refilled(
+    commit_index: int,
+    answer: BarrierAnswer,
+    voters: Membership,
+) -> bool:
+    """Whether a log holds an entry that was committed after a confirmation.
+
+    An instance that lost its disk in a mesh learns the voters from the log.
+    Until it knows them it cannot stand, although it may be the only one left
+    with all committed entries.
+
+    Parameters
+    ----------
+    commit_index : int
+        Commit index of the instance.
+    answer : BarrierAnswer
+        The confirmation of a leader.
+    voters : Membership
+        The voters as of the commit index.
+    """
+    is_later = commit_index > answer.last_index
+    return is_later and bool(voters.voters_by_id)
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/refill.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/refill.py
@@ -7,7 +7,7 @@
 from mustardspur_agreement.barriers import MAX_HOPS, Barriers
 from mustardspur_agreement.log_rules import is_refilled
 from mustardspur_agreement.messages import BarrierAnswer
-from mustardspur_agreement.replica import Replica
+from mustardspur_agreement.replica import Replica, committed_voters
 
 _REFILL_TIMEOUT_ELECTIONS = 8
 
@@ -41,7 +41,9 @@
 
 async def _wait_until_refilled(replica: Replica, answer: BarrierAnswer) -> bool:
     return await replica.changed.wait_until(
-        lambda: is_refilled(replica.commit_index, answer),
+        lambda: is_refilled(
+            replica.commit_index, answer, committed_voters(replica)
+        ),
         replica.election_s * _REFILL_TIMEOUT_ELECTIONS,
     )
 
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/replica.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/replica.py
@@ -12,7 +12,7 @@
 from mustardspur_agreement.entries import Entry
 from mustardspur_agreement.journal import Journal
 from mustardspur_agreement.leadership import Leadership
-from mustardspur_agreement.membership import Membership
+from mustardspur_agreement.membership import Membership, voters_at
 from mustardspur_agreement.ports import ProposalError
 from mustardspur_agreement.signal import Signal
 from mustardspur_agreement.snapshots import Snapshot
@@ -170,6 +170,13 @@
         return ProposalError(kind=kind, detail=detail, leader=self.leader)
 
 
+def committed_voters(replica: Replica) -> Membership:
+    """Return the voters as of the commit index."""
+    return voters_at(
+        replica.entries, replica.commit_index, replica.context.settings
+    )
+
+
 def find_peer(replica: Replica, peer_id: str) -> Peer | None:
     """Return a peer from the membership, the learners or the settings."""
     known = {peer.id: peer for peer in replica.context.settings.peers}
--- a/tests/agreement/test_checking.py
+++ b/tests/agreement/test_checking.py
@@ -37,6 +37,8 @@
         'two-lost-disks': 8,
         'changes-of-voters': 7,
         'lost-disk-and-change': 5,
+        'forgotten-start': 8,
+        'forgotten-start-and-changes': 6,
         'four-voters': 7,
     }
 )
@@ -52,6 +54,31 @@
     'c votes for a, leader of term 3',
 )
 
+# The only two instances that remember hold less than one that is refilled and
+# knows no voters.
+REFILLED_WITHOUT_VOTERS = (
+    'a forgets its first start',
+    'b starts term 1',
+    'c votes for b, leader of term 1',
+    'b replicates 1 to c',
+    'b replicates 1 to a',
+    'a asks b to be refilled',
+    'b appends an entry to refill peers',
+    'b replicates 2 to c',
+    'b replicates 2 to a',
+)
+# `d` has joined as the fourth voter, and `a` remembers nothing.
+BEFORE_A_REMOVAL = (
+    'a forgets its first start',
+    'b starts term 1',
+    'c votes for b, leader of term 1',
+    'b replicates 1 to c',
+    'b replicates 1 to d',
+    'b changes the voters to abcd',
+    'b replicates 2 to c',
+    'b replicates 2 to d',
+)
+
 # `d` forgets its vote for b, and votes for e in the term in which a leads.
 FORGOTTEN_VOTE = (
     'a starts term 1 for all votes',
@@ -204,6 +231,13 @@
             Budget(losses=0),
             properties.REACHABLE,
         ),
+        (
+            log_rules,
+            'survives_disk_loss',
+            lambda membership, remembering: True,
+            Budget(losses=1, forgotten=1),
+            properties.REMEMBERED,
+        ),
     ],
 )
 def test_broken_rule_is_found(
@@ -333,3 +367,40 @@
         lists_voters_again=True,
     )
     assert not _state_after(setup, FORGOTTEN_VOTE).broken
+
+
+def test_refill_without_voters_is_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an instance that is trusted before it knows the voters,
+    and is the only one left with all entries.
+    """
+    setup = SETUPS_BY_NAME['forgotten-start']
+    start = _state_after(setup, REFILLED_WITHOUT_VOTERS)
+    assert not Search(setup, start=start).run(4).broken
+    clear_steps()
+    monkeypatch.setattr(
+        log_rules,
+        'is_refilled',
+        lambda commit_index, answer, voters: commit_index > answer.last_index,
+    )
+    found = Search(setup, start=start).run(4)
+    assert found.broken == properties.REMEMBERED
+
+
+def test_ack_beside_a_pending_removal_is_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against acknowledgements that rely on a change of voters which
+    only the leader knows of.
+    """
+    setup = SETUPS_BY_NAME['forgotten-start-and-changes']
+    start = _state_after(setup, BEFORE_A_REMOVAL)
+    assert not Search(setup, start=start).run(4).broken
+    clear_steps()
+    monkeypatch.setattr(
+        log_rules, 'is_changing_voters', lambda entries, commit_index: False
+    )
+    found = Search(setup, start=start).run(4)
+    assert found.broken == properties.REMEMBERED
+    assert 'b changes the voters to bcd' in found.trace
