Reserve descriptors that callers cannot take

A node accepted connections of callers until it had no descriptor left. Then it could not connect to its target any more: its health check failed with EMFILE, the target counted as one that takes no calls, and all callers got 503, also those that had been connected before; the node stayed ready. Further connections were accepted and closed without an answer, and nothing was logged (libuv closes what it cannot accept; the listener stays). At a control instance the HTTP interface of operators could be filled in the same way: the write of an entry failed, and orders were answered 503.

A quarter of the limit, at least 64, is not for callers; each of the other HTTP interfaces gets a 32nd. Connections beyond that get 503 with Retry-After for their first bytes, which is true, since the request is not read; 64ths of the limit are for them, and what is beyond is reset at once. One log line in 10 s for each listener counts them.

--- a/packages/mustardspur_core/src/mustardspur_core/http_serving.py
+++ b/packages/mustardspur_core/src/mustardspur_core/http_serving.py
@@ -1,12 +1,15 @@
 """Running an HTTP application on an address."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Final
 
 from aiohttp import web
 
-from mustardspur_core.listening import listening_socket
+from mustardspur_core.descriptors import descriptor_limit, max_clients
+from mustardspur_core.listening import listen
+from mustardspur_core.refusals import RefusedConnections
 
 # Open requests are not waited for at shutdown, since their clients retry.
 _SHUTDOWN_S: Final = 0.1
@@ -41,7 +44,34 @@
     )
     await runner.setup()
     try:
-        await web.SockSite(runner, listening_socket(address)).start()
+        listener = await listen(
+            _BoundedConnections(runner, address).create,
+            address,
+        )
+    except OSError:
+        await runner.cleanup()
+        raise
+    try:
         yield
     finally:
+        listener.close()
         await runner.cleanup()
+
+
+class _BoundedConnections:
+    """Creates the connections of an application, up to a limit."""
+
+    __slots__ = ('_max_open', '_refused', '_runner')
+
+    def __init__(self, runner: web.AppRunner, address: str) -> None:
+        self._runner = runner
+        self._max_open = max_clients(descriptor_limit())
+        self._refused = RefusedConnections(address)
+
+    def create(self) -> asyncio.BaseProtocol:
+        server = self._runner.server
+        assert server is not None
+        connections = len(server.connections)
+        if connections >= self._max_open:
+            return self._refused.create(connections)
+        return server()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -39,7 +39,6 @@
 CALLER_LEFT: Final = 'the caller left'
 
 _Message = tuple[RawRequestMessage, StreamReader]
-ReadBody = RequestBody
 Answer = Callable[
     [RawRequestMessage, RequestBody],
     Coroutine[Any, Any, CallerAnswer],
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connections.py
@@ -0,0 +1,74 @@
+"""Open connections of callers, up to a limit."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from mustardspur_core.descriptors import descriptor_limit, max_callers
+from mustardspur_core.mesh.model import CallerLimits
+from mustardspur_core.refusals import RefusedConnections
+
+from mustardspur_node.mesh.caller_connection import Answer, CallerConnection
+from mustardspur_node.mesh.request_body import RequestBody
+
+ReadBody = RequestBody
+
+# New connections between two removals of closed ones.
+_PRUNE_CONNECTIONS: Final = 64
+# Between two removals while there are as many as the limit allows.
+_PRUNE_INTERVAL_S: Final = 0.02
+
+
+class CallerConnections:
+    """The open connections; those beyond the limit are refused.
+
+    Parameters
+    ----------
+    retry_after : str
+        Name of the header that says when to try again.
+
+    Attributes
+    ----------
+    accepted : int
+        Connections that were accepted.
+    """
+
+    __slots__ = ('_max_open', '_open', '_pruned_s', '_refused', 'accepted')
+
+    def __init__(self, retry_after: str) -> None:
+        """Initialise without connections."""
+        self._open: set[CallerConnection] = set()
+        self._max_open = max_callers(descriptor_limit())
+        self._refused = RefusedConnections('callers', retry_after)
+        self._pruned_s = float('-inf')
+        self.accepted = 0
+
+    def connected(self) -> set[CallerConnection]:
+        """Return the open connections."""
+        self._open = {each for each in self._open if each.connected}
+        return self._open
+
+    def add(
+        self,
+        limits: Callable[[], CallerLimits],
+        answer: Answer,
+        node_is_draining: Callable[[], bool],
+    ) -> asyncio.BaseProtocol:
+        """Return the protocol of a new connection, see `CallerConnection`."""
+        self.accepted += 1
+        self._prune()
+        if len(self._open) >= self._max_open:
+            return self._refused.create(len(self._open))
+        connection = CallerConnection(limits, answer, node_is_draining)
+        self._open.add(connection)
+        return connection
+
+    def _prune(self) -> None:
+        if len(self._open) < self._max_open:
+            if len(self._open) % _PRUNE_CONNECTIONS == 0:
+                self.connected()
+            return
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._pruned_s >= _PRUNE_INTERVAL_S:
+            self._pruned_s = now_s
+            self.connected()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
@@ -20,7 +20,7 @@
     refusal_answer,
     unrouted_answer,
 )
-from mustardspur_node.mesh.caller_connection import CallerConnection, ReadBody
+from mustardspur_node.mesh.caller_connections import CallerConnections, ReadBody
 from mustardspur_node.mesh.caller_requests import CallBuilder
 from mustardspur_node.mesh.calls import UnansweredCall
 from mustardspur_node.mesh.names import HeaderNames
@@ -34,8 +34,6 @@
 # Time for the body of a request that no route matches. An answer at once would
 # close the connections of callers that send it just after the head.
 BODY_TIME_S: Final = 0.2
-# New connections between two removals of closed ones.
-_PRUNE_CONNECTIONS: Final = 64
 
 
 class CallerServer:
@@ -58,8 +56,6 @@
     ----------
     allowances : NodeAllowances
         Rate limits of the accounts.
-    accepted : int
-        Connections that were accepted.
     """
 
     __slots__ = (
@@ -71,7 +67,6 @@
         '_placer',
         '_server',
         '_view',
-        'accepted',
         'allowances',
         'draining',
         'in_flight',
@@ -103,11 +98,10 @@
         self.allowances = self._calls.allowances
         # One request asks for the tokens of all limits.
         self.allowances.requests = placer.retries.requests
-        self._connections: set[CallerConnection] = set()
+        self._connections = CallerConnections(names.retry_after)
         self._server: asyncio.Server | None = None
         self.draining = False
         self.in_flight = 0
-        self.accepted = 0
 
     @asynccontextmanager
     async def serving(self, address: str) -> AsyncIterator[None]:
@@ -123,14 +117,18 @@
     @property
     def open_connections(self) -> int:
         """Number of open connections of callers."""
-        self._remove_closed()
-        return len(self._connections)
+        return len(self._connections.connected())
+
+    @property
+    def accepted(self) -> int:
+        """Number of connections that were accepted, and refused, so far."""
+        return self._connections.accepted
 
     @property
     def unanswered_connections(self) -> int:
         """Number of connections whose callers may not have all answers."""
-        self._remove_closed()
-        return sum(not each.is_answered for each in self._connections)
+        connections = self._connections.connected()
+        return sum(not each.is_answered for each in connections)
 
     def stop_listening(self) -> None:
         """Accept no new connections."""
@@ -152,8 +150,7 @@
 
     def drain_connections(self) -> None:
         """Close each connection once it has no request in flight."""
-        self._remove_closed()
-        for connection in self._connections:
+        for connection in self._connections.connected():
             connection.drain()
 
     async def answer(
@@ -182,22 +179,12 @@
         self._metrics.timing('calls.ms', (_now() - started_s) * MS_PER_S)
         return answer
 
-    def _remove_closed(self) -> None:
-        self._connections = {
-            each for each in self._connections if each.connected
-        }
-
-    def _create_connection(self) -> CallerConnection:
-        self.accepted += 1
-        connection = CallerConnection(
+    def _create_connection(self) -> asyncio.BaseProtocol:
+        return self._connections.add(
             lambda: self._view.limits,
             self.answer,
             lambda: self.draining,
         )
-        if len(self._connections) % _PRUNE_CONNECTIONS == 0:
-            self._remove_closed()
-        self._connections.add(connection)
-        return connection
 
     async def _answer(
         self,
--- a/tests/node/mesh/test_caller_connection.py
+++ b/tests/node/mesh/test_caller_connection.py
@@ -14,7 +14,8 @@
 from aiohttp.http_parser import RawRequestMessage
 from mustardspur_core.record import replaced
 from mustardspur_node.mesh.caller_answers import CallerAnswer, node_answer
-from mustardspur_node.mesh.caller_connection import CallerConnection, ReadBody
+from mustardspur_node.mesh.caller_connection import CallerConnection
+from mustardspur_node.mesh.caller_connections import ReadBody
 from mustardspur_node.mesh.caller_linger import LINGER_S
 from mustardspur_node.mesh.request_body import CallerBodyError
 from mustardspur_node.mesh.socket_state import has_arrived
