Read settings again that could not be read

Without a free descriptor a reload failed with 'settings not reloaded', and the change was lost: the file counted as loaded, and was read again only after its next change or SIGHUP.

--- a/packages/mustardspur_core/src/mustardspur_core/settings/watching.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/watching.py
@@ -55,6 +55,10 @@
         self._loaded_version = self._version()
         return load_settings(self._path)
 
+    def forget(self) -> None:
+        """Have the file count as changed, since it could not be used."""
+        self._loaded_version = (0, 0)
+
     def load_settled(self) -> Result[Settings, Findings]:
         """Load the file as `load`, again for `SETTLE_S` if it has findings.
 
@@ -87,7 +91,8 @@
     Explanation
     ===========
 
-    If the file has findings, they are logged and the settings in force stay.
+    If the file has findings, they are logged, the settings in force stay, and
+    the file is read again at each check.
 
     Parameters
     ----------
@@ -97,7 +102,7 @@
         Called with the new settings.
     """
 
-    __slots__ = ('_apply_settings', '_settings_file')
+    __slots__ = ('_apply_settings', '_reported', '_settings_file')
 
     def __init__(
         self, settings_file: SettingsFile, apply_settings: ApplySettings
@@ -105,6 +110,8 @@
         """Initialise with the settings in force."""
         self._settings_file = settings_file
         self._apply_settings = apply_settings
+        # Why the settings could not be reloaded last.
+        self._reported = ''
 
     async def run(self) -> None:
         """Check the file for changes periodically until cancelled.
@@ -113,21 +120,30 @@
         """
         while True:
             if self._settings_file.has_changed:
-                self.reload()
+                self._load()
             await asyncio.sleep(POLL_INTERVAL_S)
 
     def reload(self) -> None:
-        """Load the file and apply its settings if they are valid."""
+        """Load the file and apply its settings; report also a known reason."""
+        self._reported = ''
+        self._load()
+
+    def _load(self) -> None:
         loaded = self._settings_file.load()
         if loaded.is_error():
-            _LOG.error(
-                'settings not reloaded',
-                extra={'reason': str(loaded.error)},
-            )
+            # It can be the process that cannot open a file now.
+            self._settings_file.forget()
+            self._report(str(loaded.error))
             return
+        self._reported = ''
         self._apply_settings(loaded.ok)
         _LOG.info('settings reloaded')
 
+    def _report(self, reason: str) -> None:
+        if reason != self._reported:
+            self._reported = reason
+            _LOG.error('settings not reloaded', extra={'reason': reason})
+
 
 @asynccontextmanager
 async def watching_settings(
--- a/tests/platform/test_descriptor_limits.py
+++ b/tests/platform/test_descriptor_limits.py
@@ -1,6 +1,8 @@
 """Tests of processes whose callers use up their descriptors."""
 
 import asyncio
+import resource
+import signal
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -22,12 +24,20 @@
 _LIMIT: Final = 128
 _CALLS: Final = 3
 _RUN_S: Final = 0.2
+# At which no file can be opened.
+_LEAST_LIMIT: Final = 3
 _CALL: Final = (
     f'GET /drafts/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: r2\r\n\r\n'.encode()
 )
 _ANSWER_BYTES: Final = 4096
 
 
+def _limit_descriptors(mesh: Mesh, host: str, limit: int) -> None:
+    pid = mesh.processes[host].pid
+    _, highest = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (limit, highest))
+
+
 @asynccontextmanager
 async def _serving_mesh(folder: Path) -> AsyncIterator[Mesh]:
     """Run a control instance, a node and its target, with few descriptors."""
@@ -137,3 +147,17 @@
             # They need further connections to the node and to the target.
             calls = [_status_of_a_call(mesh) for _ in range(_CALLS)]
             assert await asyncio.gather(*calls) == [200, 200, 200]
+
+
+async def test_unreadable_settings_are_read_again(
+    tmp_path: Path,
+) -> None:
+    """Guards against a change of settings that is lost, as no descriptor was
+    left when it was read.
+    """
+    async with _serving_mesh(tmp_path) as mesh:
+        _limit_descriptors(mesh, _NODE, _LEAST_LIMIT)
+        mesh.processes[_NODE].send_signal(signal.SIGHUP)
+        await mesh.until_logged(_NODE, 'settings not reloaded')
+        _limit_descriptors(mesh, _NODE, _LIMIT)
+        await mesh.until_logged(_NODE, 'settings reloaded')
