Wait for a disk that refuses calls at a start

A control instance whose disk was full, read-only or failed to sync at its first start ended at once, since it could not write first-voters.json; the others formed the mesh without it. At a later start it ended where a sync failed, or where the disk refused everything. A supervisor counts an end for each try, and with one lost disk beside it there is no quorum.

It obtains the first voters and durable files before it takes part in anything, and waits for them with the bound and the log lines of the other needs of a start. Files that exist need no room, so a full disk delays no later start.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/formation.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/formation.py
@@ -6,11 +6,13 @@
 no voters: it neither votes nor becomes a candidate until the leader adds it.
 """
 
+import errno
 import json
+from functools import partial
 from pathlib import Path
 from typing import Final
 
-from mustardspur_agreement import first_voters
+from mustardspur_agreement import first_voters, log_disk
 from mustardspur_core.conversion import decode_mapping, encode_mapping
 from mustardspur_core.files import (
     make_folder_synced,
@@ -19,8 +21,13 @@
 )
 from mustardspur_core.record import replaced
 from mustardspur_core.settings import MeshSettings, Peer, Settings
+from mustardspur_core.start_wait import StartWait
 
 _FILE_NAME: Final = 'first-voters.json'
+# A disk that is full or read-only, or fails for a while.
+_TEMPORARY: Final = frozenset(
+    (errno.ENOSPC, errno.EDQUOT, errno.EROFS, errno.EIO),
+)
 
 
 def settings_with_first_voters(
@@ -51,6 +58,30 @@
     return replaced(settings, peers=voters)
 
 
+def obtain_files(
+    settings: Settings, mesh: MeshSettings, wait: StartWait
+) -> None:
+    """Obtain the files that the instance needs, before it runs.
+
+    Explanation
+    ===========
+
+    An instance whose disk takes no file for its first voters must not form a
+    mesh, since it would not know of it after its next start. With files from
+    before it needs no room, but what it read has to be durable.
+
+    Raises
+    ------
+    OSError
+        If the disk refuses to the end of the wait.
+    """
+    wait.obtain(
+        f'files in {settings.data_dir}',
+        partial(_prepare_files, settings, mesh),
+        _is_temporary,
+    )
+
+
 def remembers_first_start(settings: Settings) -> bool:
     """Whether the data folder was there at the first start of the mesh.
 
@@ -102,6 +133,18 @@
     )
 
 
+def _prepare_files(settings: Settings, mesh: MeshSettings) -> None:
+    settings_with_first_voters(settings, mesh)
+    disk = log_disk(settings)
+    for name in disk.names():
+        disk.sync(name)
+    disk.sync_folder()
+
+
+def _is_temporary(error: OSError) -> bool:
+    return error.errno in _TEMPORARY
+
+
 def _load(path: Path) -> list[Peer] | None:
     if not path.exists():
         return None
--- a/packages/mustardspur_daemon/src/mustardspur_daemon/starting.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/starting.py
@@ -1,6 +1,7 @@
 """Running a process and reporting why it could not start."""
 
 import errno
+import importlib
 import logging
 from collections.abc import Callable
 from typing import Final
@@ -13,6 +14,8 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
+_FORMATION: Final = 'mustardspur_control.mesh.formation'
+
 
 def obtain_needs(settings: Settings) -> None:
     """Obtain what a process needs before it takes part in anything.
@@ -30,6 +33,10 @@
     """
     wait = StartWait(start_wait_s(settings))
     hold_addresses(listened_addresses(settings), wait)
+    if settings.role == 'control' and settings.mesh is not None:
+        # A node imports none of the code of control instances.
+        formation = importlib.import_module(_FORMATION)
+        formation.obtain_files(settings, settings.mesh, wait)
 
 
 def run_reported(settings: Settings, command: Callable[[], int]) -> int:
