Wait for the data folder and for missing settings at a start

Cause: settings that were missing for over a second, and a data folder that could not be created, ended a process at once. Two processes could write to one data folder: the one before closes its listeners before its log.

Change: missing or unreadable settings are waited for 10 s, and 1 s more once they appear; damaged ones 1 s as before. A control instance locks its data folder after it holds its addresses; one in use, without permission, read-only or with a faulty disk is waited for within the same bound, a file in its place ends the start at once. A stop signal in these waits ends the process with exit code 0. A missing settings file is logged once, not at each attempt.

--- a/packages/mustardspur_core/src/mustardspur_core/event_loop.py
+++ b/packages/mustardspur_core/src/mustardspur_core/event_loop.py
@@ -2,14 +2,26 @@
 
 import asyncio
 import importlib
+import logging
 import os
 import signal
-from collections.abc import Callable, Coroutine
-from contextlib import suppress
-from typing import Any, Final, TypeVar
+from collections.abc import Callable, Coroutine, Iterator
+from contextlib import contextmanager, suppress
+from functools import partial
+from types import FrameType
+from typing import Any, Final, NoReturn, TypeVar
 
+_LOG: Final = logging.getLogger(__name__)
 _ReturnT = TypeVar('_ReturnT')
-STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
+_STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
+
+
+class StoppedWhileWaiting(SystemExit):
+    """Ends a process that gets a stop signal while its start waits."""
+
+    def __init__(self) -> None:
+        """Initialise with the exit code of a process that was stopped."""
+        super().__init__(0)
 
 
 def skip_certificates() -> None:
@@ -96,13 +108,42 @@
     One that arrives later would end the process with the exit code of a
     failure.
     """
-    for number in (*STOP_SIGNALS, signal.SIGHUP):
+    for number in (*_STOP_SIGNALS, signal.SIGHUP):
         ignore_signal(number)
 
 
 def stop_event() -> asyncio.Event:
     """Return an event that is set on SIGTERM or SIGINT."""
     event = asyncio.Event()
-    for number in STOP_SIGNALS:
+    for number in _STOP_SIGNALS:
         handle_signal(number, event.set)
     return event
+
+
+@contextmanager
+def ended_by_stop_signals(need: str) -> Iterator[None]:
+    """End a process that waits on a stop signal, with exit code 0.
+
+    Parameters
+    ----------
+    need : str
+        What the process waits for before it runs the event loop.
+
+    Raises
+    ------
+    StoppedWhileWaiting
+        On SIGTERM or SIGINT.
+    """
+    stop = partial(_stop, need)
+    previous = {number: signal.signal(number, stop) for number in _STOP_SIGNALS}
+    try:
+        yield
+    finally:
+        for number, action in previous.items():
+            signal.signal(number, action)
+
+
+def _stop(need: str, number: int, _: FrameType | None) -> NoReturn:
+    name = signal.Signals(number).name
+    _LOG.info('stopped', extra={'needs': need, 'signal': name})
+    raise StoppedWhileWaiting
--- a/packages/mustardspur_core/src/mustardspur_core/settings/watching.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/watching.py
@@ -11,7 +11,11 @@
 
 from expression import Result
 
-from mustardspur_core.event_loop import handle_signal, ignore_signal
+from mustardspur_core.event_loop import (
+    ended_by_stop_signals,
+    handle_signal,
+    ignore_signal,
+)
 from mustardspur_core.findings import Findings
 from mustardspur_core.settings.loading import load_settings
 from mustardspur_core.settings.model import Settings
@@ -21,8 +25,11 @@
 
 # The file can change without a signal; a check costs one system call.
 POLL_INTERVAL_S: Final = 1.0
-# Longest time for which a file that cannot be used is read again at a start.
+# Longest time for which a file with findings is read again at a start.
 SETTLE_S: Final = 1.0
+# The same for a file that is missing or cannot be read: its folder may be
+# mounted, or the file placed, some seconds after the start.
+MISSING_S: Final = 10.0
 _RETRY_S: Final = 0.05
 
 ApplySettings = Callable[[Settings], None]
@@ -37,12 +44,14 @@
         The JSON file.
     """
 
-    __slots__ = ('_loaded_version', '_path')
+    __slots__ = ('_loaded_version', '_logged_reason', '_path')
 
     def __init__(self, path: Path) -> None:
         """Initialise without loading the file."""
         self._path = path
         self._loaded_version = (0, 0)
+        # Logged once, since the file is read many times.
+        self._logged_reason = ''
 
     @property
     def has_changed(self) -> bool:
@@ -56,28 +65,54 @@
         return load_settings(self._path)
 
     def load_settled(self) -> Result[Settings, Findings]:
-        """Load the file as `load`, again for `SETTLE_S` if it has findings.
+        """Load the file as `load`, and again for a while if it has findings.
 
         A process that starts while its file is written reads only a part.
         """
-        latest_s = time.monotonic() + SETTLE_S
         loaded = self.load()
         if loaded.is_error():
             _LOG.warning('settings are read again')
+            with ended_by_stop_signals('settings'):
+                return self._load_again(loaded)
+        return loaded
+
+    def _load_again(
+        self,
+        loaded: Result[Settings, Findings],
+    ) -> Result[Settings, Findings]:
+        """Load until there are no findings, at most for the time allowed.
+
+        A file that is found late gets the same time as one that was there.
+        """
+        started_s = time.monotonic()
+        latest_s = started_s + SETTLE_S
         while loaded.is_error() and time.monotonic() < latest_s:
             time.sleep(_RETRY_S)
             loaded = self.load()
+            now_s = time.monotonic()
+            if now_s - started_s < MISSING_S and not self._is_readable():
+                latest_s = now_s + SETTLE_S
         return loaded
 
+    def _is_readable(self) -> bool:
+        try:
+            self._path.read_bytes()
+        except OSError:
+            return False
+        return True
+
     def _version(self) -> tuple[int, int]:
         try:
             status = self._path.stat()
         except OSError as error:
-            _LOG.warning(
-                'cannot read the settings file',
-                extra={'reason': str(error)},
-            )
+            if str(error) != self._logged_reason:
+                self._logged_reason = str(error)
+                _LOG.warning(
+                    'cannot read the settings file',
+                    extra={'reason': str(error)},
+                )
             return 0, 0
+        self._logged_reason = ''
         return status.st_mtime_ns, status.st_size
 
 
--- a/packages/mustardspur_core/src/mustardspur_core/start_wait.py
+++ b/packages/mustardspur_core/src/mustardspur_core/start_wait.py
@@ -1,15 +1,11 @@
 """Bounded waiting for what a process needs to start."""
 
 import logging
-import signal
 import time
-from collections.abc import Callable, Iterator, Mapping
-from contextlib import contextmanager
-from functools import partial
-from types import FrameType
-from typing import Any, Final, NoReturn, TypeVar
+from collections.abc import Callable, Mapping
+from typing import Any, Final, TypeVar
 
-from mustardspur_core.event_loop import STOP_SIGNALS
+from mustardspur_core.event_loop import ended_by_stop_signals
 from mustardspur_core.settings.model import Settings
 
 _LOG: Final = logging.getLogger(__name__)
@@ -22,14 +18,6 @@
 POLL_S: Final = 0.05
 
 
-class StoppedWhileWaiting(SystemExit):
-    """Ends a process that gets a stop signal while its start waits."""
-
-    def __init__(self) -> None:
-        """Initialise with the exit code of a process that was stopped."""
-        super().__init__(0)
-
-
 class StartWait:
     """Waits, up to a common bound, for each thing that a start needs.
 
@@ -96,7 +84,7 @@
                 raise
             self._log_wait(need, error, describe())
         started_s = self._clock()
-        with _ended_by_stop_signals(need):
+        with ended_by_stop_signals(need):
             obtained = self._repeat(attempt, is_temporary)
         _LOG.info(
             'start continues',
@@ -148,21 +136,3 @@
     if settings.role == 'node':
         return settings.intervals.drain_s + MARGIN_S
     return MARGIN_S
-
-
-@contextmanager
-def _ended_by_stop_signals(need: str) -> Iterator[None]:
-    """End the process with exit code 0 on a stop signal in the context."""
-    stop = partial(_stop, need)
-    previous = {number: signal.signal(number, stop) for number in STOP_SIGNALS}
-    try:
-        yield
-    finally:
-        for number, action in previous.items():
-            signal.signal(number, action)
-
-
-def _stop(need: str, number: int, _: FrameType | None) -> NoReturn:
-    name = signal.Signals(number).name
-    _LOG.info('stopped', extra={'needs': need, 'signal': name})
-    raise StoppedWhileWaiting
--- a/packages/mustardspur_daemon/src/mustardspur_daemon/starting.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/starting.py
@@ -3,8 +3,11 @@
 import errno
 import logging
 from collections.abc import Callable
+from pathlib import Path
+from types import MappingProxyType
 from typing import Final
 
+from mustardspur_core.data_folder import hold_data_folder
 from mustardspur_core.listening import hold_addresses, listened_addresses
 from mustardspur_core.settings import Settings
 from mustardspur_core.start_wait import StartWait, start_wait_s
@@ -13,6 +16,25 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
+_NO_PERMISSION: Final = 'no permission, check data_dir and timeline'
+_NO_FOLDER: Final = 'not a usable folder, check data_dir and timeline'
+_NO_ROOM: Final = 'the disk is full'
+_REASONS_BY_NUMBER: Final = MappingProxyType(
+    {
+        errno.EADDRINUSE: 'address taken by another process',
+        errno.EADDRNOTAVAIL: 'address is not on this instance',
+        errno.EWOULDBLOCK: 'data folder in use by another process',
+        errno.EACCES: _NO_PERMISSION,
+        errno.EROFS: _NO_PERMISSION,
+        errno.EPERM: _NO_PERMISSION,
+        errno.ENOTDIR: _NO_FOLDER,
+        errno.EEXIST: _NO_FOLDER,
+        errno.ENOENT: _NO_FOLDER,
+        errno.ENOSPC: _NO_ROOM,
+        errno.EDQUOT: _NO_ROOM,
+    }
+)
+
 
 def obtain_needs(settings: Settings) -> None:
     """Obtain what a process needs before it takes part in anything.
@@ -21,7 +43,9 @@
     ===========
 
     A process that cannot listen neither votes nor announces itself, since it
-    does nothing else until all its addresses are held.
+    does nothing else until all its addresses are held. The data folder comes
+    last: once the addresses are free, the process before this one has ended or
+    is about to.
 
     Raises
     ------
@@ -30,6 +54,8 @@
     """
     wait = StartWait(start_wait_s(settings))
     hold_addresses(listened_addresses(settings), wait)
+    if settings.role == 'control' and settings.data_dir is not None:
+        hold_data_folder(Path(settings.data_dir), wait)
 
 
 def run_reported(settings: Settings, command: Callable[[], int]) -> int:
@@ -74,14 +100,5 @@
     error : OSError
         The error that ended the process.
     """
-    if error.errno == errno.EADDRINUSE:
-        return f'address taken by another process: {error}'
-    if error.errno == errno.EADDRNOTAVAIL:
-        return f'address is not on this instance: {error}'
-    if error.errno in {errno.EACCES, errno.EROFS, errno.EPERM}:
-        return f'no permission, check data_dir and timeline: {error}'
-    if error.errno in {errno.ENOTDIR, errno.EEXIST, errno.ENOENT}:
-        return f'not a usable folder, check data_dir and timeline: {error}'
-    if error.errno in {errno.ENOSPC, errno.EDQUOT}:
-        return f'the disk is full: {error}'
-    return str(error)
+    reason = _REASONS_BY_NUMBER.get(error.errno or 0)
+    return f'{reason}: {error}' if reason else str(error)
--- a/tests/core/test_start_wait.py
+++ b/tests/core/test_start_wait.py
@@ -7,7 +7,8 @@
 from itertools import repeat
 
 import pytest
-from mustardspur_core.start_wait import StartWait, StoppedWhileWaiting
+from mustardspur_core.event_loop import StoppedWhileWaiting
+from mustardspur_core.start_wait import StartWait
 
 _WAIT_S = 16.0
 _NEED = 'address 127.0.0.1:80'
