Free all addresses of a node once it accepts no connections

Cause: a node that stops kept listening for other nodes, reports, metrics and readiness checks until its exit, up to 5 s after the signal. A process at the same address could not start until then.

Calls of other nodes would be refused from then on; a refused connection is offered elsewhere in the same way. A target reports to other nodes, and a readiness check without an answer fails as well as one with 503. Streams of other nodes that wait in the backlog are accepted first, like connections of callers. Connections that are open are served on until the end of the stop.

--- a/packages/mustardspur_core/src/mustardspur_core/exposition.py
+++ b/packages/mustardspur_core/src/mustardspur_core/exposition.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from mustardspur_core.http_serving import serving_app
+from mustardspur_core.http_serving import StopListening, serving_app
 
 # Upper bounds of the histogram buckets.
 BUCKETS_MS: Final = (1, 2, 5, 10, 20, 50, 100, 200, 300, 500, 1000, 2000, 5000)
@@ -67,7 +67,7 @@
 def serving_metrics(
     address: str | None,
     registry: MetricsRegistry,
-) -> AbstractAsyncContextManager[None]:
+) -> AbstractAsyncContextManager[StopListening]:
     """Serve the metrics on an address while the context is active."""
     app = web.Application()
     app.router.add_get('/metrics', registry.serve_text)
--- a/packages/mustardspur_daemon/src/mustardspur_daemon/mesh_processes.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/mesh_processes.py
@@ -64,12 +64,13 @@
     async with running_mesh_node(settings, mesh, HEADER_NAMES, metrics) as node:
         api = NodeApi(node)
         async with (
-            serving_app(api.targets_app(), settings.listen.targets),
-            serving_metrics(settings.listen.metrics, metrics),
+            serving_app(api.targets_app(), settings.listen.targets) as targets,
+            serving_metrics(settings.listen.metrics, metrics) as exposition,
             # Started last, so that a ready node answers on all addresses.
-            serving_app(api.ready_app(), settings.listen.ready),
+            serving_app(api.ready_app(), settings.listen.ready) as ready,
             watching_settings(settings_file, node.apply_settings),
         ):
+            node.stops_listening.extend((targets, exposition, ready))
             _LOG.info('started', extra={'role': settings.role})
             await stopped.wait()
             _LOG.info('stopping')
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/draining.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/draining.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import logging
+from collections.abc import Iterable
 from typing import Final
 
+from mustardspur_core.http_serving import StopListening
 from mustardspur_core.suspension import suspended_s
 
 from mustardspur_node.mesh.caller_server import CallerServer
@@ -35,9 +37,11 @@
         The target on the instance of the node.
     placer : Placer
         Places the calls of callers on targets.
+    stops_listening : iterable of callable
+        End the use of the other addresses of the node.
     """
 
-    __slots__ = ('_callers', '_local', '_peers', '_placer')
+    __slots__ = ('_callers', '_local', '_peers', '_placer', '_stops_listening')
 
     def __init__(
         self,
@@ -45,12 +49,14 @@
         peers: PeerServer,
         local: LocalTarget,
         placer: Placer,
+        stops_listening: Iterable[StopListening] = (),
     ) -> None:
         """Initialise the drain of a node that serves."""
         self._callers = callers
         self._peers = peers
         self._local = local
         self._placer = placer
+        self._stops_listening = tuple(stops_listening)
 
     async def run(self, times: StopTimes) -> None:
         """Wait for callers and calls in flight to end, within the grace time.
@@ -61,10 +67,11 @@
         The node still serves callers for some time, until their readiness
         checks have failed. It then accepts no calls of other nodes, and no new
         connections once its target is idle, since that may make calls of its
-        own before. It waits until no connection or call is open. Callers
-        that went on to connect until the end would be cut off there, and so
-        would a call that is sent to a target late in the grace time: it is
-        refused unless its deadline comes first.
+        own before. From then on it listens on none of its addresses, so that
+        the next process can start there. It waits until no connection or call
+        is open. Callers that went on to connect until the end would be cut off
+        there, and so would a call that is sent to a target late in the grace
+        time: it is refused unless its deadline comes first.
         """
         self._callers.draining = True
         # The target of a silent node may be at work, and a call that is placed
@@ -107,10 +114,22 @@
         backlog, of which the event loop accepts one in each iteration.
         """
         before = -1
-        while before != self._callers.accepted:
-            before = self._callers.accepted
+        while before != self._accepted:
+            before = self._accepted
             await asyncio.sleep(0)
 
+    @property
+    def _accepted(self) -> int:
+        return self._callers.accepted + self._peers.accepted
+
+    def _stop_listening(self) -> None:
+        # Their calls would be refused; the target reports to other nodes.
+        self._peers.stop_listening()
+        for stop_listening in self._stops_listening:
+            stop_listening()
+        # The last one, since the next process tries it first.
+        self._callers.stop_listening()
+
     def _has_ended(self, times: StopTimes) -> bool:
         """Close what is not in use; return whether the process may end."""
         now_s = clock_s()
@@ -122,7 +141,7 @@
         if now_s < times.unsent_until_s and admission.capacity.running:
             # The target may make calls of its own before it answers.
             return False
-        self._callers.stop_listening()
+        self._stop_listening()
         connections = self._callers.open_connections
         if now_s >= times.unsent_until_s:
             connections = self._callers.unanswered_connections
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -4,6 +4,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 
 from mustardspur_core.garbage_collection import tune_garbage_collector
+from mustardspur_core.http_serving import StopListening
 from mustardspur_core.metrics import Metrics
 from mustardspur_core.settings import MeshSettings, Settings
 from mustardspur_core.tasks import background, run_periodically, supervised
@@ -38,6 +39,11 @@
         Names of the headers.
     metrics : Metrics
         Receives the metrics.
+
+    Attributes
+    ----------
+    stops_listening : list of callable
+        Called once a planned stop accepts no connections any more.
     """
 
     __slots__ = (
@@ -52,6 +58,7 @@
         'placer',
         'reports',
         'settings',
+        'stops_listening',
         'supervision',
         'view',
     )
@@ -68,6 +75,7 @@
         self._mesh = mesh
         self._metrics = metrics
         self._stopping = False
+        self.stops_listening: list[StopListening] = []
         self._gaps = LoopGaps()
         self.view = MeshView()
         self.reports = ReportStore(mesh.target_address or settings.listen.http)
@@ -139,9 +147,14 @@
         self._stopping = True
         self.link.announcement.draining = True
         self.link.announcement_changed.set()
-        await Drain(self.callers, self.peers, self.local, self.placer).run(
-            times,
+        drain = Drain(
+            self.callers,
+            self.peers,
+            self.local,
+            self.placer,
+            self.stops_listening,
         )
+        await drain.run(times)
 
     async def run_checks(self) -> None:
         """Run the periodic checks until cancelled."""
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_server.py
@@ -7,7 +7,7 @@
 from functools import partial
 from typing import Final
 
-from mustardspur_core.listening import listening_socket
+from mustardspur_core.listening import listen
 from mustardspur_core.mesh.call_messages import (
     CallAnswer,
     CallCancel,
@@ -48,34 +48,47 @@
     ----------
     local : LocalTarget
         Runs the calls at the local target.
+
+    Attributes
+    ----------
+    accepted : int
+        Streams that were accepted.
+    running : int
+        Calls in flight.
     """
 
-    __slots__ = ('_local', '_streams', 'running')
+    __slots__ = ('_listener', '_local', '_streams', 'accepted', 'running')
 
     def __init__(self, local: LocalTarget) -> None:
         """Initialise the server without streams."""
         self._local = local
+        self._listener: asyncio.Server | None = None
         self._streams: set[FrameStream] = set()
+        self.accepted = 0
         self.running = 0
 
     @asynccontextmanager
     async def serving(self, address: str) -> AsyncIterator[None]:
         """Listen for other nodes while the context is active."""
-        listening = listening_socket(address)
-        server = await asyncio.start_server(self.serve, sock=listening)
+        self._listener = await listen(self._create_protocol, address)
         try:
             yield
         finally:
-            server.close()
+            self.stop_listening()
             for stream in list(self._streams):
                 stream.close()
 
+    def stop_listening(self) -> None:
+        """Accept no new streams."""
+        if self._listener is not None:
+            self._listener.close()
+
     async def serve(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        """Serve a stream until it ends; callback of `asyncio.start_server`."""
+        """Serve a stream until it ends."""
         stream = FrameStream(reader, writer)
         self._local.admission.link.uplink.prepare(stream)
         self._streams.add(stream)
@@ -93,6 +106,10 @@
             self._streams.discard(stream)
             stream.close()
 
+    def _create_protocol(self) -> asyncio.StreamReaderProtocol:
+        self.accepted += 1
+        return asyncio.StreamReaderProtocol(asyncio.StreamReader(), self.serve)
+
     async def _serve_stream(self, stream: FrameStream) -> None:
         async with asyncio.timeout(HELLO_TIMEOUT_S):
             hello = (await stream.receive()).body
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -331,3 +331,28 @@
         stop.send(signal.SIGCONT)
         assert set(await statuses) <= {'200', '503'}
         assert await stop.exit_code == 0
+
+
+async def test_successor_starts_while_the_former_drains(tmp_path: Path) -> None:
+    """Guards against a successor at the same address that has to wait until
+    the former process has answered its last request, and against requests on
+    kept connections of the former that get lost by it.
+    """
+    async with _serving(tmp_path, run_s=3.5, grace_s=_LONG_GRACE_S) as mesh:
+        used = (_used_connection(mesh) for _ in range(_PIPELINED))
+        connections = await asyncio.gather(*used)
+        stop = _Stop(mesh, grace_s=_LONG_GRACE_S)
+        await mesh.start_node(_NODE, grace=f'{_LONG_GRACE_S}s')
+        await stop.until(1.2)
+        statuses = asyncio.gather(*map(_Connection.call, connections))
+        await mesh.until_logged(_NODE, 'start waits')
+        await mesh.until_logged(_NODE, 'start continues')
+        await asyncio.sleep(0.2)
+        assert not statuses.done()
+        # It tries one address after the other, the one for callers first.
+        text = (tmp_path / f'{_NODE}.log').read_text('utf-8')
+        assert text.count('start waits') == 1
+        assert set(await statuses) == {'200'}
+        assert await stop.exit_code == 0
+        await mesh.until('GET', mesh.url(_NODE, 'ready', '/api/readyz'))
+        await _used_connection(mesh)
