--- a/packages/mustardspur_core/src/mustardspur_core/http_serving.py
+++ b/packages/mustardspur_core/src/mustardspur_core/http_serving.py
@@ -1,8 +1,8 @@
 """Running an HTTP application on an address."""
 
 import asyncio
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
 from typing import Final
 
 from aiohttp import web
@@ -11,6 +11,8 @@
 from mustardspur_core.listening import listen
 from mustardspur_core.refusals import RefusedConnections
 
+StopListening = Callable[[], None]
+
 # Open requests are not waited for at shutdown, since their clients retry.
 _SHUTDOWN_S: Final = 0.1
 
@@ -19,7 +21,7 @@
 async def serving_app(
     app: web.Application,
     address: str | None,
-) -> AsyncIterator[None]:
+) -> AsyncIterator[StopListening]:
     """Serve an application while the context is active.
 
     Parameters
@@ -29,13 +31,18 @@
     address : str or None
         ``ip:port``; with None no server is started.
 
+    Yields
+    ------
+    callable
+        Accepts no further connections; those that are open are served on.
+
     Raises
     ------
     OSError
         If binding to the address fails.
     """
     if address is None:
-        yield
+        yield _nothing
         return
     runner = web.AppRunner(
         app,
@@ -43,19 +50,12 @@
         shutdown_timeout=_SHUTDOWN_S,
     )
     await runner.setup()
-    try:
-        listener = await listen(
-            _BoundedConnections(runner, address).create,
-            address,
-        )
-    except OSError:
-        await runner.cleanup()
-        raise
-    try:
-        yield
-    finally:
-        listener.close()
-        await runner.cleanup()
+    async with AsyncExitStack() as stack:
+        stack.push_async_callback(runner.cleanup)
+        bounded = _BoundedConnections(runner, address)
+        listener = await listen(bounded.create, address)
+        stack.callback(listener.close)
+        yield listener.close
 
 
 class _BoundedConnections:
@@ -75,3 +75,7 @@
         if connections >= self._max_open:
             return self._refused.create(connections)
         return server()
+
+
+def _nothing() -> None:
+    """Stand for the end of listening where nothing listens."""
