--- a/tests/platform/deployment/traffic.py
+++ b/tests/platform/deployment/traffic.py
@@ -129,6 +129,11 @@
             return bool(outcome.signature)
         return False
 
+    def close(self) -> None:
+        """Close the idle connections."""
+        for _, writer in self._idle:
+            writer.close()
+
 
 class DeployedTarget:
     """The target beside a node; it reports to the node and serves calls.
@@ -262,6 +267,7 @@
     finally:
         reports.cancel()
         await runner.cleanup()
+    target.inner.close()
 
 
 def callers_of(
