Adjust the voters faster only while acknowledgements are held back

The first version checked the voters every 0.1 s until the mesh had formed, so that two records of voters went before the first order.

The shorter interval now applies only once the leader holds acknowledgements.

--- a/packages/mustardspur_agreement/src/mustardspur_agreement/assurance.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/assurance.py
@@ -131,5 +131,13 @@
     )
 
 
+def holds_acks(replica: Replica) -> bool:
+    """Whether this instance, as leader, holds acknowledgements back."""
+    leadership = replica.leadership
+    if leadership is None or leadership.held_since_s is None:
+        return False
+    return not is_assured(replica)
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/log_state.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/log_state.py
@@ -2,7 +2,11 @@
 
 from mustardspur_core.settings import Peer
 
-from mustardspur_agreement.assurance import is_assured, remembering_ids
+from mustardspur_agreement.assurance import (
+    holds_acks,
+    is_assured,
+    remembering_ids,
+)
 from mustardspur_agreement.replica import Replica
 from mustardspur_agreement.voting import has_leader_contact
 
@@ -79,6 +83,14 @@
         """
         return is_assured(self._replica)
 
+    @property
+    def holds_acks(self) -> bool:
+        """Whether this instance, as leader, has held acknowledgements back.
+
+        It ends once the voters that remember bear the loss of a disk.
+        """
+        return holds_acks(self._replica)
+
     @property
     def is_current(self) -> bool:
         """Whether this instance leads or is in direct contact with a leader.
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/membership.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/membership.py
@@ -33,7 +33,7 @@
 # An instance that does not catch up within this time is retried later.
 CATCH_UP_TIMEOUT_S: Final = 6.0
 CHECK_INTERVAL_S: Final = 0.5
-FORMING_CHECK_INTERVAL_S: Final = 0.1
+HELD_CHECK_INTERVAL_S: Final = 0.1
 
 
 class Membership(KnownControls):
@@ -82,9 +82,9 @@
         self._connected_since_s = _now()
         while True:
             await asyncio.sleep(
-                CHECK_INTERVAL_S
-                if self._log.is_assured
-                else FORMING_CHECK_INTERVAL_S
+                HELD_CHECK_INTERVAL_S
+                if self._log.holds_acks
+                else CHECK_INTERVAL_S
             )
             self._observe()
             if self._log.is_leader:
--- a/tests/control/mesh/test_membership.py
+++ b/tests/control/mesh/test_membership.py
@@ -48,6 +48,7 @@
 
     is_leader = True
     is_assured = True
+    holds_acks = False
 
     def __init__(self, *voters: str) -> None:
         # Voters that remember nothing.
@@ -226,6 +227,7 @@
     """Return a group that forms, without records of its first voters."""
     group = _Group(*voters)
     group.log.is_assured = False
+    group.log.holds_acks = True
     for name, peer in group.log.voter_peers.items():
         group.log.voter_peers[name] = replaced(peer, data_centre='', region='')
     return group
