Lose events of the time line on a full disk, not the process

With the setting timeline on a disk that is full, each event raised OSError in the task that reports it. Tasks of the log report outside of what handles errors of the data folder, for example after an election, and the end of one of them ends the control instance. Read in the code and shown by the test, not played with real processes; the deployed roles have no such file.

An event that cannot be written is lost, and the first of a series is logged.

--- a/packages/mustardspur_core/src/mustardspur_core/timeline.py
+++ b/packages/mustardspur_core/src/mustardspur_core/timeline.py
@@ -1,12 +1,16 @@
 """Time line of events: one JSON line per event, one file per process."""
 
 import json
+import logging
 import time
+from contextlib import suppress
 from pathlib import Path
-from typing import IO, Any
+from typing import IO, Any, Final
 
 from mustardspur_core.units import NS_PER_S
 
+_LOG: Final = logging.getLogger(__name__)
+
 
 class Timeline:
     """Writer of the events of one process.
@@ -29,7 +33,13 @@
         File to append to; with None events are discarded.
     """
 
-    __slots__ = ('_output', '_sequence', 'data_centre', 'process_id')
+    __slots__ = (
+        '_lost',
+        '_output',
+        '_sequence',
+        'data_centre',
+        'process_id',
+    )
 
     def __init__(
         self,
@@ -41,13 +51,15 @@
         self.process_id = process_id
         self.data_centre = data_centre
         self._sequence = 0
+        # Events that could not be written since the last one that was.
+        self._lost = 0
         self._output: IO[str] | None = None
         if path is not None:
             path.parent.mkdir(parents=True, exist_ok=True)
             self._output = path.open('a', buffering=1, encoding='utf-8')
 
     def record(self, event: str, **details: Any) -> None:
-        """Append an event.
+        """Append an event; it is lost if the disk does not take it.
 
         Parameters
         ----------
@@ -67,10 +79,23 @@
             'data_centre': self.data_centre,
             'event': event,
         }
-        self._output.write(f'{json.dumps(fields | details)}\n')
+        try:
+            self._output.write(f'{json.dumps(fields | details)}\n')
+        except OSError as error:
+            self._report(error)
+            return
+        self._lost = 0
 
     def close(self) -> None:
         """Close the file."""
         if self._output is not None:
-            self._output.close()
+            # What the disk did not take is tried again at the close.
+            with suppress(OSError):
+                self._output.close()
             self._output = None
+
+    def _report(self, error: OSError) -> None:
+        """Log the first of a series of events that are lost."""
+        if not self._lost:
+            _LOG.warning('time line not written', extra={'reason': str(error)})
+        self._lost += 1
