Supervise the watch of the settings

An unexpected error while settings were read or applied, for example MemoryError in a process short of memory, left the watch and ended the process: it was the only periodic task that both roles ran without supervision. Found by reading.

test_settings_that_fail_end_no_process failed before: the error left the block that the process runs in.

--- a/packages/mustardspur_core/src/mustardspur_core/settings/watching.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/watching.py
@@ -15,7 +15,7 @@
 from mustardspur_core.findings import Findings
 from mustardspur_core.settings.loading import load_settings
 from mustardspur_core.settings.model import Settings
-from mustardspur_core.tasks import background
+from mustardspur_core.tasks import background, supervised
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -136,9 +136,16 @@
             self._report(str(loaded.error))
             return
         self._reported = ''
-        self._apply_settings(loaded.ok)
+        self._apply(loaded.ok)
         _LOG.info('settings reloaded')
 
+    def _apply(self, settings: Settings) -> None:
+        try:
+            self._apply_settings(settings)
+        except Exception:
+            self._settings_file.forget()
+            raise
+
     def _report(self, reason: str) -> None:
         if reason != self._reported:
             self._reported = reason
@@ -154,7 +161,7 @@
     watch = SettingsWatch(settings_file, apply_settings)
     handle_signal(signal.SIGHUP, watch.reload)
     try:
-        async with background(watch.run()):
+        async with background(supervised('settings', watch.run)):
             yield
     finally:
         ignore_signal(signal.SIGHUP)
