--- a/packages/mustardspur_core/src/mustardspur_core/settings/page.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/page.py
@@ -17,7 +17,8 @@
 found, and the process ends with exit code 2; at a reload the settings in
 force stay, with the log line `settings not reloaded`. A process reads the
 file again for a second before it ends, since the file may be written at that
-moment; `--check` does not. Keys that are not listed are refused.
+moment, and waits 10 s for one that is missing or cannot be read; `--check`
+does neither. Keys that are not listed are refused.
 
 | field | holds | values | default |
 |---|---|---|---|
