Write the first voters before a start waits for its addresses

A first start whose address was taken waited before it had written the first voters. If it was killed or gave up meanwhile, its next start was none of a first start, so that the instance remembered nothing; with two such seeds no group forms. The data folder and its files are obtained first now.

test_first_start_that_waits_is_remembered failed before (no voters in the file). The check of a waiting control instance demanded that it has no data folder; it demands that its log has no file now, neither a vote nor an entry.

--- a/packages/mustardspur_daemon/src/mustardspur_daemon/starting.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/starting.py
@@ -45,9 +45,9 @@
     ===========
 
     A process that cannot listen neither votes nor announces itself, since it
-    does nothing else until all its addresses are held. The data folder comes
-    last: once the addresses are free, the process before this one has ended or
-    is about to.
+    does nothing else until all its addresses are held. The files of a control
+    instance come first: if its first start ends while it waits for an address,
+    the next one still knows the first voters.
 
     Raises
     ------
@@ -55,13 +55,13 @@
         If something is still missing after the longest wait.
     """
     wait = StartWait(start_wait_s(settings))
-    hold_addresses(listened_addresses(settings), wait)
     if settings.role == 'control' and settings.data_dir is not None:
         hold_data_folder(Path(settings.data_dir), wait)
     if settings.role == 'control' and settings.mesh is not None:
         # A node imports none of the code of control instances.
         formation = importlib.import_module(_FORMATION)
         formation.obtain_files(settings, settings.mesh, wait)
+    hold_addresses(listened_addresses(settings), wait)
 
 
 def run_reported(settings: Settings, command: Callable[[], int]) -> int:
