Run the interpreter if the library of the built program has moved

A library of Python that is not where it was at the build ended each process with exit code 3, so that no process of an instance started, although python3 was there. The program now names the library and executes the interpreter, with SIGHUP ignored all the same.

test_interpreter_is_run_without_the_library takes the place of test_missing_library_is_named_at_the_start: it still demands that the library is named, and that the process starts instead of ending with 3; it failed before.

--- a/packages/mustardspur_daemon/src/mustardspur_daemon/interpreter/program.c
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/interpreter/program.c
@@ -9,6 +9,7 @@
 
 #include <signal.h>
 #include <stdio.h>
+#include <unistd.h>
 
 #ifdef PYTHON_LIBRARY
 #include <dlfcn.h>
@@ -40,14 +41,17 @@
     python_main run;
 
     signal(SIGHUP, SIG_IGN);
+    /* Python derives the virtual environment and its folders from this. */
+    argv[0] = PYTHON_EXECUTABLE;
     run = load_python();
-    if (run == NULL) {
+    if (run != NULL) {
+        return run(argc, argv);
+    }
 #ifdef PYTHON_LIBRARY
-        dprintf(2, "cannot start Python, build this again: %s\n", dlerror());
+    dprintf(2, "cannot load Python, build this again: %s\n", dlerror());
 #endif
-        return CANNOT_START;
-    }
-    /* Python derives the virtual environment and its folders from this. */
-    argv[0] = PYTHON_EXECUTABLE;
-    return run(argc, argv);
+    /* The library has moved since the build; the interpreter may be there. */
+    execv(PYTHON_EXECUTABLE, argv);
+    execvp("python3", argv);
+    return CANNOT_START;
 }
