Serve without metrics while their address is taken

A process whose metrics address was taken waited for it, and ended with exit code 3 at the bound, although it can serve its callers without it. The port is the same on all instances (9464 in the deployed settings), which other programs use as well. It is tried again each second, and logged once.

test_taken_address_of_metrics_ends_no_process failed before (OSError at the start of the server). The addresses that a start waits for are one fewer for the roles of a mesh, in test_every_role_holds_its_addresses and test_start_waits_for_its_address, which plays the readiness address instead.

--- a/packages/mustardspur_core/src/mustardspur_core/exposition.py
+++ b/packages/mustardspur_core/src/mustardspur_core/exposition.py
@@ -1,13 +1,21 @@
 """Metrics in the Prometheus text format, served over HTTP."""
 
+import asyncio
+import logging
 from bisect import bisect_left
-from contextlib import AbstractAsyncContextManager
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import Final
 
 from aiohttp import web
 
 from mustardspur_core.http_serving import StopListening, serving_app
+from mustardspur_core.tasks import background
 
+_LOG: Final = logging.getLogger(__name__)
+
+# Between two attempts to listen.
+RETRY_S: Final = 1.0
 # Upper bounds of the histogram buckets.
 BUCKETS_MS: Final = (1, 2, 5, 10, 20, 50, 100, 200, 300, 500, 1000, 2000, 5000)
 
@@ -64,14 +72,71 @@
         return '\n'.join([*lines, ''])
 
 
-def serving_metrics(
+@asynccontextmanager
+async def serving_metrics(
     address: str | None,
     registry: MetricsRegistry,
-) -> AbstractAsyncContextManager[StopListening]:
-    """Serve the metrics on an address while the context is active."""
-    app = web.Application()
-    app.router.add_get('/metrics', registry.serve_text)
-    return serving_app(app, address)
+) -> AsyncIterator[StopListening]:
+    """Serve the metrics on an address while the context is active.
+
+    Explanation
+    ===========
+
+    A process serves its callers without its metrics as well, so an address
+    that is taken is tried again and neither delays nor ends a start.
+
+    Yields
+    ------
+    callable
+        Accepts no further connections.
+    """
+    exposition = _Exposition(address, registry)
+    async with background(exposition.run()):
+        yield exposition.stop_listening
+
+
+class _Exposition:
+    """Serves the metrics as soon as the address is free."""
+
+    __slots__ = ('_address', '_is_stopped', '_registry', '_stop_listening')
+
+    def __init__(self, address: str | None, registry: MetricsRegistry) -> None:
+        self._address = address
+        self._registry = registry
+        self._is_stopped = False
+        self._stop_listening: StopListening | None = None
+
+    async def run(self) -> None:
+        """Serve until cancelled, or until it is stopped before it serves."""
+        is_logged = False
+        while not self._is_stopped:
+            try:
+                await self._serve()
+            except OSError as error:
+                if not is_logged:
+                    _log_unserved(self._address, error)
+                is_logged = True
+            await asyncio.sleep(RETRY_S)
+
+    def stop_listening(self) -> None:
+        """Accept no further connections."""
+        self._is_stopped = True
+        if self._stop_listening is not None:
+            self._stop_listening()
+
+    async def _serve(self) -> None:
+        app = web.Application()
+        app.router.add_get('/metrics', self._registry.serve_text)
+        async with serving_app(app, self._address) as stop_listening:
+            self._stop_listening = stop_listening
+            await asyncio.Event().wait()
+
+
+def _log_unserved(address: str | None, error: OSError) -> None:
+    _LOG.warning(
+        'metrics not served',
+        extra={'address': address, 'reason': str(error)},
+    )
 
 
 def _label(name: str) -> str:
--- a/packages/mustardspur_core/src/mustardspur_core/listening.py
+++ b/packages/mustardspur_core/src/mustardspur_core/listening.py
@@ -97,15 +97,16 @@
 
 
 def listened_addresses(settings: Settings) -> list[str]:
-    """Return the addresses that the role of a process listens on."""
+    """Return the addresses without which the role of a process is useless.
+
+    The one of the metrics is none of them.
+    """
     listen = settings.listen
     addresses: list[str | None] = [listen.http]
     if settings.role == 'control' or settings.mesh is not None:
         addresses.append(listen.stream)
-    if settings.mesh is not None:
-        addresses.append(listen.metrics)
-        if settings.role == 'node':
-            addresses.extend((listen.targets, listen.ready))
+    if settings.mesh is not None and settings.role == 'node':
+        addresses.extend((listen.targets, listen.ready))
     return [address for address in addresses if address is not None]
 
 
