Write the first voters before a first start waits

Cause: a control instance wrote the file with the first voters only after it had bound its addresses. One that was stopped or killed while it waited for an address, or reached the end of the wait, knew no voters at its next start, which is not the first one any more: it counted as an instance that lost its disk.

Change: at the first start the file is written before anything is waited for, if the disk takes it. Nothing else is in the folder until all addresses are bound.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/formation.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/formation.py
@@ -8,6 +8,7 @@
 
 import errno
 import json
+from contextlib import suppress
 from functools import partial
 from pathlib import Path
 from typing import Final
@@ -58,6 +59,22 @@
     return replaced(settings, peers=voters)
 
 
+def remember_first_start(settings: Settings, mesh: MeshSettings) -> None:
+    """Write the first voters at the first start, before it waits for anything.
+
+    Explanation
+    ===========
+
+    A process that is ended while it waits would otherwise know no voters at
+    its next start, which is not the first one any more. No lock is needed, as
+    the file is written once, atomically. A disk that refuses it is waited for
+    by `obtain_files`.
+    """
+    if mesh.first_start:
+        with suppress(OSError):
+            settings_with_first_voters(settings, mesh)
+
+
 def obtain_files(
     settings: Settings, mesh: MeshSettings, wait: StartWait
 ) -> None:
--- a/packages/mustardspur_daemon/src/mustardspur_daemon/starting.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/starting.py
@@ -45,7 +45,8 @@
     ===========
 
     A process that cannot listen neither votes nor announces itself, since it
-    does nothing else until all its addresses are held. The data folder comes
+    does nothing else until all its addresses are held, except that a control
+    instance writes the first voters at its first start. The data folder comes
     last: once the addresses are free, the process before this one has ended or
     is about to.
 
@@ -55,12 +56,15 @@
         If something is still missing after the longest wait.
     """
     wait = StartWait(start_wait_s(settings))
-    hold_addresses(listened_addresses(settings), wait)
-    if settings.role == 'control' and settings.data_dir is not None:
-        hold_data_folder(Path(settings.data_dir), wait)
-    if settings.role == 'control' and settings.mesh is not None:
+    is_control = settings.role == 'control'
+    if is_control and settings.mesh is not None:
         # A node imports none of the code of control instances.
         formation = importlib.import_module(_FORMATION)
+        formation.remember_first_start(settings, settings.mesh)
+    hold_addresses(listened_addresses(settings), wait)
+    if is_control and settings.data_dir is not None:
+        hold_data_folder(Path(settings.data_dir), wait)
+    if is_control and settings.mesh is not None:
         formation.obtain_files(settings, settings.mesh, wait)
 
 
