Wait at a start while the machine is short of files or memory

Cause: only errors that tell of the address, folder or disk itself were waited for. ENFILE, ENOMEM and ENOBUFS, which other processes of the machine cause for a moment, ended the start at once.

Change: they are waited for within the same bound, whatever is needed.

--- a/packages/mustardspur_core/src/mustardspur_core/start_wait.py
+++ b/packages/mustardspur_core/src/mustardspur_core/start_wait.py
@@ -1,5 +1,6 @@
 """Bounded waiting for what a process needs to start."""
 
+import errno
 import logging
 import time
 from collections.abc import Callable, Mapping
@@ -16,6 +17,11 @@
 MARGIN_S: Final = 10.0
 # An attempt is one or two system calls.
 POLL_S: Final = 0.05
+# The machine is short of memory or of files for all processes; those of one
+# process are not freed while it waits.
+_MACHINE_IS_SHORT: Final = frozenset(
+    (errno.ENFILE, errno.ENOMEM, errno.ENOBUFS),
+)
 
 
 class StartWait:
@@ -65,7 +71,8 @@
         attempt : callable
             Obtains it at once or raises `OSError`.
         is_temporary : callable
-            Whether an error may go away without a change of the settings.
+            Whether an error may go away without a change of the settings. One
+            that tells of a shortage of the whole machine always may.
         describe : callable, optional
             Returns further fields of the line that tells of the wait.
 
@@ -80,7 +87,7 @@
         try:
             return attempt()
         except OSError as error:
-            if not is_temporary(error):
+            if not _may_pass(error, is_temporary):
                 raise
             self._log_wait(need, error, describe())
         started_s = self._clock()
@@ -122,7 +129,8 @@
             try:
                 return attempt()
             except OSError as error:
-                if self._clock() >= self._latest_s or not is_temporary(error):
+                is_over = self._clock() >= self._latest_s
+                if is_over or not _may_pass(error, is_temporary):
                     raise
 
 
@@ -136,3 +144,7 @@
     if settings.role == 'node':
         return settings.intervals.drain_s + MARGIN_S
     return MARGIN_S
+
+
+def _may_pass(error: OSError, is_temporary: Callable[[OSError], bool]) -> bool:
+    return error.errno in _MACHINE_IS_SHORT or is_temporary(error)
--- a/tests/core/test_start_wait.py
+++ b/tests/core/test_start_wait.py
@@ -52,6 +52,17 @@
     return StartWait(_WAIT_S, clock, clock.sleep)
 
 
+@pytest.mark.parametrize('number', [errno.ENFILE, errno.ENOMEM, errno.ENOBUFS])
+def test_shortage_of_the_machine_is_waited_for(number: int) -> None:
+    """Guards against a start that ends at once as all processes of the machine
+    together have used up its files or memory for a moment.
+    """
+    clock = _Clock()
+    attempts = _Attempts(number, errno.EADDRINUSE, number)
+    assert _wait(clock).obtain(_NEED, attempts, _is_temporary) == 'obtained'
+    assert clock.pauses == 3
+
+
 def test_nothing_missing_is_obtained_at_once(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
