Lock the data folder in a recovery

Cause: the recovery of an instance as the only voter checked that the HTTP address is free. An instance that stops frees it before its last writes, and one that is frozen or slow at its end may still write to the log that the recovery rewrites.

Change: the recovery takes the lock of the data folder as a start does, without a wait.

--- a/packages/mustardspur_daemon/src/mustardspur_daemon/recovering.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/recovering.py
@@ -2,9 +2,12 @@
 
 import socket
 import sys
+from pathlib import Path
 
 from mustardspur_agreement import log_disk, recover_alone
+from mustardspur_core.data_folder import hold_data_folder
 from mustardspur_core.settings import Settings
+from mustardspur_core.start_wait import StartWait
 
 from mustardspur_daemon.exit_codes import ExitCode
 
@@ -33,6 +36,9 @@
         )
         return ExitCode.BAD_SETTINGS
     _check_stopped(settings)
+    if settings.data_dir is not None:
+        # An instance that stops frees its address before its last writes.
+        hold_data_folder(Path(settings.data_dir), StartWait(0))
     recovered = recover_alone(settings, log_disk(settings))
     if recovered.is_error():
         sys.stderr.write(f'{settings.id}: {recovered.error}\n')
--- a/tests/daemon/test_recovering.py
+++ b/tests/daemon/test_recovering.py
@@ -1,10 +1,13 @@
 """Tests of the recovery of a control instance as the only voter."""
 
 import json
+import os
 from pathlib import Path
 from typing import Any
 
 import pytest
+from mustardspur_core.data_folder import hold_data_folder
+from mustardspur_core.start_wait import StartWait
 from mustardspur_daemon.exit_codes import ExitCode
 from mustardspur_daemon.main import main
 
@@ -33,6 +36,22 @@
     assert _recover(tmp_path, document) == ExitCode.STOPPED
 
 
+async def test_instance_without_listeners_is_left_alone(
+    tmp_path: Path,
+) -> None:
+    """Guards against a recovery that writes the log of an instance which has
+    freed its addresses and not ended yet.
+    """
+    document = control_document(tmp_path)
+    address = document['listen']['http']
+    async with running_daemon(tmp_path, document):
+        await answer_of(f'http://{address}/v1/status')
+    held = hold_data_folder(Path(document['data_dir']), StartWait(0))
+    assert _recover(tmp_path, document) == ExitCode.CANNOT_START
+    os.close(held)
+    assert _recover(tmp_path, document) == ExitCode.STOPPED
+
+
 def test_node_and_empty_instance_are_refused(
     tmp_path: Path,
     capsys: pytest.CaptureFixture[str],
