End no daemon for an event of its timeline

Cause: an event that could not be written, as on a full disk, raised OSError in the task that recorded it. A daemon ended by it at its start and at its stop, where it drained nothing, and the tasks of the agreement failed for it.

Change: such events are lost. The first of a series is logged with the reason.

Measured: test_full_disk_of_the_timeline_ends_nothing (/dev/full as timeline), without and with a mesh, 2 of 2 red before (the process ends before it has started), 2 of 2 green after; the tests of daemon processes and of its mesh pass.

--- a/packages/mustardspur_core/src/mustardspur_core/timeline.py
+++ b/packages/mustardspur_core/src/mustardspur_core/timeline.py
@@ -1,12 +1,16 @@
 """Time line of events: one JSON line per event, one file per process."""
 
 import json
+import logging
 import time
+from contextlib import suppress
 from pathlib import Path
-from typing import IO, Any
+from typing import IO, Any, Final
 
 from mustardspur_core.units import NS_PER_S
 
+_LOG: Final = logging.getLogger(__name__)
+
 
 class Timeline:
     """Writer of the events of one process.
@@ -29,7 +33,13 @@
         File to append to; with None events are discarded.
     """
 
-    __slots__ = ('_output', '_sequence', 'data_centre', 'process_id')
+    __slots__ = (
+        '_is_refused',
+        '_output',
+        '_sequence',
+        'data_centre',
+        'process_id',
+    )
 
     def __init__(
         self,
@@ -41,6 +51,7 @@
         self.process_id = process_id
         self.data_centre = data_centre
         self._sequence = 0
+        self._is_refused = False
         self._output: IO[str] | None = None
         if path is not None:
             path.parent.mkdir(parents=True, exist_ok=True)
@@ -67,10 +78,22 @@
             'data_centre': self.data_centre,
             'event': event,
         }
-        self._output.write(f'{json.dumps(fields | details)}\n')
+        try:
+            self._output.write(f'{json.dumps(fields | details)}\n')
+        except OSError as error:
+            self._report_refusal(error)
+        else:
+            self._is_refused = False
 
     def close(self) -> None:
         """Close the file."""
         if self._output is not None:
-            self._output.close()
+            # Closing writes again what could not be written.
+            with suppress(OSError):
+                self._output.close()
             self._output = None
+
+    def _report_refusal(self, error: OSError) -> None:
+        if not self._is_refused:
+            _LOG.warning('timeline not written', extra={'reason': str(error)})
+        self._is_refused = True
