Forget the failure rate of a former disruption

Cause: the failure rate of the other versions stayed in force without a bound while fewer than 20 of their calls ran within 3 s. After a disruption of all versions, a version that broke later was never found faulty: its own failures counted as expected, at the rate of the disruption.

Change: the rate is forgotten once it is older than the window.

Measured: test_rate_of_a_former_disruption_is_not_kept, red before (120 failures expected instead of 80), green after.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/concurrent_failures.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/concurrent_failures.py
@@ -60,7 +60,7 @@
         The new version.
     """
 
-    __slots__ = ('_moments', '_rate_by_route', '_version')
+    __slots__ = ('_moments', '_rate_by_route', '_rated_s', '_version')
 
     def __init__(self, version: str) -> None:
         """Initialise without a moment."""
@@ -68,6 +68,8 @@
         self._moments: deque[_Moment] = deque()
         # The latest failure rate of the other versions.
         self._rate_by_route: defaultdict[str, float] = defaultdict(float)
+        # When it was taken, by route.
+        self._rated_s: dict[str, float] = {}
 
     def overall(self) -> dict[str, float]:
         """Return the expected failures by route since the first moment."""
@@ -88,15 +90,23 @@
             Counts since the start of the transfer.
         """
         sums_by_route = self._sum(totals)
+        self._forget_rates(now_s - WINDOW_S)
         latest = self._moments[-1].sums_by_route if self._moments else {}
         for route in latest.keys() & sums_by_route.keys():
-            self._expect(route, sums_by_route[route], latest[route])
+            self._expect(route, sums_by_route[route], latest[route], now_s)
         self._moments.append(_Moment(now_s, sums_by_route))
         while len(self._moments) > 1 and (
             self._moments[1].at_s <= now_s - WINDOW_S
         ):
             self._moments.popleft()
 
+    def _forget_rates(self, before_s: float) -> None:
+        """Forget old rates: what the others met may be over since then."""
+        for route, rated_s in list(self._rated_s.items()):
+            if rated_s < before_s:
+                self._rate_by_route.pop(route)
+                self._rated_s.pop(route)
+
     def _expected_since(self, before: _SumsByRoute) -> dict[str, float]:
         nothing = _RouteSums()
         expected_by_route = {}
@@ -120,16 +130,19 @@
                 sums.other_failed += counts.failed
         return sums_by_route
 
-    def _expect(self, route: str, sums: _RouteSums, before: _RouteSums) -> None:
+    def _expect(
+        self, route: str, sums: _RouteSums, before: _RouteSums, now_s: float
+    ) -> None:
         """Add the expected failures of the runs since the last moment."""
         # Reports with damaged counts may be replaced by smaller ones.
         runs = max(sums.runs - before.runs, 0)
-        sums.expected = before.expected + runs * self._rate(route, sums)
+        sums.expected = before.expected + runs * self._rate(route, sums, now_s)
 
-    def _rate(self, route: str, sums: _RouteSums) -> float:
+    def _rate(self, route: str, sums: _RouteSums, now_s: float) -> float:
         """Return the failure rate of the latest runs of other versions.
 
-        If there are too few, it is the latest one that is known, 0 before.
+        If there are too few, it is the latest one that is known and at most
+        `WINDOW_S` old, otherwise 0.
         """
         min_runs = MIN_RUNS_SINCE_LAST
         for moment in reversed(self._moments):
@@ -140,6 +153,7 @@
             if runs >= min_runs:
                 failed = sums.other_failed - before.other_failed
                 self._rate_by_route[route] = max(failed, 0) / runs
+                self._rated_s[route] = now_s
                 break
             min_runs = MIN_OTHER_RUNS
         return self._rate_by_route[route]
--- a/tests/control/mesh/test_concurrent_failures.py
+++ b/tests/control/mesh/test_concurrent_failures.py
@@ -52,6 +52,20 @@
     assert concurrent.overall()['drafts'] == pytest.approx(200 * rate)
 
 
+def test_rate_of_a_former_disruption_is_not_kept() -> None:
+    """Guards against a version whose failures count as those of a disruption
+    that was over long before, as few others have run since then.
+    """
+    concurrent = ConcurrentFailures('v2')
+    concurrent.observe(0, _totals(0, 0, 0))
+    concurrent.observe(_STEP_S, _totals(100, 10, 4))
+    concurrent.observe(_STEP_S + WINDOW_S, _totals(200, 12, 4))
+    before = concurrent.overall()['drafts']
+    concurrent.observe(2 * _STEP_S + WINDOW_S, _totals(300, 13, 4))
+    assert before == pytest.approx(200 * 0.4)
+    assert concurrent.overall()['drafts'] == pytest.approx(before)
+
+
 def test_runs_before_the_first_moment_imply_nothing() -> None:
     """A new leader does not know at which moments they ran."""
     concurrent = _observed((500, 1000, 300))
