--- a/tests/platform/test_held_addresses.py
+++ b/tests/platform/test_held_addresses.py
@@ -17,6 +17,7 @@
     HANG_LIMIT_S,
     POLL_S,
     Mesh,
+    configuration,
     running_mesh,
 )
 
@@ -120,21 +121,6 @@
         await _check_served(mesh, role)
 
 
-async def test_first_start_that_waits_is_remembered(tmp_path: Path) -> None:
-    """Guards against a first voter that forgets its first start as that one
-    was killed while an address was taken.
-    """
-    async with running_mesh(tmp_path) as mesh:
-        with socket.create_server((_HOST, mesh.ports['http'])):
-            await _start(mesh, 'control')
-            await mesh.until_logged(_HOST, 'start waits')
-            await mesh.kill(_HOST)
-        await mesh.start_control(_HOST, first_start=False)
-        await mesh.until_logged(_HOST, '"started"')
-        path = mesh.launcher.data_dir(_HOST) / 'first-voters.json'
-        assert json.loads(path.read_text('utf-8'))
-
-
 @pytest.mark.parametrize(('role', 'port'), [('node', 'http')])
 async def test_start_waits_for_an_outgoing_connection(
     role: str,
@@ -193,6 +179,31 @@
         assert _line(mesh, 'stopped')['signal'] == number.name
 
 
+@pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGKILL])
+async def test_first_start_that_waits_is_remembered(
+    number: signal.Signals,
+    tmp_path: Path,
+) -> None:
+    """Guards against a first voter that knows no voters at its next start, as
+    its process ended while it waited for an address at its first one.
+    """
+    async with running_mesh(tmp_path) as mesh:
+        seeds = [f'{_HOST}:{mesh.ports["http"]}']
+        with socket.create_server((_HOST, mesh.ports['stream'])):
+            await mesh.start_control(_HOST, first_start=True, seeds=seeds)
+            await mesh.until_logged(_HOST, 'start waits')
+            process = mesh.processes.pop(_HOST)
+            process.send_signal(number)
+            await process.wait()
+        await mesh.start_control(_HOST, first_start=False, seeds=seeds)
+        await mesh.until(
+            'PUT',
+            mesh.url(_HOST, 'http', '/api/config'),
+            json=configuration(1),
+            headers={'If-Match': 'r0'},
+        )
+
+
 @pytest.mark.parametrize('role', ['node', 'control'])
 async def test_connections_of_the_killed_delay_no_start(
     role: str,
