Test a taken address beside a lost disk under a supervisor

Evidence: on a control instance whose address was taken for some seconds ended at each start; beside one lost disk, with a supervisor that gives a process up after three ends, nothing acknowledged could be read for 25 s (trial).

--- a/tests/platform/test_deployment.py
+++ b/tests/platform/test_deployment.py
@@ -95,3 +95,29 @@
             await asyncio.sleep(_WATCHED_S)
         supervision.cancel()
         assert not play.observations.findings()
+
+
+async def test_taken_address_beside_a_lost_disk(
+    tmp_path: Path,
+) -> None:
+    """Guards against acknowledged orders that cannot be read any more, as an
+    instance is given up by its supervisor while its address is taken.
+    """
+    async with running(_SITE, 'killed', 1, tmp_path) as play:
+        play.max_ends = 3
+        supervision = asyncio.create_task(play.restart_ended())
+        await play.start_all(first_start=True)
+        await play.until_counting()
+        await _until_ordered(play)
+        lost, taken = play.orders.hosts[:2]
+        assert await play.orders.transfer(lost)
+        await play.end_all()
+        play.mesh.wipe(lost)
+        holding = asyncio.create_task(steps.hold(play, taken, 'http', 4))
+        await asyncio.sleep(0)
+        await play.start_all()
+        await play.read_back()
+        await holding
+        supervision.cancel()
+        assert not play.ended
+        assert not play.orders.broken
