Pass over lines of the kernel's table that cannot be read

A line of /proc/net/tcp in another form raised ValueError in the description of what holds an address, and ended the start that waited for it. Found by the review with a made-up table; not seen on a machine.

test_lines_in_another_form_name_no_holder failed before.

--- a/packages/mustardspur_core/src/mustardspur_core/address_holders.py
+++ b/packages/mustardspur_core/src/mustardspur_core/address_holders.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+from contextlib import suppress
 from pathlib import Path
 from types import MappingProxyType
 from typing import Final
@@ -53,18 +54,29 @@
     listeners: list[str] = []
     connections: list[str] = []
     for line in lines:
-        local, remote, state = line.split()[1:4]
-        if not _is_same(_decode(local), address):
-            continue
-        if state == _LISTENS:
-            user = line.split()[_USER_FIELD]
-            listeners.append(f'listener of user {user}')
-        else:
-            name = _STATES.get(state, state)
-            connections.append(f'connection to {_decode(remote)} ({name})')
+        # A line in another form must not end the start that waits.
+        with suppress(ValueError, IndexError, struct.error):
+            _add_holder(line, address, listeners, connections)
     return [*listeners, *connections][:_MAX_HOLDERS]
 
 
+def _add_holder(
+    line: str,
+    address: str,
+    listeners: list[str],
+    connections: list[str],
+) -> None:
+    fields = line.split()
+    local, remote, state = fields[1:4]
+    if not _is_same(_decode(local), address):
+        return
+    if state == _LISTENS:
+        listeners.append(f'listener of user {fields[_USER_FIELD]}')
+    else:
+        name = _STATES.get(state, state)
+        connections.append(f'connection to {_decode(remote)} ({name})')
+
+
 def _is_same(local: str, address: str) -> bool:
     hosts = {each.rpartition(':')[0] for each in (local, address)}
     ports = {each.rpartition(':')[2] for each in (local, address)}
--- a/tests/core/test_listening.py
+++ b/tests/core/test_listening.py
@@ -119,3 +119,12 @@
     assert find_holders('127.0.0.1:8081', table) == ['listener of user 0']
     assert not find_holders('127.0.0.1:8082', table)
     assert not find_holders('127.0.0.1:8080', tmp_path / 'missing')
+
+
+def test_lines_in_another_form_name_no_holder(tmp_path: Path) -> None:
+    """Guards against a start that ends for a line of the kernel's table."""
+    table = tmp_path / 'tcp'
+    table.write_text(
+        f'heading\nshort\n0: x:y 0:0 0A\n0: {"0" * 20}:50 0:0 0A\n'
+    )
+    assert not find_holders('127.0.0.1:80', table)
