--- a/tests/core/test_listening.py
+++ b/tests/core/test_listening.py
@@ -43,6 +43,13 @@
     return parse_settings(document, 'settings').ok
 
 
+_DAMAGED_LINES = (
+    'short',
+    '0: x:y 0:0 0A',
+    '0: 00000000000000000000:50 0:0 0A',
+)
+
+
 def _connect(address: str) -> socket.socket:
     host, _, port = address.rpartition(':')
     return socket.create_connection((host, int(port)))
@@ -124,7 +131,5 @@
 def test_lines_in_another_form_name_no_holder(tmp_path: Path) -> None:
     """Guards against a start that ends for a line of the kernel's table."""
     table = tmp_path / 'tcp'
-    table.write_text(
-        f'heading\nshort\n0: x:y 0:0 0A\n0: {"0" * 20}:50 0:0 0A\n'
-    )
+    table.write_text('\n'.join(('heading', *_DAMAGED_LINES)))
     assert not find_holders('127.0.0.1:80', table)
