Reproduce processes that an honest crowd ends with all its requests

What callers saw: requests that end without an answer (LOST), and processes that end by themselves (FAULT). Hypothesis: a crowd of clients that keep to all limits makes a process exceed the memory of its instance; the platform kills it, and every request that it holds ends with it.

The tests start a control instance, a node and a target with `mesh.memory_mb` lowered to 128, and kill a process whose resident memory reaches it.

Control instances and nodes of the tests also listen for metrics, as deployed.

--- /dev/null
+++ b/tests/platform/crowds/limited_mesh.py
@@ -0,0 +1,171 @@
+"""A mesh of real processes that may use little memory, and what they use."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from functools import partial
+from pathlib import Path
+from typing import Any, Final
+
+from aiohttp import web
+from mustardspur_core.units import BYTES_PER_KIB
+
+from tests.platform.mesh_processes import (
+    HANG_LIMIT_S,
+    HOST,
+    Mesh,
+    configuration,
+    running_mesh,
+)
+
+CONTROL: Final = '127.0.7.1'
+NODE: Final = '127.0.7.21'
+# Lowered limits of each process. All bounds of the tests are these.
+MEMORY_MIB: Final = 128
+MAX_DESCRIPTORS: Final = 4096
+MAX_HEADER_BYTES: Final = 16_384
+MAX_BODY_BYTES: Final = 4_194_304
+ROUTE_TIMEOUT: Final = '6s'
+# Large enough that unread configurations fill the buffers of a connection.
+ROUTES: Final = 300
+# Of the target, so that the calls of a crowd run at once.
+SLOTS: Final = 50
+_POLL_S: Final = 0.01
+
+
+class Usage:
+    """What a process has used, and whether it was killed for it."""
+
+    __slots__ = ('descriptors', 'is_killed', 'peak_mib')
+
+    def __init__(self) -> None:
+        """Initialise before the first reading."""
+        self.peak_mib: float = 0
+        self.descriptors = 0
+        self.is_killed = False
+
+    def check(self) -> None:
+        """Check that the process lives and stayed within its limits."""
+        assert not self.is_killed
+        assert self.peak_mib < MEMORY_MIB
+        assert self.descriptors < MAX_DESCRIPTORS
+
+    def read(self, pid: int) -> None:
+        """Read the highest resident memory and the open descriptors."""
+        process = Path('/proc', str(pid))
+        status = (process / 'status').read_text('utf-8')
+        peak_kib = int(status.partition('VmHWM:')[2].split()[0])
+        self.peak_mib = peak_kib / BYTES_PER_KIB
+        count = len(list((process / 'fd').iterdir()))
+        self.descriptors = max(self.descriptors, count)
+
+
+@asynccontextmanager
+async def watched(mesh: Mesh, host: str) -> AsyncIterator[Usage]:
+    """Kill a process that exceeds its memory, as the platform does."""
+    usage = Usage()
+    watch = asyncio.create_task(_watch(mesh, host, usage))
+    try:
+        yield usage
+    finally:
+        watch.cancel()
+        with suppress(asyncio.CancelledError):
+            await watch
+    if not usage.is_killed:
+        usage.read(mesh.processes[host].pid)
+
+
+async def _watch(mesh: Mesh, host: str, usage: Usage) -> None:
+    while True:
+        usage.read(mesh.processes[host].pid)
+        if usage.peak_mib >= MEMORY_MIB:
+            usage.is_killed = True
+            await mesh.kill(host)
+            return
+        await asyncio.sleep(_POLL_S)
+
+
+def limited_configuration(number: int, routes: int = ROUTES) -> dict[str, Any]:
+    """Return a configuration with lowered limits and many routes."""
+    document = configuration(number)
+    document['limits'] |= {
+        'max_header_bytes': MAX_HEADER_BYTES,
+        'max_body_bytes': MAX_BODY_BYTES,
+    }
+    route = document['routes']['drafts']
+    route['timeout'] = ROUTE_TIMEOUT
+    document['routes'] |= {
+        f'route-{each}': {**route, 'path_prefix': f'/path-{each}/'}
+        for each in range(routes - 1)
+    }
+    return document
+
+
+@asynccontextmanager
+async def limited_mesh(
+    folder: Path, answer_bytes: int = 1000
+) -> AsyncIterator[Mesh]:
+    """Run a control instance, a node and its target, all of them in use."""
+    async with (
+        running_mesh(folder) as mesh,
+        _running_target(mesh, answer_bytes),
+    ):
+        mesh.launcher.supervisor = ('prlimit', f'--nofile={MAX_DESCRIPTORS}')
+        seed = mesh.ports['http']
+        settings: dict[str, Any] = {
+            'seeds': [f'{CONTROL}:{seed}'],
+            'memory_mb': MEMORY_MIB,
+        }
+        await mesh.start_control(CONTROL, first_start=True, **settings)
+        await mesh.start_node(NODE, **settings)
+        await put_configuration(mesh, limited_configuration(1))
+        await mesh.report(NODE, slots=SLOTS)
+        await ordinary_request(mesh, NODE)
+        yield mesh
+
+
+async def put_configuration(mesh: Mesh, document: dict[str, Any]) -> None:
+    """Put a configuration on top of the one before it until it is accepted."""
+    before = int(document['version'][1:]) - 1
+    await mesh.until(
+        'PUT',
+        mesh.url(CONTROL, 'http', '/api/config'),
+        json=document,
+        headers={'If-Match': f'r{before}'},
+    )
+
+
+async def ordinary_request(mesh: Mesh, host: str) -> None:
+    """Make a request of an ordinary client until it is answered with 200."""
+    path = '/api/config' if host == CONTROL else '/drafts/1'
+    await mesh.until(
+        'GET',
+        mesh.url(host, 'http', path),
+        headers={'Host': HOST, 'Request-Id': 'ordinary', 'Deadline-Ms': '6000'},
+    )
+
+
+@asynccontextmanager
+async def _running_target(mesh: Mesh, answer_bytes: int) -> AsyncIterator[None]:
+    handler = partial(_serve_target, answer_bytes)
+    runner = web.ServerRunner(web.Server(handler))
+    await runner.setup()
+    try:
+        await web.TCPSite(runner, NODE, mesh.ports['target']).start()
+        yield
+    finally:
+        # A call that hangs does not hold up the end of a test.
+        async with asyncio.timeout(HANG_LIMIT_S):
+            await runner.cleanup()
+
+
+async def _serve_target(
+    answer_bytes: int, request: web.BaseRequest
+) -> web.Response:
+    async for _ in request.content.iter_any():
+        """Reads the body without keeping it."""
+    headers = {
+        'Request-Id': request.headers.get('Request-Id', ''),
+        'Response-Signature': 'signed',
+    }
+    return web.Response(body=bytes(answer_bytes), headers=headers)
--- a/tests/platform/mesh_processes.py
+++ b/tests/platform/mesh_processes.py
@@ -37,6 +37,7 @@
 # Lines of the log of a process that are shown if it ended by itself.
 _SHOWN_LINES: Final = 5
 _PORTS: Final = ('stream', 'http', 'ready', 'targets', 'target', 'metrics')
+_NODE_PORTS: Final = ('stream', 'http', 'ready', 'targets', 'metrics')
 _HEALTH_PATH: Final = '/healthz'
 _DEPLOYMENT: Final = Path('deploy', 'system.toml')
 # The last step of the build.
@@ -149,7 +150,7 @@
                 'role': 'control',
                 'data_dir': str(self.launcher.data_dir(host)),
                 'peers': [],
-                'listen': self._listen(host, 'stream', 'http'),
+                'listen': self._listen(host, 'stream', 'http', 'metrics'),
                 'mesh': {**self._seeds(), 'first_start': first_start, **mesh},
             },
         )
@@ -169,7 +170,7 @@
                 'role': 'node',
                 'data_centre': data_centre,
                 'service': 'forms',
-                'listen': self._listen(host, *_PORTS[:4]),
+                'listen': self._listen(host, *_NODE_PORTS),
                 'mesh': {**self._seeds(), 'target_address': target, **mesh},
             },
         )
@@ -212,22 +213,17 @@
             ):
                 await asyncio.sleep(POLL_S)
 
-    async def report(self, host: str) -> None:
+    async def report(self, host: str, **fields: Any) -> None:
         """Send a heartbeat of the local target to a node."""
         await self.until(
             'PUT',
             self.url(host, 'targets', f'/api/instances/i-{host}'),
-            json={
-                'service': 'forms',
-                'address': f'{host}:{self.ports["target"]}',
-                'zone': self._data_centres_by_node[host],
-                'version': 'v1',
-                'slots': 4,
-                'state': 'ready',
-                'cold_remaining': '0ms',
-                'sequence': 1,
-                'born': 1000,
-            },
+            json=report_of(
+                host,
+                self.ports['target'],
+                zone=self._data_centres_by_node[host],
+                **fields,
+            ),
         )
 
     def call(self, host: str) -> Any:
@@ -377,6 +373,22 @@
     }
 
 
+def report_of(host: str, port: int, **fields: Any) -> dict[str, Any]:
+    """Return a report of the target beside a node, with given fields."""
+    return {
+        'service': 'forms',
+        'address': f'{host}:{port}',
+        'zone': 'split-a',
+        'version': 'v1',
+        'slots': 4,
+        'state': 'ready',
+        'cold_remaining': '0ms',
+        'sequence': 1,
+        'born': 1000,
+        **fields,
+    }
+
+
 async def body_of(response: ClientResponse) -> tuple[int, str, str]:
     """Return status, body and signature of a response."""
     signature = response.headers.get('Response-Signature', '')
