--- a/tests/platform/mesh_processes.py
+++ b/tests/platform/mesh_processes.py
@@ -3,10 +3,8 @@
 import asyncio
 import json
 import os
-import secrets
 import shutil
 import signal
-import socket
 import sys
 import tomllib
 from collections.abc import AsyncIterator, Iterator
@@ -14,7 +12,6 @@
     ExitStack,
     asynccontextmanager,
     contextmanager,
-    suppress,
 )
 from functools import partial
 from pathlib import Path
@@ -23,6 +20,7 @@
 from aiohttp import ClientError, ClientResponse, ClientSession, web
 
 from tests.support.built_program import built_program
+from tests.support.ports import reserve_port
 
 REPOSITORY: Final = Path(__file__).parents[2]
 # Upper bound for a hanging test; no result depends on the time of a step.
@@ -30,10 +28,6 @@
 POLL_S: Final = 0.05
 _SIGNAL_POLL_S: Final = 0.001
 HOST: Final = 'forms.example'
-# Below the ports that the kernel assigns to outgoing connections.
-_PORT_RANGE: Final = range(10_240, 32_768)
-# No process of a mesh listens on this address.
-_RESERVING_HOST: Final = '127.0.7.250'
 # Lines of the log of a process that are shown if it ended by itself.
 _SHOWN_LINES: Final = 5
 _PORTS: Final = ('stream', 'http', 'ready', 'targets', 'target', 'metrics')
@@ -396,22 +390,7 @@
 def reserved_ports() -> Iterator[list[int]]:
     """Yield ports that no other process takes for the duration of a block.
 
-    Ports that the kernel assigns are taken by other test processes and by
-    outgoing connections before the mesh listens on them. Those of a mesh stay
-    reserved while its processes restart, by sockets on an address of their
-    own.
+    They stay reserved while the processes of a mesh restart.
     """
     with ExitStack() as stack:
-        yield [_reserve(stack) for _ in _PORTS]
-
-
-def _reserve(stack: ExitStack) -> int:
-    while True:
-        # Not seeded, since other processes would draw the same ports.
-        port = secrets.choice(_PORT_RANGE)
-        with suppress(OSError), socket.socket() as probe:
-            probe.bind(('0.0.0.0', port))
-            probe.close()
-            reservation = stack.enter_context(socket.socket())
-            reservation.bind((_RESERVING_HOST, port))
-            return port
+        yield [reserve_port(stack) for _ in _PORTS]
