Heed the limit of descriptors that a deployment states

Where a deployment limits descriptors by other means than the kernel, callers could leave a node without one for its targets: it counted with the soft limit of the kernel only, and accepted callers up to three quarters of that.

The lower one of this limit and the kernel's counts, and listeners take their shares of it as before.

--- a/packages/mustardspur_core/src/mustardspur_core/descriptors.py
+++ b/packages/mustardspur_core/src/mustardspur_core/descriptors.py
@@ -8,6 +8,8 @@
 import resource
 from typing import Final
 
+from mustardspur_core.settings.model import MeshSettings
+
 # Used if there is no limit; more connections need more memory than a process
 # is given.
 _UNLIMITED: Final = 65_536
@@ -21,10 +23,34 @@
 _LEAST_REFUSED: Final = 2
 
 
+class _StatedLimit:
+    """The limit of the settings, which like the kernel's is of the process."""
+
+    __slots__ = ('descriptors',)
+
+    def __init__(self) -> None:
+        self.descriptors = _UNLIMITED
+
+
+_stated: Final = _StatedLimit()
+
+
+def apply_descriptor_limit(mesh: MeshSettings) -> None:
+    """Apply the limit that the settings state, unless the kernel's is lower.
+
+    Listeners take their shares when they are created.
+    """
+    stated = mesh.max_descriptors
+    usable = max(stated - mesh.reserved_descriptors, stated // 2)
+    _stated.descriptors = usable or _UNLIMITED
+
+
 def descriptor_limit() -> int:
     """Return how many descriptors the process may open."""
     limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return _UNLIMITED if limit == resource.RLIM_INFINITY else limit
+    if limit == resource.RLIM_INFINITY:
+        return _stated.descriptors
+    return min(limit, _stated.descriptors)
 
 
 def max_callers(limit: int) -> int:
--- a/packages/mustardspur_core/src/mustardspur_core/settings/model.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/model.py
@@ -103,6 +103,10 @@
         Bandwidth of the instance's own link, 0 if not stated.
     memory_mb : float
         Memory that the process may use, in MiB.
+    max_descriptors : int
+        Descriptors that the process may open, 0 if not stated.
+    reserved_descriptors : int
+        How many of these are only for files outside of the data folder.
     balancing : str
         Name of the policy that selects targets.
     silent_target_s : float
@@ -126,6 +130,8 @@
         'limit_slack',
         'link_mbps',
         'memory_mb',
+        'max_descriptors',
+        'reserved_descriptors',
         'balancing',
         'silent_target_s',
     )
@@ -144,6 +150,8 @@
     limit_slack: float
     link_mbps: float
     memory_mb: float
+    max_descriptors: int
+    reserved_descriptors: int
     balancing: str
     silent_target_s: float
 
--- a/packages/mustardspur_daemon/src/mustardspur_daemon/starting.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/starting.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from mustardspur_core.data_folder import hold_data_folder
+from mustardspur_core.descriptors import apply_descriptor_limit
 from mustardspur_core.listening import hold_addresses, listened_addresses
 from mustardspur_core.settings import Settings
 from mustardspur_core.start_wait import StartWait, start_wait_s
@@ -54,6 +55,8 @@
     OSError
         If something is still missing after the longest wait.
     """
+    if settings.mesh is not None:
+        apply_descriptor_limit(settings.mesh)
     wait = StartWait(start_wait_s(settings))
     if settings.role == 'control' and settings.data_dir is not None:
         hold_data_folder(Path(settings.data_dir), wait)
--- a/tests/platform/deployment/mesh.py
+++ b/tests/platform/deployment/mesh.py
@@ -29,7 +29,9 @@
         'exposure_share': 0.1,
     }
 )
-_LIMITS: Final = MappingProxyType({'memory_mb': 300, 'link_mbps': 1000.0})
+_LIMITS: Final = MappingProxyType(
+    {'memory_mb': 300, 'max_fds': 4096, 'link_mbps': 1000.0}
+)
 
 
 class DeployedLauncher(RecordingLauncher):
--- a/tests/platform/test_descriptor_limits.py
+++ b/tests/platform/test_descriptor_limits.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 
 import pytest
 
@@ -22,6 +22,8 @@
 _CONTROL: Final = '127.0.7.1'
 _NODE: Final = '127.0.7.21'
 _LIMIT: Final = 128
+# Far above it.
+_KERNEL_LIMIT: Final = 1024
 _CALLS: Final = 3
 _RUN_S: Final = 0.2
 # At which no file can be opened.
@@ -39,16 +41,21 @@
 
 
 @asynccontextmanager
-async def _serving_mesh(folder: Path) -> AsyncIterator[Mesh]:
+async def _serving_mesh(
+    folder: Path, limit: int = _LIMIT, **stated: int
+) -> AsyncIterator[Mesh]:
     """Run a control instance, a node and its target, with few descriptors."""
     async with (
         running_mesh(folder) as mesh,
         running_target(mesh, _NODE, _RUN_S),
     ):
-        mesh.launcher.supervisor = ('prlimit', f'--nofile={_LIMIT}')
-        seeds = [f'{_CONTROL}:{mesh.ports["http"]}']
-        await mesh.start_control(_CONTROL, first_start=True, seeds=seeds)
-        await mesh.start_node(_NODE, seeds=seeds)
+        mesh.launcher.supervisor = ('prlimit', f'--nofile={limit}')
+        fields: dict[str, Any] = {
+            'seeds': [f'{_CONTROL}:{mesh.ports["http"]}'],
+            **stated,
+        }
+        await mesh.start_control(_CONTROL, first_start=True, **fields)
+        await mesh.start_node(_NODE, **fields)
         await mesh.until(
             'PUT',
             mesh.url(_CONTROL, 'http', '/api/config'),
@@ -149,6 +156,36 @@
             assert await asyncio.gather(*calls) == [200, 200, 200]
 
 
+def _open_descriptors(mesh: Mesh, host: str) -> int:
+    folder = Path('/proc', str(mesh.processes[host].pid), 'fd')
+    return len(list(folder.iterdir()))
+
+
+@pytest.mark.parametrize(
+    ('limit', 'stated'),
+    [
+        (_KERNEL_LIMIT, {'max_descriptors': _LIMIT}),
+        (
+            _KERNEL_LIMIT,
+            {'max_descriptors': 2 * _LIMIT, 'reserved_descriptors': _LIMIT},
+        ),
+        (_LIMIT, {'max_descriptors': _KERNEL_LIMIT}),
+    ],
+)
+async def test_lower_limit_of_descriptors_holds(
+    limit: int, stated: dict[str, int], tmp_path: Path
+) -> None:
+    """Guards against a node that opens more descriptors than its deployment
+    allows, where the kernel does not state the limit, or that fills the lower
+    limit of the kernel.
+    """
+    async with _serving_mesh(tmp_path, limit, **stated) as mesh:
+        port = mesh.ports['http']
+        async with _held_connections(_NODE, port, 2 * _LIMIT):
+            assert _open_descriptors(mesh, _NODE) < _LIMIT
+            assert await _status_of_a_call(mesh) == 200
+
+
 async def test_unreadable_settings_are_read_again(
     tmp_path: Path,
 ) -> None:
