Let a node outrank its former process after a clock step

A node whose clock had stepped back between two processes was taken for the former one, for example as draining, until that was removed: the incarnation in its announcements is the time of day at the start, and control instances use the registration with the highest one. The former one stays for 2 s at a control instance that the node no longer reaches, and for 6 s after one that has ended.

The node now announces itself with the next incarnation if a control instance names it with a higher one. A node that drains does not, since it may be the former one, and an incarnation far beyond any time of day is not followed. Counts and crashes keep the incarnation of the start, so that none is counted twice.

Not played with real processes.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
@@ -250,6 +250,8 @@
 
     @_FROM_CONTROL.handles(MeshTargets)
     def _apply_targets(self, update: MeshTargets) -> None:
+        if self.announcement.outrank(update.upserts):
+            self.announcement_changed.set()
         self._chooser.cold.record(update.upserts)
         self._view.apply_targets(update)
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/node_announcement.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/node_announcement.py
@@ -1,16 +1,33 @@
 """Announcement of a node and its local target."""
 
+import logging
 import time
+from collections.abc import Iterable
+from typing import Final
 
 from mustardspur_core.mesh.model import MeshTarget, MeshTargetState
 from mustardspur_core.settings import Settings
 
 from mustardspur_node.mesh.reports import ReportStore, TargetReport
 
+_LOG: Final = logging.getLogger(__name__)
+
+# The highest incarnation that is outranked; times of day stay far below.
+_MAX_OUTRANKED: Final = 4_000_000_000_000_000_000
+
 
 class NodeAnnouncement:
     """Creates announcements numbered by incarnation and sequence.
 
+    Explanation
+    ===========
+
+    The incarnation is the time of day at the start. If that has stepped back
+    since the former process at the address started, announcements get the next
+    one to the incarnation of the former process, whose registration would be
+    used until it is removed. Counts and crashes keep the incarnation that they
+    were first sent with.
+
     Parameters
     ----------
     settings : Settings
@@ -20,6 +37,7 @@
     """
 
     __slots__ = (
+        '_announced_incarnation',
         '_reports',
         '_sequence',
         '_settings',
@@ -33,6 +51,7 @@
         self._reports = reports
         self._sequence = 0
         self.incarnation = time.time_ns()
+        self._announced_incarnation = self.incarnation
         self.draining = False
 
     def next(self) -> MeshTarget:
@@ -50,10 +69,41 @@
             slots=report.slots if report else 0,
             state=MeshTargetState.DRAINING.value if self.draining else state,
             cold_ms=self._cold_ms(report),
-            incarnation=self.incarnation,
+            incarnation=self._announced_incarnation,
             sequence=self._sequence,
         )
 
+    def outrank(self, registrations: Iterable[MeshTarget]) -> bool:
+        """Rank above the registration of a former process of this node.
+
+        A node that drains leaves the rank to its successor.
+
+        Returns
+        -------
+        bool
+            Whether an announcement has to be sent.
+        """
+        former = max(
+            (
+                registration.incarnation
+                for registration in registrations
+                if registration.node == self._settings.listen.stream
+            ),
+            default=0,
+        )
+        outranked = self._announced_incarnation < former < _MAX_OUTRANKED
+        if self.draining or not outranked:
+            return False
+        _LOG.warning(
+            'registration of a former process outranked',
+            extra={
+                'former_incarnation': former,
+                'incarnation': self.incarnation,
+            },
+        )
+        self._announced_incarnation = former + 1
+        return True
+
     def _cold_ms(self, report: TargetReport | None) -> float:
         """Return the reported cold time, or the remaining one if bounded.
 
