Obtain the thread for file operations before a control instance serves

A control instance ended by itself with its first write if its machine allowed no further thread at that moment: the executor of the replicated log starts its thread with the first function, and the error ended the task of the log and with it the process. A supervisor that starts it again gets the same end.

The thread is started with the other needs of a start, after the data folder, and waited for with the same bound. The log uses this thread until the process ends, so that a later shortage does not matter.

--- a/packages/mustardspur_agreement/src/mustardspur_agreement/running.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/running.py
@@ -1,7 +1,6 @@
 """The replicated log in the data folder and over TCP."""
 
 from collections.abc import AsyncIterator
-from concurrent.futures import ThreadPoolExecutor
 from contextlib import asynccontextmanager
 from pathlib import Path
 from random import Random
@@ -16,7 +15,7 @@
 from mustardspur_agreement.dialing import dial_peer
 from mustardspur_agreement.disk import FolderDisk
 from mustardspur_agreement.log import ReplicatedLog
-from mustardspur_agreement.offload import ThreadOffload
+from mustardspur_agreement.offload import offloading
 from mustardspur_agreement.ports import Environment, StateMachine
 
 SNAPSHOT_ENTRIES: Final = 4096
@@ -62,14 +61,16 @@
 
     Raises
     ------
+    OSError
+        If no thread for file operations can be started.
     ValueError
         If the settings have no data folder.
     """
-    with ThreadPoolExecutor(max_workers=1) as executor:
+    with offloading() as offload:
         environment = Environment(
             dial=dial_peer,
             disk=log_disk(settings),
-            offload=ThreadOffload(executor),
+            offload=offload,
             random=Random(),
             snapshot_entries=SNAPSHOT_ENTRIES,
             remembers_first_start=remembers_first_start,
--- a/packages/mustardspur_daemon/src/mustardspur_daemon/starting.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/starting.py
@@ -19,6 +19,7 @@
 _LOG: Final = logging.getLogger(__name__)
 
 _FORMATION: Final = 'mustardspur_control.mesh.formation'
+_OFFLOAD: Final = 'mustardspur_agreement.offload'
 _NO_PERMISSION: Final = 'no permission, check data_dir and timeline'
 _NO_FOLDER: Final = 'not a usable folder, check data_dir and timeline'
 _NO_ROOM: Final = 'the disk is full'
@@ -60,6 +61,7 @@
     wait = StartWait(start_wait_s(settings))
     if settings.role == 'control' and settings.data_dir is not None:
         hold_data_folder(Path(settings.data_dir), wait)
+        importlib.import_module(_OFFLOAD).hold_thread(wait)
     if settings.role == 'control' and settings.mesh is not None:
         # A node imports none of the code of control instances.
         formation = importlib.import_module(_FORMATION)
