Count the time of a call from its first byte in plays of deployments

The check allowed for the longest pause within a body, 1 s, but the test's own process had not run in time: the node had held the call for 2,004 ms, so that its last byte was sent 1.7 s after its first.

The time of the first byte is now recorded, and a call counts as broken off that ends within four fifths of its time from then on. That is stricter for all calls whose bodies pause for less than the longest time.

--- a/tests/platform/deployment/results.py
+++ b/tests/platform/deployment/results.py
@@ -13,10 +13,8 @@
 from tests.platform.deployment.traffic import (
     FailedCall,
     RoutedCaller,
-    RoutedSlowCaller,
 )
 from tests.platform.soak.losses import MARGIN_S
-from tests.platform.soak.patterns import MAX_BODY_PAUSE_S
 
 # Ends by itself of one process that count as a fault.
 FAULT_ENDS: Final = 3
@@ -66,14 +64,14 @@
     }
 
 
-def _broken_off(play: DeploymentPlay) -> list[Any]:
+def _broken_off(play: DeploymentPlay) -> list[str]:
     """Return calls that a node ended before their time, while they ran.
 
     Those that passed a node which was killed or frozen are left out.
     """
     inner = (target.inner for target in play.targets.values())
     return [
-        failed
+        str(failed)
         for caller in chain(play.callers, inner)
         for failed in caller.failed
         if _is_broken_off(play, failed, _least_s(caller))
@@ -81,24 +79,20 @@
 
 
 def _least_s(caller: RoutedCaller) -> float:
-    """Return a time after its last byte before which no call is late."""
-    limit_s = min(caller.route.deadline_ms / 1000, TIMEOUT_S) * _EARLY_PART
-    if isinstance(caller, RoutedSlowCaller):
-        return limit_s - MAX_BODY_PAUSE_S
-    return limit_s
+    """Return a time after its first byte before which no call is late."""
+    return min(caller.route.deadline_ms / 1000, TIMEOUT_S) * _EARLY_PART
 
 
 def _is_broken_off(
     play: DeploymentPlay, failed: FailedCall, least_s: float
 ) -> bool:
-    request_id, sent_s, ended_s, _ = failed
-    ran_at = play.mesh.hosts_by_request.get(request_id)
-    if ran_at is None or ended_s - sent_s > least_s:
+    ran_at = play.mesh.hosts_by_request.get(failed.request_id)
+    if ran_at is None or failed.ended_s - failed.begun_s > least_s:
         return False
-    hosts = {request_id.partition('-')[0], ran_at}
+    hosts = {failed.request_id.partition('-')[0], ran_at}
     return not any(
         hosts & set(each.hosts)
-        and ended_s > each.from_s - MARGIN_S
-        and sent_s < each.until_s + MARGIN_S
+        and failed.ended_s > each.from_s - MARGIN_S
+        and failed.sent_s < each.until_s + MARGIN_S
         for each in play.observations.losses.unavailable
     )
--- a/tests/platform/deployment/traffic.py
+++ b/tests/platform/deployment/traffic.py
@@ -11,6 +11,8 @@
 
 from aiohttp import ClientError, ClientTimeout, web
 
+from mustardspur_core.record import Record
+
 from tests.platform.deployment.mesh import DeployedMesh
 from tests.platform.deployment.sites import INNER, Route
 from tests.platform.mesh_processes import HOST
@@ -26,10 +28,26 @@
 # Callers of a route, as a part of its calls a second.
 _CALLERS_S: Final = 0.25
 _OWN_FAILURES: Final = frozenset((500, 502, 504))
-FailedCall = tuple[str, float, float, int]
 Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
+class FailedCall(Record):
+    """A call that a node ended with a failure of its own.
+
+    Parameters
+    ----------
+    begun_s, sent_s, ended_s : float
+        When its first and its last byte were sent, and when it was answered.
+    """
+
+    __slots__ = ('request_id', 'begun_s', 'sent_s', 'ended_s', 'status')
+    request_id: str
+    begun_s: float
+    sent_s: float
+    ended_s: float
+    status: int
+
+
 class RoutedCaller(Caller):
     """Makes calls of one route, at a rate.
 
@@ -39,14 +57,16 @@
         The route of all its calls.
     interval_s : float
         Time between the starts of two calls.
-    failed : list of tuple
-        Calls that a node ended with a failure of its own: identifier, times of
-        the request and the answer, status.
+    failed : list of FailedCall
+        Calls that a node ended with a failure of its own.
+    begun_s : dict of float
+        Time of the first byte of each call in flight, by its identifier.
     """
 
     route: Route
     interval_s: float
     failed: list[FailedCall]
+    begun_s: dict[str, float]
 
     def _pause_s(self, started_s: float) -> float:
         return max(started_s + self.interval_s - time.monotonic(), 0)
@@ -55,6 +75,7 @@
         self, *, once: bool | None = None, body_bytes: int = 0
     ) -> tuple[str, bytes]:
         request_id = f'{self.name}-{next(self._numbers)}'
+        self.begun_s[request_id] = time.monotonic()
         if self.route.is_once:
             self._observations.once_ids.add(request_id)
         self._observations.outcomes_by_id[request_id] = Outcome(
@@ -80,9 +101,17 @@
         outcome = await super()._outcome(
             reader, request_id, sent_s, is_behind=is_behind
         )
+        begun_s = self.begun_s.pop(request_id)
         if outcome.status in _OWN_FAILURES and not outcome.signature:
-            now_s = time.monotonic()
-            self.failed.append((request_id, sent_s, now_s, outcome.status))
+            self.failed.append(
+                FailedCall(
+                    request_id=request_id,
+                    begun_s=begun_s,
+                    sent_s=sent_s,
+                    ended_s=time.monotonic(),
+                    status=outcome.status,
+                )
+            )
         return outcome
 
 
@@ -282,6 +311,7 @@
             name = f'{host}-{route.name}{number}'
             caller = kind(name, (host, mesh.ports['http']), observations)
             caller.failed = []
+            caller.begun_s = {}
             caller.route = route
             calls = BURST if kind is RoutedPipeliningCaller else 1
             caller.interval_s = calls * len(kinds) / per_s
@@ -296,6 +326,7 @@
     address = (host, mesh.ports['http'])
     caller = InnerCaller(f'{host}-{INNER}', address, observations)
     caller.failed = []
+    caller.begun_s = {}
     caller.route = next(each for each in mesh.site.routes if not each.per_s)
     return caller
 
