--- a/packages/mustardspur_daemon/src/mustardspur_daemon/starting.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/starting.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from mustardspur_core.data_folder import hold_data_folder
+from mustardspur_core.descriptors import apply_descriptor_limit
 from mustardspur_core.listening import hold_addresses, listened_addresses
 from mustardspur_core.settings import Settings
 from mustardspur_core.start_wait import StartWait, start_wait_s
@@ -18,6 +19,7 @@
 _LOG: Final = logging.getLogger(__name__)
 
 _FORMATION: Final = 'mustardspur_control.mesh.formation'
+_OFFLOAD: Final = 'mustardspur_agreement.offload'
 _NO_PERMISSION: Final = 'no permission, check data_dir and timeline'
 _NO_FOLDER: Final = 'not a usable folder, check data_dir and timeline'
 _NO_ROOM: Final = 'the disk is full'
@@ -54,9 +56,12 @@
     OSError
         If something is still missing after the longest wait.
     """
+    if settings.mesh is not None:
+        apply_descriptor_limit(settings.mesh)
     wait = StartWait(start_wait_s(settings))
     if settings.role == 'control' and settings.data_dir is not None:
         hold_data_folder(Path(settings.data_dir), wait)
+        importlib.import_module(_OFFLOAD).hold_thread(wait)
     if settings.role == 'control' and settings.mesh is not None:
         # A node imports none of the code of control instances.
         formation = importlib.import_module(_FORMATION)
