Close only clients that stall for a connection's room

A crowd of callers that read slowly makes progress and must not be cut. While others wait, only clients without progress for a second give way, at once only if a fifth beyond the account is held.

--- a/packages/mustardspur_core/src/mustardspur_core/held_bytes.py
+++ b/packages/mustardspur_core/src/mustardspur_core/held_bytes.py
@@ -1,5 +1,6 @@
 """Account of what a process holds for the connections of its clients."""
 
+import asyncio
 import logging
 from collections import deque
 from collections.abc import Callable
@@ -11,8 +12,14 @@
 
 # Part of the memory of the process. Bodies that are being read and large
 # answers have an account of their own.
-HELD_PART: Final = 0.2
+HELD_PART: Final = 0.15
 DEFAULT_MEMORY_MB: Final = 300
+# Part of the limit beyond it that started requests may still take.
+_EXCESS_PART: Final = 0.2
+# While others wait for room, a client that makes no progress for this time
+# loses its connection.
+STALL_S: Final = 1.0
+_CHECK_INTERVAL_S: Final = 0.1
 # Closed connections between two log lines.
 _CLOSED_PER_LINE: Final = 100
 
@@ -23,11 +30,12 @@
     Explanation
     ===========
 
-    One account for all connections of all listeners of a process. When it is
-    full, the connections whose clients have made no progress for the longest
-    time are closed first, and no further request is started until there is
-    room. A connection that waits for the process itself, because its request
-    is running, is never closed.
+    One account for all connections of all listeners of a process. While it is
+    full, no further request is started. Connections whose clients have made no
+    progress for `STALL_S` are closed while others wait, the longest one first,
+    and without a wait if the account is exceeded by a fifth. A connection
+    whose requests are running, and whose client has nothing to do, is never
+    closed.
 
     Parameters
     ----------
@@ -44,16 +52,25 @@
         Connections that were closed to make room.
     """
 
-    __slots__ = ('_owing', '_waiting', 'closed', 'held_bytes', 'limit_bytes')
+    __slots__ = (
+        '_check',
+        '_owing',
+        '_waiting',
+        'closed',
+        'held_bytes',
+        'limit_bytes',
+    )
 
     def __init__(self, memory_mb: float = DEFAULT_MEMORY_MB) -> None:
         """Initialise without connections."""
         self.held_bytes = 0
         self.closed = 0
-        # Shares whose clients have to send or read, the longest one first.
-        self._owing: dict[HeldShare, None] = {}
+        # Since when the client of a share has to send or read, by share; the
+        # longest one first.
+        self._owing: dict[HeldShare, float] = {}
         # Called in their order once there is room.
         self._waiting: deque[Callable[[], None]] = deque()
+        self._check: asyncio.TimerHandle | None = None
         self.limit_bytes = 0
         self.resize(memory_mb)
 
@@ -66,45 +83,72 @@
         """Whether no further request is started."""
         return self.held_bytes >= self.limit_bytes
 
+    @property
+    def is_scarce(self) -> bool:
+        """Whether a connection should hold little, so that all get some."""
+        return self.held_bytes + self.held_bytes >= self.limit_bytes
+
     def wait(self, on_room: Callable[[], None]) -> None:
         """Call a function once there is room."""
         self._waiting.append(on_room)
+        self._schedule_check()
 
     def change(self, size: int) -> None:
         """Change the bytes that are held."""
         self.held_bytes += size
         if size > 0:
-            if self.held_bytes > self.limit_bytes:
-                self._make_room()
+            most = self.limit_bytes * (1 + _EXCESS_PART)
+            if self.held_bytes > most:
+                self._make_room(most, 0)
             return
-        while self._waiting and self.held_bytes < self.limit_bytes:
+        while self._waiting and not self.is_full:
             self._waiting.popleft()()
 
     def add_owing(self, share: 'HeldShare') -> None:
         """Put a share behind all others, since its client has progressed."""
         self._owing.pop(share, None)
-        self._owing[share] = None
+        self._owing[share] = asyncio.get_running_loop().time()
 
     def remove_owing(self, share: 'HeldShare') -> None:
         """Remove a share whose client has nothing to do."""
         self._owing.pop(share, None)
 
-    def _make_room(self) -> None:
-        while self._owing and self.held_bytes > self.limit_bytes:
-            share = next(iter(self._owing))
-            self.remove_owing(share)
-            if self.closed % _CLOSED_PER_LINE == 0:
-                _LOG.warning(
-                    'connection closed for its memory',
-                    extra={
-                        'size': share.size,
-                        'held_bytes': self.held_bytes,
-                        'limit_bytes': self.limit_bytes,
-                        'closed': self.closed + 1,
-                    },
-                )
-            self.closed += 1
-            share.close()
+    def _schedule_check(self) -> None:
+        if self._check is None:
+            loop = asyncio.get_running_loop()
+            self._check = loop.call_later(_CHECK_INTERVAL_S, self._check_full)
+
+    def _check_full(self) -> None:
+        self._check = None
+        if self.is_full:
+            self._make_room(self.limit_bytes - 1, STALL_S)
+        if self._waiting:
+            self._schedule_check()
+
+    def _make_room(self, most: float, stall_s: float) -> None:
+        """Close stalled connections while more than some bytes are held."""
+        latest_s = asyncio.get_running_loop().time() - stall_s
+        for share, since_s in list(self._owing.items()):
+            if self.held_bytes <= most or since_s > latest_s:
+                return
+            if share.has_progressed():
+                self.add_owing(share)
+            else:
+                self._close(share)
+
+    def _close(self, share: 'HeldShare') -> None:
+        if self.closed % _CLOSED_PER_LINE == 0:
+            _LOG.warning(
+                'stalled connection closed',
+                extra={
+                    'size': share.size,
+                    'held_bytes': self.held_bytes,
+                    'limit_bytes': self.limit_bytes,
+                    'closed': self.closed + 1,
+                },
+            )
+        self.closed += 1
+        share.close()
 
 
 class HeldShare:
@@ -115,38 +159,43 @@
     account : HeldBytes
         Account of the process.
     on_close : callable
-        Closes the connection, at the latest in the next iteration.
-
-    Attributes
-    ----------
-    size : int
-        Bytes that are held.
+        Closes the connection.
+    has_progressed : callable
+        Whether the client has read a part of an answer since the last call.
     """
 
-    __slots__ = ('_account', '_on_close', '_owes', 'size')
+    __slots__ = ('_account', '_on_close', '_owes', 'has_progressed', 'size')
 
     def __init__(
         self,
         account: HeldBytes,
         on_close: Callable[[], None],
+        has_progressed: Callable[[], bool],
     ) -> None:
         """Initialise without bytes."""
         self._account = account
         self._on_close = on_close
+        self.has_progressed = has_progressed
         self._owes = False
         self.size = 0
 
-    def change(self, size: int) -> None:
-        """Change the bytes that are held for the connection."""
-        if size:
-            self.size += size
-            self._account.change(size)
+    def resize(self, size: int) -> None:
+        """Set the bytes that are held for the connection."""
+        change = size - self.size
+        if change:
+            self.size = size
+            self._account.change(change)
 
     def owe(self) -> None:
         """Note that the client has progressed, and has to send or read on."""
         self._owes = True
         self._account.add_owing(self)
 
+    def owe_still(self) -> None:
+        """Note that the client has to send or read on."""
+        if not self._owes:
+            self.owe()
+
     def settle(self) -> None:
         """Note that the client has nothing to do."""
         if self._owes:
@@ -155,11 +204,10 @@
 
     def close(self) -> None:
         """Close the connection, and hold nothing for it."""
-        self._owes = False
         self._on_close()
         self.release()
 
     def release(self) -> None:
         """Hold nothing any more, since the connection has ended."""
         self.settle()
-        self.change(-self.size)
+        self.resize(0)
