Start requests of callers only as far as they can be held

Seen: a node is killed for its memory by callers that keep to all limits, and all calls that it holds end without an answer: callers that pipeline bodies of 60 kB, or many requests at once, or read their answers slowly.

Cause: what a connection holds besides large bodies and answers was bounded by itself at best. One read brings up to 256 KiB, all of whose requests were started in spite of the limit of 32 in flight; bodies of up to 128 KiB waited whole behind one that was not read; answers of up to 16 KB, and what the socket had not taken of them, were not counted.

Change: a connection parses one request at a time and the next one once it may start, not behind a body that its call still reads. Each request counts 24 KiB and its head from its start until the socket has taken its answer, in one account of all connections, 0.15 of the memory of the process. While the account is full nothing starts, while it is half full a connection has two requests in flight. Reads are at most 16 KiB. Requests that wait are unread by the node, and go on in their order.

--- a/packages/mustardspur_core/src/mustardspur_core/held_bytes.py
+++ b/packages/mustardspur_core/src/mustardspur_core/held_bytes.py
@@ -186,15 +186,17 @@
             self.size = size
             self._account.change(change)
 
-    def owe(self) -> None:
-        """Note that the client has progressed, and has to send or read on."""
-        self._owes = True
-        self._account.add_owing(self)
-
-    def owe_still(self) -> None:
-        """Note that the client has to send or read on."""
-        if not self._owes:
-            self.owe()
+    def owe(self, *, has_progressed: bool) -> None:
+        """Note that the client has to send or read on.
+
+        Parameters
+        ----------
+        has_progressed : bool
+            Whether it has just done so.
+        """
+        if has_progressed or not self._owes:
+            self._owes = True
+            self._account.add_owing(self)
 
     def settle(self) -> None:
         """Note that the client has nothing to do."""
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connections.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connections.py
@@ -5,10 +5,14 @@
 from typing import Final
 
 from mustardspur_core.descriptors import descriptor_limit, max_callers
-from mustardspur_core.mesh.model import CallerLimits
+from mustardspur_core.held_bytes import HeldBytes
+from mustardspur_core.inbound_reads import InboundReads
+from mustardspur_core.read_turns import ReadTurns
 from mustardspur_core.refusals import RefusedConnections
 
-from mustardspur_node.mesh.caller_connection import Answer, CallerConnection
+from mustardspur_node.mesh.caller_connection import CallerConnection
+from mustardspur_node.mesh.caller_tasks import Answer
+from mustardspur_node.mesh.caller_timers import Limits
 from mustardspur_node.mesh.request_body import RequestBody
 
 ReadBody = RequestBody
@@ -26,6 +30,8 @@
     ----------
     retry_after : str
         Name of the header that says when to try again.
+    held : HeldBytes
+        Account of what is held for all connections.
 
     Attributes
     ----------
@@ -33,10 +39,20 @@
         Connections that were accepted.
     """
 
-    __slots__ = ('_max_open', '_open', '_pruned_s', '_refused', 'accepted')
+    __slots__ = (
+        '_held',
+        '_max_open',
+        '_open',
+        '_pruned_s',
+        '_refused',
+        '_turns',
+        'accepted',
+    )
 
-    def __init__(self, retry_after: str) -> None:
+    def __init__(self, retry_after: str, held: HeldBytes) -> None:
         """Initialise without connections."""
+        self._held = held
+        self._turns = ReadTurns()
         self._open: set[CallerConnection] = set()
         self._max_open = max_callers(descriptor_limit())
         self._refused = RefusedConnections('callers', retry_after)
@@ -50,7 +66,7 @@
 
     def add(
         self,
-        limits: Callable[[], CallerLimits],
+        limits: Limits,
         answer: Answer,
         node_is_draining: Callable[[], bool],
     ) -> asyncio.BaseProtocol:
@@ -59,9 +75,14 @@
         self._prune()
         if len(self._open) >= self._max_open:
             return self._refused.create(len(self._open))
-        connection = CallerConnection(limits, answer, node_is_draining)
+        connection = CallerConnection(
+            limits,
+            answer,
+            node_is_draining,
+            self._held,
+        )
         self._open.add(connection)
-        return connection
+        return InboundReads(connection, self._turns)
 
     def _prune(self) -> None:
         if len(self._open) < self._max_open:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_server.py
@@ -98,7 +98,7 @@
         self.allowances = self._calls.allowances
         # One request asks for the tokens of all limits.
         self.allowances.requests = placer.retries.requests
-        self._connections = CallerConnections(names.retry_after)
+        self._connections = CallerConnections(names.retry_after, bodies.held)
         self._server: asyncio.Server | None = None
         self.draining = False
         self.in_flight = 0
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_timers.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_timers.py
@@ -11,6 +11,8 @@
 # A timer can run this long before its time because of rounding.
 CLOCK_TOLERANCE_S: Final = 0.002
 
+Limits = Callable[[], CallerLimits]
+
 
 class CallerTimers:
     """Timers for receiving a request head and for an idle connection.
@@ -44,7 +46,7 @@
 
     def __init__(
         self,
-        limits: Callable[[], CallerLimits],
+        limits: Limits,
         on_head_timeout: Callable[[], None],
         on_idle_timeout: Callable[[], None],
     ) -> None:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -81,7 +81,7 @@
         self.reports = ReportStore(mesh.target_address or settings.listen.http)
         self.local = LocalTarget(self.reports, names, mesh.balancing)
         link = self.local.admission.link
-        link.bodies.room.resize(mesh.memory_mb)
+        link.bodies.resize(mesh.memory_mb)
         link.set_bandwidth(mesh.link_mbps)
         self.local.runs.silence.after_s = mesh.silent_target_s
         self.supervision = TargetSupervision(
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/node_bodies.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/node_bodies.py
@@ -1,5 +1,6 @@
 """All bodies of calls and answers that a node holds."""
 
+from mustardspur_core.held_bytes import HeldBytes
 from mustardspur_core.metrics import Metrics
 
 from mustardspur_node.mesh.answer_budget import AnswerBudget
@@ -14,20 +15,28 @@
     ----------
     room : BodyRoom
         Bytes of all bodies that the node holds.
+    held : HeldBytes
+        What else the node holds for its callers.
     answers : AnswerBudget
         Limit on the bytes of answers.
     uploads : CallerUploads
         Reads the bodies of callers.
     """
 
-    __slots__ = ('answers', 'room', 'uploads')
+    __slots__ = ('answers', 'held', 'room', 'uploads')
 
     def __init__(self) -> None:
         """Initialise without bodies."""
         self.room = BodyRoom()
+        self.held = HeldBytes()
         self.answers = AnswerBudget(room=self.room)
         self.uploads = CallerUploads(self.room)
 
+    def resize(self, memory_mb: float) -> None:
+        """Set the memory of the process, before anything is held."""
+        self.room.resize(memory_mb)
+        self.held.resize(memory_mb)
+
     def set_gauges(self, metrics: Metrics) -> None:
         """Set the gauges of the room and of the bodies that wait for it."""
         admission = self.uploads.admission
@@ -36,3 +45,6 @@
         metrics.gauge('bodies.waiting', admission.waiting)
         metrics.gauge('bodies.refused', admission.refused)
         metrics.gauge('bodies.stalled', admission.stalled)
+        metrics.gauge('callers.held_bytes', self.held.held_bytes)
+        metrics.gauge('callers.held_limit_bytes', self.held.limit_bytes)
+        metrics.gauge('callers.stalled', self.held.closed)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/request_body.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/request_body.py
@@ -11,6 +11,7 @@
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
 from mustardspur_node.mesh.body_buffer import BodyBuffer
+from mustardspur_node.mesh.caller_payload import CallerPayload
 from mustardspur_node.mesh.calls import UnansweredCall
 from mustardspur_node.mesh.socket_state import has_ended
 
@@ -62,6 +63,8 @@
         Called once the body is held no longer.
     on_answered : callable or None
         Called once the answer is written, or the caller is gone.
+    payload : CallerPayload
+        What is received of the body.
     """
 
     __slots__ = (
@@ -71,6 +74,7 @@
         '_transport',
         'on_answered',
         'on_read_end',
+        'payload',
     )
 
     def __init__(
@@ -83,6 +87,8 @@
         """Initialise a body of which nothing is read."""
         self._message = message
         self._payload = payload
+        is_empty = payload is EMPTY_PAYLOAD
+        self.payload = CallerPayload(payload, is_empty=is_empty)
         self._limit = limit
         self._transport = transport
         self.on_read_end: Callable[[], None] | None = None
@@ -147,6 +153,7 @@
             if size > self._limit:
                 raise _too_long(self._limit)
             yield part
+        self.payload.end()
 
     async def discard(self, time_s: float) -> None:
         """Read the body and hold nothing of it, if it arrives within a time.
@@ -192,7 +199,7 @@
 
     async def _next_part(self) -> bytes:
         try:
-            return await self._payload.readany()
+            return await self.payload.read()
         except (HttpProcessingError, OSError) as error:
             raise CallerBodyError(
                 HTTPStatus.BAD_REQUEST,
