Give freed memory of bodies back to the system

Seen: with the bodies of callers bounded, a crowd that uploads in chunks still ends a node: 128 MiB of 128 while the account of bodies allows 51.

Cause: the C library raises its threshold for separate blocks to the size of each one that is freed. From then on bodies are cut from the heap, which moves them as they grow and keeps the holes.

Change: the thresholds are set when the event loop is made, which ends their rise.

--- a/packages/mustardspur_core/src/mustardspur_core/event_loop.py
+++ b/packages/mustardspur_core/src/mustardspur_core/event_loop.py
@@ -11,6 +11,8 @@
 from types import FrameType
 from typing import Any, Final, NoReturn, TypeVar
 
+from mustardspur_core.allocator import return_freed_memory
+
 _LOG: Final = logging.getLogger(__name__)
 _ReturnT = TypeVar('_ReturnT')
 _STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
@@ -58,6 +60,7 @@
     object
         The coroutine's return value.
     """
+    return_freed_memory()
     os.environ['UV_USE_IO_URING'] = '0'
     uvloop = importlib.import_module('uvloop')
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
