--- a/packages/mustardspur_core/src/mustardspur_core/held_bytes.py
+++ b/packages/mustardspur_core/src/mustardspur_core/held_bytes.py
@@ -12,7 +12,7 @@
 
 # Part of the memory of the process. Bodies that are being read and large
 # answers have an account of their own.
-HELD_PART: Final = 0.15
+HELD_PART: Final = 0.12
 DEFAULT_MEMORY_MB: Final = 300
 # Part of the limit beyond it that started requests may still take.
 _EXCESS_PART: Final = 0.2
--- a/tests/core/test_held_bytes.py
+++ b/tests/core/test_held_bytes.py
@@ -9,7 +9,7 @@
 from tests.support.virtual_time import in_virtual_time
 
 # The limit is 1.05 MiB, which is more than two parts and less than three.
-_MEMORY_MB: Final = 7
+_MEMORY_MB: Final = 8.75
 _PART: Final = 400_000
 
 
--- a/tests/node/mesh/test_caller_room.py
+++ b/tests/node/mesh/test_caller_room.py
@@ -17,7 +17,7 @@
 _BODY: Final = 9_000
 _REQUESTS: Final = 20
 # The account holds 10 requests.
-_MEMORY_MB: Final = 1.57
+_MEMORY_MB: Final = 1.9625
 _BUFFER_BYTES: Final = 4096
 _ANSWER: Final = bytes(15_000)
 _POST: Final = (
