Bound the memory of configurations in progress

Callers saw: a control instance is killed for its memory while operators send large configurations, and the orders at it end without an answer. Eight orders of 15.5 MB at once, over three control instances, took 387 MiB at the peak of a process; its machine has 296.

Cause: bodies were read without a bound over all of them, each was held up to three times (read buffer, body, copy), also where the instance does not lead and only redirects the order, and a check of the text encoded the whole document once more.

Change: room for larger bodies, 0.12 of mesh.memory_mb, is reserved before a body is read; from 1 MiB on they are handled one after the other. What gets no room in 3 s is refused with 503 and Retry-After, which is true since it has not run. Read buffers are 16 KiB. The text is only checked for lone surrogates where it has escapes that can express one.

It works since a process holds one decoded document and at most the room.

No configuration of 4 MB or more is accepted yet, as before: decoding it blocks the event loop for longer than an election timeout.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/http_api.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/http_api.py
@@ -9,6 +9,11 @@
 from mustardspur_core.conversion import decode_mapping, encode_mapping
 from mustardspur_core.durations import parse_ms
 from mustardspur_core.findings import Finding
+from mustardspur_core.http_bodies import (
+    SMALL_BODY_BYTES,
+    LargeBodies,
+    read_body,
+)
 from mustardspur_core.mesh import RoutingTable
 from mustardspur_core.strict_json import parse_json
 
@@ -44,22 +49,26 @@
         Operations that the handlers call.
     evacuations : EvacuationOperations
         Operations of the handlers for evacuations.
+    bodies : LargeBodies, optional
+        Room for tables.
     """
 
-    __slots__ = ('_evacuations', '_operations')
+    __slots__ = ('_bodies', '_evacuations', '_operations')
 
     def __init__(
         self,
         operations: MeshOperations,
         evacuations: EvacuationOperations,
+        bodies: LargeBodies | None = None,
     ) -> None:
         """Initialise the handlers."""
+        self._bodies = bodies or LargeBodies()
         self._operations = operations
         self._evacuations = EvacuationsApi(evacuations)
 
     def app(self) -> web.Application:
         """Return the application with the handlers by method and path."""
-        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app = web.Application()
         app.router.add_put(TABLE_PATH, self.put_table)
         app.router.add_get(TABLE_PATH, self.get_table)
         app.router.add_post(TRANSFERS_PATH, self.start_transfer)
@@ -69,15 +78,8 @@
 
     async def put_table(self, request: web.Request) -> web.Response:
         """Replace the table; the body has ``base`` and ``table``."""
-        document = await request.read()
-        decoded = _table(document)
-        if decoded.is_error():
-            return findings_response([decoded.error])
-        base, table = decoded.ok
-        outcome = await self._operations.publish(table, base, document)
-        if outcome.is_error():
-            return unavailable_response(outcome.error)
-        return _published(outcome.ok)
+        async with self._bodies.reading(request, MAX_BODY_BYTES) as document:
+            return await self._publish(document)
 
     async def get_table(self, _: web.Request) -> web.Response:
         """Return the document of the table in force as it was sent."""
@@ -97,7 +99,10 @@
         The body has ``service``, ``version`` and ``within``, the duration as
         a text with its unit.
         """
-        parsed = parse_json(await request.read(), 'request')
+        parsed = parse_json(
+            await read_body(request, SMALL_BODY_BYTES),
+            'request',
+        )
         if parsed.is_error():
             return findings_response(parsed.error.entries)
         try:
@@ -124,6 +129,16 @@
             return findings_response([], HTTPStatus.NOT_FOUND)
         return web.json_response(encode_mapping(outcome.ok))
 
+    async def _publish(self, document: bytes) -> web.Response:
+        decoded = _table(document)
+        if decoded.is_error():
+            return findings_response([decoded.error])
+        base, table = decoded.ok
+        outcome = await self._operations.publish(table, base, document)
+        if outcome.is_error():
+            return unavailable_response(outcome.error)
+        return _published(outcome.ok)
+
 
 def _table(document: bytes) -> Result[tuple[int, RoutingTable], Finding]:
     parsed = parse_json(document, 'request')
--- a/packages/mustardspur_core/src/mustardspur_core/http_serving.py
+++ b/packages/mustardspur_core/src/mustardspur_core/http_serving.py
@@ -15,6 +15,8 @@
 
 # Open requests are not waited for at shutdown, since their clients retry.
 _SHUTDOWN_S: Final = 0.1
+# A connection may hold twice as much of a body that its handler does not read.
+_READ_BYTES: Final = 16_384
 
 
 @asynccontextmanager
@@ -48,6 +50,7 @@
         app,
         access_log=None,
         shutdown_timeout=_SHUTDOWN_S,
+        read_bufsize=_READ_BYTES,
     )
     await runner.setup()
     async with AsyncExitStack() as stack:
--- a/packages/mustardspur_core/src/mustardspur_core/strict_json.py
+++ b/packages/mustardspur_core/src/mustardspur_core/strict_json.py
@@ -1,12 +1,14 @@
 """A JSON parser that rejects ambiguous documents."""
 
 import json
-from typing import Any, NoReturn
+from typing import Any, Final, NoReturn
 
 from expression import Error, Ok, Result
 
 from mustardspur_core.findings import Finding, Findings
 
+_ESCAPE: Final = r'\u'.encode()
+
 
 def parse_json(encoded: bytes, source: str) -> Result[Any, Findings]:
     """Decode a JSON document strictly.
@@ -48,8 +50,9 @@
         object_pairs_hook=_reject_duplicate_keys,
         parse_constant=_reject_constant,
     )
-    # Raises for a lone surrogate, which a JSON escape can express.
-    json.dumps(document, ensure_ascii=False).encode('utf-8')
+    if _ESCAPE in encoded:
+        # Raises for a lone surrogate, which only an escape can express.
+        json.dumps(document, ensure_ascii=False).encode('utf-8')
     return document
 
 
--- a/packages/mustardspur_daemon/src/mustardspur_daemon/mesh_processes.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/mesh_processes.py
@@ -11,6 +11,7 @@
 from mustardspur_control.mesh.http_api import MeshApi
 from mustardspur_core.event_loop import stop_event
 from mustardspur_core.exposition import MetricsRegistry, serving_metrics
+from mustardspur_core.http_bodies import LargeBodies
 from mustardspur_core.http_serving import serving_app
 from mustardspur_core.settings import (
     MeshSettings,
@@ -38,7 +39,7 @@
     with closing(timeline):
         async with (
             running_mesh_control(settings, mesh, timeline, metrics) as control,
-            serving_app(_control_app(control), settings.listen.http),
+            serving_app(_control_app(control, mesh), settings.listen.http),
             serving_metrics(settings.listen.metrics, metrics),
             watching_settings(settings_file, control.apply_settings),
         ):
@@ -47,8 +48,12 @@
             _LOG.info('stopping')
 
 
-def _control_app(control: MeshControl) -> web.Application:
-    app = MeshApi(control.operations, control.evacuations).app()
+def _control_app(control: MeshControl, mesh: MeshSettings) -> web.Application:
+    app = MeshApi(
+        control.operations,
+        control.evacuations,
+        LargeBodies(mesh.memory_mb),
+    ).app()
     AllowanceApi(control.allowances).add_to(app)
     return BlocksApi(control.blocks).add_to(app)
 
