Send one copy of the configuration to all its readers

Callers saw: a control instance is killed for its memory while many operators read a large configuration slowly. 200 connections that ask for one of 1.5 MB took 337 MiB at the peak; the machine has 296.

Cause: each answer decompressed the document for itself, and aiohttp copied the whole answer into the buffer of its connection.

Change: the document in force is decompressed once, and answers are written in parts of 64 KiB, each once the client has read most of the former.

It works since a connection holds about two parts, whatever the size.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/http_api.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/http_api.py
@@ -9,6 +9,7 @@
 from mustardspur_core.conversion import decode_mapping, encode_mapping
 from mustardspur_core.durations import parse_ms
 from mustardspur_core.findings import Finding
+from mustardspur_core.http_answers import respond_in_parts
 from mustardspur_core.http_bodies import (
     SMALL_BODY_BYTES,
     LargeBodies,
@@ -81,16 +82,17 @@
         async with self._bodies.reading(request, MAX_BODY_BYTES) as document:
             return await self._publish(document)
 
-    async def get_table(self, _: web.Request) -> web.Response:
+    async def get_table(self, request: web.Request) -> web.StreamResponse:
         """Return the document of the table in force as it was sent."""
         outcome = await self._operations.read()
         if outcome.is_error():
             return unavailable_response(outcome.error)
         if outcome.ok is None:
             return findings_response([], HTTPStatus.NOT_FOUND)
-        return web.Response(
-            body=outcome.ok.document,
-            content_type='application/json',
+        return await respond_in_parts(
+            request,
+            outcome.ok.document,
+            'application/json',
         )
 
     async def start_transfer(self, request: web.Request) -> web.Response:
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/operations.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/operations.py
@@ -74,12 +74,15 @@
         The applied state.
     """
 
-    __slots__ = ('_access', '_store')
+    __slots__ = ('_access', '_read_index', '_read_table', '_store')
 
     def __init__(self, access: LogAccess, store: MeshStore) -> None:
         """Initialise the operations on a log and its applied state."""
         self._access = access
         self._store = store
+        # Shared by all readers, since a document may have several megabytes.
+        self._read_table: PublishedTable | None = None
+        self._read_index = 0
 
     def refusal(self) -> OperationError | None:
         """Return the error of an edit if this instance does not lead."""
@@ -131,11 +134,7 @@
         confirmed = await self._access.confirm()
         if confirmed.is_error():
             return Error(confirmed.error)
-        state = self._store.state
-        if not state.table_index:
-            return Ok(None)
-        document = decompress_bytes(state.document)
-        return Ok(PublishedTable(number=state.number, document=document))
+        return Ok(self._published_table())
 
     async def start_transfer(
         self,
@@ -187,6 +186,16 @@
             return Error(confirmed.error)
         return Ok(self._store.state.transfers.get(service))
 
+    def _published_table(self) -> PublishedTable | None:
+        state = self._store.state
+        if self._read_index != state.table_index:
+            self._read_index = state.table_index
+            self._read_table = PublishedTable(
+                number=state.number,
+                document=decompress_bytes(state.document),
+            )
+        return self._read_table
+
     def _edit(
         self,
         table: RoutingTable,
--- a/tests/platform/test_large_orders.py
+++ b/tests/platform/test_large_orders.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from contextlib import suppress
+from contextlib import AsyncExitStack, suppress
 from pathlib import Path
 from typing import Any, Final
 
@@ -22,7 +22,10 @@
 # Eight orders at once.
 _ORDERED: Final = (*_CONTROLS, *_CONTROLS, *_CONTROLS[:2])
 _LARGE_ORDER_BYTES: Final = 15_500_000
+_READ_ORDER_BYTES: Final = 1_500_000
+_READERS: Final = 200
 _PATH: Final = '/api/config'
+_READ: Final = f'GET {_PATH} HTTP/1.1\r\nhost: any\r\n\r\n'.encode()
 
 
 def _document(number: int, size: int) -> bytes:
@@ -104,3 +107,29 @@
             )
         await _edit_once_more(mesh)
         assert max(_peaks_mib(mesh)) < _MEMORY_MB
+
+
+async def test_slow_readers_fit_the_memory(
+    tmp_path: Path,
+) -> None:
+    """Guards against a control instance that is killed for its memory as many
+    operators read a large configuration slowly.
+    """
+    async with running_mesh(tmp_path) as mesh, AsyncExitStack() as stack:
+        await _start(mesh)
+        await _publish(mesh, 2, _document(2, _READ_ORDER_BYTES))
+        port = mesh.ports['http']
+        connections = await asyncio.gather(
+            *(
+                # Reads almost nothing of its answer.
+                asyncio.open_connection(_CONTROLS[0], port, limit=1)
+                for _ in range(_READERS)
+            ),
+        )
+        for _, writer in connections:
+            stack.callback(writer.close)
+            writer.write(_READ)
+        # Time for all answers to start.
+        await asyncio.sleep(2)
+        peaks_mib = _peaks_mib(mesh)
+    assert max(peaks_mib) < _MEMORY_MB
