Limit the length of the reports of targets

Callers saw: a burst of long reports takes the memory of a node, up to 1 MiB a report in the read buffer and as much again in the body, and ten times that while one is decoded.

Cause: the interface had the default limit of aiohttp, a thousand times the length of a report.

Change: a report of more than 64 KiB gets 413, at once where its length is announced.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/http_api.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/http_api.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 from mustardspur_core.conversion import decode_mapping
+from mustardspur_core.http_bodies import SMALL_BODY_BYTES, read_body
 from mustardspur_core.readers import DecodeError
 from mustardspur_core.strict_json import parse_json
 
@@ -15,6 +16,9 @@
 
 _LOG: Final = logging.getLogger(__name__)
 
+# A report has less than 1 KiB.
+MAX_REPORT_BYTES: Final = SMALL_BODY_BYTES
+
 
 class NodeApi:
     """Serves readiness checks and the reports of the target.
@@ -52,7 +56,9 @@
 
     async def accept_report(self, request: web.Request) -> web.Response:
         """Accept a report with the fields of `TargetReport`."""
-        parsed = parse_json(await request.read(), 'report')
+        parsed = parse_json(
+            await read_body(request, MAX_REPORT_BYTES), 'report'
+        )
         if parsed.is_error():
             return _rejection(str(parsed.error))
         try:
