--- a/tests/platform/deployment/__main__.py
+++ b/tests/platform/deployment/__main__.py
@@ -12,6 +12,7 @@
 
 from tests.platform.deployment.run import KINDS, play_deployment
 from tests.platform.deployment.sites import SITES
+from tests.platform.final_faults.steps import FINAL
 
 _LISTS: Final = ('broken', 'broken_off', 'ended')
 _SHOWN: Final = 5
@@ -31,6 +32,11 @@
         type=int,
         help='ends by itself after which a process is not started again',
     )
+    parser.add_argument(
+        '--final',
+        choices=sorted(FINAL),
+        help='final fault; those with power need the kind recorded',
+    )
     parser.add_argument('--logs', type=Path, help='keeps those of red seeds')
     options = parser.parse_args()
     red = False
@@ -43,6 +49,7 @@
 
 def _play(site: str, kind: str, seed: int, options: argparse.Namespace) -> bool:
     folder = Path(tempfile.mkdtemp(prefix='deployment-'))
+    changes = {'max_ends': options.max_ends, 'final': options.final}
     play = play_deployment(
         site,
         kind,
@@ -50,7 +57,7 @@
         folder,
         load=options.load,
         length_s=options.seconds,
-        max_ends=options.max_ends,
+        **{name: value for name, value in changes.items() if value is not None},
     )
     result = uvloop.run(play)
     red = any(result[name] for name in _LISTS)
--- a/tests/platform/deployment/play.py
+++ b/tests/platform/deployment/play.py
@@ -47,6 +47,8 @@
         Kills processes that use too much memory.
     ended_with_controls : tuple of str
         Nodes that lose power at the same moment as all control instances.
+    final : str
+        Name of the final fault.
     """
 
     mesh: DeployedMesh
@@ -63,6 +65,7 @@
         self.callers: list[RoutedCaller] = []
         self.memory = MemoryLimits(self)
         self.ended_with_controls: tuple[str, ...] = ()
+        self.final = ''
         self.orders.pause_s = _ORDER_PAUSE_S
         self.orders.document = self._document
         # Processes that were stopped or frozen, beside their successors.
--- a/tests/platform/deployment/run.py
+++ b/tests/platform/deployment/run.py
@@ -45,12 +45,16 @@
     *,
     load: float = 1,
     length_s: float = 20,
-    max_ends: int | None = None,
+    **changes: Any,
 ) -> dict[str, Any]:
-    """Play one seed at a part of the stated load; return what was seen."""
+    """Play one seed at a part of the stated load; return what was seen.
+
+    Changes are those of attributes of the play.
+    """
     async with running(site, kind, seed, folder) as play:
-        if max_ends is not None:
-            play.max_ends = max_ends
+        play.final = play.random.choice(_FINALS[kind])
+        for name, changed in changes.items():
+            setattr(play, name, changed)
         async with asyncio.TaskGroup() as group:
             supervision = group.create_task(_supervise(play))
             try:
@@ -82,7 +86,7 @@
         )
         # All machines lose power, or those of the control instances.
         play.ended_with_controls = play.random.choice((play.nodes, ()))
-        await final_steps.FINAL[play.random.choice(_FINALS[kind])](play)
+        await final_steps.FINAL[play.final](play)
         ordering.cancel()
         play.note(f'{len(play.ended_with_controls)} nodes ended as well')
         holding = asyncio.create_task(_hold_at_end(play))
