Let a leader without memory for a message try again

A control instance that had no memory for a message to another one ended by itself: the error in the task that replicates to it, or in its connection, ended the tasks of the log and with them the process.

Both tasks only read the log. A connection that fails so is opened again, as after an error of the network, and replication goes on after an election timeout with the event replication_without_memory. The tasks that write still end the process, since what is in memory may then differ from the files, which the next start reads.

--- a/packages/mustardspur_agreement/src/mustardspur_agreement/links.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/links.py
@@ -14,6 +14,9 @@
 from mustardspur_agreement.signal import Signal
 
 CONNECTION_ERRORS: Final = (OSError, EOFError, MalformedFrame)
+# A link changes no state of the replica, so that it can go on once there is
+# memory again.
+_RETRIED_ERRORS: Final = (*CONNECTION_ERRORS, MemoryError)
 _RETRIES_PER_ELECTION: Final = 5
 
 
@@ -96,7 +99,7 @@
             await self._changed.wait_for(self._has_unsent)
             try:
                 await self._connect()
-            except CONNECTION_ERRORS:
+            except _RETRIED_ERRORS:
                 self._fail_pending()
                 await asyncio.sleep(
                     self._settings.intervals.election_s / _RETRIES_PER_ELECTION
--- a/packages/mustardspur_agreement/src/mustardspur_agreement/replication.py
+++ b/packages/mustardspur_agreement/src/mustardspur_agreement/replication.py
@@ -1,6 +1,7 @@
 """Replication of the leader's log to one peer."""
 
 import asyncio
+from contextlib import suppress
 from functools import partial
 from typing import Final
 
@@ -66,7 +67,7 @@
                 continue
             progress = leadership.progress(self._peer_id)
             sent_round = leadership.round
-            if await self._exchange(leadership, progress):
+            if await self._exchange_within_memory(leadership, progress):
                 await changed.wait_until(
                     partial(
                         self._has_update,
@@ -102,6 +103,26 @@
             or leadership.round > sent_round
         )
 
+    async def _exchange_within_memory(
+        self,
+        leadership: Leadership,
+        progress: Progress,
+    ) -> bool:
+        """Exchange once; without memory for it, fail as without an answer.
+
+        A leader that sends to its peers only reads its log.
+        """
+        try:
+            return await self._exchange(leadership, progress)
+        except MemoryError:
+            # Without memory the report fails as well.
+            with suppress(MemoryError):
+                self._replica.context.report(
+                    'replication_without_memory', peer=self._peer_id
+                )
+            await asyncio.sleep(self._replica.election_s)
+            return False
+
     async def _exchange(
         self,
         leadership: Leadership,
