Bind the addresses of a start exclusively at once

Of two processes that started at one address within microseconds, the later one ended by itself, with "cannot start", when it listened: SO_REUSEADDR was removed from a held address only after the bind, and until then both could bind.

An address is bound without the option first, which no second process can do beside it. Only where that fails, as connections of the process before are open or in TIME_WAIT, it is bound with the option as before; there the window remains.

test_two_starts_at_one_moment_do_not_both_bind failed before, as a second socket was bound, and passes now.

--- a/packages/mustardspur_core/src/mustardspur_core/listening.py
+++ b/packages/mustardspur_core/src/mustardspur_core/listening.py
@@ -41,7 +41,7 @@
         if address not in _held_by_address:
             held = wait.obtain(
                 f'address {address}',
-                partial(_bind, address),
+                partial(_bind_alone, address),
                 _is_temporary,
                 partial(_describe, address),
             )
@@ -110,12 +110,27 @@
     return [address for address in addresses if address is not None]
 
 
-def _bind(address: str) -> socket.socket:
+def _bind_alone(address: str) -> socket.socket:
+    """Bind so that no process that starts at the same moment binds as well.
+
+    Connections of the process before, open or in TIME_WAIT, allow that only
+    with the option, and two processes with it can both bind until one has
+    removed it.
+    """
+    try:
+        return _bind(address, is_reused=False)
+    except OSError as error:
+        if error.errno != errno.EADDRINUSE:
+            raise
+    return _bind(address)
+
+
+def _bind(address: str, *, is_reused: bool = True) -> socket.socket:
     host, _, port = address.rpartition(':')
     with ExitStack() as stack:
         bound = stack.enter_context(socket.socket())
         bound.setblocking(False)
-        _set_reuse(bound, is_set=True)
+        _set_reuse(bound, is_set=is_reused)
         bound.bind((host, int(port)))
         stack.pop_all()
     return bound
--- a/tests/core/test_listening.py
+++ b/tests/core/test_listening.py
@@ -1,6 +1,7 @@
 """Tests of the sockets of the addresses that a process listens on."""
 
 import socket
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -100,6 +101,57 @@
         other.bind((host, int(port)))
 
 
+def test_two_starts_at_one_moment_do_not_both_bind(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a process that ends as it listens, since another one had
+    bound its address at the same moment.
+    """
+    address = free_address()
+    rivals = _Rivals(address, socket.socket.setsockopt)
+    monkeypatch.setattr(
+        socket.socket, 'setsockopt', lambda *args: rivals.set_option(*args)
+    )
+    hold_addresses([address], StartWait(0))
+    assert rivals.refused
+    assert not rivals.bound
+
+
+class _Rivals:
+    """Binds as another process before each change of an option.
+
+    Parameters
+    ----------
+    address : str
+        The address of both processes.
+    set_option : callable
+        Changes the option of a socket.
+    """
+
+    def __init__(self, address: str, set_option: Callable[..., None]) -> None:
+        """Initialise before the first change."""
+        self._address = address
+        self._set_option = set_option
+        self._is_rival = False
+        self.bound = 0
+        self.refused = 0
+
+    def set_option(self, changed: socket.socket, *option: int) -> None:
+        """Change the option of a socket, after another process has bound."""
+        if changed.getsockname()[1] and not self._is_rival:
+            self._is_rival = True
+            self._bind()
+        self._set_option(changed, *option)
+
+    def _bind(self) -> None:
+        try:
+            bind_as_another(self._address)
+        except OSError:
+            self.refused += 1
+        else:
+            self.bound += 1
+
+
 def test_open_connections_leave_the_address_free() -> None:
     """Guards against a successor that waits for the connections of the process
     before it, which accepted them at an address that it held.
