Divide half of each burst equally between the control instances

Cause: the share of an instance without recent calls is about a twelfth of the limit (of three instances), and so was its bucket: 3 tokens of a limit of 30. It was used up by a few calls, before borrowed tokens arrived.

Change: half of the burst of an account is divided equally, the rest by the shares as before. The rate still follows the shares. Limits of retries do not borrow and keep their division.

Why it works: the smallest bucket has a fifth of the burst instead of a twelfth, which covers the calls of the round trip to a lender. The capacities of all instances still add up to the same sum, and an instance that needs more than its part borrows it.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/allowance_shares.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/allowance_shares.py
@@ -69,6 +69,11 @@
         self._by_peer: dict[str, PeerDemand] = {}
         self._instances = 1
 
+    @property
+    def equal_share(self) -> float:
+        """Share of each instance if all have the same."""
+        return 1 / self._instances
+
     def apply(self, peer: str, update: AllowanceDemand) -> None:
         """Store what another instance sent."""
         self._by_peer.setdefault(peer, PeerDemand()).apply(update)
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/allowances.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/allowances.py
@@ -147,6 +147,7 @@
                 broker.demand_per_s,
                 broker.rate_per_s,
             )
+            broker.equal_share = self._peers.equal_share
             broker.resize(next_share(broker.share, wanted), now_s)
 
     def changed_demand(self, sent: dict[str, float]) -> AllowanceDemand | None:
@@ -280,6 +281,7 @@
         broker.slack = limit.slack
         broker.may_relax = limit.may_relax
         broker.valid_ms = limit.valid_ms
+        broker.equal_share = self._peers.equal_share
         broker.resize(broker.share, now_s)
 
 
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/limit_broker.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/limit_broker.py
@@ -13,6 +13,10 @@
 # Calls that a node with a relaxed grant may admit before they are reported.
 ADVANCE_CALLS: Final = 2
 MIN_RETRY_MS: Final = 50.0
+# Part of the burst that is divided equally; the rest follows the shares. With a
+# smaller part, the bucket of an instance with few calls is empty before tokens
+# that it borrows arrive.
+EQUAL_PART: Final = 0.5
 # Demand is averaged over this time, and longer for low rates, whose few calls
 # tell little about the distribution of the demand.
 DEMAND_S: Final = 2.0
@@ -47,11 +51,13 @@
         Limit over all control instances: tokens a second, and those that all
         buckets together may hold.
     may_relax : bool
-        Whether grants may be relaxed.
+        Whether grants may be relaxed, and tokens may be borrowed.
     valid_ms : float
         Time for which granted tokens can be used.
     share : float
         Part of the limit that this instance grants.
+    equal_share : float
+        Part of the limit if all instances had the same.
     demand_per_s : float
         Calls a second that the attached nodes ask for, averaged.
     """
@@ -65,6 +71,7 @@
         'bucket',
         'burst',
         'demand_per_s',
+        'equal_share',
         'limit',
         'may_relax',
         'rate_per_s',
@@ -83,6 +90,7 @@
         self.may_relax = True
         self.valid_ms = VALID_MS
         self.share: float = 0
+        self.equal_share: float = 1
         self.demand_per_s: float = 0
         self._calls = 0
         # Calls between the two latest measurements.
@@ -95,8 +103,11 @@
     def resize(self, share: float, now_s: float) -> None:
         """Set this instance's share of the limit, 0 to 1."""
         self.share = share
+        # Limits that do not borrow have their tokens where the demand is.
+        equal_part = EQUAL_PART if self.may_relax else 0
+        part = equal_part * self.equal_share + (1 - equal_part) * share
         # A smaller bucket would never hold a whole token.
-        capacity = max(share * (self.burst + self.slack), 1)
+        capacity = max(part * (self.burst + self.slack), 1)
         self.bucket.set_limits(share * self.rate_per_s, capacity, now_s)
 
     def answer(
--- a/tests/control/mesh/test_token_borrowing.py
+++ b/tests/control/mesh/test_token_borrowing.py
@@ -22,6 +22,7 @@
     broker = LimitBroker(name, TokenBucket(0, tokens), now_s=0)
     broker.rate_per_s = _RATE_PER_S
     broker.burst = _RATE_PER_S
+    broker.equal_share = 0.5
     broker.resize(0.5, now_s=0)
     return broker
 
--- a/tests/node/mesh/test_allowances.py
+++ b/tests/node/mesh/test_allowances.py
@@ -85,6 +85,22 @@
     assert not world.refused_s
 
 
+@pytest.mark.parametrize('rate_per_s', [30, 60, 240])
+@in_virtual_time
+async def test_use_after_heat_elsewhere_is_admitted(rate_per_s: float) -> None:
+    """Guards against refusals of an account within its limit at one control
+    instance, while another one holds a share for calls of some seconds ago.
+    """
+    world = World(rate_per_s, 3, 3)
+    async with world.running():
+        await world.call(rate_per_s * HOT, 8, world.nodes[:1])
+        await asyncio.sleep(1)
+        since_s = virtual_now_s()
+        await world.call(rate_per_s * TYPICAL, 5, world.nodes[1:2])
+    assert max(world.refused_s) < since_s
+    assert world.excess() <= 0
+
+
 @pytest.mark.parametrize('nodes', [3, NODES])
 @pytest.mark.parametrize('rate_per_s', [5, 20, 274])
 @in_virtual_time
