--- a/packages/mustardspur_control/src/mustardspur_control/mesh/limit_broker.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/limit_broker.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from mustardspur_core.mesh.allowance_checks import MAX_CALLS
 from mustardspur_core.mesh.control_messages import AllowanceShare, AllowanceUse
 from mustardspur_core.mesh.token_bucket import TokenBucket
 from mustardspur_core.units import MS_PER_S
@@ -12,6 +13,10 @@
 # Calls that a node with a relaxed grant may admit before they are reported.
 ADVANCE_CALLS: Final = 2
 MIN_RETRY_MS: Final = 50.0
+# Part of the burst that is divided equally; the rest follows the shares. With a
+# smaller part, the bucket of an instance with few calls is empty before tokens
+# that it borrows arrive.
+EQUAL_PART: Final = 0.5
 # Demand is averaged over this time, and longer for low rates, whose few calls
 # tell little about the distribution of the demand.
 DEMAND_S: Final = 2.0
@@ -46,11 +51,13 @@
         Limit over all control instances: tokens a second, and those that all
         buckets together may hold.
     may_relax : bool
-        Whether grants may be relaxed.
+        Whether grants may be relaxed, and tokens may be borrowed.
     valid_ms : float
         Time for which granted tokens can be used.
     share : float
         Part of the limit that this instance grants.
+    equal_share : float
+        Part of the limit if all instances had the same.
     demand_per_s : float
         Calls a second that the attached nodes ask for, averaged.
     """
@@ -58,11 +65,13 @@
     __slots__ = (
         '_calls',
         '_measured_s',
+        '_previous_calls',
         '_promised_until_s',
         '_reserved_until_s',
         'bucket',
         'burst',
         'demand_per_s',
+        'equal_share',
         'limit',
         'may_relax',
         'rate_per_s',
@@ -81,8 +90,11 @@
         self.may_relax = True
         self.valid_ms = VALID_MS
         self.share: float = 0
+        self.equal_share: float = 1
         self.demand_per_s: float = 0
         self._calls = 0
+        # Calls between the two latest measurements.
+        self._previous_calls = 0
         self._measured_s = now_s
         self._promised_until_s = now_s
         # End of the relaxed grant by node, in the order of the grants.
@@ -91,8 +103,11 @@
     def resize(self, share: float, now_s: float) -> None:
         """Set this instance's share of the limit, 0 to 1."""
         self.share = share
+        # Limits that do not borrow have their tokens where the demand is.
+        equal_part = EQUAL_PART if self.may_relax else 0
+        part = equal_part * self.equal_share + (1 - equal_part) * share
         # A smaller bucket would never hold a whole token.
-        capacity = max(share * (self.burst + self.slack), 1)
+        capacity = max(part * (self.burst + self.slack), 1)
         self.bucket.set_limits(share * self.rate_per_s, capacity, now_s)
 
     def answer(
@@ -122,6 +137,33 @@
             retry_after_ms=self._promise_ms(free, missing, now_s),
         )
 
+    def missing(self) -> int:
+        """Return how many tokens to borrow: none while half are left."""
+        free = self.bucket.tokens - ADVANCE_CALLS * len(self._reserved_until_s)
+        if not self.may_relax or free >= self.bucket.capacity / 2:
+            return 0
+        return min(int(self.bucket.capacity - self.bucket.tokens), MAX_CALLS)
+
+    def lend(self, wanted: int, now_s: float) -> int:
+        """Take tokens for another control instance and return how many."""
+        self.bucket.refill(now_s)
+        # The calls of the next interval, as far as the latest ones tell.
+        expected = max(self._calls, self._previous_calls)
+        kept = min(expected, self.bucket.capacity / 2)
+        free = self.bucket.tokens - self._reserved(now_s) - kept
+        tokens = max(min(wanted, int(free)), 0)
+        self.bucket.tokens -= tokens
+        return tokens
+
+    def borrow(self, tokens: int, now_s: float) -> None:
+        """Add tokens of another control instance, up to the capacity.
+
+        The sum of all buckets thereby stays within that of their capacities.
+        """
+        self.bucket.refill(now_s)
+        tokens_held = self.bucket.tokens + tokens
+        self.bucket.tokens = min(tokens_held, self.bucket.capacity)
+
     def measure(self, now_s: float) -> None:
         """Update the average demand."""
         elapsed_s = now_s - self._measured_s
@@ -133,6 +175,7 @@
         self.demand_per_s += (seen_per_s - self.demand_per_s) * weight
         if self.demand_per_s < MIN_DEMAND_PER_S:
             self.demand_per_s = 0
+        self._previous_calls = self._calls
         self._calls = 0
         self._measured_s = now_s
 
