Reproduce processes that hostile clients end or block

What was seen: clients outside the limits ended a process for its memory or left it without an answer.

Checked: the process lives, its peak resident memory stays under 128 MiB, its descriptors under 4,096.

--- a/tests/platform/crowds/limited_mesh.py
+++ b/tests/platform/crowds/limited_mesh.py
@@ -2,12 +2,12 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager, suppress
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from functools import partial
 from pathlib import Path
 from typing import Any, Final
 
-from aiohttp import web
+from aiohttp import ClientSession, TCPConnector, web
 from mustardspur_core.units import BYTES_PER_KIB
 
 from tests.platform.mesh_processes import (
@@ -36,17 +36,22 @@
 class Usage:
     """What a process has used, and whether it was killed for it."""
 
-    __slots__ = ('descriptors', 'is_killed', 'peak_mib')
+    __slots__ = ('descriptors', 'killed', 'peak_mib')
 
     def __init__(self) -> None:
         """Initialise before the first reading."""
         self.peak_mib: float = 0
         self.descriptors = 0
-        self.is_killed = False
+        self.killed = asyncio.Event()
+
+    @property
+    def is_killed(self) -> bool:
+        """Whether the process was killed for its memory."""
+        return self.killed.is_set()
 
     def check(self) -> None:
         """Check that the process lives and stayed within its limits."""
-        assert not self.is_killed
+        assert not self.is_killed, f'killed at {self.peak_mib:.0f} MiB'
         assert self.peak_mib < MEMORY_MIB
         assert self.descriptors < MAX_DESCRIPTORS
 
@@ -79,8 +84,8 @@
     while True:
         usage.read(mesh.processes[host].pid)
         if usage.peak_mib >= MEMORY_MIB:
-            usage.is_killed = True
             await mesh.kill(host)
+            usage.killed.set()
             return
         await asyncio.sleep(_POLL_S)
 
@@ -103,14 +108,22 @@
 
 @asynccontextmanager
 async def limited_mesh(
-    folder: Path, answer_bytes: int = 1000
+    folder: Path,
+    answer_bytes: int = 1000,
+    descriptors: int = MAX_DESCRIPTORS,
 ) -> AsyncIterator[Mesh]:
     """Run a control instance, a node and its target, all of them in use."""
     async with (
         running_mesh(folder) as mesh,
         _running_target(mesh, answer_bytes),
+        AsyncExitStack() as stack,
     ):
-        mesh.launcher.supervisor = ('prlimit', f'--nofile={MAX_DESCRIPTORS}')
+        # Ordinary clients have no connection from before.
+        connector = TCPConnector(force_close=True)
+        mesh.session = await stack.enter_async_context(
+            ClientSession(connector=connector),
+        )
+        mesh.launcher.supervisor = ('prlimit', f'--nofile={descriptors}')
         seed = mesh.ports['http']
         settings: dict[str, Any] = {
             'seeds': [f'{CONTROL}:{seed}'],
@@ -119,8 +132,7 @@
         await mesh.start_control(CONTROL, first_start=True, **settings)
         await mesh.start_node(NODE, **settings)
         await put_configuration(mesh, limited_configuration(1))
-        await mesh.report(NODE, slots=SLOTS)
-        await ordinary_request(mesh, NODE)
+        await _ask(mesh, NODE)
         yield mesh
 
 
@@ -135,13 +147,44 @@
     )
 
 
-async def ordinary_request(mesh: Mesh, host: str) -> None:
-    """Make a request of an ordinary client until it is answered with 200."""
-    path = '/api/config' if host == CONTROL else '/drafts/1'
-    await mesh.until(
-        'GET',
-        mesh.url(host, 'http', path),
-        headers={'Host': HOST, 'Request-Id': 'ordinary', 'Deadline-Ms': '6000'},
+async def ordinary_requests(mesh: Mesh, host: str, usage: Usage) -> None:
+    """Make a request at each address of a process until all have status 200.
+
+    Ends early if the process is killed.
+    """
+    asking = asyncio.create_task(_ask(mesh, host))
+    killed = asyncio.create_task(usage.killed.wait())
+    await asyncio.wait((asking, killed), return_when=asyncio.FIRST_COMPLETED)
+    killed.cancel()
+    if usage.is_killed:
+        asking.cancel()
+    else:
+        await asking
+
+
+async def _ask(mesh: Mesh, host: str) -> None:
+    answers = [mesh.until('GET', mesh.url(host, 'metrics', '/metrics'))]
+    if host == CONTROL:
+        answers.append(
+            mesh.until('GET', mesh.url(host, 'http', '/api/config')),
+        )
+    else:
+        answers.append(
+            mesh.until('GET', mesh.url(host, 'ready', '/api/readyz'))
+        )
+        answers.append(_call(mesh))
+    await asyncio.gather(*answers)
+
+
+async def _call(mesh: Mesh) -> bytes:
+    await mesh.report(NODE, slots=SLOTS)
+    headers = {
+        'Host': HOST,
+        'Request-Id': 'ordinary',
+        'Deadline-Ms': '6000',
+    }
+    return await mesh.until(
+        'GET', mesh.url(NODE, 'http', '/drafts/1'), headers=headers
     )
 
 
--- a/tests/platform/crowds/test_honest_crowds.py
+++ b/tests/platform/crowds/test_honest_crowds.py
@@ -19,7 +19,7 @@
     Usage,
     limited_configuration,
     limited_mesh,
-    ordinary_request,
+    ordinary_requests,
     put_configuration,
     watched,
 )
@@ -112,8 +112,7 @@
     async with watched(mesh, host) as usage:
         async with asyncio.timeout(HANG_LIMIT_S):
             await asyncio.gather(*crowd)
-        if not usage.is_killed:
-            await ordinary_request(mesh, host)
+        await ordinary_requests(mesh, host, usage)
         return usage
 
 
