Limit heads and the framing of bodies as a whole

Seen: a node is killed for its memory by callers that send header lines or trailers without end; empty lines and extensions of chunks keep it reading.

Cause: the parser limits a line and the number of lines. 256 lines of 16 KB are 4 MiB a connection; it counts neither empty lines nor extensions, and trailers only as lines.

Change: bytes that complete no head may be as many as the limit of a head, and so may bytes of a body in chunks that bring no payload. The first is refused with 431, the second with 400. What was parsed is dropped at the refusal, not when the caller has left.

test_framing_without_end_is_refused failed before in all four cases (408 after the timeout of a head, or no answer), and passes.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -236,6 +236,9 @@
         # The answer to the request of this body says that it is malformed.
         self._room.is_closed = True
         self._is_ending = True
+        # Nothing of a head or of trailers is held until the caller has left.
+        self._room.intake.close()
+        self._parser = None
         self._room.intake.body.set_exception(error)
         if not self._pending:
             self._close_gracefully()
@@ -244,6 +247,8 @@
         self._room.is_closed = True
         self._is_ending = True
         self._timers.cancel()
+        self._room.intake.close()
+        self._parser = None
         refusal: asyncio.Future[CallerAnswer] = self._loop.create_future()
         refusal.set_result(node_answer(status, reason, closes=True))
         self._pending.append(PendingRequest('GET', refusal, keep_alive=False))
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_intake.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_intake.py
@@ -6,8 +6,14 @@
 
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http import HttpProcessingError
+from aiohttp.http_exceptions import BadHttpMessage, LineTooLong
 from aiohttp.http_parser import HttpRequestParser, RawRequestMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
+from mustardspur_core.framing_limits import (
+    FramingLimits,
+    FramingTooLarge,
+    HeadTooLarge,
+)
 
 _HEAD_END: Final = b'\r\n\r\n'
 # A connection holds up to three times as much of a body that is not read.
@@ -30,7 +36,7 @@
     protocol : BaseProtocol
         The connection, which the parser pauses within a body.
     header_bytes : int
-        Longest line of a head.
+        Longest head, and most bytes of a body in chunks without payload.
     may_start : callable
         Whether a further request may start.
     start : callable
@@ -52,6 +58,8 @@
     """
 
     __slots__ = (
+        '_framing',
+        '_header_bytes',
         '_may_start',
         '_refuse',
         '_start',
@@ -70,6 +78,8 @@
         refuse: Callable[[HttpProcessingError], None],
     ) -> None:
         """Initialise without requests."""
+        self._header_bytes = header_bytes
+        self._framing = FramingLimits()
         self._may_start = may_start
         self._start = start
         self._refuse = refuse
@@ -118,12 +128,21 @@
         self.unparsed = b''
         self._parse(unparsed)
 
+    def close(self) -> None:
+        """Hold nothing of what was received, since nothing is parsed."""
+        self.parser = None
+        self.unparsed = b''
+
     def _parse(self, received: bytes) -> bool:
         """Parse and start requests as far as they may start."""
         try:
             return self._parse_next(received)
         except HttpProcessingError as error:
             self._refuse(error)
+        except HeadTooLarge:
+            self._refuse(LineTooLong(b'head', self._header_bytes))
+        except FramingTooLarge:
+            self._refuse(BadHttpMessage('extensions or trailers too long'))
         return False
 
     def _parse_next(self, received: bytes) -> bool:
@@ -147,6 +166,13 @@
         """
         within_body = self.is_within_body
         messages, _, _ = self.parser.feed_data(part)
+        if messages:
+            self._framing.complete_head()
+        elif within_body:
+            payload_bytes = self.body.total_bytes
+            self._framing.add_body(len(part), payload_bytes, self._header_bytes)
+        else:
+            self._framing.add_head(len(part), self._header_bytes)
         for message, payload in messages:
             self.body = payload
             is_followed = not received or _goes_on(received)
--- a/tests/node/mesh/test_caller_connection.py
+++ b/tests/node/mesh/test_caller_connection.py
@@ -554,3 +554,31 @@
         writer.write(_get('/last'))
         head, _ = await _answer(reader)
     assert 'connection: close' in head.lower()
+
+
+_POST: Final = b'POST /first HTTP/1.1\r\nhost: a\r\n'
+_CHUNKED: Final = b'transfer-encoding: chunked\r\n\r\n1\r\nx\r\n'
+_LINE: Final = b'name: %b\r\n' % (b'x' * 92)
+
+
+@pytest.mark.parametrize(
+    ('start', 'part', 'status'),
+    [
+        ((_POST,), _LINE, '431'),
+        ((), b'\r\n', '431'),
+        ((_POST, _CHUNKED, b'1;'), b'x', '400'),
+        ((_POST, _CHUNKED, b'0\r\n'), _LINE, '400'),
+    ],
+    ids=['head', 'empty lines', 'extension', 'trailers'],
+)
+async def test_framing_without_end_is_refused(
+    start: tuple[bytes, ...], part: bytes, status: str
+) -> None:
+    """Guards against a node that collects lines of a caller without end."""
+    count = LIMITS.header_bytes // len(part) + 1
+    async with _connected(_Node()) as (reader, writer):
+        writer.writelines(start)
+        await asyncio.sleep(0.05)
+        writer.write(part * count)
+        head, _ = await _answer(reader)
+    assert head.split()[1] == status
