Let idle and stalled callers give way to new ones

Seen: callers that hold all connections of a node and send nothing, or stop within a head or a body, keep all others out with 503 until the idle limit.

Cause: at the limit of connections the newcomer was refused, whatever the others did.

Change: at the limit, the connection that has been idle for the longest, a second at least and with nothing received, is closed in favour of the new one; then the one whose caller stalls for the longest. A call that runs keeps its connection, and the new one gets 503 as before.

--- a/packages/mustardspur_core/src/mustardspur_core/held_bytes.py
+++ b/packages/mustardspur_core/src/mustardspur_core/held_bytes.py
@@ -113,6 +113,18 @@
         """Remove a share whose client has nothing to do."""
         self._owing.pop(share, None)
 
+    def close_stalled(self) -> bool:
+        """Close the connection whose client stalls for the longest time.
+
+        Returns
+        -------
+        bool
+            Whether there is one.
+        """
+        closed = self.closed
+        self._make_room(self.held_bytes - 1, STALL_S)
+        return self.closed > closed
+
     def _schedule_check(self) -> None:
         if self._check is None:
             loop = asyncio.get_running_loop()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -49,6 +49,13 @@
         Whether connections are closed after the last pending answer.
     held : HeldBytes or None
         Account of all connections; None for one of its own.
+
+    Attributes
+    ----------
+    room : CallerRoom
+        The requests in flight, and what is held for the connection.
+    timers : CallerTimers
+        Timers for a head and for an idle connection.
     """
 
     __slots__ = (
@@ -63,9 +70,9 @@
         '_pending',
         '_pending_added',
         '_received_any',
-        '_room',
-        '_timers',
         '_writer',
+        'room',
+        'timers',
     )
 
     def __init__(
@@ -81,12 +88,12 @@
         self._limits = limits
         self._answer = answer
         self._node_is_draining = node_is_draining
-        self._room = CallerRoom(
+        self.room = CallerRoom(
             held or HeldBytes(),
             self._pause_reading_for_buffer,
             self._resume_reading_for_buffer,
         )
-        self._pending = self._room.pending
+        self._pending = self.room.pending
         self._pending_added = asyncio.Event()
         # No further request is started; the last answer closes the connection.
         self._is_ending = False
@@ -96,7 +103,7 @@
         self._has_head_part = False
         self._linger: Linger | None = None
         self._writer: asyncio.Task[None] | None = None
-        self._timers = CallerTimers(
+        self.timers = CallerTimers(
             limits,
             partial(
                 self._refuse_with,
@@ -107,14 +114,14 @@
         )
         # Fixed in the parser.
         self._header_bytes = limits().header_bytes
-        self._room.intake = CallerIntake(
+        self.room.intake = CallerIntake(
             self,
             self._header_bytes,
-            self._room.may_start,
+            self.room.may_start,
             self._start,
             self._refuse_malformed,
         )
-        self._parser = self._room.intake.parser
+        self._parser = self.room.intake.parser
 
     @property
     def is_answered(self) -> bool:
@@ -124,48 +131,48 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start writing answers and the idle timer."""
         super().connection_made(transport)
-        self._room.connect(self.transport)
+        self.room.connect(self.transport)
         self._writer = self._loop.create_task(self._write_answers())
         self._writer.add_done_callback(partial(end_if_failed, transport))
-        self._timers.restart_idle()
+        self.timers.restart_idle()
 
     def data_received(self, received: bytes) -> None:
         """Start the requests whose heads are complete."""
-        if self._room.is_closed:
+        if self.room.is_closed:
             if self._linger is not None:
                 self._linger.receive()
             return
         self._received_any = True
-        if self._room.receive(received):
+        if self.room.receive(received):
             if self._pending:
                 self._has_head_part = True
             else:
-                self._timers.start_head()
-        is_head = self._has_head_part or self._timers.is_receiving_head
-        self._room.update(len(received), is_head=is_head)
+                self.timers.start_head()
+        is_head = self._has_head_part or self.timers.is_receiving_head
+        self.room.update(len(received), is_head=is_head)
 
     def eof_received(self) -> bool:
         """Cancel all requests and close when the caller closes its side."""
-        self._room.is_closed = True
+        self.room.is_closed = True
         _cancel(self._pending)
         return False
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel all requests, since their answers cannot be sent."""
-        self._room.is_closed = True
-        self._timers.cancel()
+        self.room.is_closed = True
+        self.timers.cancel()
         _cancel(self._pending)
-        self._room.release()
+        self.room.release()
         if self._writer is not None:
             self._writer.cancel()
         super().connection_lost(exc)
 
     def close_idle(self) -> None:
         """Close the connection if no request is in flight or has arrived."""
-        if self._pending or self._room.is_closed:
+        if self._pending or self.room.is_closed:
             return
-        if self._room.intake.is_held or has_arrived(self.transport):
-            self._timers.restart_idle()
+        if self.room.intake.is_held or has_arrived(self.transport):
+            self.timers.restart_idle()
             return
         self._close_gracefully()
 
@@ -179,7 +186,7 @@
         age_s = self._loop.time() - self._connected_s
         if not self._received_any and age_s < FIRST_REQUEST_S:
             return
-        if self._timers.is_receiving_head:
+        if self.timers.is_receiving_head:
             return
         if self._pending and self._pending[-1].is_written:
             # That answer may not have said that it closes. The next call of
@@ -198,20 +205,20 @@
         payload: StreamReader,
         is_followed: bool,  # noqa: FBT001
     ) -> None:
-        if self._room.is_closed or self._is_ending:
+        if self.room.is_closed or self._is_ending:
             # The caller sends it again, since the answer before it closes.
-            self._room.is_closed = True
+            self.room.is_closed = True
             return
-        self._timers.start_request()
+        self.timers.start_request()
         self._has_head_part = False
         limit = self._limits().body_bytes
         body = RequestBody(message, payload, limit, self.transport)
-        body.payload.on_taken = self._room.go_on
+        body.payload.on_taken = self.room.go_on
         task = self._loop.create_task(
             answer_unless_left(self._answer, message, body)
         )
         keep_alive = not message.should_close
-        self._room.add(
+        self.room.add(
             PendingRequest(message.method, task, body, keep_alive=keep_alive),
             message,
         )
@@ -222,10 +229,10 @@
             self._is_ending = True
 
     def _refuse_malformed(self, error: HttpProcessingError) -> None:
-        is_behind = not self._room.intake.is_within_body
+        is_behind = not self.room.intake.is_within_body
         if is_behind and self._is_ending and self._pending:
             # The last answer closes, and this belongs to none.
-            self._room.is_closed = True
+            self.room.is_closed = True
             return
         if is_behind:
             is_outdated = self._header_bytes < self._limits().header_bytes
@@ -234,20 +241,20 @@
             )
             return
         # The answer to the request of this body says that it is malformed.
-        self._room.is_closed = True
+        self.room.is_closed = True
         self._is_ending = True
         # Nothing of a head or of trailers is held until the caller has left.
-        self._room.intake.close()
+        self.room.intake.close()
         self._parser = None
-        self._room.intake.body.set_exception(error)
+        self.room.intake.body.set_exception(error)
         if not self._pending:
             self._close_gracefully()
 
     def _refuse_with(self, status: HTTPStatus, reason: str) -> None:
-        self._room.is_closed = True
+        self.room.is_closed = True
         self._is_ending = True
-        self._timers.cancel()
-        self._room.intake.close()
+        self.timers.cancel()
+        self.room.intake.close()
         self._parser = None
         refusal: asyncio.Future[CallerAnswer] = self._loop.create_future()
         refusal.set_result(node_answer(status, reason, closes=True))
@@ -259,14 +266,14 @@
             while not self._pending:
                 self._pending_added.clear()
                 if self._has_head_part:
-                    self._timers.start_head()
+                    self.timers.start_head()
                 else:
-                    self._timers.restart_idle()
+                    self.timers.restart_idle()
                 await self._pending_added.wait()
             await self._write_first()
             self._pending.popleft().end()
-            self._room.go_on()
-            self._room.update(is_head=self._has_head_part)
+            self.room.go_on()
+            self.room.update(is_head=self._has_head_part)
 
     async def _write_first(self) -> None:
         first = self._pending[0]
@@ -282,13 +289,13 @@
         is_last = len(self._pending) == 1
         closes = is_last and (self._is_ending or self._node_is_draining())
         if closes:
-            self._room.is_closed = True
+            self.room.is_closed = True
         write_answer(transport, answer, first.method, closes=closes)
         first.is_written = True
         if self.writing_paused:
-            self._room.begin_write(transport.get_write_buffer_size())
+            self.room.begin_write(transport.get_write_buffer_size())
             await self._drain_helper()
-            self._room.end_write()
+            self.room.end_write()
         if closes:
             self._close_gracefully()
             # Requests received after this answer are not processed.
@@ -296,8 +303,8 @@
 
     def _close_gracefully(self) -> None:
         """Close the write side, and the connection once the caller is quiet."""
-        self._room.is_closed = True
-        self._timers.cancel()
+        self.room.is_closed = True
+        self.timers.cancel()
         transport = self.transport
         if transport is None:
             return
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connections.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connections.py
@@ -11,6 +11,7 @@
 from mustardspur_core.refusals import RefusedConnections
 
 from mustardspur_node.mesh.caller_connection import CallerConnection
+from mustardspur_node.mesh.caller_replacement import CallerReplacement
 from mustardspur_node.mesh.caller_tasks import Answer
 from mustardspur_node.mesh.caller_timers import Limits
 from mustardspur_node.mesh.request_body import RequestBody
@@ -24,7 +25,13 @@
 
 
 class CallerConnections:
-    """The open connections; those beyond the limit are refused.
+    """The open connections, up to a limit.
+
+    Explanation
+    ===========
+
+    Beyond it, one that is idle or stalled gives way to a new one, which is
+    refused if there is none.
 
     Parameters
     ----------
@@ -45,6 +52,7 @@
         '_open',
         '_pruned_s',
         '_refused',
+        '_replacement',
         '_turns',
         'accepted',
     )
@@ -53,6 +61,7 @@
         """Initialise without connections."""
         self._held = held
         self._turns = ReadTurns()
+        self._replacement = CallerReplacement(held)
         self._open: set[CallerConnection] = set()
         self._max_open = max_callers(descriptor_limit())
         self._refused = RefusedConnections('callers', retry_after)
@@ -73,7 +82,8 @@
         """Return the protocol of a new connection, see `CallerConnection`."""
         self.accepted += 1
         self._prune()
-        if len(self._open) >= self._max_open:
+        is_full = len(self._open) >= self._max_open
+        if is_full and not self._replacement.close_one(self._open):
             return self._refused.create(len(self._open))
         connection = CallerConnection(
             limits,
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_timers.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_timers.py
@@ -92,6 +92,11 @@
         self._head_timer = None
         self._idle_timer = None
 
+    @property
+    def idle_since_s(self) -> float:
+        """Since when the connection is idle, infinity while it is not."""
+        return float('inf') if self._idle_timer is None else self._idle_since_s
+
     @property
     def _limit_s(self) -> float:
         return self._limits().idle_timeout_ms / MS_PER_S
