Free the parts of a refused body at once

Seen: callers that send bodies of legal size but for their end make a node exceed its memory, though the account of bodies is kept.

Cause: the error of a stalled body is kept with its reading, and its traceback refers to the reading and to the buffer with all parts. That cycle lives until a garbage collection, while the room of the body is given to the next one.

Change: the buffer is emptied when the reading ends, however it ends.

test_refused_body_leaves_the_memory failed before with a buffer of 3 MB, and passes.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/body_buffer.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/body_buffer.py
@@ -1,5 +1,7 @@
 """Buffer that joins the parts of a body without a second copy."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from io import BytesIO
 from typing import Final
 
@@ -35,6 +37,18 @@
             self._buffer.seek(0)
         self.size += self._buffer.write(part)
 
+    @contextmanager
+    def emptied(self) -> Iterator[None]:
+        """Hold no part after a block.
+
+        The traceback of a failure refers to the buffer, and may live until a
+        garbage collection.
+        """
+        try:
+            yield
+        finally:
+            self._buffer = BytesIO()
+
     def take(self) -> bytes:
         """Return the body, and hold it no longer."""
         self._buffer.truncate(self.size)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_uploads.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_uploads.py
@@ -129,14 +129,15 @@
         if not allowed:
             await self.take(reading)
         buffer = BodyBuffer(0 if allowed else step)
-        async for part in body.parts():
-            upload.receive(len(part), _now())
-            while buffer.size + len(part) > allowed + upload.held:
-                upload.wanted = step
-                await self.take(reading)
-            buffer.add(part)
-        upload.is_complete = True
-        return buffer.take()
+        with buffer.emptied():
+            async for part in body.parts():
+                upload.receive(len(part), _now())
+                while buffer.size + len(part) > allowed + upload.held:
+                    upload.wanted = step
+                    await self.take(reading)
+                buffer.add(part)
+            upload.is_complete = True
+            return buffer.take()
 
     def _end(
         self,
--- a/tests/node/mesh/test_caller_uploads.py
+++ b/tests/node/mesh/test_caller_uploads.py
@@ -1,9 +1,11 @@
 """Tests of the reading of callers' bodies within the room of a node."""
 
 import asyncio
+import gc
 import time
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
+from io import BytesIO
 from typing import Final
 
 import pytest
@@ -192,6 +194,35 @@
     assert node.room.held_bytes == 0
 
 
+@contextmanager
+def _without_collections() -> Iterator[None]:
+    gc.collect()
+    gc.disable()
+    try:
+        yield
+    finally:
+        gc.enable()
+
+
+def _large_buffers() -> int:
+    buffers = (each for each in gc.get_objects() if isinstance(each, BytesIO))
+    return sum(len(each.getbuffer()) >= _BODY for each in buffers)
+
+
+async def test_refused_body_leaves_the_memory() -> None:
+    """Guards against refused bodies that stay in memory, beside those that
+    take their room, until a garbage collection.
+    """
+    node = _Node(time_s=30)
+    with _without_collections():
+        async with _serving(node) as port:
+            stalled = await _post(port, bytes(100_000), 3_000_000)
+            other = await _post(port, b'')
+            assert await _status(stalled) == 408
+            assert not _large_buffers()
+            other[1].close()
+
+
 @pytest.mark.parametrize('sent_in_pause', [0, 200_000])
 async def test_body_does_not_stall_while_the_node_is_paused(
     sent_in_pause: int,
