--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -25,6 +25,7 @@
     answer_unless_left,
     end_if_failed,
     malformed_request,
+    report_malformed,
 )
 from mustardspur_node.mesh.caller_timers import CallerTimers, Limits
 from mustardspur_node.mesh.request_body import RequestBody
@@ -229,6 +230,7 @@
             self._is_ending = True
 
     def _refuse_malformed(self, error: HttpProcessingError) -> None:
+        report_malformed(error, self._header_bytes)
         is_behind = not self.room.intake.is_within_body
         if is_behind and self._is_ending and self._pending:
             # The last answer closes, and this belongs to none.
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_replacement.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_replacement.py
@@ -1,6 +1,7 @@
 """Closing of connections of callers in favour of new ones."""
 
 import asyncio
+import logging
 from collections import deque
 from collections.abc import Collection
 from heapq import nsmallest
@@ -11,10 +12,14 @@
 from mustardspur_node.mesh.caller_connection import CallerConnection
 from mustardspur_node.mesh.socket_state import has_arrived
 
+_LOG: Final = logging.getLogger(__name__)
+
 # Connections that are ranked at a time, and the time between two rankings, so
 # that a burst of new connections does not rank all open ones for each.
 _RANKED: Final = 64
 _RANK_INTERVAL_S: Final = 0.1
+# Closed connections between two log lines.
+_CLOSED_PER_LINE: Final = 100
 
 
 class CallerReplacement:
@@ -62,6 +67,14 @@
     def _abort(self, connection: CallerConnection) -> None:
         if connection.transport is not None:
             connection.transport.abort()
+        if self.closed % _CLOSED_PER_LINE == 0:
+            _LOG.warning(
+                'idle connection closed',
+                extra={
+                    'reason': 'all connections are in use',
+                    'closed': self.closed + 1,
+                },
+            )
         self.closed += 1
 
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_tasks.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_tasks.py
@@ -11,9 +11,12 @@
 from aiohttp.http_parser import RawRequestMessage
 
 from mustardspur_node.mesh.caller_answers import CallerAnswer, node_answer
+from mustardspur_node.mesh.decisions import DecisionLog
 from mustardspur_node.mesh.request_body import RequestBody
 
 _LOG: Final = logging.getLogger(__name__)
+# Its lines are limited over all connections.
+_REFUSALS: Final = DecisionLog()
 
 Answer = Callable[
     [RawRequestMessage, RequestBody],
@@ -44,6 +47,15 @@
         body.payload.end()
 
 
+def report_malformed(error: HttpProcessingError, limit_bytes: int) -> None:
+    """Log the refusal of a malformed request, without its lines."""
+    _REFUSALS.write(
+        'caller refused',
+        reason=type(error).__name__,
+        limit_bytes=limit_bytes,
+    )
+
+
 def malformed_request(
     error: HttpProcessingError,
     *,
