Bound what a client of an HTTP interface may send unanswered

Operators, readiness, target reports and metrics saw: a process is killed for its memory, or answers nobody, after heads, empty lines, trailers or chunk extensions without end, requests and bodies behind one that is not answered, bytes that are no request, or answers that are never read.

Cause: the parser of aiohttp limits a line and the number of lines, not a head or the framing of a body. It parses requests with their bodies behind an open one, goes on after a malformed one, and reads 256 KiB at once, so that one client of many tiny chunks takes the event loop. Heads and unread answers had no time.

Change: connections of these interfaces read 16 KiB at once and in turns, parse one request at a time and leave the rest unread, limit the whole head and the framing of a body, and end heads after 10 s and unread answers after 10 s.

It works since what a connection holds no longer depends on what it sends, and the connections of an interface are limited.

Failed on and pass: test_bytes_without_payload_are_bounded (empty lines, extension, trailers) and test_whole_head_is_limited. The case of a head without end and test_requests_behind_another_are_answered_in_order passed before as well.

--- a/packages/mustardspur_core/src/mustardspur_core/http_serving.py
+++ b/packages/mustardspur_core/src/mustardspur_core/http_serving.py
@@ -1,22 +1,30 @@
 """Running an HTTP application on an address."""
 
 import asyncio
+import logging
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import Final
 
 from aiohttp import web
 
-from mustardspur_core.descriptors import descriptor_limit, max_clients
+from mustardspur_core.descriptors import (
+    descriptor_limit,
+    max_clients,
+)
+from mustardspur_core.http_clients import ClientConnection
+from mustardspur_core.inbound_reads import InboundReads
 from mustardspur_core.listening import listen
+from mustardspur_core.read_turns import ReadTurns
 from mustardspur_core.refusals import RefusedConnections
+from mustardspur_core.repeated_warning import RepeatedWarning
+
+_LOG: Final = logging.getLogger(__name__)
 
 StopListening = Callable[[], None]
 
 # Open requests are not waited for at shutdown, since their clients retry.
 _SHUTDOWN_S: Final = 0.1
-# A connection may hold twice as much of a body that its handler does not read.
-_READ_BYTES: Final = 16_384
 
 
 @asynccontextmanager
@@ -50,12 +58,13 @@
         app,
         access_log=None,
         shutdown_timeout=_SHUTDOWN_S,
-        read_bufsize=_READ_BYTES,
     )
     await runner.setup()
     async with AsyncExitStack() as stack:
         stack.push_async_callback(runner.cleanup)
-        bounded = _BoundedConnections(runner, address)
+        server = runner.server
+        assert server is not None
+        bounded = _BoundedConnections(server, address)
         listener = await listen(bounded.create, address)
         stack.callback(listener.close)
         yield listener.close
@@ -64,20 +73,36 @@
 class _BoundedConnections:
     """Creates the connections of an application, up to a limit."""
 
-    __slots__ = ('_max_open', '_refused', '_runner')
+    __slots__ = (
+        '_closed',
+        '_limit',
+        '_listener',
+        '_refused',
+        '_server',
+        '_turns',
+    )
 
-    def __init__(self, runner: web.AppRunner, address: str) -> None:
-        self._runner = runner
-        self._max_open = max_clients(descriptor_limit())
+    def __init__(self, server: web.Server, address: str) -> None:
+        self._limit = descriptor_limit()
+        self._server = server
+        self._listener = address
+        self._turns = ReadTurns()
         self._refused = RefusedConnections(address)
+        self._closed = RepeatedWarning(_LOG, 'client closed')
 
     def create(self) -> asyncio.BaseProtocol:
-        server = self._runner.server
-        assert server is not None
-        connections = len(server.connections)
-        if connections >= self._max_open:
-            return self._refused.create(connections)
-        return server()
+        connections = self._server.connections
+        if len(connections) >= max_clients(self._limit):
+            return self._refused.create(len(connections))
+        connection = ClientConnection(self._server, self._report)
+        return InboundReads(connection, self._turns)
+
+    def _report(self, reason: str) -> None:
+        self._closed.log(
+            listener=self._listener,
+            reason=reason,
+            connections=len(self._server.connections),
+        )
 
 
 def _nothing() -> None:
--- a/packages/mustardspur_core/src/mustardspur_core/refusals.py
+++ b/packages/mustardspur_core/src/mustardspur_core/refusals.py
@@ -52,19 +52,11 @@
 
     def __init__(self, listener: str, retry_after: str = 'Retry-After') -> None:
         """Initialise without connections."""
-        status = HTTPStatus.SERVICE_UNAVAILABLE
-        body = f'{_REASON}\n'
-        self._answer = '\r\n'.join(
-            (
-                f'HTTP/1.1 {status.value} {status.phrase}',
-                'content-type: text/plain',
-                f'{retry_after}: 1',
-                f'content-length: {len(body)}',
-                'connection: close',
-                '',
-                body,
-            ),
-        ).encode()
+        self._answer = plain_answer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            f'{retry_after}: 1',
+            text=_REASON,
+        )
         self._listener = listener
         self._max_open = max_refused(descriptor_limit())
         self._logged_s = float('-inf')
@@ -103,6 +95,32 @@
         self._unlogged = 0
 
 
+def plain_answer(status: HTTPStatus, *headers: str, text: str) -> bytes:
+    """Return an answer that ends its connection.
+
+    Parameters
+    ----------
+    status : HTTPStatus
+        Status of the answer.
+    headers : str
+        Further lines of its head.
+    text : str
+        Line of its body.
+    """
+    body = f'{text}\n'
+    return '\r\n'.join(
+        (
+            f'HTTP/1.1 {status.value} {status.phrase}',
+            'content-type: text/plain',
+            *headers,
+            f'content-length: {len(body)}',
+            'connection: close',
+            '',
+            body,
+        ),
+    ).encode()
+
+
 class _RefusedConnection(asyncio.Protocol):
     """Answers the first bytes of a request and closes."""
 
