Close the client that stalls longest for a new one

Operators, readiness, target reports and metrics saw: once clients hold all connections of an interface and send nothing, everybody else gets 503 for as long as they stay.

Cause: new connections were refused at the limit, whatever the open ones did.

Change: at the limit, the connection whose client has made no progress for the longest time is closed in favour of the new one. Connections whose request is handled are never closed; if all are, the new one gets 503 as before.

It works since a client that sends its request at once needs its connection for a short time, and those that wait are closed in their order.

test_stalled_client_gives_way_to_a_new_one failed on (503) and passes.

--- a/packages/mustardspur_core/src/mustardspur_core/http_serving.py
+++ b/packages/mustardspur_core/src/mustardspur_core/http_serving.py
@@ -11,6 +11,7 @@
 from mustardspur_core.descriptors import (
     descriptor_limit,
     max_clients,
+    max_refused,
 )
 from mustardspur_core.http_clients import ClientConnection
 from mustardspur_core.inbound_reads import InboundReads
@@ -71,7 +72,14 @@
 
 
 class _BoundedConnections:
-    """Creates the connections of an application, up to a limit."""
+    """Creates the connections of an application, up to a limit.
+
+    Explanation
+    ===========
+
+    At the limit, the connection whose client has made no progress for the
+    longest time is closed in favour of a new one.
+    """
 
     __slots__ = (
         '_closed',
@@ -93,10 +101,25 @@
     def create(self) -> asyncio.BaseProtocol:
         connections = self._server.connections
         if len(connections) >= max_clients(self._limit):
-            return self._refused.create(len(connections))
+            if not self._displace(connections):
+                return self._refused.create(len(connections))
         connection = ClientConnection(self._server, self._report)
         return InboundReads(connection, self._turns)
 
+    def _displace(self, connections: list[web.RequestHandler]) -> bool:
+        """Close a connection; return whether the new one has room."""
+        # Closed ones count until their handlers have ended.
+        most = max_clients(self._limit) + max_refused(self._limit)
+        displaceable = [
+            each
+            for each in connections
+            if isinstance(each, ClientConnection) and each.is_displaceable
+        ]
+        if not displaceable or len(connections) >= most:
+            return False
+        min(displaceable, key=_waits_since).abort('displaced')
+        return True
+
     def _report(self, reason: str) -> None:
         self._closed.log(
             listener=self._listener,
@@ -105,5 +128,9 @@
         )
 
 
+def _waits_since(connection: ClientConnection) -> float:
+    return connection.timer.since or 0
+
+
 def _nothing() -> None:
     """Stand for the end of listening where nothing listens."""
--- a/tests/core/test_http_clients.py
+++ b/tests/core/test_http_clients.py
@@ -136,6 +136,28 @@
     assert answer.endswith(str(_BODY_BYTES).encode())
 
 
+async def test_stalled_client_gives_way_to_a_new_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against clients that hold all connections of an interface and
+    send nothing, so that nobody else is answered.
+    """
+    monkeypatch.setattr(
+        'mustardspur_core.http_serving.max_clients',
+        lambda _: 3,
+    )
+    async with _serving() as interface:
+        stalled = await asyncio.gather(
+            *(interface.connect() for _ in range(6)),
+        )
+        answer = await interface.answer(
+            _GET.replace(b'host', b'connection: close\r\nhost'),
+        )
+        for _, writer in stalled:
+            writer.close()
+    assert answer.startswith(b'HTTP/1.1 200')
+
+
 async def test_encoded_body_is_not_expanded() -> None:
     """Guards against a small body that takes the memory of the process once
     it is decompressed.
