Find duplicate keys of a document in one pass

Operators saw: a process hangs, and is replaced as leader, after a document with a duplicate key. With 20,001 keys the check alone took 21 s, and a report of 64 KiB may have 8,000.

Cause: for each key, all keys were counted again, so the time grew with the square of their number.

Change: the keys are counted once.

test_duplicate_key_among_many, a document of 12 MB, failed before (not done after 60 s) and passes.

--- a/packages/mustardspur_core/src/mustardspur_core/strict_json.py
+++ b/packages/mustardspur_core/src/mustardspur_core/strict_json.py
@@ -1,6 +1,7 @@
 """A JSON parser that rejects ambiguous documents."""
 
 import json
+from collections import Counter
 from typing import Any, Final, NoReturn
 
 from expression import Error, Ok, Result
@@ -59,8 +60,8 @@
 def _reject_duplicate_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     mapping = dict(pairs)
     if len(mapping) != len(pairs):
-        names = [name for name, _ in pairs]
-        duplicates = sorted({name for name in names if names.count(name) > 1})
+        counts = Counter(name for name, _ in pairs)
+        duplicates = sorted(name for name in counts if counts[name] > 1)
         raise ValueError(f'keys that occur twice: {duplicates}')
     return mapping
 
--- a/tests/core/test_strict_json.py
+++ b/tests/core/test_strict_json.py
@@ -1,10 +1,22 @@
 """Tests of the strict JSON parser."""
 
 import json
+import subprocess
+import sys
+from typing import Final
 
 import pytest
 from mustardspur_core.strict_json import parse_json
 
+# A document of 12 MB.
+_KEYS: Final = 1_000_000
+_HANG_LIMIT_S: Final = 60
+_CHECK: Final = """
+import sys
+from mustardspur_core.strict_json import parse_json
+print(parse_json(sys.stdin.buffer.read(), 'document').error)
+"""
+
 
 @pytest.mark.parametrize(
     ('encoded', 'message'),
@@ -26,6 +38,21 @@
     assert message in findings.entries[0].found
 
 
+def test_duplicate_key_among_many() -> None:
+    """Guards against a document of legal size with one duplicate key that
+    blocks the process for minutes.
+    """
+    pairs = ','.join(f'"{number}":0' for number in range(_KEYS))
+    checked = subprocess.run(
+        [sys.executable, '-c', _CHECK],
+        input=f'{{{pairs},"7":0}}'.encode(),
+        timeout=_HANG_LIMIT_S,
+        check=True,
+        stdout=subprocess.PIPE,
+    )
+    assert b"occur twice: ['7']" in checked.stdout
+
+
 def test_good_document() -> None:
     """Guards against a valid document being rejected."""
     parsed = parse_json('{"a": ["č", 1.5, null]}'.encode(), 'p.json')
