Decode large configurations beside the event loop

Operators saw: a configuration of 4 MB (20,400 routes) is never accepted; each instance answers 503 in turn (18 times in 25 s), and the mesh has no leader meanwhile.

Cause: decoding, checking and encoding it took 1.2 s in the event loop of the leader, which sends no heartbeat in this time, so another one was elected after 0.5 s. The next try did the same to that one.

Change: from 256 KiB on these steps run in a thread, of which the large bodies let in one at a time. The table in force is noted before, so that an edit that loses to another is refused when it is applied, as before.

It works since the thread gives way to the event loop every few milliseconds.

Nodes and other instances still unpack a table in their event loops.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/http_api.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/http_api.py
@@ -15,6 +15,7 @@
     LargeBodies,
     read_body,
 )
+from mustardspur_core.large_documents import run_large
 from mustardspur_core.mesh import RoutingTable
 from mustardspur_core.strict_json import parse_json
 
@@ -132,7 +133,7 @@
         return web.json_response(encode_mapping(outcome.ok))
 
     async def _publish(self, document: bytes) -> web.Response:
-        decoded = _table(document)
+        decoded = await run_large(len(document), _table, document)
         if decoded.is_error():
             return findings_response([decoded.error])
         base, table = decoded.ok
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/operations.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/operations.py
@@ -12,6 +12,7 @@
     decompress_bytes,
 )
 from mustardspur_core.findings import Finding
+from mustardspur_core.large_documents import run_large
 from mustardspur_core.mesh.checks import check_table
 from mustardspur_core.mesh.entries import (
     ChangeTable,
@@ -63,6 +64,16 @@
     document: bytes
 
 
+class _Base(Record):
+    """The table in force at one moment, see `MeshState`."""
+
+    __slots__ = ('number', 'index', 'packed', 'document')
+    number: int
+    index: int
+    packed: bytes
+    document: bytes
+
+
 class MeshOperations:
     """Edits and linearizable reads of the replicated state.
 
@@ -111,11 +122,19 @@
             The outcome, or an error if this instance cannot determine it.
         """
         digest = xxhash.xxh3_128_hexdigest(b'%d %s' % (base, document))
-        findings = check_table(table)
+        findings = await run_large(len(document), check_table, table)
         if findings and digest not in self._store.state.accepted:
             _log_edit(table, base, INVALID, str(findings[0]))
             return Ok(self._outcome(INVALID, findings))
-        entry = self._edit(table, base, digest, document)
+        entry = await run_large(
+            len(document),
+            _edit,
+            table,
+            base,
+            digest,
+            document,
+            self._base(),
+        )
         answer = await self._access.propose(entry)
         if answer.is_error():
             _log_edit(table, base, 'unanswered', answer.error.reason)
@@ -196,33 +215,13 @@
             )
         return self._read_table
 
-    def _edit(
-        self,
-        table: RoutingTable,
-        base: int,
-        digest: str,
-        document: bytes,
-    ) -> PublishTable | ChangeTable:
-        """Return the entry of an edit, the smaller one where it applies."""
+    def _base(self) -> '_Base':
         state = self._store.state
-        packed = encode_packed(encode_table(table))
-        if not base or base != state.number:
-            return PublishTable(
-                number=table.number,
-                base=base,
-                digest=digest,
-                packed=compress_bytes(packed),
-                document=compress_bytes(document),
-            )
-        return ChangeTable(
-            number=table.number,
-            base=base,
-            base_index=state.table_index,
-            digest=digest,
-            packed=compress_change(packed, decompress_bytes(state.packed)),
-            document=compress_change(
-                document, decompress_bytes(state.document)
-            ),
+        return _Base(
+            number=state.number,
+            index=state.table_index,
+            packed=state.packed,
+            document=state.document,
         )
 
     def _outcome(self, status: str, findings: list[Finding]) -> PublishOutcome:
@@ -233,6 +232,47 @@
         )
 
 
+def _edit(
+    table: RoutingTable,
+    number: int,
+    digest: str,
+    document: bytes,
+    base: _Base,
+) -> PublishTable | ChangeTable:
+    """Return the entry of an edit, the smaller one where it applies.
+
+    Parameters
+    ----------
+    table : RoutingTable
+        The new table.
+    number : int
+        Number of the table that it is based on, 0 for none.
+    digest : str
+        Digest of the edit.
+    document : bytes
+        The table as the operator sent it.
+    base : _Base
+        The table in force.
+    """
+    packed = encode_packed(encode_table(table))
+    if not number or number != base.number:
+        return PublishTable(
+            number=table.number,
+            base=number,
+            digest=digest,
+            packed=compress_bytes(packed),
+            document=compress_bytes(document),
+        )
+    return ChangeTable(
+        number=table.number,
+        base=number,
+        base_index=base.index,
+        digest=digest,
+        packed=compress_change(packed, decompress_bytes(base.packed)),
+        document=compress_change(document, decompress_bytes(base.document)),
+    )
+
+
 def _log_edit(
     table: RoutingTable,
     base: int,
--- a/tests/platform/test_large_orders.py
+++ b/tests/platform/test_large_orders.py
@@ -22,6 +22,7 @@
 # Eight orders at once.
 _ORDERED: Final = (*_CONTROLS, *_CONTROLS, *_CONTROLS[:2])
 _LARGE_ORDER_BYTES: Final = 15_500_000
+_ACCEPTED_ORDER_BYTES: Final = 4_000_000
 _READ_ORDER_BYTES: Final = 1_500_000
 _READERS: Final = 200
 _PATH: Final = '/api/config'
@@ -109,6 +110,15 @@
         assert max(_peaks_mib(mesh)) < _MEMORY_MB
 
 
+async def test_large_configuration_is_accepted(tmp_path: Path) -> None:
+    """Guards against configurations that are never accepted, as the leader is
+    replaced while it decodes one.
+    """
+    async with running_mesh(tmp_path) as mesh:
+        await _start(mesh)
+        await _publish(mesh, 2, _document(2, _ACCEPTED_ORDER_BYTES))
+
+
 async def test_slow_readers_fit_the_memory(
     tmp_path: Path,
 ) -> None:
