Bound the size of a configuration below the memory

Operators saw: a control instance is killed for its memory by legal configurations, one after the other. Four of 15.5 MB took up to 396 MiB at the peak of a process; the machine has 296.

Cause: the limit of 16 MiB did not count what a configuration takes beside its bytes: decoding takes ten times its size, and the two latest tables are held unpacked for the nodes. Until such a one could be decoded beside the event loop, none was accepted.

Change: the limit is 8 MiB, about 40,000 routes, and a setting, mesh.max_table_bytes. A larger one gets 413, which names the limit.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/http_api.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/http_api.py
@@ -28,8 +28,6 @@
 from mustardspur_control.mesh.operations import MeshOperations, PublishOutcome
 from mustardspur_control.mesh.store import ACCEPTED, CONFLICT, INVALID
 
-# Enough for a table of several tens of thousands of routes.
-MAX_BODY_BYTES: Final = 16_777_216
 TABLE_PATH: Final = '/v1/table'
 TRANSFERS_PATH: Final = '/v1/transfers'
 
@@ -80,7 +78,7 @@
 
     async def put_table(self, request: web.Request) -> web.Response:
         """Replace the table; the body has ``base`` and ``table``."""
-        async with self._bodies.reading(request, MAX_BODY_BYTES) as document:
+        async with self._bodies.reading(request) as document:
             return await self._publish(document)
 
     async def get_table(self, request: web.Request) -> web.StreamResponse:
--- a/packages/mustardspur_core/src/mustardspur_core/http_bodies.py
+++ b/packages/mustardspur_core/src/mustardspur_core/http_bodies.py
@@ -20,6 +20,7 @@
 # Bodies of up to this size are bounded by the number of connections.
 SMALL_BODY_BYTES: Final = 65_536
 DEFAULT_MEMORY_MB: Final = 300
+DEFAULT_MAX_BYTES: Final = 8_388_608
 # Part of the memory of the process that larger bodies may take.
 BODIES_PART: Final = 0.12
 # Decoded documents take up to ten times the size of their bodies, so bodies
@@ -48,6 +49,13 @@
     ----------
     memory_mb : float, optional
         Memory that the process may use, in MiB.
+    max_bytes : int, optional
+        Largest allowed body in bytes.
+
+    Attributes
+    ----------
+    max_bytes : int
+        As the parameter.
     """
 
     __slots__ = (
@@ -56,10 +64,16 @@
         '_limit_bytes',
         '_refused',
         '_released',
+        'max_bytes',
     )
 
-    def __init__(self, memory_mb: float = DEFAULT_MEMORY_MB) -> None:
+    def __init__(
+        self,
+        memory_mb: float = DEFAULT_MEMORY_MB,
+        max_bytes: int = DEFAULT_MAX_BYTES,
+    ) -> None:
         """Initialise without bodies."""
+        self.max_bytes = max_bytes
         self._limit_bytes = int(BODIES_PART * memory_mb * BYTES_PER_MIB)
         self._held_bytes = 0
         self._released = asyncio.Condition()
@@ -70,7 +84,6 @@
     async def reading(
         self,
         request: web.BaseRequest,
-        limit: int,
     ) -> AsyncIterator[bytes]:
         """Read a body, and hold room for it while the context is active.
 
@@ -78,8 +91,6 @@
         ----------
         request : web.BaseRequest
             The request; its body has not been read.
-        limit : int
-            Largest allowed body in bytes.
 
         Yields
         ------
@@ -93,6 +104,7 @@
         web.HTTPServiceUnavailable
             If there is no room for the body in time.
         """
+        limit = self.max_bytes
         announced = request.content_length
         check_length(announced, limit)
         # The size of a body in chunks is not known before its end.
--- a/packages/mustardspur_core/src/mustardspur_core/settings/model.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/model.py
@@ -103,6 +103,8 @@
         Bandwidth of the instance's own link, 0 if not stated.
     memory_mb : float
         Memory that the process may use, in MiB.
+    max_table_bytes : int
+        Largest table that operators may send.
     balancing : str
         Name of the policy that selects targets.
     silent_target_s : float
@@ -126,6 +128,7 @@
         'limit_slack',
         'link_mbps',
         'memory_mb',
+        'max_table_bytes',
         'balancing',
         'silent_target_s',
     )
@@ -144,6 +147,7 @@
     limit_slack: float
     link_mbps: float
     memory_mb: float
+    max_table_bytes: int
     balancing: str
     silent_target_s: float
 
--- a/packages/mustardspur_daemon/src/mustardspur_daemon/mesh_processes.py
+++ b/packages/mustardspur_daemon/src/mustardspur_daemon/mesh_processes.py
@@ -52,7 +52,7 @@
     app = MeshApi(
         control.operations,
         control.evacuations,
-        LargeBodies(mesh.memory_mb),
+        LargeBodies(mesh.memory_mb, mesh.max_table_bytes),
     ).app()
     AllowanceApi(control.allowances).add_to(app)
     return BlocksApi(control.blocks).add_to(app)
--- a/tests/core/mesh/builders.py
+++ b/tests/core/mesh/builders.py
@@ -98,6 +98,7 @@
         limit_slack=20.0,
         link_mbps=0,
         memory_mb=300,
+        max_table_bytes=8_388_608,
         balancing='least_expected',
         silent_target_s=0,
     )
