--- a/packages/mustardspur_control/src/mustardspur_control/mesh/http_api.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/http_api.py
@@ -15,6 +15,7 @@
     LargeBodies,
     read_body,
 )
+from mustardspur_core.large_documents import run_large
 from mustardspur_core.mesh import RoutingTable
 from mustardspur_core.strict_json import parse_json
 
@@ -27,8 +28,6 @@
 from mustardspur_control.mesh.operations import MeshOperations, PublishOutcome
 from mustardspur_control.mesh.store import ACCEPTED, CONFLICT, INVALID
 
-# Enough for a table of several tens of thousands of routes.
-MAX_BODY_BYTES: Final = 16_777_216
 TABLE_PATH: Final = '/v1/table'
 TRANSFERS_PATH: Final = '/v1/transfers'
 
@@ -79,7 +78,7 @@
 
     async def put_table(self, request: web.Request) -> web.Response:
         """Replace the table; the body has ``base`` and ``table``."""
-        async with self._bodies.reading(request, MAX_BODY_BYTES) as document:
+        async with self._bodies.reading(request) as document:
             return await self._publish(document)
 
     async def get_table(self, request: web.Request) -> web.StreamResponse:
@@ -132,7 +131,7 @@
         return web.json_response(encode_mapping(outcome.ok))
 
     async def _publish(self, document: bytes) -> web.Response:
-        decoded = _table(document)
+        decoded = await run_large(len(document), _table, document)
         if decoded.is_error():
             return findings_response([decoded.error])
         base, table = decoded.ok
--- a/packages/mustardspur_core/src/mustardspur_core/settings/loading.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/loading.py
@@ -59,6 +59,7 @@
         'memory_mb': 300,
         'max_descriptors': 0,
         'reserved_descriptors': 0,
+        'max_table_bytes': 8_388_608,
         'balancing': 'least_expected',
         'silent_target_s': 0,
     }
--- a/packages/mustardspur_core/src/mustardspur_core/settings/model.py
+++ b/packages/mustardspur_core/src/mustardspur_core/settings/model.py
@@ -107,6 +107,8 @@
         Descriptors that the process may open, 0 if not stated.
     reserved_descriptors : int
         How many of these are only for files outside of the data folder.
+    max_table_bytes : int
+        Largest table that operators may send.
     balancing : str
         Name of the policy that selects targets.
     silent_target_s : float
@@ -132,6 +134,7 @@
         'memory_mb',
         'max_descriptors',
         'reserved_descriptors',
+        'max_table_bytes',
         'balancing',
         'silent_target_s',
     )
@@ -152,6 +155,7 @@
     memory_mb: float
     max_descriptors: int
     reserved_descriptors: int
+    max_table_bytes: int
     balancing: str
     silent_target_s: float
 
--- a/tests/core/mesh/builders.py
+++ b/tests/core/mesh/builders.py
@@ -100,6 +100,7 @@
         memory_mb=300,
         max_descriptors=0,
         reserved_descriptors=0,
+        max_table_bytes=8_388_608,
         balancing='least_expected',
         silent_target_s=0,
     )
