Parse a single request once, and count it once

A request without a body, whose read ends with its head, needs no second call of the parser, and nothing is counted once no request is in flight. A test has the reads that begin within the end of a head.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_payload.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_payload.py
@@ -53,7 +53,8 @@
         if self.is_taken:
             return
         self.is_taken = True
-        if self.reader.is_eof() and self.reader.exception() is None:
+        is_complete = self.reader.is_eof() and not self.reader.exception()
+        if is_complete and self.unread_bytes:
             self._read_bytes += len(self.reader.read_nowait())
         if self.on_taken is not None:
             self.on_taken()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_room.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_room.py
@@ -116,6 +116,7 @@
 
     __slots__ = (
         '_account',
+        '_is_head',
         '_is_paused',
         '_pause',
         '_received_bytes',
@@ -139,6 +140,7 @@
         self._account = account
         self._pause = pause
         self._resume = resume
+        self._is_head = False
         self._is_paused = False
         self._share = HeldShare(account, self._abort, self._has_progressed)
         self._waits = False
@@ -181,6 +183,8 @@
         bool
             Whether a part of a head is received that is not complete.
         """
+        if not self._is_head:
+            self._received_bytes = 0
         self._received_bytes += len(received)
         is_head = self.intake.receive(received)
         if self.intake.unparsed and not self._is_paused:
@@ -212,6 +216,10 @@
         is_head : bool
             Whether the caller has to send the rest of a head.
         """
+        self._is_head = is_head
+        if not (is_head or self.pending or self.intake.unparsed):
+            self.release()
+            return
         held = len(self.intake.unparsed)
         held += sum(each.held_bytes for each in self.pending)
         is_owing = is_head
@@ -221,8 +229,6 @@
             is_owing = is_head or latest.payload.is_awaited
         if is_head:
             held += self._received_bytes * _HEAD_FACTOR
-        else:
-            self._received_bytes = 0
         self._share.resize(held)
         if is_owing:
             self._share.owe(has_progressed=size >= _PROGRESS_BYTES)
@@ -240,7 +246,7 @@
         self._share.settle()
 
     def release(self) -> None:
-        """Hold nothing, since the connection is lost."""
+        """Hold nothing for the connection."""
         self._share.release()
 
     def _has_progressed(self) -> bool:
--- a/tests/node/mesh/test_caller_connection.py
+++ b/tests/node/mesh/test_caller_connection.py
@@ -582,3 +582,18 @@
         writer.write(part * count)
         head, _ = await _answer(reader)
     assert head.split()[1] == status
+
+
+@pytest.mark.parametrize('split', range(1, 6))
+async def test_request_behind_a_divided_head_is_answered(split: int) -> None:
+    """Guards against a request that waits for further bytes of its caller,
+    since the read that has it begins with the end of another head.
+    """
+    first = _get('/first')
+    async with _connected(_Node()) as (reader, writer):
+        writer.write(first[:-split])
+        await asyncio.sleep(0.02)
+        writer.write(first[-split:] + _get('/second'))
+        _, body = await _answer(reader)
+        _, second = await _answer(reader)
+    assert (body, second) == (b'/first', b'/second')
