Bound the clients of the profiles' interface as well

Operators of profiles saw: the same ends and stalls as on the other HTTP interfaces, found by reading; of these only expanded bodies were played.

Cause: the interface for profiles was served by aiohttp with its defaults, and the reports of targets outside of a mesh were read without a limit of their own.

Change: the interface is served like the others, and both read bodies through the shared function.

test_encoded_body_is_refused failed before (the body was expanded and the edit handled) and passes.

--- a/packages/mustardspur_control/src/mustardspur_control/operators_api/app.py
+++ b/packages/mustardspur_control/src/mustardspur_control/operators_api/app.py
@@ -7,7 +7,6 @@
 from aiohttp.typedefs import Handler
 
 from mustardspur_control.operators_api import edits, reads, voters
-from mustardspur_control.operators_api.bodies import MAX_BODY_BYTES
 from mustardspur_control.operators_api.ports import OperatorsContext
 from mustardspur_control.operators_api.routing import CONTEXT, operations
 
@@ -25,10 +24,7 @@
     context : OperatorsContext
         Log, store and sources that the handlers use.
     """
-    app = web.Application(
-        client_max_size=MAX_BODY_BYTES,
-        middlewares=[_json_errors],
-    )
+    app = web.Application(middlewares=[_json_errors])
     app[CONTEXT] = context
     app.add_routes(operations())
     return app
--- a/packages/mustardspur_control/src/mustardspur_control/operators_api/bodies.py
+++ b/packages/mustardspur_control/src/mustardspur_control/operators_api/bodies.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 from expression import Error, Ok, Result
 from jsonschema import Draft202012Validator
+from mustardspur_core import http_bodies
 from mustardspur_core.findings import Findings
 from mustardspur_core.schemas import load_schema, schema_findings
 from mustardspur_core.strict_json import parse_json
@@ -29,10 +30,14 @@
 
     Raises
     ------
-    web.HTTPRequestEntityTooLarge
-        If the body has more than ``MAX_BODY_BYTES`` bytes.
+    web.HTTPException
+        If the body has more than ``MAX_BODY_BYTES`` bytes, is encoded, or
+        late.
     """
-    parsed = parse_json(await request.read(), SOURCE)
+    parsed = parse_json(
+        await http_bodies.read_body(request, MAX_BODY_BYTES),
+        SOURCE,
+    )
     if parsed.is_error():
         return parsed
     entries = schema_findings(validator, parsed.ok, SOURCE)
--- a/packages/mustardspur_control/src/mustardspur_control/serving.py
+++ b/packages/mustardspur_control/src/mustardspur_control/serving.py
@@ -2,9 +2,9 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Final
 
-from aiohttp import web
-from mustardspur_core.listening import listening_socket
+from mustardspur_core.http_serving import serving_app
 from mustardspur_core.settings import Settings
 
 from mustardspur_control.operators_api import (
@@ -12,6 +12,9 @@
     build_operators_app,
 )
 
+# Edits that are being committed are waited for.
+_SHUTDOWN_S: Final = 60.0
+
 
 @asynccontextmanager
 async def serving_operators(
@@ -19,11 +22,6 @@
     context: OperatorsContext,
 ) -> AsyncIterator[None]:
     """Serve operators on the HTTP address."""
-    runner = web.AppRunner(build_operators_app(context), access_log=None)
-    await runner.setup()
-    address = settings.listen.http
-    try:
-        await web.SockSite(runner, listening_socket(address)).start()
+    app = build_operators_app(context)
+    async with serving_app(app, settings.listen.http, _SHUTDOWN_S):
         yield
-    finally:
-        await runner.cleanup()
--- a/packages/mustardspur_core/src/mustardspur_core/http_serving.py
+++ b/packages/mustardspur_core/src/mustardspur_core/http_serving.py
@@ -32,6 +32,7 @@
 async def serving_app(
     app: web.Application,
     address: str | None,
+    shutdown_s: float = _SHUTDOWN_S,
 ) -> AsyncIterator[StopListening]:
     """Serve an application while the context is active.
 
@@ -41,6 +42,8 @@
         The application.
     address : str or None
         ``ip:port``; with None no server is started.
+    shutdown_s : float, optional
+        Longest wait for open requests at the end.
 
     Yields
     ------
@@ -58,7 +61,7 @@
     runner = web.AppRunner(
         app,
         access_log=None,
-        shutdown_timeout=_SHUTDOWN_S,
+        shutdown_timeout=shutdown_s,
     )
     await runner.setup()
     async with AsyncExitStack() as stack:
--- a/packages/mustardspur_node/src/mustardspur_node/announcements.py
+++ b/packages/mustardspur_node/src/mustardspur_node/announcements.py
@@ -9,6 +9,7 @@
 from mustardspur_core.addresses import has_valid_port
 from mustardspur_core.conversion import encode_mapping
 from mustardspur_core.findings import Finding, Findings
+from mustardspur_core.http_bodies import SMALL_BODY_BYTES, read_body
 from mustardspur_core.running_clock import RunningClock
 from mustardspur_core.schemas import load_schema, schema_findings
 from mustardspur_core.settings import Settings
@@ -177,7 +178,7 @@
     request: web.BaseRequest,
 ) -> web.Response:
     """Answer ``POST /mustardspur/v1/targets``."""
-    document = parse_json(await request.read(), _SOURCE)
+    document = parse_json(await read_body(request, SMALL_BODY_BYTES), _SOURCE)
     if document.is_error():
         return _refusal(document.error)
     outcome = announcements.accept(document.ok)
--- a/tests/control/operators_api/test_contract.py
+++ b/tests/control/operators_api/test_contract.py
@@ -1,6 +1,7 @@
 """Guards against responses that differ from the design, section 4.4."""
 
 import json
+import zlib
 from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Any
@@ -198,6 +199,15 @@
     assert 'reason' in body
 
 
+async def test_encoded_body_is_refused(session: Session) -> None:
+    """Guards against a small body that takes the memory once expanded."""
+    sent = zlib.compress(json.dumps(put('1', 0, 'a')).encode())
+    headers = {'Content-Encoding': 'deflate'}
+    request = session.client.put(PROFILE_PATH, data=sent, headers=headers)
+    async with request as response:
+        assert response.status == 415
+
+
 ERROR_CASES = (
     ('GET', '/v1/profiles/none', None, 404),
     ('GET', '/v1/services/none', None, 404),
