--- a/packages/mustardspur_core/src/mustardspur_core/held_bytes.py
+++ b/packages/mustardspur_core/src/mustardspur_core/held_bytes.py
@@ -12,7 +12,7 @@
 
 # Part of the memory of the process. Bodies that are being read and large
 # answers have an account of their own.
-HELD_PART: Final = 0.15
+HELD_PART: Final = 0.12
 DEFAULT_MEMORY_MB: Final = 300
 # Part of the limit beyond it that started requests may still take.
 _EXCESS_PART: Final = 0.2
@@ -113,6 +113,18 @@
         """Remove a share whose client has nothing to do."""
         self._owing.pop(share, None)
 
+    def close_stalled(self) -> bool:
+        """Close the connection whose client stalls for the longest time.
+
+        Returns
+        -------
+        bool
+            Whether there is one.
+        """
+        closed = self.closed
+        self._make_room(self.held_bytes - 1, STALL_S)
+        return self.closed > closed
+
     def _schedule_check(self) -> None:
         if self._check is None:
             loop = asyncio.get_running_loop()
