Show long fields of orders and reports in short

Operators saw: an answer and a log line as long as the field that they had sent, up to megabytes for each refused order.

Cause: some messages stated the whole value that was found, and the keys that occur twice.

test_long_field_is_named_in_short failed before in all four cases and passes.

--- a/packages/mustardspur_core/src/mustardspur_core/strict_json.py
+++ b/packages/mustardspur_core/src/mustardspur_core/strict_json.py
@@ -8,6 +8,8 @@
 
 from mustardspur_core.findings import Finding, Findings
 
+# Errors may list keys of the document.
+MAX_FOUND_CHARS: Final = 500
 _ESCAPE: Final = r'\u'.encode()
 
 
@@ -40,7 +42,7 @@
             source=source,
             path='$',
             expected='JSON',
-            found=str(error),
+            found=str(error)[:MAX_FOUND_CHARS],
         )
         return Error(Findings(entries=[finding]))
 
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -11,6 +11,8 @@
 
 from tests.platform.samples import configuration, report
 
+_LONG = 'x' * 10_000
+
 
 def test_configuration_becomes_a_table() -> None:
     """Guards against a field of the configuration mapped to a wrong field."""
@@ -71,6 +73,24 @@
         decode_table(json.dumps(body).encode())
 
 
+@pytest.mark.parametrize('name', ['kind', 'service', 'max_attempts', _LONG])
+def test_long_field_is_named_in_short(name: str) -> None:
+    """Guards against answers and log lines as long as what an operator has
+    sent.
+    """
+    document = configuration()
+    document['routes']['r-2'] |= {name: _LONG if name == 'kind' else [_LONG]}
+    content = json.dumps(document)
+    if name == _LONG:
+        # A key that occurs twice.
+        content = content.replace(
+            f'"{_LONG}": [', f'"{_LONG}": 0, "{_LONG}": ['
+        )
+    with pytest.raises(BadField) as error:
+        decode_table(content.encode())
+    assert len(str(error.value)) < len(_LONG)
+
+
 def test_weight_beyond_any_number_is_refused() -> None:
     """Guards against an exception for a number that no float can hold."""
     body = configuration()
