--- a/tests/platform/crowds/crowd.py
+++ b/tests/platform/crowds/crowd.py
@@ -70,17 +70,18 @@
     client = Client(listener.method, listener.path, number)
     address = (listener.host, mesh.ports[listener.port])
     with suppress(ConnectionError, TimeoutError):
-        reader, writer = await _connect(address)
+        reader, writer = await connect(address)
         stack.callback(writer.close)
         if name not in UNREAD:
-            reading = asyncio.create_task(_discard(reader))
+            reading = asyncio.create_task(discard(reader))
             stack.callback(reading.cancel)
-        await _send(writer, FLOODS_BY_NAME[name](client))
+        await send(writer, FLOODS_BY_NAME[name](client))
 
 
-async def _connect(
+async def connect(
     address: tuple[str, int],
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Connect with small buffers."""
     connected = socket.socket()
     connected.setblocking(False)
     # Otherwise the kernel would take in megabytes of answers and requests.
@@ -90,14 +91,25 @@
     return await asyncio.open_connection(sock=connected)
 
 
-async def _send(writer: asyncio.StreamWriter, parts: Iterator[bytes]) -> None:
+async def send(
+    writer: asyncio.StreamWriter, parts: Iterator[bytes], pause_s: float = 0
+) -> None:
+    """Send parts until the process reads no more.
+
+    Raises
+    ------
+    ConnectionError, TimeoutError
+        If the process closed the connection or stopped to read.
+    """
     while part := next(parts, b''):
         writer.write(part)
         async with asyncio.timeout(_STALL_S):
             await writer.drain()
+        await asyncio.sleep(pause_s)
 
 
-async def _discard(reader: asyncio.StreamReader) -> None:
+async def discard(reader: asyncio.StreamReader) -> None:
+    """Read all that arrives until the process closes the connection."""
     with suppress(ConnectionError):
         while not reader.at_eof():
             await reader.read(_BUFFER_BYTES)
--- a/tests/platform/crowds/limited_mesh.py
+++ b/tests/platform/crowds/limited_mesh.py
@@ -66,10 +66,12 @@
 
 
 @asynccontextmanager
-async def watched(mesh: Mesh, host: str) -> AsyncIterator[Usage]:
+async def watched(
+    mesh: Mesh, host: str, memory_mib: int = MEMORY_MIB
+) -> AsyncIterator[Usage]:
     """Kill a process that exceeds its memory, as the platform does."""
     usage = Usage()
-    watch = asyncio.create_task(_watch(mesh, host, usage))
+    watch = asyncio.create_task(_watch(mesh, host, usage, memory_mib))
     try:
         yield usage
     finally:
@@ -80,10 +82,10 @@
         usage.read(mesh.processes[host].pid)
 
 
-async def _watch(mesh: Mesh, host: str, usage: Usage) -> None:
+async def _watch(mesh: Mesh, host: str, usage: Usage, memory_mib: int) -> None:
     while True:
         usage.read(mesh.processes[host].pid)
-        if usage.peak_mib >= MEMORY_MIB:
+        if usage.peak_mib >= memory_mib:
             await mesh.kill(host)
             usage.killed.set()
             return
@@ -111,6 +113,7 @@
     folder: Path,
     answer_bytes: int = 1000,
     descriptors: int = MAX_DESCRIPTORS,
+    memory_mib: int = MEMORY_MIB,
 ) -> AsyncIterator[Mesh]:
     """Run a control instance, a node and its target, all of them in use."""
     async with (
@@ -127,7 +130,7 @@
         seed = mesh.ports['http']
         settings: dict[str, Any] = {
             'seeds': [f'{CONTROL}:{seed}'],
-            'memory_mb': MEMORY_MIB,
+            'memory_mb': memory_mib,
         }
         await mesh.start_control(CONTROL, first_start=True, **settings)
         await mesh.start_node(NODE, **settings)
