--- a/tests/platform/deployment/run.py
+++ b/tests/platform/deployment/run.py
@@ -28,6 +28,8 @@
 # More than fit into the length of a play.
 _MOST_STEPS: Final = 1000
 _FIRST_NODE: Final = 21
+# More than are replaced in a play.
+_NEW_CONTROLS: Final = range(5, _FIRST_NODE)
 _MOSTLY_KILLED: Final = ('disk+killed', 'disk+killed', 'disk+killed', 'killed')
 _FINALS: Final = MappingProxyType(
     {
@@ -177,6 +179,7 @@
             for number, service in enumerate(mesh.site.services, _FIRST_NODE)
         }
         play = DeploymentPlay(mesh, Random(f'{site} {kind} {seed}'))
+        play.new_controls = [f'127.0.7.{number}' for number in _NEW_CONTROLS]
         stack.callback(play.kill_taken)
         await asyncio.gather(
             *(
