--- a/tests/platform/deployment/run.py
+++ b/tests/platform/deployment/run.py
@@ -18,7 +18,7 @@
 from tests.platform.deployment.sites import SITES
 from tests.platform.deployment.traffic import callers_of
 from tests.platform.final_faults import steps as final_steps
-from tests.platform.final_faults.play import START_SPREAD_S
+from tests.platform.final_faults.play import START_SPREAD_S, SYNC_S
 from tests.platform.mesh_processes import reserved_ports
 from tests.support.virtual_time import ticks
 
@@ -28,6 +28,8 @@
 # More than fit into the length of a play.
 _MOST_STEPS: Final = 1000
 _FIRST_NODE: Final = 21
+# More than are replaced in a play.
+_NEW_CONTROLS: Final = range(5, _FIRST_NODE)
 _MOSTLY_KILLED: Final = ('disk+killed', 'disk+killed', 'disk+killed', 'killed')
 _FINALS: Final = MappingProxyType(
     {
@@ -72,6 +74,10 @@
 async def _play(
     play: DeploymentPlay, kind: str, load: float, length_s: float
 ) -> None:
+    if kind == 'recorded':
+        # Without a delay, hardly a write is unsynced as the power is lost.
+        for host in play.orders.hosts:
+            play.mesh.set_faults(host, sync_s=play.random.choice(SYNC_S))
     await asyncio.gather(
         play.start_all(first_start=True), start_nodes(play, play.nodes)
     )
@@ -173,6 +179,7 @@
             for number, service in enumerate(mesh.site.services, _FIRST_NODE)
         }
         play = DeploymentPlay(mesh, Random(f'{site} {kind} {seed}'))
+        play.new_controls = [f'127.0.7.{number}' for number in _NEW_CONTROLS]
         stack.callback(play.kill_taken)
         await asyncio.gather(
             *(
