Raise shares only by demand that the other instances know

Seen, in virtual time: an idle account of 274 a second that became hot at all control instances at the same moment ran 89 calls more in 5 s than the bound of 1,828 allows; one of 60 a second ran 10 more. No node was cut off.

Cause: each instance computed its share from its own latest demand, and from that of the others as it was before. At the first update after the calls began, each of four instances saw only its own calls and raised its share to half of the limit, so that the shares added up to 2. In addition, the demand was sent up to 0.5 s after it was measured.

Change: a share rises by the demand of the update before, and falls by the latest one. The demand is sent with each update.

Why it works: the demand that counts for a rise was sent to all others half a second before, and they released their shares by it at their own update. Until the share has risen, missing tokens are borrowed.

test_idle_account_that_becomes_hot_everywhere failed before, in both cases.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/allowances.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/allowances.py
@@ -1,6 +1,7 @@
 """Broker of a control instance for the limits shared by all nodes."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any, Final
 
 from mustardspur_core.mesh.allowance_checks import check_demand, check_request
@@ -68,6 +69,7 @@
         '_lenders',
         '_members',
         '_mesh',
+        '_on_update',
         '_peers',
         '_registry',
         '_store',
@@ -87,6 +89,7 @@
         self._members = members
         self._registry = registry
         self._store = store
+        self._on_update: list[Callable[[], None]] = []
         self._peers = DemandOfPeers()
         self._by_limit: dict[str, LimitBroker] = {}
         self._lenders = LenderChoice(self._peers.by_peer, _now())
@@ -109,6 +112,12 @@
             await asyncio.sleep(UPDATE_INTERVAL_S)
             if self._by_limit:
                 self.update(_now())
+                for listener in self._on_update:
+                    listener()
+
+    def on_update(self, listener: Callable[[], None]) -> None:
+        """Call a listener after each update of demand and shares."""
+        self._on_update.append(listener)
 
     def answer(self, node: str, request: AllowanceRequest) -> AllowanceGrant:
         """Return the grant for a request of an attached node.
@@ -144,7 +153,7 @@
             broker.measure(now_s)
             wanted = self._peers.share(
                 limit,
-                broker.demand_per_s,
+                broker.heard_per_s,
                 broker.rate_per_s,
             )
             broker.equal_share = self._peers.equal_share
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/exchange.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/exchange.py
@@ -32,10 +32,7 @@
     raise_on_silence,
 )
 
-from mustardspur_control.mesh.allowances import (
-    UPDATE_INTERVAL_S,
-    AllowanceBroker,
-)
+from mustardspur_control.mesh.allowances import AllowanceBroker
 from mustardspur_control.mesh.crash_index import CrashKey, crash_key
 from mustardspur_control.mesh.crash_register import CrashRegister
 from mustardspur_control.mesh.evidence import EvidenceAggregator
@@ -104,6 +101,7 @@
         self._links: dict[str, OutgoingLink] = {}
         self.crashes = CrashRegister()
         registry.on_change(self._mark_changed)
+        allowances.on_update(self._send_demand)
         allowances.borrowing.on_shortage(self._borrow)
         self.crashes.on_change(self._wake_links)
 
@@ -198,6 +196,10 @@
         for link in self._links.values():
             link.mark_changed(node)
 
+    def _send_demand(self) -> None:
+        for link in self._links.values():
+            link.send_demand()
+
     def _borrow(self) -> None:
         """Ask other instances for the tokens that are missing here."""
         lenders = {peer for peer, link in self._links.items() if link.may_ask}
@@ -240,6 +242,7 @@
         '_pending',
         '_registry',
         '_sent_crashes',
+        '_sent_demand',
         '_settings',
         '_stream',
         '_wake',
@@ -263,6 +266,8 @@
         self._crashes = crashes
         self._accepts_crashes = False
         self._sent_crashes: set[CrashKey] = set()
+        # Demand that was sent on this stream, by limit.
+        self._sent_demand: dict[str, float] = {}
         self._settings = settings
         self._members = members
         self._registry = registry
@@ -297,6 +302,13 @@
         self._asked = request
         self.send(request)
 
+    def send_demand(self) -> None:
+        """Send the demand for shared limits if it has changed."""
+        if self._stream is not None and self._accepts_allowances:
+            changed = self._allowances.changed_demand(self._sent_demand)
+            if changed is not None:
+                self._stream.enqueue(changed)
+
     def send(self, body: Record) -> None:
         """Send a message if the stream is open; it is dropped otherwise."""
         if self._stream is not None:
@@ -309,7 +321,6 @@
                 await run_until_first_end(
                     self._send(stream),
                     self._receive(stream),
-                    self._send_demand(stream),
                     raise_on_silence(
                         stream,
                         self._settings.intervals.silence_s,
@@ -332,6 +343,7 @@
         self._accepts_allowances = False
         self._asked = None
         self._sent_crashes = set()
+        self._sent_demand = {}
         while True:
             self._wake.clear()
             self._send_crashes(stream)
@@ -372,16 +384,6 @@
             self._accepts_crashes = True
             self._wake.set()
 
-    async def _send_demand(self, stream: FrameStream) -> None:
-        """Send the demand for shared limits when it changes."""
-        sent: dict[str, float] = {}
-        while True:
-            await asyncio.sleep(UPDATE_INTERVAL_S)
-            if self._accepts_allowances and self._allowances.heartbeat_id:
-                changed = self._allowances.changed_demand(sent)
-                if changed is not None:
-                    stream.enqueue(changed)
-
     def _send_crashes(self, stream: FrameStream) -> None:
         """Send the crashes that were not sent on this stream."""
         if not self._accepts_crashes:
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/limit_broker.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/limit_broker.py
@@ -66,6 +66,7 @@
         '_calls',
         '_measured_s',
         '_previous_calls',
+        '_previous_per_s',
         '_promised_until_s',
         '_reserved_until_s',
         'bucket',
@@ -92,6 +93,8 @@
         self.share: float = 0
         self.equal_share: float = 1
         self.demand_per_s: float = 0
+        # Demand at the measurement before the latest one.
+        self._previous_per_s: float = 0
         self._calls = 0
         # Calls between the two latest measurements.
         self._previous_calls = 0
@@ -100,6 +103,16 @@
         # End of the relaxed grant by node, in the order of the grants.
         self._reserved_until_s: dict[str, float] = {}
 
+    @property
+    def heard_per_s(self) -> float:
+        """Demand that the other instances have heard of, at least.
+
+        If shares rose by a demand that only one instance knows, those of
+        instances at which calls begin at the same moment would add up to more
+        than the limit.
+        """
+        return min(self.demand_per_s, self._previous_per_s)
+
     def resize(self, share: float, now_s: float) -> None:
         """Set this instance's share of the limit, 0 to 1."""
         self.share = share
@@ -172,6 +185,7 @@
         span_s = DEMAND_S + DEMAND_CALLS / max(self.rate_per_s, 1)
         weight = min(elapsed_s / min(span_s, MAX_DEMAND_S), 1)
         seen_per_s = self._calls / elapsed_s
+        self._previous_per_s = self.demand_per_s
         self.demand_per_s += (seen_per_s - self.demand_per_s) * weight
         if self.demand_per_s < MIN_DEMAND_PER_S:
             self.demand_per_s = 0
--- a/tests/node/mesh/test_allowances.py
+++ b/tests/node/mesh/test_allowances.py
@@ -119,6 +119,21 @@
     assert max(world.waits_s) <= MAX_WAIT_S
 
 
+@pytest.mark.parametrize('rate_per_s', [60, 274])
+@in_virtual_time
+async def test_idle_account_that_becomes_hot_everywhere(
+    rate_per_s: float,
+) -> None:
+    """Guards against shares that add up to more than the limit when calls begin
+    at all control instances at the same moment.
+    """
+    world = _world(rate_per_s)
+    async with world.running():
+        await asyncio.sleep(6)
+        await world.call(rate_per_s * HOT, 8)
+    assert world.excess() <= 0
+
+
 @pytest.mark.parametrize(
     ('rate_per_s', 'for_s'), [(5, 60), (20, 60), (274, 12)]
 )
