List a limit that is exceeded while half of the nodes are cut off

Seen: an idle account of 274 a second that becomes hot while half of the nodes are cut off from all control instances runs 137 calls more than the bound in 5 s if every second node is cut off, and 190 more with random ones.

Half of each limit is for nodes that decide alone, and control instances do not know how many do.

--- a/tests/node/mesh/test_allowances.py
+++ b/tests/node/mesh/test_allowances.py
@@ -134,6 +134,24 @@
     assert world.excess() <= 0
 
 
+@pytest.mark.parametrize('is_random', [False, True])
+@in_virtual_time
+async def test_half_of_the_nodes_cut_off(is_random: bool) -> None:
+    """Guards against an idle account that uses the whole limit at nodes with
+    control instances and a part of it at those without, once it is hot.
+    """
+    world = _world(274)
+    nodes = world.nodes.copy()
+    if is_random:
+        random.Random(5).shuffle(nodes)
+    async with world.running():
+        await asyncio.sleep(6)
+        for node in nodes[::2]:
+            node.attach(None)
+        await world.call(274 * HOT, 8)
+    assert world.excess() <= 0
+
+
 @pytest.mark.parametrize(
     ('rate_per_s', 'for_s'), [(5, 60), (20, 60), (274, 12)]
 )
