Limit the length of a caller's head, not its lines

A call inside the stated limits was refused with 400: a head of 16,384 bytes in lines of 6 bytes has more lines than the 256 that the parser took. The length of the whole head is limited now, so that the number of lines needs no limit of its own. A line of a head takes about 400 bytes in memory, however short it is; the account of what is held for callers counts the lines of heads that are not complete as well.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_intake.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_intake.py
@@ -16,10 +16,12 @@
 )
 
 _HEAD_END: Final = b'\r\n\r\n'
-_LINE_ENDS: Final = (b'\r', b'\n')
+_LINE_END: Final = b'\n'
+_LINE_ENDS: Final = (b'\r', _LINE_END)
 # A connection holds up to three times as much of a body that is not read.
 READ_BUFFER_BYTES: Final = 16_384
-MAX_HEADERS: Final = 256
+# A name, a colon and the end of the line.
+_SHORTEST_LINE_BYTES: Final = 4
 
 
 class CallerIntake:
@@ -52,6 +54,8 @@
         The parser.
     body : StreamReader
         Body of the latest request.
+    head_lines : int
+        Lines of the head that is not complete.
     is_held : bool
         Whether requests may have been received that were not started.
     unparsed : bytes
@@ -66,6 +70,7 @@
         '_refuse',
         '_start',
         'body',
+        'head_lines',
         'is_held',
         'parser',
         'unparsed',
@@ -86,6 +91,7 @@
         self._start = start
         self._refuse = refuse
         self.body: StreamReader = EMPTY_PAYLOAD
+        self.head_lines = 0
         self.is_held = False
         self.unparsed = b''
         self._is_upgrade = False
@@ -95,7 +101,8 @@
             READ_BUFFER_BYTES,
             max_line_size=header_bytes,
             max_field_size=header_bytes,
-            max_headers=MAX_HEADERS,
+            # Only the length of the whole head is limited.
+            max_headers=header_bytes // _SHORTEST_LINE_BYTES,
             payload_exception=ConnectionError,
             auto_decompress=False,
             # The parser pauses behind each request.
@@ -182,11 +189,13 @@
         messages, _, _ = self.parser.feed_data(part)
         if messages:
             self._framing.complete_head()
+            self.head_lines = 0
         elif within_body:
             payload_bytes = self.body.total_bytes
             self._framing.add_body(len(part), payload_bytes, self._header_bytes)
         else:
             self._framing.add_head(len(part), self._header_bytes)
+            self.head_lines += part.count(_LINE_END)
         for message, payload in messages:
             self.body = payload
             self._is_upgrade = message.upgrade
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_room.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_room.py
@@ -229,6 +229,7 @@
             is_owing = is_head or latest.payload.is_awaited
         if is_head:
             held += self._received_bytes * _HEAD_FACTOR
+            held += self.intake.head_lines * _LINE_BYTES
         self._share.resize(held)
         if is_owing:
             self._share.owe(has_progressed=size >= _PROGRESS_BYTES)
--- a/tests/platform/crowds/floods.py
+++ b/tests/platform/crowds/floods.py
@@ -6,7 +6,10 @@
 from types import MappingProxyType
 from typing import Final
 
-from tests.platform.crowds.limited_mesh import MAX_BODY_BYTES
+from tests.platform.crowds.limited_mesh import (
+    MAX_BODY_BYTES,
+    MAX_HEADER_BYTES,
+)
 from tests.platform.mesh_processes import HOST
 
 # Of one client; those of a crowd are twice what the process may use.
@@ -125,6 +128,14 @@
     return iter((client.open_head(''), line, line))
 
 
+@flood
+def open_head_of_short_lines(client: Client) -> Iterator[bytes]:
+    """A legal head of lines of 6 bytes that is not completed."""
+    begin = client.open_head('')
+    count = (MAX_HEADER_BYTES - len(begin)) // 6
+    return iter((begin, _line(6) * count))
+
+
 @flood
 def short_body(client: Client) -> Iterator[bytes]:
     """A body of legal size without its last byte."""
