Forget callers that leave while they wait for room

Callers saw nothing at first: while a node held all it may for its callers, each connection that sent a request and was closed stayed in memory with what it had sent, up to 16 KiB and its objects, until there was room again. Clients that come back at once when closed made that grow without a bound.

Cause: the account of what is held kept the function to call once there is room, and nothing took it out when its connection was lost. What waits was held by no account, so the class of fault is the same as that of the held bodies.

A lost connection now ends its wait. The functions are kept in an ordered mapping, so that one is removed without a search.

test_callers_that_leave_are_forgotten failed before (the transport of the lost connection was still referenced after a collection) and passes now; the tests of the account, of connections and of their room pass.

--- a/packages/mustardspur_core/src/mustardspur_core/held_bytes.py
+++ b/packages/mustardspur_core/src/mustardspur_core/held_bytes.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections import deque
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import Final
 
@@ -69,7 +69,7 @@
         # longest one first.
         self._owing: dict[HeldShare, float] = {}
         # Called in their order once there is room.
-        self._waiting: deque[Callable[[], None]] = deque()
+        self._waiting: OrderedDict[Callable[[], None], None] = OrderedDict()
         self._check: asyncio.TimerHandle | None = None
         self.limit_bytes = 0
         self.resize(memory_mb)
@@ -90,9 +90,13 @@
 
     def wait(self, on_room: Callable[[], None]) -> None:
         """Call a function once there is room."""
-        self._waiting.append(on_room)
+        self._waiting[on_room] = None
         self._schedule_check()
 
+    def end_wait(self, on_room: Callable[[], None]) -> None:
+        """Do not call a function that waits for room any more."""
+        self._waiting.pop(on_room, None)
+
     def change(self, size: int) -> None:
         """Change the bytes that are held."""
         self.held_bytes += size
@@ -102,7 +106,8 @@
                 self._make_room(most, 0)
             return
         while self._waiting and not self.is_full:
-            self._waiting.popleft()()
+            on_room, _ = self._waiting.popitem(last=False)
+            on_room()
 
     def add_owing(self, share: 'HeldShare') -> None:
         """Put a share behind all others, since its client has progressed."""
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_room.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_room.py
@@ -241,6 +241,7 @@
 
     def release(self) -> None:
         """Hold nothing, since the connection is lost."""
+        self._account.end_wait(self._end_wait)
         self._share.release()
 
     def _has_progressed(self) -> bool:
--- /dev/null
+++ b/tests/node/mesh/test_caller_stalls.py
@@ -0,0 +1,108 @@
+"""Tests of callers that stall while others wait for room."""
+
+import asyncio
+import gc
+import weakref
+from typing import Final
+
+from aiohttp.http_parser import RawRequestMessage
+from mustardspur_core.held_bytes import HeldBytes, HeldShare
+from mustardspur_node.mesh.caller_answers import CallerAnswer
+from mustardspur_node.mesh.caller_connection import CallerConnection
+from mustardspur_node.mesh.request_body import RequestBody
+
+from tests.core.mesh.builders import LIMITS
+from tests.support.virtual_time import in_virtual_time
+
+# The account holds five requests.
+_MEMORY_MB: Final = 1.0
+_GET: Final = b'GET /a HTTP/1.1\r\nhost: h\r\n\r\n'
+
+
+class _Transport(asyncio.Transport):
+    """Keeps all that is written, and reports its loss after an abort."""
+
+    def __init__(self, protocol: CallerConnection) -> None:
+        super().__init__()
+        self._protocol = protocol
+        self.unsent = 0
+        self.is_aborted = False
+        protocol.connection_made(self)
+
+    def set_write_buffer_limits(
+        self,
+        high: int | None = None,
+        low: int | None = None,
+    ) -> None:
+        """Accept any limit."""
+
+    def get_write_buffer_size(self) -> int:
+        return self.unsent
+
+    def write(self, written: bytes | bytearray | memoryview) -> None:
+        self.unsent += len(written)
+        self._protocol.pause_writing()
+
+    def pause_reading(self) -> None:
+        """Read nothing; the tests send what they like."""
+
+    def resume_reading(self) -> None:
+        """Read on."""
+
+    def is_closing(self) -> bool:
+        return self.is_aborted
+
+    def abort(self) -> None:
+        if not self.is_aborted:
+            self.is_aborted = True
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._protocol.connection_lost, None)
+
+
+class _Node:
+    """Reads bodies, and answers once they are read."""
+
+    def __init__(self) -> None:
+        self.held = HeldBytes(_MEMORY_MB)
+
+    def connect(self) -> CallerConnection:
+        return CallerConnection(lambda: LIMITS, self.answer, bool, self.held)
+
+    async def answer(
+        self,
+        _: RawRequestMessage,
+        body: RequestBody,
+    ) -> CallerAnswer:
+        await body()
+        return CallerAnswer(
+            status=200, reason='OK', headers=[], body=b'', closes=False
+        )
+
+    def fill(self) -> HeldShare:
+        """Fill the account with requests that run."""
+        running = HeldShare(self.held, lambda: None, bool)
+        running.resize(self.held.limit_bytes)
+        return running
+
+
+async def _send_and_leave(node: _Node) -> 'weakref.ref[_Transport]':
+    protocol = node.connect()
+    transport = _Transport(protocol)
+    protocol.data_received(_GET)
+    await asyncio.sleep(0.01)
+    transport.abort()
+    await asyncio.sleep(0.01)
+    return weakref.ref(transport)
+
+
+@in_virtual_time
+async def test_callers_that_leave_are_forgotten() -> None:
+    """Guards against memory that grows with each caller that comes, sends a
+    request, and leaves while there is no room.
+    """
+    node = _Node()
+    running = node.fill()
+    left = await _send_and_leave(node)
+    gc.collect()
+    assert left() is None
+    assert running.size
