Let callers that read no answer give way though they send

Callers behind others got no answer: a client that read none of its answers and sent one small request after another kept its room for as long as it liked, and a few dozen of them filled the account of all connections.

Cause: a connection whose answer is not read is noted as one that stalls, but the next request of its client took the note back.

While an answer is not read, its client owes that read, and what it sends is no progress.

test_callers_that_only_send_give_way failed before (nothing was closed after twice the time of a stall) and passes now; the tests of the account, of connections and of their room pass.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_room.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_room.py
@@ -214,18 +214,21 @@
         """
         held = len(self.intake.unparsed)
         held += sum(each.held_bytes for each in self.pending)
-        is_owing = is_head
+        is_unread = self._unsent_bytes > 0
+        is_owing = is_head or is_unread
         latest = self.pending[-1].body if self.pending else None
         if latest is not None:
             held += latest.payload.unread_bytes
-            is_owing = is_head or latest.payload.is_awaited
+            is_owing = is_owing or latest.payload.is_awaited
         if is_head:
             held += self._received_bytes * _HEAD_FACTOR
         else:
             self._received_bytes = 0
         self._share.resize(held)
         if is_owing:
-            self._share.owe(has_progressed=size >= _PROGRESS_BYTES)
+            # A client that sends on and reads no answer makes no progress.
+            has_progressed = size >= _PROGRESS_BYTES and not is_unread
+            self._share.owe(has_progressed=has_progressed)
         else:
             self._share.settle()
 
--- a/tests/node/mesh/test_caller_stalls.py
+++ b/tests/node/mesh/test_caller_stalls.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from aiohttp.http_parser import RawRequestMessage
-from mustardspur_core.held_bytes import HeldBytes, HeldShare
+from mustardspur_core.held_bytes import STALL_S, HeldBytes, HeldShare
 from mustardspur_node.mesh.caller_answers import CallerAnswer
 from mustardspur_node.mesh.caller_connection import CallerConnection
 from mustardspur_node.mesh.request_body import RequestBody
@@ -95,6 +95,31 @@
     return weakref.ref(transport)
 
 
+async def _has_room_after_stall(node: _Node) -> bool:
+    """Return whether a further request gets room beside a stalled caller."""
+    node.fill()
+    has_room = asyncio.Event()
+    node.held.wait(has_room.set)
+    await asyncio.sleep(2 * STALL_S)
+    return node.held.closed > 0
+
+
+@in_virtual_time
+async def test_callers_that_only_send_give_way() -> None:
+    """Guards against callers that read no answer, send small requests, and
+    keep all others out.
+    """
+    node = _Node()
+    protocol = node.connect()
+    transport = _Transport(protocol)
+    for _ in range(3):
+        protocol.data_received(_GET)
+        await asyncio.sleep(0.01)  # noqa: WPS476
+    assert transport.unsent
+    assert await _has_room_after_stall(node)
+    assert transport.is_aborted
+
+
 @in_virtual_time
 async def test_callers_that_leave_are_forgotten() -> None:
     """Guards against memory that grows with each caller that comes, sends a
