Close callers that stop within a small body for those that wait

Callers behind others got no answer until the deadlines of requests whose bodies stopped short of their end: up to 64 KiB each and piece by piece, about 1,500 of them fill the account of all connections at 300 MiB.

Cause: whether a caller has to send on was determined as a part arrived, before its call had read it. A part that waits to be read is no wait for the caller, so a caller that stopped then was never noted as one.

It is determined again after each part is read. Less than 1 KiB in a read counts as no progress, as in a head, so single bytes do not renew the time.

test_stalled_small_bodies_give_way failed before (nothing was closed after twice the time of a stall) and passes now; 83 tests of callers and of the account pass.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_payload.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_payload.py
@@ -1,9 +1,13 @@
 """What is received of a body, and not read."""
 
 from collections.abc import Callable
+from typing import Final
 
 from aiohttp.streams import StreamReader
 
+# A client that sends less in a read makes no progress.
+PROGRESS_BYTES: Final = 1024
+
 
 class CallerPayload:
     """The received parts of a body, until its call reads them.
@@ -17,17 +21,26 @@
     ----------
     is_taken : bool
         Whether no further part is read.
+    on_awaited : callable or None
+        Called after a part is read while the caller has to send a further one.
     on_taken : callable or None
         Called once no further part is read.
     """
 
-    __slots__ = ('_read_bytes', 'is_taken', 'on_taken', 'reader')
+    __slots__ = (
+        '_read_bytes',
+        'is_taken',
+        'on_awaited',
+        'on_taken',
+        'reader',
+    )
 
     def __init__(self, reader: StreamReader, *, is_empty: bool) -> None:
         """Initialise a body of which nothing is read."""
         self.reader = reader
         self._read_bytes = 0
         self.is_taken = is_empty
+        self.on_awaited: Callable[[], None] | None = None
         self.on_taken: Callable[[], None] | None = None
 
     @property
@@ -35,7 +48,7 @@
         """Whether the caller has to send a part that its call waits for."""
         if self.is_taken or self.reader.is_eof():
             return False
-        return not self.unread_bytes
+        return self.unread_bytes < PROGRESS_BYTES
 
     @property
     def unread_bytes(self) -> int:
@@ -46,6 +59,8 @@
         """Return the next part."""
         part = await self.reader.readany()
         self._read_bytes += len(part)
+        if self.on_awaited is not None and self.is_awaited:
+            self.on_awaited()
         return part
 
     def end(self) -> None:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_room.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_room.py
@@ -10,6 +10,7 @@
 
 from mustardspur_node.mesh.caller_answers import CallerAnswer
 from mustardspur_node.mesh.caller_intake import CallerIntake
+from mustardspur_node.mesh.caller_payload import PROGRESS_BYTES
 from mustardspur_node.mesh.request_body import RequestBody
 
 # A request in flight: its task, its call and an answer that is not counted as
@@ -20,8 +21,6 @@
 _LINE_BYTES: Final = 400
 # Heads in reads of up to this size are part of `REQUEST_BYTES`.
 _SMALL_READ_BYTES: Final = 2048
-# A client that sends less in a read makes no progress.
-_PROGRESS_BYTES: Final = 1024
 # Requests in flight on one connection; at this limit reading pauses until
 # answers have been written.
 MAX_REQUESTS_IN_FLIGHT: Final = 32
@@ -227,11 +226,16 @@
         self._share.resize(held)
         if is_owing:
             # A client that sends on and reads no answer makes no progress.
-            has_progressed = size >= _PROGRESS_BYTES and not is_unread
+            has_progressed = size >= PROGRESS_BYTES and not is_unread
             self._share.owe(has_progressed=has_progressed)
         else:
             self._share.settle()
 
+    def await_body(self) -> None:
+        """Note that the caller has to send a further part of a body."""
+        if not self.is_closed:
+            self.update(is_head=False)
+
     def begin_write(self, unsent_bytes: int) -> None:
         """Note that the caller has to read an answer."""
         self._unsent_bytes = unsent_bytes
--- a/tests/node/mesh/test_caller_stalls.py
+++ b/tests/node/mesh/test_caller_stalls.py
@@ -17,6 +17,10 @@
 # The account holds five requests.
 _MEMORY_MB: Final = 1.0
 _GET: Final = b'GET /a HTTP/1.1\r\nhost: h\r\n\r\n'
+_PART: Final = 1000
+_POST: Final = b'POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n\r\n' % (
+    3 * _PART
+)
 
 
 class _Transport(asyncio.Transport):
@@ -104,6 +108,22 @@
     return node.held.closed > 0
 
 
+@in_virtual_time
+async def test_stalled_small_bodies_give_way() -> None:
+    """Guards against small bodies that stop short of their end, and keep all
+    other callers out until their deadlines.
+    """
+    node = _Node()
+    protocol = node.connect()
+    transport = _Transport(protocol)
+    protocol.data_received(_POST)
+    for _ in range(2):
+        protocol.data_received(bytes(_PART))
+        await asyncio.sleep(0.01)  # noqa: WPS476
+    assert await _has_room_after_stall(node)
+    assert transport.is_aborted
+
+
 @in_virtual_time
 async def test_callers_that_only_send_give_way() -> None:
     """Guards against callers that read no answer, send small requests, and
