Hold little for streams that have not said who opens them

A process could be ended by anyone who reaches an internal address: 40 streams that each began a frame of 4 MiB and stopped short of its end made a node grow by 201 MiB (a trial in one process).

Cause: the first frame of a stream was read with the limit of all frames, before anything says that the other side belongs to the mesh, and any number of streams could wait for one.

At most an eighth of the descriptors wait for one, and then the stream that has waited longest is closed for a new one, since a member sends its frame with the connect.

--- a/packages/mustardspur_control/src/mustardspur_control/control_stream.py
+++ b/packages/mustardspur_control/src/mustardspur_control/control_stream.py
@@ -12,7 +12,7 @@
 from mustardspur_core.record import Record
 from mustardspur_core.settings import Settings
 from mustardspur_core.timeline import Timeline
-from mustardspur_core.wire import FrameStream, MalformedFrame
+from mustardspur_core.wire import FirstFrames, FrameStream, MalformedFrame
 
 _LOG: Final = logging.getLogger(__name__)
 ServeStream = Callable[[FrameStream, Any], Awaitable[None]]
@@ -31,7 +31,13 @@
         Counts malformed frames.
     """
 
-    __slots__ = ('_metrics', '_serve_by_type', '_silence_s', '_timeline')
+    __slots__ = (
+        '_first_frames',
+        '_metrics',
+        '_serve_by_type',
+        '_silence_s',
+        '_timeline',
+    )
 
     def __init__(
         self,
@@ -40,6 +46,7 @@
         metrics: Metrics,
     ) -> None:
         """Initialise without handlers."""
+        self._first_frames = FirstFrames()
         self._silence_s = settings.intervals.silence_s
         self._timeline = timeline
         self._metrics = metrics
@@ -81,8 +88,7 @@
             stream.close()
 
     async def _dispatch(self, stream: FrameStream) -> None:
-        async with asyncio.timeout(self._silence_s):
-            frame = await stream.receive()
+        frame = await self._first_frames.receive(stream, self._silence_s)
         serve = self._serve_by_type.get(type(frame.body))
         if serve is None:
             kind = type(frame.body).__name__
--- a/packages/mustardspur_core/src/mustardspur_core/descriptors.py
+++ b/packages/mustardspur_core/src/mustardspur_core/descriptors.py
@@ -17,6 +17,8 @@
 # Enough for the links of a small mesh and for files.
 _LEAST_RESERVED: Final = 64
 _CALLERS_DIVISOR: Final = 8
+_UNIDENTIFIED_DIVISOR: Final = 8
+_LEAST_UNIDENTIFIED: Final = 16
 _CLIENTS_DIVISOR: Final = 32
 _LEAST_CLIENTS: Final = 4
 _REFUSED_DIVISOR: Final = 64
@@ -64,6 +66,11 @@
     return max(limit // _CLIENTS_DIVISOR, _LEAST_CLIENTS)
 
 
+def max_unidentified(limit: int) -> int:
+    """Return how many are for streams that have not said who opens them."""
+    return max(limit // _UNIDENTIFIED_DIVISOR, _LEAST_UNIDENTIFIED)
+
+
 def max_refused(limit: int) -> int:
     """Return how many are for connections that a listener refuses."""
     return max(limit // _REFUSED_DIVISOR, _LEAST_REFUSED)
--- a/packages/mustardspur_core/src/mustardspur_core/wire/__init__.py
+++ b/packages/mustardspur_core/src/mustardspur_core/wire/__init__.py
@@ -9,6 +9,7 @@
     message,
 )
 from mustardspur_core.wire.dispatch import MessageDispatcher
+from mustardspur_core.wire.first_frames import FirstFrames
 from mustardspur_core.wire.silence import raise_on_silence
 from mustardspur_core.wire.streams import (
     MAX_FRAME_BYTES,
@@ -20,6 +21,7 @@
     'MAX_FRAME_BYTES',
     'PROTOCOL_VERSION',
     'MessageDispatcher',
+    'FirstFrames',
     'Frame',
     'FrameStream',
     'MalformedFrame',
--- a/packages/mustardspur_core/src/mustardspur_core/wire/streams.py
+++ b/packages/mustardspur_core/src/mustardspur_core/wire/streams.py
@@ -97,9 +97,14 @@
         """Wait until the write buffer is below its limit."""
         await self._writer.drain()
 
-    async def receive(self) -> Frame:
+    async def receive(self, limit: int = MAX_FRAME_BYTES) -> Frame:
         """Wait for the next frame.
 
+        Parameters
+        ----------
+        limit : int, optional
+            Longest frame in bytes.
+
         Raises
         ------
         asyncio.IncompleteReadError
@@ -109,10 +114,10 @@
         """
         prefix = await self._read(LENGTH_BYTES)
         length = int.from_bytes(prefix, 'big')
-        if length > MAX_FRAME_BYTES:
+        if length > limit:
             raise MalformedFrame(
                 'length',
-                f'{length} bytes, at most {MAX_FRAME_BYTES}',
+                f'{length} bytes, at most {limit}',
             )
         encoded = await self._read(length)
         self.received_bytes += LENGTH_BYTES + length
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_server.py
@@ -20,7 +20,12 @@
     NodeHello,
     TargetLoad,
 )
-from mustardspur_core.wire import FrameStream, MalformedFrame, MessageDispatcher
+from mustardspur_core.wire import (
+    FirstFrames,
+    FrameStream,
+    MalformedFrame,
+    MessageDispatcher,
+)
 
 from mustardspur_node.mesh.calls import (
     PlacementFault,
@@ -57,10 +62,18 @@
         Calls in flight.
     """
 
-    __slots__ = ('_listener', '_local', '_streams', 'accepted', 'running')
+    __slots__ = (
+        '_first_frames',
+        '_listener',
+        '_local',
+        '_streams',
+        'accepted',
+        'running',
+    )
 
     def __init__(self, local: LocalTarget) -> None:
         """Initialise the server without streams."""
+        self._first_frames = FirstFrames()
         self._local = local
         self._listener: asyncio.Server | None = None
         self._streams: set[FrameStream] = set()
@@ -111,8 +124,8 @@
         return asyncio.StreamReaderProtocol(asyncio.StreamReader(), self.serve)
 
     async def _serve_stream(self, stream: FrameStream) -> None:
-        async with asyncio.timeout(HELLO_TIMEOUT_S):
-            hello = (await stream.receive()).body
+        first = await self._first_frames.receive(stream, HELLO_TIMEOUT_S)
+        hello = first.body
         if not isinstance(hello, NodeHello):
             raise MalformedFrame(
                 'type', f'expected NodeHello first, got {type(hello).__name__}'
