End a planned stop although callers go on to connect

A node that was stopped while clients connected without a pause could go on until it was killed, and its calls in flight ended without an answer.

Cause: before each step of a stop, the node accepts what waits in the backlogs, until an iteration of the event loop accepts nothing. During a flood of connections there is no such iteration, so neither the end of the listening nor that of the grace time was looked at again.

Only as many connections are accepted as both backlogs can hold: all that waited when the step began are among them, which is what the wait is for.

test_flood_of_connections_ends_no_drain failed before (the drain did not end within 10 s at a grace time of 1.2 s) and passes now; the tests of planned stops of processes pass. That a flood over sockets keeps each iteration busy is concluded from the code; it was not played with processes.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/draining.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/draining.py
@@ -5,10 +5,11 @@
 from collections.abc import Iterable
 from typing import Final
 
+from mustardspur_core import listening
 from mustardspur_core.http_serving import StopListening
 from mustardspur_core.suspension import suspended_s
 
-from mustardspur_node.mesh.caller_server import CallerServer
+from mustardspur_node.mesh.caller_server import BACKLOG, CallerServer
 from mustardspur_node.mesh.local_target import LocalTarget
 from mustardspur_node.mesh.peer_server import PeerServer
 from mustardspur_node.mesh.placing import Placer
@@ -20,6 +21,8 @@
 # Iterations of the event loop within which an answer that has arrived is read
 # and written; on a busy instance a time could pass without one.
 MAX_FLUSH_ITERATIONS: Final = 100
+# Connections of callers and of other nodes that wait in the backlogs at most.
+_MAX_WAITING: Final = BACKLOG + listening.BACKLOG
 # Time for the last answers and refusals to be written before the exit.
 FLUSH_S: Final = 0.05
 
@@ -111,12 +114,16 @@
         """Accept and read what arrived while the process did not run.
 
         Closing the listening socket resets the connections that wait in its
-        backlog, of which the event loop accepts one in each iteration.
+        backlog, of which the event loop accepts one in each iteration. Those
+        that connect meanwhile are not waited for, since they may never end.
         """
         before = -1
-        while before != self._accepted:
-            before = self._accepted
+        accepted = self._accepted
+        most = accepted + _MAX_WAITING
+        while before != accepted and accepted < most:
+            before = accepted
             await asyncio.sleep(0)
+            accepted = self._accepted
 
     @property
     def _accepted(self) -> int:
