Ignore stated times that are not finite

A caller that stated nan or -inf as its remaining time got 500 and the node logged a traceback for each such call; one that stated 1e400 changed the rank of all later calls of its route, since it stayed the longest stated time.

Cause: any text that Python reads as a float was taken for a time. Timers and rounding fail for these values.

They are ignored like a text that is no number.

test_odd_deadlines_are_ignored failed before for all three values and passes now with the other tests of the server for callers.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_requests.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_requests.py
@@ -164,12 +164,16 @@
         if stated is None:
             return route.timeout_ms
         try:
-            return float(stated)
+            stated_ms = float(stated)
         except ValueError:
-            _LOG.info(
-                'deadline header is not a number', extra={'deadline': stated}
-            )
-            return route.timeout_ms
+            stated_ms = float('nan')
+        if abs(stated_ms) < float('inf'):
+            return stated_ms
+        _LOG.info(
+            'deadline header is not a number',
+            extra={'deadline': stated},
+        )
+        return route.timeout_ms
 
     def _forwarded_headers(self, message: RawRequestMessage) -> Headers:
         listed = message.headers.get('connection', '').lower()
--- a/tests/node/mesh/test_caller_server.py
+++ b/tests/node/mesh/test_caller_server.py
@@ -1,6 +1,7 @@
 """Tests of the server for callers as a whole."""
 
 import asyncio
+import logging
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
@@ -88,6 +89,21 @@
     assert 'call failed unexpectedly' in caplog.text
 
 
+@pytest.mark.parametrize('stated', [b'nan', b'-inf', b'1e400'])
+async def test_odd_deadlines_are_ignored(
+    stated: bytes,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a stated time that ends its call with an error, or
+    changes the rank of all calls of its route.
+    """
+    caplog.set_level(logging.INFO)
+    line = b'%b: %b\r\n' % (HEADER_NAMES.deadline_ms.encode(), stated)
+    async with _serving() as (address, _):
+        assert await _status(address, line) == '503'
+    assert 'deadline header is not a number' in caplog.text
+
+
 async def test_route_without_any_weight_refuses() -> None:
     """Guards against callers that hang on a route whose weights are all 0."""
     shares = [
