Count nothing of callers that wait for room

A node answered nobody any more, also after all clients of a crowd had left: requests waited for ever, and the connections of the clients stayed open.

Cause: requests wait while the account of all connections is full, and what their callers had sent was counted in it. With enough of them, those that wait filled it by themselves; none of their clients stalls, so none was closed, and reading was paused, so that their ends were not seen.

What a connection holds is not counted while it waits and none of its requests is running. The account is then of requests that run or whose clients owe something, so it always empties. What waits stays bounded by the reads of a connection and the number of connections.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_room.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_room.py
@@ -211,7 +211,8 @@
         is_head : bool
             Whether the caller has to send the rest of a head.
         """
-        held = len(self.intake.unparsed)
+        # Those that wait for room would otherwise keep it from each other.
+        held = 0 if self._waits else len(self.intake.unparsed)
         held += sum(each.held_bytes for each in self.pending)
         is_unread = self._unsent_bytes > 0
         is_owing = is_head or is_unread
--- a/tests/node/mesh/test_caller_stalls.py
+++ b/tests/node/mesh/test_caller_stalls.py
@@ -151,3 +151,19 @@
     gc.collect()
     assert left() is None
     assert running.size
+
+
+@in_virtual_time
+async def test_waiting_callers_do_not_fill_the_account() -> None:
+    """Guards against a node that answers nobody any more, since what callers
+    sent while they waited for room takes all of it.
+    """
+    node = _Node()
+    running = node.fill()
+    callers = [node.connect() for _ in range(10)]
+    transports = [_Transport(each) for each in callers]
+    for caller in callers:
+        caller.data_received(_GET * 600)
+    running.release()
+    await asyncio.sleep(20 * STALL_S)
+    assert all(each.unsent or each.is_aborted for each in transports)
