--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_room.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_room.py
@@ -219,7 +219,8 @@
         if not (is_head or self.pending or self.intake.unparsed):
             self._share.release()
             return
-        held = len(self.intake.unparsed)
+        # Those that wait for room would otherwise keep it from each other.
+        held = 0 if self._waits else len(self.intake.unparsed)
         held += sum(each.held_bytes for each in self.pending)
         is_unread = self._unsent_bytes > 0
         is_owing = is_head or is_unread
