Let refused callers that send on give way to new ones

Ordinary callers were refused with 503 while clients whose bodies had been refused sent on: such a connection stays open for up to 5 s, so that its client can read the refusal, and a crowd of them holds all connections.

Cause: only idle and stalled connections give way to new ones, and one that has its last answer was neither.

A connection that was answered for the last time counts as idle from then on; what its client sends is discarded in any case.

test_refused_callers_give_way failed before (503 in place of 200) and passes now; the tests of callers pass.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -53,6 +53,8 @@
 
     Attributes
     ----------
+    linger : Linger or None
+        Closes the connection after its last answer.
     room : CallerRoom
         The requests in flight, and what is held for the connection.
     timers : CallerTimers
@@ -66,12 +68,12 @@
         '_header_bytes',
         '_is_ending',
         '_limits',
-        '_linger',
         '_node_is_draining',
         '_pending',
         '_pending_added',
         '_received_any',
         '_writer',
+        'linger',
         'room',
         'timers',
     )
@@ -102,7 +104,7 @@
         self._received_any = False
         # Whether a part of a head arrived before the answer to a request.
         self._has_head_part = False
-        self._linger: Linger | None = None
+        self.linger: Linger | None = None
         self._writer: asyncio.Task[None] | None = None
         self.timers = CallerTimers(
             limits,
@@ -127,7 +129,7 @@
     @property
     def is_answered(self) -> bool:
         """Whether the last answer was written, and the caller could read it."""
-        return self._linger is not None and self._linger.is_sufficient
+        return self.linger is not None and self.linger.is_sufficient
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start writing answers and the idle timer."""
@@ -140,8 +142,8 @@
     def data_received(self, received: bytes) -> None:
         """Start the requests whose heads are complete."""
         if self.room.is_closed:
-            if self._linger is not None:
-                self._linger.receive()
+            if self.linger is not None:
+                self.linger.receive()
             return
         self._received_any = True
         if self.room.receive(received):
@@ -315,7 +317,7 @@
         # Reading may be paused within a body whose rest is discarded.
         self._resume_transport_reading()
         within_body = bool(self._pending) and self._pending[0].within_body
-        self._linger = Linger(transport, within_body=within_body)
+        self.linger = Linger(transport, within_body=within_body)
 
 
 def _cancel(requests: Iterable[PendingRequest]) -> None:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_linger.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_linger.py
@@ -27,14 +27,16 @@
     ----------
     received_s : float
         Time on the event loop's clock of the latest received bytes.
+    started_s : float
+        Time on it of the close of the writing side.
     """
 
     __slots__ = (
         '_latest_s',
         '_loop',
-        '_started_s',
         '_transport',
         'received_s',
+        'started_s',
     )
 
     def __init__(
@@ -47,7 +49,7 @@
         self._loop = asyncio.get_running_loop()
         self._transport = transport
         now_s = self._loop.time()
-        self._started_s = now_s
+        self.started_s = now_s
         self.received_s = now_s
         longest_s = MAX_LINGER_S if within_body else LINGER_S
         self._latest_s = now_s + longest_s
@@ -58,7 +60,7 @@
         """Whether the caller has had the answer for `MIN_LINGER_S`."""
         if self._transport.get_write_buffer_size():
             return False
-        return self._loop.time() - self._started_s >= MIN_LINGER_S
+        return self._loop.time() - self.started_s >= MIN_LINGER_S
 
     def receive(self) -> None:
         """Record that bytes were received, and discarded."""
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_replacement.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_replacement.py
@@ -30,8 +30,8 @@
 
     Addresses callers that hold all connections that a node accepts. One that
     has been idle for `STALL_S`, with nothing received, may be closed as at the
-    idle limit; then those whose callers stall within a head, a body or an
-    answer.
+    idle limit, and so may one whose caller sends on after its last answer; then
+    those whose callers stall within a head, a body or an answer.
 
     Parameters
     ----------
@@ -59,7 +59,7 @@
             if now_s - _idle_since_s(connection) < STALL_S:
                 # Those behind it have idled for less.
                 self._ranked.clear()
-            elif not has_arrived(connection.transport):
+            elif not _may_have_request(connection):
                 self._abort(connection)
                 return True
         return self._held.close_stalled()
@@ -78,8 +78,20 @@
         self.closed += 1
 
 
+def _may_have_request(connection: CallerConnection) -> bool:
+    """Return whether a request may have arrived that is not read."""
+    return connection.linger is None and has_arrived(connection.transport)
+
+
 def _idle_since_s(connection: CallerConnection) -> float:
-    """Return since when a connection is idle, infinity if it is not."""
-    if not connection.connected or connection.room.intake.is_held:
+    """Return since when a connection is idle, infinity if it is not.
+
+    After the last answer, what its caller sends on is discarded.
+    """
+    if not connection.connected:
+        return float('inf')
+    if connection.linger is not None:
+        return connection.linger.started_s
+    if connection.room.intake.is_held:
         return float('inf')
     return connection.timers.idle_since_s
--- a/tests/node/mesh/test_caller_replacement.py
+++ b/tests/node/mesh/test_caller_replacement.py
@@ -35,7 +35,11 @@
 
 
 @asynccontextmanager
-async def _full_node(sent: bytes) -> AsyncIterator[tuple[str, int]]:
+async def _full_node(
+    sent: bytes,
+    *,
+    sends_on: bool = False,
+) -> AsyncIterator[tuple[str, int]]:
     """Run a node whose callers hold all connections and send some bytes."""
     connections = CallerConnections('Retry-After', HeldBytes())
     server = await asyncio.get_running_loop().create_server(
@@ -46,11 +50,13 @@
     address = server.sockets[0].getsockname()
     opening = (_send(address, sent) for _ in range(_CONNECTIONS))
     held = await asyncio.gather(*opening)
+    sending: list[asyncio.Task[None]] = []
+    if sends_on:
+        sending = [asyncio.create_task(_send_on(each)) for _, each in held]
     try:
         yield address
     finally:
-        for _, writer in held:
-            writer.close()
+        _end(held, sending)
         server.close()
 
 
@@ -60,6 +66,19 @@
     return reader, writer
 
 
+def _end(held: list[Streams], sending: list[asyncio.Task[None]]) -> None:
+    for each in sending:
+        each.cancel()
+    for _, writer in held:
+        writer.close()
+
+
+async def _send_on(writer: asyncio.StreamWriter) -> None:
+    while True:
+        writer.write(b'x')
+        await asyncio.sleep(0.1)
+
+
 async def _status_of_a_call(address: tuple[str, int]) -> bytes:
     reader, writer = await _send(address, _GET % b'')
     async with asyncio.timeout(5):
@@ -93,6 +112,22 @@
         assert await _status_of_a_call(address) == b'200'
 
 
+async def test_refused_callers_give_way(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against ordinary callers that are refused, since others send on
+    after the refusal of a body that is too long.
+    """
+    monkeypatch.setattr(
+        'mustardspur_node.mesh.caller_connections.max_callers',
+        lambda _: _CONNECTIONS,
+    )
+    too_long = b'POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 9%b\r\n\r\n'
+    async with _full_node(too_long % (b'0' * 12), sends_on=True) as address:
+        await asyncio.sleep(2 * STALL_S)
+        assert await _status_of_a_call(address) == b'200'
+
+
 async def test_running_calls_do_not_give_way(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
