Let refused clients of an HTTP interface give way first

Clients whose heads were refused one after another kept an interface full: new clients got 503, or an idle client lost its connection, among them the readiness checks of a node.

Cause: a connection that is refused stays open for half a second, so that its client can read the answer, and was the only kind that gives way to nobody, although nothing is done for it any more.

It is now the first one that is closed for a new connection.

test_refused_client_gives_way_first failed before (the idle client had lost its connection) and passes now; the tests of clients of interfaces pass.

--- a/packages/mustardspur_core/src/mustardspur_core/http_clients.py
+++ b/packages/mustardspur_core/src/mustardspur_core/http_clients.py
@@ -135,8 +135,7 @@
     @property
     def is_displaceable(self) -> bool:
         """Whether the connection waits for its client, and for nothing else."""
-        is_open = not (self._is_closed or self._reading_paused)
-        return is_open and self.timer.since is not None
+        return not self._reading_paused and self.timer.since is not None
 
     def abort(self, reason: str) -> None:
         """Close the connection at a limit."""
@@ -254,4 +253,6 @@
         # What arrives meanwhile is ignored; unread, it would reset the
         # connection before the client has read the answer.
         self.timer.stop()
+        # The first one that is closed for a new connection.
+        self.timer.since = float('-inf')
         self._loop.call_later(LINGER_S, self.transport.abort)
--- a/tests/core/test_http_clients.py
+++ b/tests/core/test_http_clients.py
@@ -19,6 +19,7 @@
 )
 _SIZED: Final = b'PUT / HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n'
 _CLOSE: Final = b'connection: close\r\n'
+_CLOSING: Final = b'\r\n%s\r\n' % _CLOSE
 _LINE: Final = b'a: %s\r\n' % (b'b' * 1000)
 _BODY_BYTES: Final = 1_000_000
 # Far above what the buffers of a loopback connection take.
@@ -158,6 +159,33 @@
     assert answer.startswith(b'HTTP/1.1 200')
 
 
+async def test_refused_client_gives_way_first(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against clients that are refused again and again, and keep all
+    others out or cost them their connections.
+    """
+    monkeypatch.setattr('mustardspur_core.http_serving.max_clients', _two)
+    refused = b'GET /slow HTTP/1.1\r\n%s' % (100 * _LINE)
+    async with _serving() as interface:
+        reader, writer = await interface.connect()
+        writer.write(_GET)
+        assert await reader.readline() == b'HTTP/1.1 200 OK\r\n'
+        held = await interface.connect()
+        held[1].write(refused)
+        await held[0].readline()
+        answer = await interface.answer(_GET.replace(b'\r\n\r\n', _CLOSING))
+        writer.write(_GET)
+        await reader.readuntil(b'HTTP/1.1 200 OK')
+        writer.close()
+        held[1].close()
+    assert answer.startswith(b'HTTP/1.1 200')
+
+
+def _two(_: int) -> int:
+    return 2
+
+
 async def test_encoded_body_is_not_expanded() -> None:
     """Guards against a small body that takes the memory of the process once
     it is decompressed.
