Limit frames in the stand-in of streams as real ones do

The first frame of a stream is received with a limit, which the stand-in of streams between nodes did not take, so that five tests of large bodies ended with an error of the stand-in. It refuses longer frames now, as the real stream does.

--- a/tests/node/stand_ins/links.py
+++ b/tests/node/stand_ins/links.py
@@ -11,7 +11,13 @@
 import pytest
 from mustardspur_core.mesh.call_messages import CallOpen
 from mustardspur_core.record import Record
-from mustardspur_core.wire import Frame, decode_frame, encode_frame
+from mustardspur_core.wire import (
+    MAX_FRAME_BYTES,
+    Frame,
+    MalformedFrame,
+    decode_frame,
+    encode_frame,
+)
 from mustardspur_node.mesh.calls import BeforeSend, TargetAnswer
 from mustardspur_node.mesh.local_target import LocalTarget
 from mustardspur_node.mesh.names import HEADER_NAMES
@@ -106,11 +112,13 @@
         """Add a received frame."""
         self._received.put_nowait(encoded)
 
-    async def receive(self) -> Frame:
-        """Return the next frame."""
+    async def receive(self, limit: int = MAX_FRAME_BYTES) -> Frame:
+        """Return the next frame of at most some bytes."""
         encoded = await self._received.get()
         if not encoded:
             raise EOFError('stream ended')
+        if len(encoded) > limit:
+            raise MalformedFrame('length', f'{len(encoded)} bytes')
         return decode_frame(encoded)
 
     def close(self) -> None:
