Forget the calls of callers that left

Cause: a connection that is lost stays with the server until the next removal of lost ones, up to 63 of them. It kept its requests in flight and the task that writes answers; the tracebacks of both, cancelled, refer to the calls and their bodies, while the room of the bodies was given back at the cancellation.

Both are let go of with the connection. The connection itself is small.

test_calls_of_callers_that_left_are_forgotten failed before and passes.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -165,9 +165,14 @@
         self.room.is_closed = True
         self.timers.cancel()
         _cancel(self._pending)
+        # The cancelled calls have their bodies, and the server removes lost
+        # connections only from time to time.
+        self._pending.clear()
         self.room.release()
         if self._writer is not None:
             self._writer.cancel()
+            # Its traceback refers to the call whose answer it waited for.
+            self._writer = None
         super().connection_lost(exc)
 
     def close_idle(self) -> None:
--- a/tests/node/mesh/test_caller_stalls.py
+++ b/tests/node/mesh/test_caller_stalls.py
@@ -167,3 +167,36 @@
     running.release()
     await asyncio.sleep(20 * STALL_S)
     assert all(each.unsent or each.is_aborted for each in transports)
+
+
+class _Body:
+    """A body of a call."""
+
+
+class _Calls:
+    """Calls that hold their bodies and run until they are cancelled."""
+
+    def __init__(self) -> None:
+        self.bodies: weakref.WeakSet[_Body] = weakref.WeakSet()
+
+    async def answer(self, *_: object) -> CallerAnswer:
+        body = _Body()
+        self.bodies.add(body)
+        await asyncio.Event().wait()
+        raise AssertionError(body)
+
+
+@in_virtual_time
+async def test_calls_of_callers_that_left_are_forgotten() -> None:
+    """Guards against a node that holds the bodies of callers that left, as
+    long as it has their connections.
+    """
+    calls = _Calls()
+    caller = CallerConnection(lambda: LIMITS, calls.answer, bool, HeldBytes())
+    transport = _Transport(caller)
+    caller.data_received(_GET)
+    await asyncio.sleep(STALL_S)
+    assert calls.bodies
+    transport.abort()
+    await asyncio.sleep(STALL_S)
+    assert not calls.bodies
