--- a/packages/mustardspur_core/src/mustardspur_core/http_bodies.py
+++ b/packages/mustardspur_core/src/mustardspur_core/http_bodies.py
@@ -12,6 +12,7 @@
 
 from aiohttp import StreamReader, web
 
+from mustardspur_core.held_bytes import DEFAULT_MEMORY_MB
 from mustardspur_core.repeated_warning import RepeatedWarning
 from mustardspur_core.units import BYTES_PER_MIB
 
@@ -19,7 +20,6 @@
 
 # Bodies of up to this size are bounded by the number of connections.
 SMALL_BODY_BYTES: Final = 65_536
-DEFAULT_MEMORY_MB: Final = 300
 DEFAULT_MAX_BYTES: Final = 8_388_608
 # Part of the memory of the process that larger bodies may take.
 BODIES_PART: Final = 0.12
--- a/packages/mustardspur_core/src/mustardspur_core/inbound_reads.py
+++ b/packages/mustardspur_core/src/mustardspur_core/inbound_reads.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from functools import partial
 from typing import Any, Final
 
 from mustardspur_core.read_turns import COSTLY_LINES, ReadTurns
@@ -55,11 +54,6 @@
         self._ended = False
         self._lost = False
 
-    @property
-    def unhandled_bytes(self) -> int:
-        """Bytes that wait for their turn."""
-        return len(self._unhandled)
-
     def connection_made(self, transport: Any) -> None:
         """Pass on a transport of which reading can be paused twice."""
         self._transport = PausableTransport(transport)
@@ -200,26 +194,3 @@
         self._paused_for_turn = False
         if not (self.is_paused_by_protocol or self.is_closing()):
             self._transport.resume_reading()
-
-
-def bounded_reads(
-    create: Callable[[], asyncio.BaseProtocol],
-    turns: ReadTurns,
-) -> Callable[[], asyncio.BaseProtocol]:
-    """Return a factory of protocols behind bounded reads.
-
-    Parameters
-    ----------
-    create : callable
-        Returns the protocol of a new connection.
-    turns : ReadTurns
-        Turns of all connections of the process.
-    """
-    return partial(_create_bounded, create, turns)
-
-
-def _create_bounded(
-    create: Callable[[], asyncio.BaseProtocol],
-    turns: ReadTurns,
-) -> asyncio.BaseProtocol:
-    return InboundReads(create(), turns)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/body_room.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/body_room.py
@@ -4,6 +4,7 @@
 from contextlib import contextmanager
 from typing import Final
 
+from mustardspur_core.held_bytes import DEFAULT_MEMORY_MB
 from mustardspur_core.units import BYTES_PER_MIB
 
 # Part of the memory of the process that bodies may take. The interpreter, its
@@ -14,7 +15,6 @@
 SMALL_BODY_BYTES: Final = 16_384
 # Part of the room that small bodies may take beyond it.
 SMALL_PART: Final = 0.1
-DEFAULT_MEMORY_MB: Final = 300
 
 
 def _do_nothing() -> None:
--- a/tests/core/test_inbound_reads.py
+++ b/tests/core/test_inbound_reads.py
@@ -9,9 +9,9 @@
 import pytest
 import uvloop
 from mustardspur_core.inbound_reads import (
+    InboundReads,
     READ_BYTES,
     TURN_BYTES,
-    bounded_reads,
 )
 from mustardspur_core.read_turns import LINES_PER_TURN, ReadTurns
 
@@ -44,7 +44,7 @@
     receiver: _Receiver,
 ) -> AsyncIterator[asyncio.StreamWriter]:
     loop = asyncio.get_running_loop()
-    create = bounded_reads(lambda: receiver, ReadTurns())
+    create = partial(InboundReads, receiver, ReadTurns())
     server = await loop.create_server(create, '127.0.0.1', 0)
     port = server.sockets[0].getsockname()[1]
     _, writer = await asyncio.open_connection('127.0.0.1', port)
