Export what answers hold and the peak of the memory

A node that is killed for its memory logs nothing of it, and the account of answers was neither a metric nor a line: whether answers of targets or something beside them filled the memory could not be told. Gauges answers.held_bytes, answers.limit_bytes and process.peak_bytes; the new test fails without them.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/answer_budget.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/answer_budget.py
@@ -33,7 +33,7 @@
         None for one of its own.
     """
 
-    __slots__ = ('_limit_bytes', '_room', 'answer_bytes', 'held_bytes')
+    __slots__ = ('_room', 'answer_bytes', 'held_bytes', 'limit_bytes')
 
     def __init__(
         self,
@@ -42,7 +42,7 @@
     ) -> None:
         """Initialise without answers."""
         self._room = room or BodyRoom()
-        self._limit_bytes = limit_bytes
+        self.limit_bytes = limit_bytes
         self.answer_bytes = int(ANSWER_FRACTION * limit_bytes)
         self.held_bytes = 0
 
@@ -64,9 +64,9 @@
             If the limit would be exceeded.
         """
         needed = self.held_bytes + size
-        if needed > self._limit_bytes:
+        if needed > self.limit_bytes:
             raise AnswerTooLong(
-                f'{needed} bytes of answers, at most {self._limit_bytes}',
+                f'{needed} bytes of answers, at most {self.limit_bytes}',
             )
         self.hold(size)
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/node_bodies.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/node_bodies.py
@@ -2,6 +2,7 @@
 
 from mustardspur_core.held_bytes import HeldBytes
 from mustardspur_core.metrics import Metrics
+from mustardspur_core.resident_memory import peak_resident_bytes
 
 from mustardspur_node.mesh.answer_budget import AnswerBudget
 from mustardspur_node.mesh.body_room import BodyRoom
@@ -42,9 +43,12 @@
         admission = self.uploads.admission
         metrics.gauge('bodies.held_bytes', self.room.held_bytes)
         metrics.gauge('bodies.limit_bytes', self.room.limit_bytes)
+        metrics.gauge('answers.held_bytes', self.answers.held_bytes)
+        metrics.gauge('answers.limit_bytes', self.answers.limit_bytes)
         metrics.gauge('bodies.waiting', admission.waiting)
         metrics.gauge('bodies.refused', admission.refused)
         metrics.gauge('bodies.stalled', admission.stalled)
         metrics.gauge('callers.held_bytes', self.held.held_bytes)
         metrics.gauge('callers.held_limit_bytes', self.held.limit_bytes)
         metrics.gauge('callers.stalled', self.held.closed)
+        metrics.gauge('process.peak_bytes', peak_resident_bytes())
--- a/tests/node/mesh/test_instance.py
+++ b/tests/node/mesh/test_instance.py
@@ -4,8 +4,10 @@
 
 import pytest
 import pytest_asyncio
+from mustardspur_core.exposition import MetricsRegistry
 from mustardspur_core.metrics import NullMetrics
 from mustardspur_core.record import replaced
+from mustardspur_core.units import BYTES_PER_MIB
 from mustardspur_node.mesh.instance import MeshNode
 from mustardspur_node.mesh.names import HEADER_NAMES
 
@@ -82,3 +84,14 @@
     node.apply_settings(corrected)
     assert not node.accept_report(replaced(_REPORT, sequence=5))
     assert node.reports.current == replaced(_REPORT, sequence=5)
+
+
+async def test_answers_and_memory_are_metrics(node: MeshNode) -> None:
+    """Guards against an end for memory that no figure explains."""
+    registry = MetricsRegistry()
+    node.placer.link.bodies.answers.hold(1000)
+    node.placer.link.bodies.set_gauges(registry)
+    lines = registry.text().splitlines()
+    assert 'mustardspur_answers_held_bytes 1000' in lines
+    peak = next(line for line in lines if 'process_peak_bytes ' in line)
+    assert int(peak.split()[-1]) > BYTES_PER_MIB
