--- a/tests/platform/crowds/limited_mesh.py
+++ b/tests/platform/crowds/limited_mesh.py
@@ -121,17 +121,9 @@
         _running_target(mesh, answer_bytes),
         AsyncExitStack() as stack,
     ):
-        # Ordinary clients have no connection from before.
-        connector = TCPConnector(force_close=True)
-        mesh.session = await stack.enter_async_context(
-            ClientSession(connector=connector),
-        )
+        await use_new_connections(mesh, stack)
         mesh.launcher.supervisor = ('prlimit', f'--nofile={descriptors}')
-        seed = mesh.ports['http']
-        settings: dict[str, Any] = {
-            'seeds': [f'{CONTROL}:{seed}'],
-            'memory_mb': memory_mib,
-        }
+        settings = limited_settings(mesh, memory_mib)
         await mesh.start_control(CONTROL, first_start=True, **settings)
         await mesh.start_node(NODE, **settings)
         await put_configuration(mesh, limited_configuration(1))
@@ -139,6 +131,23 @@
         yield mesh
 
 
+async def use_new_connections(mesh: Mesh, stack: AsyncExitStack) -> None:
+    """Let each request of the mesh's session have a connection of its own.
+
+    Ordinary clients have no connection from before.
+    """
+    connector = TCPConnector(force_close=True)
+    mesh.session = await stack.enter_async_context(
+        ClientSession(connector=connector),
+    )
+
+
+def limited_settings(mesh: Mesh, memory_mib: int) -> dict[str, Any]:
+    """Return settings of the mesh for a process that may use little memory."""
+    seed = mesh.ports['http']
+    return {'seeds': [f'{CONTROL}:{seed}'], 'memory_mb': memory_mib}
+
+
 async def put_configuration(mesh: Mesh, document: dict[str, Any]) -> None:
     """Put a configuration on top of the one before it until it is accepted."""
     before = int(document['version'][1:]) - 1
--- a/tests/platform/deployment/mesh.py
+++ b/tests/platform/deployment/mesh.py
@@ -82,11 +82,11 @@
         await self._start_deployed(host, _CONTROL, first_start, mesh | fields)
 
     async def start_node(
-        self, host: str, data_centre: str = '', **mesh: Any
+        self, host: str, data_centre: str = '', service: str = '', **mesh: Any
     ) -> None:
         """Start a node."""
         fields = {
-            'service': self.services[host],
+            'service': service or self.services[host],
             'app_addr': f'{host}:{self.ports["target"]}',
         }
         await self._start_deployed(host, 'node', False, mesh | fields)
--- a/tests/platform/mesh_processes.py
+++ b/tests/platform/mesh_processes.py
@@ -153,6 +153,7 @@
         self,
         host: str,
         data_centre: str = 'split-a',
+        service: str = 'forms',
         **mesh: Any,
     ) -> None:
         """Start a node, with further settings of the part ``mesh``."""
@@ -163,7 +164,7 @@
             {
                 'role': 'node',
                 'data_centre': data_centre,
-                'service': 'forms',
+                'service': service,
                 'listen': self._listen(host, *_NODE_PORTS),
                 'mesh': {**self._seeds(), 'target_address': target, **mesh},
             },
