Check refusals of calls against what the target received

The tests of faulty targets took a 503 for one of a call that had not run only where it had the header of a refusal, which a node does not send to its callers: to them 503 itself promises it. Any 503 failed the check for the wrong reason. The target now records the paths of what it received, and a call that ended with 503 must not be among them.

--- a/tests/platform/crowds/faulty_mesh.py
+++ b/tests/platform/crowds/faulty_mesh.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any, Final
 
-from aiohttp import ClientError, ClientResponse
+from aiohttp import ClientError
 
 from tests.platform.crowds.answers import Answer
 from tests.platform.crowds.faulty_target import FaultyTarget, faulty_target
@@ -41,7 +41,7 @@
 _REPORT_S: Final = 0.5
 _PLAY_LIMIT_S: Final = 2 * HANG_LIMIT_S
 _HEADERS: Final = (('Host', HOST), ('Request-Id', 'ordinary'))
-_NOT_RUN: Final = 'Not-Executed'
+_REFUSED: Final = 503
 
 
 @asynccontextmanager
@@ -104,14 +104,16 @@
 
 
 async def unless_killed(
-    work: Awaitable[Any], usages: tuple[Usage, ...]
+    work: Awaitable[Any],
+    usages: tuple[Usage, ...],
+    limit_s: float | None = _PLAY_LIMIT_S,
 ) -> None:
     """Wait for work to end, or for a process to be killed."""
     working = asyncio.ensure_future(work)
     kills = [asyncio.create_task(usage.killed.wait()) for usage in usages]
     await asyncio.wait(
         (working, *kills),
-        timeout=_PLAY_LIMIT_S,
+        timeout=limit_s,
         return_when=asyncio.FIRST_COMPLETED,
     )
     for each in kills:
@@ -130,12 +132,22 @@
 
     Attributes
     ----------
+    refused_paths : list of str
+        Paths of the calls that ended with 503, which states that they have
+        not run.
     results : Counter
         Statuses of its calls, and names of errors where a call had no
         complete answer.
     """
 
-    __slots__ = ('_deadline_ms', '_mesh', '_node', '_path', 'results')
+    __slots__ = (
+        '_deadline_ms',
+        '_mesh',
+        '_node',
+        '_path',
+        'refused_paths',
+        'results',
+    )
 
     def __init__(
         self, mesh: Mesh, node: str, deadline_ms: int, path: str = FAULTY_PATH
@@ -145,6 +157,7 @@
         self._node = node
         self._deadline_ms = deadline_ms
         self._path = path
+        self.refused_paths: list[str] = []
         self.results: Counter[int | str] = Counter()
 
     async def call(self) -> None:
@@ -159,7 +172,9 @@
                 self._mesh.url(self._node, 'http', path), headers=headers
             ) as answer:
                 await answer.read()
-                self.results[_result(answer)] += 1
+                self.results[answer.status] += 1
+                if answer.status == _REFUSED:
+                    self.refused_paths.append(path)
         except ClientError as error:
             self.results[type(error).__name__] += 1
 
@@ -168,9 +183,3 @@
     """Return the length of the longest line of a log."""
     with log.open('rb') as lines:
         return max(map(len, lines), default=0)
-
-
-def _result(answer: ClientResponse) -> int | str:
-    if answer.status == 503 and _NOT_RUN not in answer.headers:
-        return '503 of a call that may have run'
-    return answer.status
--- a/tests/platform/crowds/faulty_target.py
+++ b/tests/platform/crowds/faulty_target.py
@@ -29,6 +29,8 @@
         Answers to calls and to health checks, None for sound ones.
     began : threading.Event
         Set once a faulty answer to a call has begun.
+    paths : set of str
+        Paths of the requests that were received.
     """
 
     allow_reuse_address = True
@@ -40,6 +42,7 @@
         self.answer: Answer | None = None
         self.health_answer: Answer | None = None
         self.began = Event()
+        self.paths: set[str] = set()
         self.connections: set[socket.socket] = set()
         super().__init__(address, _Connection)
 
@@ -73,6 +76,7 @@
         """Answer a request; return whether the connection is used up."""
         server = self.server
         is_call = path != HEALTH_PATH
+        server.paths.add(path)
         answer = server.answer if is_call else server.health_answer
         if answer is None:
             self.request.sendall(request.whole_answer())
--- a/tests/platform/crowds/test_faulty_targets.py
+++ b/tests/platform/crowds/test_faulty_targets.py
@@ -37,7 +37,7 @@
 _CALLS: Final = 30
 # Some kinds take up a call until its deadline.
 _DEADLINE_MS: Final = 1000
-# 503 is counted only where it states that the call has not run.
+# Statuses of calls that a node gives up.
 _FAILURES: Final = frozenset((502, 503, 504))
 
 
@@ -92,6 +92,10 @@
         assert max(lines) <= MAX_HEADER_BYTES
         allowed = _FAILURES | STATUSES_BY_NAME.get(name, frozenset())
         assert set(self.results) <= allowed
+        refused = {
+            path for each in self._callers for path in each.refused_paths
+        }
+        assert not refused & self._target.paths
 
     async def _call_sound(self) -> None:
         """Make a call of the sound service beside the faulty ones."""
