Give each caller of a faulty target paths of its own

Callers at one node called the same paths, so that the check of refusals took a call that got 503 for another caller's call that the target had received: 482 of 932 refusals in a play of zeros with 30 callers. With paths of their own the same play shows none.

--- a/tests/platform/crowds/faulty_mesh.py
+++ b/tests/platform/crowds/faulty_mesh.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
+from itertools import count
 from pathlib import Path
 from typing import Any, Final
 
@@ -39,6 +40,8 @@
 _DATA_CENTRES: Final = ('split-a', 'zadar-a')
 _SERVICES: Final = ('forms', 'stamps')
 _REPORT_S: Final = 0.5
+# Of callers, which distinguish their paths.
+_NUMBERS: Final = count()
 _PLAY_LIMIT_S: Final = 2 * HANG_LIMIT_S
 _HEADERS: Final = (('Host', HOST), ('Request-Id', 'ordinary'))
 _REFUSED: Final = 503
@@ -142,6 +145,7 @@
 
     __slots__ = (
         '_deadline_ms',
+        '_name',
         '_mesh',
         '_node',
         '_path',
@@ -154,6 +158,7 @@
     ) -> None:
         """Initialise without calls."""
         self._mesh = mesh
+        self._name = f'{node}-{next(_NUMBERS)}'
         self._node = node
         self._deadline_ms = deadline_ms
         self._path = path
@@ -165,7 +170,7 @@
         # Of its own path, so that it is not blocked as a call that crashes
         # targets.
         number = self.results.total()
-        path = f'{self._path}/{self._node}-{number}'
+        path = f'{self._path}/{self._name}-{number}'
         headers = [*_HEADERS, ('Deadline-Ms', str(self._deadline_ms))]
         try:
             async with self._mesh.session.get(
