--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := $(sort $(wildcard packages/*))
 SOURCES := packages platform tests demo benchmarks
 STAMP := $(VENV)/.installed
-CROWDS := tests/platform/crowds
+CROWDS := tests/platform/crowds tests/daemon/crowds
 SEED ?= 1
 COUNT ?= 1
 DEPTH ?= 8
@@ -36,7 +36,7 @@
 	$(BIN)/mypy
 
 tests: $(STAMP) ## Run the tests only, those with crowds of clients one at a time
-	$(BIN)/pytest --ignore=$(CROWDS)
+	$(BIN)/pytest $(addprefix --ignore=,$(CROWDS))
 	$(BIN)/pytest -n 0 $(CROWDS)
 
 test: lint types tests ## Run every check: format, style, types, tests
--- /dev/null
+++ b/tests/node/calls/test_answers_without_end.py
@@ -0,0 +1,177 @@
+"""Guards against what answers without end take of a node."""
+
+import asyncio
+import gc
+from collections.abc import AsyncIterator, Iterator, Mapping
+from contextlib import asynccontextmanager, closing, contextmanager
+from types import MappingProxyType
+from typing import Any, Final
+
+import pytest
+from aiohttp import ClientResponse, StreamReader
+from aiohttp.client_proto import ResponseHandler
+from mustardspur_core.inbound_reads import READ_BYTES
+from mustardspur_node.calls.attempts import AttemptError
+
+from tests.node.stand_ins.mesh import HANG_S, Mesh, run_mesh
+from tests.node.stand_ins.scripted import (
+    CLOSE,
+    ENDLESS,
+    GOOD,
+    KEEP,
+    ScriptedTarget,
+    Step,
+    run_scripted,
+)
+from tests.node.stand_ins.views import make_target, make_view
+
+_HEAD: Final = b'HTTP/1.1 200 OK\r\n'
+_CHUNKED: Final = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+_REQUEST: Final = (
+    b'POST /prescriptions HTTP/1.1\r\nhost: n\r\n'
+    b'connection: close\r\ncontent-length: 0\r\n\r\n'
+)
+_CALLS: Final = 12
+# What the kernel may take in for both ends of two connections, which is not
+# read by the caller.
+_KERNEL_BYTES: Final = 33_554_432
+_LONG_BYTES: Final = 20_000_000
+FAULTS: Mapping[str, Step] = MappingProxyType(
+    {
+        'letters': (b'x' * 60_000, ENDLESS),
+        'header lines': (b''.join((_HEAD, b'a: b\r\n' * 10_000)), ENDLESS),
+        'bad chunk': (b''.join((_CHUNKED, b'zz\r\n')), ENDLESS),
+        'cut body': (
+            b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\ngood',
+            CLOSE,
+        ),
+        'cut long body': (
+            b'HTTP/1.1 200 OK\r\ncontent-length: 99999\r\n\r\ngood',
+            CLOSE,
+        ),
+    },
+)
+# Objects that hold what was received.
+_HOLDERS: Final = (AttemptError, ClientResponse, ResponseHandler, StreamReader)
+
+
+@asynccontextmanager
+async def _node(*steps: Step) -> AsyncIterator[tuple[Mesh, ScriptedTarget]]:
+    async with (
+        run_scripted(*steps) as (address, target),
+        run_mesh(make_view([make_target(address)])) as mesh,
+    ):
+        yield mesh, target
+
+
+@contextmanager
+def _no_collection() -> Iterator[None]:
+    gc.collect()
+    gc.disable()
+    try:
+        yield
+    finally:
+        gc.enable()
+
+
+def _held() -> int:
+    """Count the objects that hold what was received."""
+    return sum(isinstance(each, _HOLDERS) for each in gc.get_objects())
+
+
+@pytest.mark.parametrize('fault', FAULTS)
+async def test_failed_calls_leave_nothing(fault: str) -> None:
+    """Guards against failed calls that keep what was received until a garbage
+    collection, which is rare.
+    """
+    async with _node(*(FAULTS[fault] for _ in range(_CALLS))) as (mesh, target):
+        with _no_collection():
+            before = _held()
+            while target.requests < _CALLS:
+                await mesh.raw(_REQUEST)
+            # A round of the event loop for the connections that are lost.
+            await asyncio.sleep(0.1)
+            left = _held() - before
+    # Fewer than one a call.
+    assert left < _CALLS / 2
+
+
+async def test_target_does_not_take_up_the_loop() -> None:
+    """Guards against a target whose chunks of one byte are handled in reads
+    so long that nothing else is served.
+    """
+    async with _node((_CHUNKED, ENDLESS)) as (mesh, target):
+        target.endless_unit = b'1\r\na\r\n'
+        counted = _Turns()
+        counting = asyncio.create_task(counted.count())
+        await mesh.raw(_REQUEST)
+        counting.cancel()
+    assert target.endless_bytes
+    assert target.endless_bytes < counted.turns * READ_BYTES
+
+
+class _Turns:
+    """Counts the turns of the event loop."""
+
+    def __init__(self) -> None:
+        self.turns = 0
+
+    async def count(self) -> None:
+        while True:
+            await asyncio.sleep(0)
+            self.turns += 1
+
+
+async def test_slow_caller_pauses_the_target() -> None:
+    """Guards against an answer that is kept while its caller reads nothing."""
+    length = b'content-length: 900000000000\r\n\r\n'
+    async with _node((_HEAD + length, ENDLESS)) as (mesh, target):
+        host, _, port = mesh.address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        with closing(writer):
+            writer.write(_REQUEST)
+            sent = -1
+            while sent != target.endless_bytes or not sent:
+                sent = target.endless_bytes
+                await asyncio.sleep(0.2)
+    assert sent < _KERNEL_BYTES
+
+
+def _long(is_chunked: bool) -> bytes:
+    body = bytes(_LONG_BYTES)
+    if is_chunked:
+        part = b''.join((b'10000\r\n', bytes(0x10000), b'\r\n'))
+        count, left = divmod(_LONG_BYTES, 0x10000)
+        last = b''.join((b'%x\r\n' % left, bytes(left), b'\r\n0\r\n\r\n'))
+        return b''.join((_CHUNKED, part * count, last))
+    return b''.join((_HEAD, b'content-length: %d\r\n\r\n' % len(body), body))
+
+
+@pytest.mark.parametrize('is_chunked', [False, True], ids=['sized', 'chunked'])
+async def test_long_answer_is_whole(is_chunked: bool) -> None:
+    """Guards against a bound that cuts a legal answer."""
+    async with _node((_long(is_chunked), KEEP)) as (mesh, _):
+        async with asyncio.timeout(HANG_S):
+            answer: Any = await mesh.call('GET', '/stock')
+    assert answer[0] == 200
+    assert len(answer[2]) == _LONG_BYTES
+
+
+@pytest.mark.parametrize('line', [b'a: b\r\n', b'a: %b\r\n' % b'c'.ljust(6000)])
+async def test_long_head_is_whole(line: bytes) -> None:
+    """Guards against a bound that refuses a legal head."""
+    head, _, body = GOOD.partition(b'\r\n\r\n')
+    lines = line * min(30_000 // len(line), 100)
+    answer = b''.join((head, b'\r\n', lines, b'\r\n', body))
+    async with _node((answer, KEEP)) as (mesh, _):
+        assert await mesh.call('GET', '/stock') == (200, None, b'good')
+
+
+async def test_whole_answer_before_letters_is_delivered() -> None:
+    """Guards against a whole answer that is lost for what follows it."""
+    async with _node((GOOD, ENDLESS)) as (mesh, target):
+        answer = await mesh.call('POST', '/prescriptions', data=b'rx')
+        after = await mesh.call('POST', '/prescriptions', data=b'rx')
+    assert answer == (200, None, b'good')
+    assert after == (200, None, b'good')
+    assert target.connections == 2
