Keep malformed frames out of the texts of their errors

Cause: the error of a frame that cannot be decoded had the representation of the decoder's exception, which contains the whole input for a text that is not UTF-8 and for bytes after the end, and unknown names at full length. It was logged, and a control instance sent it back to the sender as `ProtocolFault`, whose text a node logged in turn.

Change: such errors state the exception's type and at most 500 characters of its text; paths and names in `DecodeError` are cut at 500. The exception of the decoder is no cause of `MalformedFrame`, so that its input is not held with it. A node cuts the text of a `ProtocolFault`.

Failed before: test_malformed_frame_has_a_short_text (bytes after the end, a text that is not UTF-8, bytes that are no frame) and test_long_names_are_cut_in_the_text_of_an_error.

--- a/packages/mustardspur_core/src/mustardspur_core/deltas.py
+++ b/packages/mustardspur_core/src/mustardspur_core/deltas.py
@@ -8,6 +8,7 @@
 from mustardspur_core.readers import DecodeError
 from mustardspur_core.record import Record
 from mustardspur_core.state import ServiceConfig
+from mustardspur_core.texts import describe_error
 
 _SET: Final = 'set'
 _REMOVED: Final = 'removed'
@@ -86,11 +87,11 @@
     try:
         _apply_changes(document, delta)
     except _SHAPE_ERRORS as error:
-        raise BadDelta(repr(error)) from error
+        raise BadDelta(describe_error(error)) from error
     try:
         return _from_document(document)
     except _SHAPE_ERRORS as error:
-        raise BadDelta(repr(error)) from error
+        raise BadDelta(describe_error(error)) from error
 
 
 def _apply_changes(document: dict[str, Any], delta: dict[str, Any]) -> None:
--- a/packages/mustardspur_core/src/mustardspur_core/readers.py
+++ b/packages/mustardspur_core/src/mustardspur_core/readers.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from typing import Any, Final
 
+from mustardspur_core.texts import MAX_ERROR_CHARS, shorten
+
 Reader = Callable[[Any, str], Any]
 MAX_DESCRIBED_CHARS: Final = 60
 # Lists in lists are described up to this depth: `repr` of a thousand nested
@@ -27,10 +29,13 @@
 
     def __init__(self, path: str, expected: str, found: str) -> None:
         """Initialise the error and its message."""
-        super().__init__(f'{path}: expected {expected}, found {found}')
-        self.path = path
+        # Keys of objects are part of the path, and can be of any length.
+        self.path = shorten(path, MAX_ERROR_CHARS)
         self.expected = expected
-        self.found = found
+        self.found = shorten(found, MAX_ERROR_CHARS)
+        super().__init__(
+            f'{self.path}: expected {expected}, found {self.found}'
+        )
 
 
 class _ListReader:
--- a/packages/mustardspur_core/src/mustardspur_core/texts.py
+++ b/packages/mustardspur_core/src/mustardspur_core/texts.py
@@ -1,5 +1,10 @@
 """Texts of a bounded length."""
 
+from typing import Final
+
+# Of an error whose text can contain what another process sent.
+MAX_ERROR_CHARS: Final = 500
+
 
 def shorten(text: str, limit: int) -> str:
     """Return a text of at most a number of characters, or a part of it.
@@ -13,3 +18,11 @@
     omitted = len(text) - limit
     mark = f'[{omitted} characters cut]'
     return ''.join((text[: limit - end], mark, text[-end:]))
+
+
+def describe_error(error: BaseException) -> str:
+    """Return the type of an error and a part of its text.
+
+    The representation of an error of a decoder contains all of its input.
+    """
+    return f'{type(error).__name__}: {shorten(str(error), MAX_ERROR_CHARS)}'
--- a/packages/mustardspur_core/src/mustardspur_core/wire/codec.py
+++ b/packages/mustardspur_core/src/mustardspur_core/wire/codec.py
@@ -8,6 +8,7 @@
 from mustardspur_core.conversion import decode_array, encode_array
 from mustardspur_core.readers import DecodeError, describe
 from mustardspur_core.record import Record
+from mustardspur_core.texts import describe_error
 
 PROTOCOL_VERSION: Final = 1
 FRAME_FIELDS: Final = 4
@@ -125,7 +126,7 @@
         parts = _unpack(encoded)
     # msgpack raises several unrelated exception types on invalid input.
     except (ValueError, TypeError, RecursionError) as error:
-        raise MalformedFrame('msgpack', repr(error)) from error
+        raise MalformedFrame('msgpack', describe_error(error)) from None
     if not isinstance(parts, list) or len(parts) != FRAME_FIELDS:
         raise MalformedFrame('shape', f'expected {FRAME_FIELDS} parts')
     return parts[0], parts[1], parts[2], parts[3]
--- a/packages/mustardspur_node/src/mustardspur_node/link_session.py
+++ b/packages/mustardspur_node/src/mustardspur_node/link_session.py
@@ -16,6 +16,7 @@
     TargetUpdate,
     Welcome,
 )
+from mustardspur_core.texts import MAX_ERROR_CHARS, shorten
 from mustardspur_core.units import MS_PER_S
 from mustardspur_core.wire import FrameStream, MessageDispatcher
 
@@ -168,4 +169,5 @@
 
 @_FROM_CONTROL.handles(ProtocolFault)
 async def _handle_fault(session: LinkSession, fault: ProtocolFault) -> None:
-    raise ConnectionAbortedError(f'{fault.kind}: {fault.detail}')
+    reason = f'{fault.kind}: {fault.detail}'
+    raise ConnectionAbortedError(shorten(reason, MAX_ERROR_CHARS))
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
@@ -19,6 +19,7 @@
 from mustardspur_core.mesh.packing import unpack_delta
 from mustardspur_core.settings import MeshSettings, Settings
 from mustardspur_core.tasks import run_periodically, run_until_first_end
+from mustardspur_core.texts import describe_error
 from mustardspur_core.wire import (
     FrameStream,
     MalformedFrame,
@@ -309,6 +310,6 @@
         extra={
             'control': address,
             'was_attached': bool(attached),
-            'reason': repr(error),
+            'reason': describe_error(error),
         },
     )
--- a/tests/core/wire/test_codec.py
+++ b/tests/core/wire/test_codec.py
@@ -4,9 +4,14 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from mustardspur_core.conversion import decode_mapping
 from mustardspur_core.messages import Busy, Heartbeat, Welcome
+from mustardspur_core.readers import DecodeError, dict_reader, scalar_reader
 from mustardspur_core.wire import MalformedFrame, decode_frame, encode_frame
 
+_LONG_BYTES = 100_000
+_MAX_TEXT_CHARS = 2000
+
 
 def test_round_trip_keeps_request_and_fields() -> None:
     """Guards against fields in another order on the wire."""
@@ -74,3 +79,39 @@
     encoded = encode_frame(Heartbeat(sequence=1))
     with pytest.raises(MalformedFrame):
         decode_frame(encoded[:-1])
+
+
+@pytest.mark.parametrize(
+    'encoded',
+    [
+        b'x' * _LONG_BYTES,
+        b'\xc7' * _LONG_BYTES,
+        msgpack.packb([1, 2, 0, [b'\xff' * _LONG_BYTES, True]]),
+        b'\xdb%b%b' % (_LONG_BYTES.to_bytes(4, 'big'), b'\xff' * _LONG_BYTES),
+        msgpack.packb([1, 2, 0, ['c1', True]]) + b'x' * _LONG_BYTES,
+        msgpack.packb([1, 2, 0, ['x' * _LONG_BYTES, 7]]),
+        msgpack.packb([1, 161, 0, {'x' * _LONG_BYTES: 1}]),
+        msgpack.packb([1, 'x' * _LONG_BYTES, 0, []]),
+    ],
+)
+def test_malformed_frame_has_a_short_text(encoded: bytes) -> None:
+    """Guards against a line of the log, and an answer to the sender, that
+    contain a malformed frame.
+    """
+    with pytest.raises(MalformedFrame) as caught:
+        decode_frame(encoded)
+    assert len(str(caught.value)) < _MAX_TEXT_CHARS
+    assert len(repr(caught.value.__cause__)) < _MAX_TEXT_CHARS
+
+
+def test_long_names_are_cut_in_the_text_of_an_error() -> None:
+    """Guards against a text of an error with the names in what was sent."""
+    name = 'x' * _LONG_BYTES
+    with pytest.raises(DecodeError) as unknown:
+        decode_mapping(Welcome, {name: 1})
+    with pytest.raises(DecodeError) as nested:
+        dict_reader(scalar_reader(int))({name: 'one'}, 'counts')
+    assert len(str(unknown.value)) < _MAX_TEXT_CHARS
+    assert len(str(nested.value)) < _MAX_TEXT_CHARS
+    assert str(nested.value).startswith('counts.xxx')
+    assert str(nested.value).endswith("expected int, found str 'one'")
