Show only the start of texts that are no value

Cause: the errors of a rate, a cold time, a duration and an address that cannot be read had the whole text: up to 8 KiB of a header of a target or a caller, 16 KiB of a report, and the names of entries of an operator's configuration at any length. A deadline of a caller that is no number also had a line of its own for each request.

Change: these errors show 80 characters and state the length.

--- a/packages/mustardspur_core/src/mustardspur_core/durations.py
+++ b/packages/mustardspur_core/src/mustardspur_core/durations.py
@@ -3,6 +3,9 @@
 import math
 from typing import Any, Final
 
+from mustardspur_core.readers import describe
+from mustardspur_core.texts import parse_number, show
+
 _UNITS_MS: Final = (('ms', 1.0), ('s', 1000.0))
 MS_PER_S: Final = 1000.0
 
@@ -26,11 +29,11 @@
     2500.0
     """
     if not isinstance(text, str):
-        raise ValueError(f'not a duration with a unit: {text!r}')
+        raise ValueError(f'not a duration with a unit: {describe(text)}')
     for suffix, factor in _UNITS_MS:
         if text.endswith(suffix):
             return _number(text, text.removesuffix(suffix)) * factor
-    raise ValueError(f'a duration needs the unit ms or s: {text!r}')
+    raise ValueError(f'a duration needs the unit ms or s: {show(text)}')
 
 
 def parse_s(text: Any) -> float:
@@ -39,7 +42,7 @@
 
 
 def _number(text: str, digits: str) -> float:
-    number = float(digits)
+    number = parse_number(digits)
     if math.isfinite(number):
         return number
-    raise ValueError(f'not a finite duration: {text!r}')
+    raise ValueError(f'not a finite duration: {show(text)}')
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_requests.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_requests.py
@@ -1,13 +1,12 @@
 """Calls made of the requests of callers."""
 
-import logging
 import random
-from typing import Final
 
 from aiohttp.http_parser import RawRequestMessage
 from mustardspur_core.mesh.model import MeshRoute
 from mustardspur_core.metrics import Metrics
 from mustardspur_core.settings import MeshSettings
+from mustardspur_core.texts import show
 from mustardspur_core.units import MS_PER_S
 
 from mustardspur_node.mesh.allowances import NodeAllowances
@@ -21,8 +20,6 @@
 from mustardspur_node.mesh.upload_refusals import UploadTerms
 from mustardspur_node.mesh.view import MeshView, RouteIndex
 
-_LOG: Final = logging.getLogger(__name__)
-
 
 class CallBuilder:
     """Reads requests and determines their account, deadline and value.
@@ -36,7 +33,7 @@
     uploads : CallerUploads
         Reads the bodies.
     decisions : DecisionLog
-        Receives the refusals of keys.
+        Receives the refusals of keys, and deadlines that are no number.
     mesh : MeshSettings
         Tolerance of the rate limits of accounts.
     metrics : Metrics
@@ -50,6 +47,7 @@
 
     __slots__ = (
         '_accounts',
+        '_decisions',
         '_evaluated_routes',
         '_evaluator',
         '_names',
@@ -73,6 +71,7 @@
         self.allowances = NodeAllowances(
             mesh, view, decisions, metrics, random.Random()
         )
+        self._decisions = decisions
         self._view = view
         self._names = names
         self._uploads = uploads
@@ -169,9 +168,9 @@
             stated_ms = float('nan')
         if abs(stated_ms) < float('inf'):
             return stated_ms
-        _LOG.info(
+        self._decisions.write(
             'deadline header is not a number',
-            extra={'deadline': stated},
+            deadline=show(stated),
         )
         return route.timeout_ms
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/cold_state.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/cold_state.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from mustardspur_core.mesh.model import ServiceRule
+from mustardspur_core.texts import parse_number, show
 from mustardspur_core.units import MS_PER_S
 
 from mustardspur_node.mesh.decisions import DecisionLog
@@ -314,9 +315,9 @@
     ValueError
         If the value is not a finite number of at least 0.
     """
-    cold_ms = float(text)
+    cold_ms = parse_number(text)
     if not math.isfinite(cold_ms) or cold_ms < 0:
-        raise ValueError(f'expected a time of at least 0, found {text!r}')
+        raise ValueError(f'expected a time of at least 0, found {show(text)}')
     return cold_ms
 
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/rate_limit.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/rate_limit.py
@@ -4,6 +4,8 @@
 import math
 from typing import Final
 
+from mustardspur_core.texts import parse_number, show
+
 # Calls that may follow each other at once, as the time in which the limit
 # allows them. Callers do not call at even distances.
 BURST_S: Final = 0.25
@@ -135,7 +137,7 @@
     ValueError
         If the value is not a finite number of at least 0.
     """
-    rate = float(text)
+    rate = parse_number(text)
     if not math.isfinite(rate) or rate < 0:
-        raise ValueError(f'expected a rate of at least 0, found {text!r}')
+        raise ValueError(f'expected a rate of at least 0, found {show(text)}')
     return rate
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/reports.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/reports.py
@@ -10,6 +10,7 @@
 from mustardspur_core.mesh.model import MeshTargetState
 from mustardspur_core.record import Defaults, Record, replaced
 from mustardspur_core.settings import Settings
+from mustardspur_core.texts import show
 
 from mustardspur_node.mesh.cold_state import ColdState
 
@@ -23,7 +24,6 @@
 # distinguish a late report of it from a new one. Reports are not expected to
 # be later than this.
 MAX_REPORT_DELAY_S: Final = 6.0
-MAX_SHOWN: Final = 80
 # The identifier is sent to the target in the head of each call.
 _NAMES: Final = ('id', 'service', 'version')
 MAX_NAME_CHARS: Final = 256
@@ -92,8 +92,8 @@
                 f'at most {MAX_NAME_CHARS}'
             )
     if not has_valid_port(report.address):
-        shown = report.address[:MAX_SHOWN]
-        return f'address: expected ip:port, found {shown!r}'
+        shown = show(report.address)
+        return f'address: expected ip:port, found {shown}'
     for name, (lowest, highest) in _RANGES.items():
         if not lowest <= getattr(report, name) <= highest:
             return '{}: expected {} to {}'.format(name, lowest, highest)
@@ -121,8 +121,7 @@
     for name, expected in expected_by_field.items():
         found = getattr(report, name)
         if found != expected:
-            shown = found[:MAX_SHOWN]
-            return f'{name}: expected {expected!r}, found {shown!r}'
+            return f'{name}: expected {expected!r}, found {show(found)}'
     return ''
 
 
@@ -276,7 +275,7 @@
 
     def _reject_reason(self, report: TargetReport) -> str:
         if report.address.rpartition(':')[0] != self.address.rpartition(':')[0]:
-            return f'address {report.address} is on another instance'
+            return f'address {show(report.address)} is on another instance'
         removed_s = self._unknown_removed_s.get(report.id, float('-inf'))
         is_late = _now() - removed_s < MAX_REPORT_DELAY_S
         if is_late or report.born <= self._born_by_removed_id.get(
--- a/tests/core/test_durations.py
+++ b/tests/core/test_durations.py
@@ -21,3 +21,19 @@
     """Guards against a default unit for a duration without a unit."""
     with pytest.raises(ValueError, match='duration|float|unit'):
         parse_ms(text)
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        'x' * 100_000,
+        '{}ms'.format('x' * 100_000),
+        '{}s'.format('9' * 100_000),
+        ['x' * 100_000],
+    ],
+)
+def test_long_text_is_shown_in_part(text: object) -> None:
+    """Guards against an error with all that was sent as a duration."""
+    with pytest.raises(ValueError, match='duration|float|unit') as refused:
+        parse_ms(text)
+    assert len(str(refused.value)) < 200
--- a/tests/node/mesh/test_caller_server.py
+++ b/tests/node/mesh/test_caller_server.py
@@ -17,6 +17,7 @@
 from mustardspur_core.record import replaced
 from mustardspur_core.settings import MeshSettings
 from mustardspur_node.mesh.caller_server import CallerServer
+from mustardspur_node.mesh.decisions import MAX_LINES_PER_S
 from mustardspur_node.mesh.names import HEADER_NAMES
 from mustardspur_node.mesh.placing import Placer
 from mustardspur_node.mesh.view import MeshView
@@ -104,6 +105,22 @@
     assert 'deadline header is not a number' in caplog.text
 
 
+async def test_long_deadlines_do_not_fill_the_log(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a caller that fills the log with deadlines that are no
+    numbers, each of the length of a header line.
+    """
+    caplog.set_level(logging.INFO)
+    line = b'%b: %b\r\n' % (HEADER_NAMES.deadline_ms.encode(), b'x' * 4000)
+    async with _serving() as (address, _):
+        requests = (_status(address, line) for _ in range(3 * MAX_LINES_PER_S))
+        assert set(await asyncio.gather(*requests)) == {'503'}
+    lines = [line for line in caplog.records if line.msg.startswith('deadline')]
+    assert all(len(line.__dict__['deadline']) < 200 for line in lines)
+    assert len(lines) < 3 * MAX_LINES_PER_S
+
+
 async def test_route_without_any_weight_refuses() -> None:
     """Guards against callers that hang on a route whose weights are all 0."""
     shares = [
--- a/tests/node/mesh/test_statements.py
+++ b/tests/node/mesh/test_statements.py
@@ -1,5 +1,6 @@
 """Tests of what a target states about itself in its answers."""
 
+import logging
 from typing import Final
 
 import pytest
@@ -9,6 +10,7 @@
 from mustardspur_core.record import replaced
 from mustardspur_node.mesh.answer_parser import RawAnswer
 from mustardspur_node.mesh.calls import PlacementFault
+from mustardspur_node.mesh.names import HEADER_NAMES
 from mustardspur_node.mesh.reports import ReportStore
 
 from tests.node.mesh.builders import call_open, local_target, target_report
@@ -84,3 +86,19 @@
     local.statements.apply(successor, answer, 0)
     assert local.reports.current == replaced(successor, state='draining')
     assert local.admission.capacity.rate_limit.per_s == 7
+
+
+async def test_statement_that_is_no_number_is_shown_in_part(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against lines of the log with all that a target states."""
+    caplog.set_level(logging.INFO)
+    stated = 'x' * 8000
+    local = local_target('127.0.0.1:1')
+    report = target_report()
+    local.reports.accept(report)
+    for name in (HEADER_NAMES.rate_limit, HEADER_NAMES.cold_ms):
+        local.statements.apply(report, _answer({name: stated}), sent_s=0)
+    lines = [record for record in caplog.records if 'read' in record.msg]
+    assert len(lines) == 2
+    assert all(len(line.__dict__['reason']) < 200 for line in lines)
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -91,6 +91,18 @@
     assert len(str(error.value)) < len(_LONG)
 
 
+def test_long_name_of_an_entry_is_cut() -> None:
+    """Guards against answers and log lines with a route's name of any length,
+    or a duration of any length.
+    """
+    body = configuration()
+    body['routes']['x' * 100_000] = body['routes'].pop('r-1')
+    body['routes']['x' * 100_000]['timeout'] = 'y' * 100_000
+    with pytest.raises(BadField) as error:
+        decode_table(json.dumps(body).encode())
+    assert len(str(error.value)) < 1000
+
+
 def test_weight_beyond_any_number_is_refused() -> None:
     """Guards against an exception for a number that no float can hold."""
     body = configuration()
