Send the last answer and the end of its connection together

Cause: the end went out in a segment of its own. It is late while the event loop is, and while the kernel is short of memory for sockets it is not sent at all until the retransmission timer of the answer expires, if the answer is not acknowledged yet. The caller has the whole answer by then and sends on.

The last segment of such an answer is now held until the writing side is closed, so that the caller reads the answer and the end at once.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_answers.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_answers.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 from typing import Final
 
+from mustardspur_core.connection_end import hold_last_segment
 from mustardspur_core.record import Record
 
 from mustardspur_node.mesh.body_room import SMALL_BODY_BYTES
@@ -115,7 +116,8 @@
     method : str
         Method of the request; an answer to HEAD has no body.
     closes : bool
-        Whether to add ``connection: close``.
+        Whether to add ``connection: close``. The last segment is then held
+        until the writing side is closed.
     """
     lines = [f'HTTP/1.1 {answer.status} {answer.reason}']
     lines.extend(f'{name}: {text}' for name, text in answer.headers)
@@ -123,6 +125,7 @@
         lines.append(f'content-length: {len(answer.body)}')
     if closes:
         lines.append('connection: close')
+        hold_last_segment(transport)
     lines.append('\r\n')
     head = '\r\n'.join(lines).encode('utf-8', 'surrogateescape')
     if method == 'HEAD':
