End unused connections of callers in the same turn

A connection that is closed while it is unused, at its idle limit or a planned stop, takes no further request from then on. Its caller learns that from the end of the connection, which uvloop sends only in its next iteration. A request that arrived in between was left unanswered for as long as the loop was late.

The writing side is now closed at once where nothing is left to be written.

`test_unused_connection_ends_at_once` failed on uvloop before, 2 of 2 cases, and held on the event loop of asyncio, which closes at once by itself.

--- a/packages/mustardspur_core/src/mustardspur_core/connection_end.py
+++ b/packages/mustardspur_core/src/mustardspur_core/connection_end.py
@@ -20,10 +20,37 @@
     Parameters
     ----------
     transport : asyncio.Transport
-        The connection, whose writing side is closed afterwards.
+        The connection, whose writing side is closed with `end_writing`.
     """
     connected = transport.get_extra_info('socket')
     if connected is None or transport.is_closing():
         return
     with suppress(OSError):
         connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_CORK, 1)
+
+
+def end_writing(transport: asyncio.Transport) -> None:
+    """Close the writing side once all is written, at once if it is.
+
+    Explanation
+    ===========
+
+    uvloop would close it in its next iteration, and what arrives until then is
+    no longer answered.
+
+    Parameters
+    ----------
+    transport : asyncio.Transport
+        The connection, on which nothing is written any more.
+    """
+    if transport.is_closing():
+        return
+    if transport.get_write_buffer_size():
+        transport.write_eof()
+        return
+    descriptor = transport.get_extra_info('socket').fileno()
+    connected = socket.socket(fileno=descriptor)
+    # The other side may have reset the connection.
+    with suppress(OSError):
+        connected.shutdown(socket.SHUT_WR)
+    connected.detach()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -317,12 +317,10 @@
         transport = self.transport
         if transport is None:
             return
-        if transport.can_write_eof():
-            transport.write_eof()
-        # Reading may be paused within a body whose rest is discarded.
-        self._resume_transport_reading()
         within_body = bool(self._pending) and self._pending[0].within_body
         self.linger = Linger(transport, within_body=within_body)
+        # Reading may be paused within a body whose rest is discarded.
+        self._resume_transport_reading()
 
 
 def _cancel(requests: Iterable[PendingRequest]) -> None:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_linger.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_linger.py
@@ -3,6 +3,8 @@
 import asyncio
 from typing import Final
 
+from mustardspur_core.connection_end import end_writing
+
 # Time for the caller to read the last answer and close its side. Closing with
 # unread bytes would reset the connection and lose the answer.
 LINGER_S: Final = 1.0
@@ -16,10 +18,12 @@
 class Linger:
     """Closes a connection after `LINGER_S`, or once a body has ended.
 
+    The writing side is closed at once.
+
     Parameters
     ----------
     transport : Transport
-        The connection, whose writing side is closed.
+        The connection.
     within_body : bool
         Whether the caller sends on, since its body is not read whole.
 
@@ -45,7 +49,8 @@
         *,
         within_body: bool,
     ) -> None:
-        """Start to wait."""
+        """Close the writing side and start to wait."""
+        end_writing(transport)
         self._loop = asyncio.get_running_loop()
         self._transport = transport
         now_s = self._loop.time()
--- a/tests/node/mesh/test_caller_ends.py
+++ b/tests/node/mesh/test_caller_ends.py
@@ -67,10 +67,11 @@
 
 
 class _Node:
-    """Answers each request with a body and then closes its connection."""
+    """Answers each request with a body, and then closes its connection."""
 
     def __init__(self, body: str = 'ran') -> None:
         self.limits = LIMITS
+        self.is_closing = True
         self.connections: list[CallerConnection] = []
         self._body = body
 
@@ -82,7 +83,7 @@
         return connection
 
     def is_draining(self) -> bool:
-        return True
+        return self.is_closing
 
     async def answer(
         self, _: RawRequestMessage, _body: ReadBody
@@ -150,3 +151,34 @@
     """Guards against a part of an answer that is held back for ever."""
     with asyncio.Runner(loop_factory=new_loop) as runner:
         runner.run(_read_a_long_answer())
+
+
+async def _look_after(
+    ask_to_end: Callable[[CallerConnection], None],
+) -> None:
+    node = _Node()
+    node.is_closing = False
+    async with _connected(node) as caller:
+        caller.send_request()
+        assert await caller.read_answer()
+        connection = node.connections[0]
+        while connection.room.pending:
+            await asyncio.sleep(0)
+        ask_to_end(connection)
+        caller.look()
+        assert caller.is_ended
+
+
+@in_both_loops
+@pytest.mark.parametrize(
+    'ask_to_end', [CallerConnection.drain, CallerConnection.close_idle]
+)
+def test_unused_connection_ends_at_once(
+    new_loop: NewLoop,
+    ask_to_end: Callable[[CallerConnection], None],
+) -> None:
+    """Guards against a request that arrives while its unused connection ends,
+    and is left unanswered for as long as the event loop is late.
+    """
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        runner.run(_look_after(ask_to_end))
