Send refusals of connections together with their end

A client that is refused beyond the limit of connections, or for its head at an HTTP interface, could have the whole refusal and not the end of the connection, as a caller before its last answer was held: a further request was then left unanswered until the end came, 200 ms or more later while the kernel is short of memory for sockets. The refusal and the end now share a segment as well.

`test_refusal_arrives_with_the_end` failed before on both event loops: two segments. The refusal of a head in `http_clients.py` has the same change and no test of its own.

--- a/packages/mustardspur_core/src/mustardspur_core/http_clients.py
+++ b/packages/mustardspur_core/src/mustardspur_core/http_clients.py
@@ -12,6 +12,7 @@
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.web_protocol import RequestPayloadError
 
+from mustardspur_core.connection_end import end_writing, hold_last_segment
 from mustardspur_core.framing_limits import (
     DEFAULT_FRAMING_BYTES,
     FramingLimits,
@@ -248,8 +249,10 @@
             return
         self._on_close(status.phrase)
         self._is_closed = True
-        self.transport.write(plain_answer(status, text=status.phrase))
-        self.transport.write_eof()
+        transport = self.transport
+        hold_last_segment(transport)
+        transport.write(plain_answer(status, text=status.phrase))
+        end_writing(transport)
         # What arrives meanwhile is ignored; unread, it would reset the
         # connection before the client has read the answer.
         self.timer.stop()
--- a/packages/mustardspur_core/src/mustardspur_core/refusals.py
+++ b/packages/mustardspur_core/src/mustardspur_core/refusals.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 from typing import Any, Final
 
+from mustardspur_core.connection_end import end_writing, hold_last_segment
 from mustardspur_core.descriptors import descriptor_limit, max_refused
 
 _LOG: Final = logging.getLogger(__name__)
@@ -140,8 +141,9 @@
     def data_received(self, _: bytes) -> None:
         if not self._answer or self._transport is None:
             return
+        hold_last_segment(self._transport)
         self._transport.write(self._answer)
-        self._transport.write_eof()
+        end_writing(self._transport)
         self._answer = b''
         self._cancel_timer()
         loop = asyncio.get_running_loop()
