Read answers of targets in small parts and in turns

Callers at a node were hardly served beside a target that sent chunks of one byte. The event loop hands up to 256 KiB of a connection to its protocol at once, and the parser called the body once for each chunk of them.

Connections to targets now have the bounded reads of callers' connections: 16 KiB a read, and reads of many lines take turns, 4 KiB each. The connector moves to a module of its own, unchanged but for what it connects.

--- a/packages/mustardspur_node/src/mustardspur_node/calls/channels.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/channels.py
@@ -5,11 +5,13 @@
 from typing import Any, Final
 
 from aiohttp import ClientRequest, ClientResponse, ClientTimeout, TCPConnector
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 from multidict import CIMultiDict
+from mustardspur_core.read_turns import ReadTurns
 from yarl import URL
 
+from mustardspur_node.calls.connectors import TargetConnector
+
 CONNECT_TIMEOUT_S: Final = 1.0
 # Below the usual idle timeouts of targets, so that the node closes first and
 # no call is sent on a connection that the target is closing.
@@ -47,40 +49,14 @@
 )
 
 
-class _Connector(TCPConnector):
-    """Connector that completes a connect after its call is cancelled.
-
-    Explanation
-    ===========
-
-    A cancellation during a connect leaves uvloop with a transport whose
-    descriptor is closed. The next socket gets the same descriptor, its
-    connect fails, and the process can exit. The connect is therefore
-    completed in a separate task and the connection closed afterwards.
-    """
-
-    async def _create_connection(
-        self,
-        req: ClientRequest,
-        traces: Any,
-        timeout: ClientTimeout,
-    ) -> ResponseHandler:
-        creation = super()._create_connection(req, traces, timeout)
-        task = asyncio.get_running_loop().create_task(creation)
-        try:
-            return await asyncio.shield(task)
-        except asyncio.CancelledError:
-            task.add_done_callback(_close_unused)
-            raise
-
-
 class _Pool:
     """Connections opened since the pool was last replaced."""
 
     __slots__ = ('active', 'connector')
 
-    def __init__(self, limit: int) -> None:
-        self.connector = _Connector(
+    def __init__(self, limit: int, turns: ReadTurns) -> None:
+        self.connector = TargetConnector(
+            turns,
             limit=limit,
             keepalive_timeout=IDLE_TIMEOUT_S,
             use_dns_cache=False,
@@ -105,6 +81,7 @@
         '_limit',
         '_loop',
         '_pool',
+        '_turns',
         'address',
     )
 
@@ -114,7 +91,8 @@
         self._base_url = f'http://{address}'
         self._limit = limit
         self._loop = asyncio.get_running_loop()
-        self._pool = _Pool(limit)
+        self._turns = ReadTurns()
+        self._pool = _Pool(limit, self._turns)
         self._closing: set[asyncio.Task[None]] = set()
 
     def request(
@@ -167,7 +145,7 @@
         the last of them ends.
         """
         pool = self._pool
-        self._pool = _Pool(self._limit)
+        self._pool = _Pool(self._limit, self._turns)
         if not pool.active:
             self._close_later(pool)
 
@@ -222,10 +200,5 @@
         connection.close()
 
 
-def _close_unused(task: asyncio.Task[ResponseHandler]) -> None:
-    if not task.cancelled() and task.exception() is None:
-        task.result().close()
-
-
 async def _close(pool: _Pool) -> None:
     await pool.connector.close()
