Bound the head of an answer with all that precedes it

A node ended for its memory when a target sent interim answers without end, in a call or in a health check. The parser limits lines and their number, but not a whole head, and the connection kept each interim answer until the call read it. What the parser refused stayed in the text of its error, and through the traceback with the frames that had received it. A whole answer was lost if the bytes behind it could not be parsed.

Connections to targets count a head, the empty lines and the interim answers before it together, 64 KiB at most, before they are parsed. Interim answers are discarded. Errors state a reason only. A head is parsed apart from what follows it, so that a whole answer stays one.

--- a/packages/mustardspur_node/src/mustardspur_node/calls/connectors.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/connectors.py
@@ -8,6 +8,8 @@
 from mustardspur_core.inbound_reads import InboundReads
 from mustardspur_core.read_turns import ReadTurns
 
+from mustardspur_node.calls.target_connections import TargetConnection
+
 
 class _TargetReads(InboundReads):
     """Reads of a connection to a target, in turns.
@@ -75,7 +77,7 @@
         return transport, reads.protocol
 
     def _create_reads(self) -> _TargetReads:
-        return _TargetReads(ResponseHandler(self._loop), self._turns)
+        return _TargetReads(TargetConnection(self._loop), self._turns)
 
 
 def _close_unused(task: asyncio.Task[ResponseHandler]) -> None:
--- /dev/null
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/target_connections.py
@@ -0,0 +1,117 @@
+"""Connections to targets, whose answers are bounded."""
+
+import asyncio
+from http import HTTPStatus
+from typing import Any, Final
+
+from aiohttp import ClientPayloadError, StreamReader
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.helpers import EMPTY_BODY_STATUS_CODES
+from aiohttp.http_parser import RawResponseMessage
+from aiohttp.streams import EMPTY_PAYLOAD
+from mustardspur_core.framing_limits import FramingLimits, HeadTooLarge
+
+# Head of an answer with all that comes before it: empty lines and interim
+# answers. The parser limits lines and their number only.
+MAX_HEAD_BYTES: Final = 65_536
+_HEAD_END: Final = b'\r\n\r\n'
+
+_Message = tuple[RawResponseMessage, StreamReader]
+
+
+class TargetConnection(ResponseHandler):
+    """Connection to a target that carries one call at a time.
+
+    Explanation
+    ===========
+
+    The connection of aiohttp parses all that it receives, keeps each message
+    until it is read, and states what was received in the text of its errors.
+    Here bytes are counted before they are parsed, interim answers are
+    discarded, and errors state a reason only.
+
+    Parameters
+    ----------
+    loop : AbstractEventLoop
+        The running event loop.
+    """
+
+    __slots__ = ('_awaits_head', '_framing', '_has_failed')
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Initialise without a call."""
+        super().__init__(loop)
+        self._framing = FramingLimits()
+        self._awaits_head = False
+        self._has_failed = False
+
+    def set_response_params(self, **options: Any) -> None:
+        """Begin a call, with the options of its parser."""
+        self._framing.complete_head()
+        self._awaits_head = True
+        super().set_response_params(**options)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; none resume a paused parser."""
+        left = data
+        while left and self._awaits_head and not self._has_failed:
+            left = self._receive_head(left)
+        if self._has_failed or self._parser is None:
+            return
+        if left or not data:
+            self._add_messages(self._parse(left))
+
+    def _receive_head(self, received: bytes) -> bytes:
+        """Parse up to the end of a head; return what follows it."""
+        part, end, left = received.partition(_HEAD_END)
+        try:
+            self._framing.add_head(len(part) + len(end), MAX_HEAD_BYTES)
+        except HeadTooLarge:
+            self._fail('head of the answer is too long')
+            return b''
+        for message, payload in self._parse(b''.join((part, end))):
+            if _is_final(message):
+                self._awaits_head = False
+                self._add_messages([(message, payload)])
+            elif payload is not EMPTY_PAYLOAD:
+                self._fail('interim answer has a body')
+        return left
+
+    def _parse(self, received: bytes) -> list[_Message]:
+        parser = self._parser
+        assert parser is not None
+        try:
+            messages, upgraded, _ = parser.feed_data(received)
+        except Exception:
+            # The text of the parser's error contains what was received.
+            self._fail('answer is malformed')
+            return []
+        self._upgraded = upgraded
+        return list(messages)
+
+    def _add_messages(self, messages: list[_Message]) -> None:
+        for message, payload in messages:
+            if message.should_close:
+                self._should_close = True
+            self._payload = payload
+            body = payload
+            if self._skip_payload or message.code in EMPTY_BODY_STATUS_CODES:
+                body = EMPTY_PAYLOAD
+            self.feed_data((message, body), 0)
+
+    def _fail(self, reason: str) -> None:
+        """End the connection, and the answer unless it is complete."""
+        self._has_failed = True
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(ClientPayloadError(reason))
+        self.set_exception(ClientPayloadError(reason))
+        if self.transport is not None:
+            self.transport.abort()
+
+
+def _is_final(message: RawResponseMessage) -> bool:
+    """Return whether no further answer of the same call follows."""
+    code = message.code
+    is_interim = HTTPStatus.CONTINUE <= code < HTTPStatus.OK
+    return not is_interim or code == HTTPStatus.SWITCHING_PROTOCOLS
