End a connection whose target sends what belongs to no call

A node ended for its memory when a target sent further answers behind a whole one: the connection parsed them all, with their bodies, and kept them while it was idle. Only the next call found out and closed it.

A connection now knows where the body of an answer ends. What is received behind it, or while no call waits, is not parsed and ends the connection; the answer itself stays whole, also while its caller reads slowly.

Answers of 20 MB, of a length and in chunks, are delivered whole with letters behind them.

--- a/packages/mustardspur_node/src/mustardspur_node/calls/target_connections.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/target_connections.py
@@ -28,7 +28,8 @@
     The connection of aiohttp parses all that it receives, keeps each message
     until it is read, and states what was received in the text of its errors.
     Here bytes are counted before they are parsed, interim answers are
-    discarded, and errors state a reason only.
+    discarded, and errors state a reason only. Bytes that belong to no call are
+    not parsed and end the connection.
 
     Parameters
     ----------
@@ -36,13 +37,15 @@
         The running event loop.
     """
 
-    __slots__ = ('_awaits_head', '_framing', '_has_failed')
+    __slots__ = ('_awaits_head', '_body_left', '_framing', '_has_failed')
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         """Initialise without a call."""
         super().__init__(loop)
         self._framing = FramingLimits()
         self._awaits_head = False
+        # Bytes of a body of a stated length that were not received.
+        self._body_left: int | None = None
         self._has_failed = False
 
     def set_response_params(self, **options: Any) -> None:
@@ -56,10 +59,17 @@
         left = data
         while left and self._awaits_head and not self._has_failed:
             left = self._receive_head(left)
-        if self._has_failed or self._parser is None:
+        if self._has_failed:
             return
-        if left or not data:
-            self._add_messages(self._parse(left))
+        if self._is_within_body:
+            self._receive_body(left)
+        elif left:
+            self._fail('bytes belong to no call')
+
+    @property
+    def _is_within_body(self) -> bool:
+        payload = self._payload
+        return payload is not None and not payload.is_eof()
 
     def _receive_head(self, received: bytes) -> bytes:
         """Parse up to the end of a head; return what follows it."""
@@ -72,11 +82,23 @@
         for message, payload in self._parse(b''.join((part, end))):
             if _is_final(message):
                 self._awaits_head = False
-                self._add_messages([(message, payload)])
+                self._add_message(message, payload)
             elif payload is not EMPTY_PAYLOAD:
                 self._fail('interim answer has a body')
         return left
 
+    def _receive_body(self, received: bytes) -> None:
+        """Parse a part of a body, or go on with a paused parser."""
+        part = received[: self._body_left]
+        if self._body_left is not None:
+            self._body_left -= len(part)
+        surplus = len(received) > len(part)
+        if self._parse(part) or surplus:
+            self._should_close = True
+            # A paused parser has not passed on the end of the body yet.
+            if not self._is_within_body:
+                self._fail('bytes belong to no call')
+
     def _parse(self, received: bytes) -> list[_Message]:
         parser = self._parser
         assert parser is not None
@@ -89,15 +111,18 @@
         self._upgraded = upgraded
         return list(messages)
 
-    def _add_messages(self, messages: list[_Message]) -> None:
-        for message, payload in messages:
-            if message.should_close:
-                self._should_close = True
-            self._payload = payload
-            body = payload
-            if self._skip_payload or message.code in EMPTY_BODY_STATUS_CODES:
-                body = EMPTY_PAYLOAD
-            self.feed_data((message, body), 0)
+    def _add_message(
+        self, message: RawResponseMessage, payload: StreamReader
+    ) -> None:
+        if message.should_close:
+            self._should_close = True
+        self._payload = payload
+        stated = message.headers.get('content-length')
+        self._body_left = None if stated is None else int(stated)
+        body = payload
+        if self._skip_payload or message.code in EMPTY_BODY_STATUS_CODES:
+            body = EMPTY_PAYLOAD
+        self.feed_data((message, body), 0)
 
     def _fail(self, reason: str) -> None:
         """End the connection, and the answer unless it is complete."""
--- a/tests/node/calls/test_answers_without_end.py
+++ b/tests/node/calls/test_answers_without_end.py
@@ -147,10 +147,13 @@
     return b''.join((_HEAD, b'content-length: %d\r\n\r\n' % len(body), body))
 
 
+@pytest.mark.parametrize('after', [KEEP, ENDLESS])
 @pytest.mark.parametrize('is_chunked', [False, True], ids=['sized', 'chunked'])
-async def test_long_answer_is_whole(is_chunked: bool) -> None:
-    """Guards against a bound that cuts a legal answer."""
-    async with _node((_long(is_chunked), KEEP)) as (mesh, _):
+async def test_long_answer_is_whole(is_chunked: bool, after: str) -> None:
+    """Guards against a bound that cuts a legal answer, also if bytes that
+    belong to no call follow it.
+    """
+    async with _node((_long(is_chunked), after)) as (mesh, _):
         async with asyncio.timeout(HANG_S):
             answer: Any = await mesh.call('GET', '/stock')
     assert answer[0] == 200
