Bound what an answer sends between parts of its body

An extension or the size of a chunk without end went on until the deadline of the call: 0.7 to 1.5 GB were parsed in 2 s. Nothing counted bytes of a body in chunks that bring no payload.

Both cases of test_chunks_without_payload_end_the_answer failed before and pass now; the one of trailers passed before, since the parser limits their lines.

--- a/packages/mustardspur_node/src/mustardspur_node/calls/target_connections.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/target_connections.py
@@ -9,7 +9,12 @@
 from aiohttp.helpers import EMPTY_BODY_STATUS_CODES
 from aiohttp.http_parser import RawResponseMessage
 from aiohttp.streams import EMPTY_PAYLOAD
-from mustardspur_core.framing_limits import FramingLimits, HeadTooLarge
+from mustardspur_core.framing_limits import (
+    DEFAULT_FRAMING_BYTES,
+    FramingLimits,
+    FramingTooLarge,
+    HeadTooLarge,
+)
 
 # Head of an answer with all that comes before it: empty lines and interim
 # answers. The parser limits lines and their number only.
@@ -98,6 +103,18 @@
             # A paused parser has not passed on the end of the body yet.
             if not self._is_within_body:
                 self._fail('bytes belong to no call')
+        elif self._is_within_body and not self._reading_paused:
+            self._count_framing(len(part))
+
+    def _count_framing(self, size: int) -> None:
+        payload = self._payload
+        assert payload is not None
+        try:
+            self._framing.add_body(
+                size, payload.total_bytes, DEFAULT_FRAMING_BYTES
+            )
+        except FramingTooLarge:
+            self._fail('extensions or trailers of the answer are too long')
 
     def _parse(self, received: bytes) -> list[_Message]:
         parser = self._parser
--- a/tests/node/calls/test_answers_without_end.py
+++ b/tests/node/calls/test_answers_without_end.py
@@ -178,3 +178,19 @@
     assert answer == (200, None, b'good')
     assert after == (200, None, b'good')
     assert target.connections == 2
+
+
+@pytest.mark.parametrize(
+    'begin',
+    [b'1;a=', b'1\r\na\r\n0\r\n', b''],
+    ids=['extension', 'trailers', 'size'],
+)
+async def test_chunks_without_payload_end_the_answer(begin: bytes) -> None:
+    """Guards against an answer that goes on to its deadline, without a part of
+    its body, as long as the target sends extensions, trailers or a size.
+    """
+    units = {b'1;a=': b'b', b'': b'0'}
+    async with _node((b''.join((_CHUNKED, begin)), ENDLESS)) as (mesh, target):
+        target.endless_unit = units.get(begin, b'a: b\r\n')
+        await mesh.raw(_REQUEST)
+    assert target.endless_bytes < _KERNEL_BYTES
