Bound the body of a refusal

A node ended for its memory when a target sent the documented refusal with a body without end: the body was read whole before the call counted as refused.

At most 64 KiB of it are read, as of other short answers. Beyond that the call may have run, and ends with 502.

--- a/packages/mustardspur_node/src/mustardspur_node/calls/attempts.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/attempts.py
@@ -28,7 +28,7 @@
     Parameters
     ----------
     reason : str
-        Description of the error.
+        Description of the error, without anything that was received.
     ran : bool
         False only if the target certainly did not run the call.
     """
@@ -195,7 +195,7 @@
             response = await send_request(request, connection)
         _check_response(response, call.headers[names.REQUEST_ID])
         if _is_refusal(response):
-            await response.read()
+            await _skip_short_body(response)
             raise CallRefused
         return Reply(response, await _read_short_body(response))
 
@@ -212,6 +212,15 @@
     return body
 
 
+async def _skip_short_body(response: ClientResponse) -> None:
+    content = response.content
+    size = 0
+    while not content.at_eof():
+        size += len(await content.readany())
+        if size > MAX_BUFFERED_RESPONSE_BYTES:
+            raise ExchangeBroken('refusal is too long')
+
+
 def _is_refusal(response: ClientResponse) -> bool:
     return (
         response.status == HTTPStatus.SERVICE_UNAVAILABLE
