--- a/tests/node/calls/test_answers_without_end.py
+++ b/tests/node/calls/test_answers_without_end.py
@@ -147,10 +147,13 @@
     return b''.join((_HEAD, b'content-length: %d\r\n\r\n' % len(body), body))
 
 
+@pytest.mark.parametrize('after', [KEEP, ENDLESS])
 @pytest.mark.parametrize('is_chunked', [False, True], ids=['sized', 'chunked'])
-async def test_long_answer_is_whole(is_chunked: bool) -> None:
-    """Guards against a bound that cuts a legal answer."""
-    async with _node((_long(is_chunked), KEEP)) as (mesh, _):
+async def test_long_answer_is_whole(is_chunked: bool, after: str) -> None:
+    """Guards against a bound that cuts a legal answer, also if bytes that
+    belong to no call follow it.
+    """
+    async with _node((_long(is_chunked), after)) as (mesh, _):
         async with asyncio.timeout(HANG_S):
             answer: Any = await mesh.call('GET', '/stock')
     assert answer[0] == 200
@@ -175,3 +178,19 @@
     assert answer == (200, None, b'good')
     assert after == (200, None, b'good')
     assert target.connections == 2
+
+
+@pytest.mark.parametrize(
+    'begin',
+    [b'1;a=', b'1\r\na\r\n0\r\n', b''],
+    ids=['extension', 'trailers', 'size'],
+)
+async def test_chunks_without_payload_end_the_answer(begin: bytes) -> None:
+    """Guards against an answer that goes on to its deadline, without a part of
+    its body, as long as the target sends extensions, trailers or a size.
+    """
+    units = {b'1;a=': b'b', b'': b'0'}
+    async with _node((b''.join((_CHUNKED, begin)), ENDLESS)) as (mesh, target):
+        target.endless_unit = units.get(begin, b'a: b\r\n')
+        await mesh.raw(_REQUEST)
+    assert target.endless_bytes < _KERNEL_BYTES
