Forget the calls of refused placements at their end

What was seen: 96 callers with 200 bodies of 60 kB each took a node to 128 MiB of 128, where it was killed (`test_callers[pipelined_bodies]`, red since it was written).

Cause: each fault of a placement stays in the state of its call, and the fault's traceback refers to the frames of the placement, thus to that state, the call and its body. A call with a refused offer is such a cycle, and lives until a collection of garbage, of which the node makes one in 50,000 new objects. None of it is in an account. At 95 MiB, 455 ended calls held 26 MB in bodies beside 10 MiB in the account of bodies and 8 MiB in that of callers; a collection freed 31 of the 51 MiB that the C library had given out.

The fault is kept without its traceback.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
@@ -153,7 +153,9 @@
 
     def record_fault(self, fault: PlacementFault) -> None:
         """Record the fault of a placement and update the counts."""
-        self.faults.append(fault)
+        # Its traceback refers to this call, which would otherwise be held until
+        # a collection of garbage.
+        self.faults.append(fault.with_traceback(None))
         if fault.kind in TURNED_AWAY_KINDS:
             self.turned_away += 1
         if fault.kind == 'busy':
