Bound the texts of faults that cross the streams between nodes

Cause: the text of a fault of a target is sent to the node of the caller, which keeps it with the call, logs it and answers with it. It had no bound on either side: the memory of the callers' node rose to 190 MiB beside a target that sent what is no answer. The kind of a fault, a name of a metric, was any text that the other node stated.

An unknown kind counts as `broken`; whether the call has run stays as stated.

--- a/packages/mustardspur_core/src/mustardspur_core/mesh/call_messages.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/call_messages.py
@@ -1,7 +1,7 @@
 """Messages between nodes for forwarded calls; type codes 160 to 179."""
 
 from types import MappingProxyType
-from typing import ClassVar
+from typing import ClassVar, Final
 
 from mustardspur_core.record import Defaults, Record
 from mustardspur_core.wire.codec import message
@@ -180,6 +180,21 @@
     load: TargetLoad
 
 
+# What a node states that fails a call. The kinds are names of metrics.
+FAULT_KINDS: Final = frozenset(
+    (
+        'busy',
+        'closed',
+        'moved',
+        'unreachable',
+        'refused',
+        'blocked',
+        'broken',
+        'timeout',
+    ),
+)
+
+
 @message(166)
 class CallFailed(Record):
     """Failure of a call without an answer of the target.
@@ -187,8 +202,7 @@
     Parameters
     ----------
     kind : str
-        ``busy``, ``closed``, ``moved``, ``unreachable``, ``refused``,
-        ``blocked``, ``broken`` or ``timeout``.
+        One of `FAULT_KINDS`.
     not_run : bool
         Whether it is certain that the call has not run and will not run.
     """
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/call_in_flight.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_in_flight.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from mustardspur_core.mesh.call_messages import (
+    FAULT_KINDS,
     BodyCredit,
     CallAnswer,
     CallFailed,
@@ -141,9 +142,12 @@
 
 
 def _place_fault(failed: CallFailed) -> PlacementFault:
+    # A node of another version may state a kind that is not known here, and a
+    # faulty one any text.
+    kind = failed.kind if failed.kind in FAULT_KINDS else 'broken'
     return PlacementFault(
-        failed.kind,
+        kind,
         failed.detail,
         not_run=failed.not_run,
-        arrived=not failed.not_run or failed.kind == 'refused',
+        arrived=not failed.not_run or kind == 'refused',
     )
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/calls.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/calls.py
@@ -6,6 +6,7 @@
 from mustardspur_core.mesh.call_messages import TargetLoad
 from mustardspur_core.mesh.model import ClientAccount, MeshRoute
 from mustardspur_core.record import Record
+from mustardspur_core.texts import MAX_ERROR_CHARS, shorten
 
 Headers = list[list[str]]
 # Awaited immediately before a call is sent to the target.
@@ -75,15 +76,15 @@
     Parameters
     ----------
     kind : str
-        ``busy``, ``closed``, ``moved``, ``unreachable``, ``refused``,
-        ``blocked``, ``broken`` or ``timeout``.
+        One of `FAULT_KINDS`.
     not_run : bool
         Whether it is certain that the call did not run and will not run.
     arrived : bool
         Whether the call was sent to the target; placing it again then draws
         on the retry budget.
     detail : str
-        Description for the log.
+        Description for the log, which is cut if it is long: it crosses the
+        stream to the node of the caller.
     """
 
     def __init__(
@@ -95,9 +96,9 @@
         arrived: bool,
     ) -> None:
         """Initialise the fault; its text is the kind and the detail."""
-        super().__init__(f'{kind}: {detail}')
         self.kind = kind
-        self.detail = detail
+        self.detail = shorten(detail, MAX_ERROR_CHARS)
+        super().__init__(f'{kind}: {self.detail}')
         self.not_run = not_run
         self.arrived = arrived
 
