Release a failed call at once

Cause: a call keeps the faults of its placements, a fault its traceback and the errors that led to it, and their frames the call, its body and what was received: a cycle that only a garbage collection ends, and those are rare on purpose. The loops that read the streams between nodes held the latest frame and its call in local variables until the next frame, and the check of a target after a broken call held that call with its body.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/crashes.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/crashes.py
@@ -152,7 +152,9 @@
         )
         self._broken.append(broken)
         if self._check is None or self._check.done():
-            self._check = asyncio.create_task(self._check_target(call, pool))
+            self._check = asyncio.create_task(
+                self._check_target(call.target, pool),
+            )
             self._check.add_done_callback(_log_failure)
 
     def record_silence(self, target_id: str, calls: list[BrokenCall]) -> None:
@@ -166,7 +168,7 @@
             self._names, call.method, call.path, call.headers, call.body
         )
 
-    async def _check_target(self, call: CallOpen, pool: TargetPool) -> None:
+    async def _check_target(self, target_id: str, pool: TargetPool) -> None:
         await asyncio.sleep(SETTLE_S)
         accepts = await pool.accepts_connections()
         # A target that no connection reached since its crash is still down;
@@ -181,7 +183,7 @@
             # The end of a silent target is no further crash.
             self.is_silent = False
         else:
-            self._record_crash(call.target, broken)
+            self._record_crash(target_id, broken)
 
     def _record_crash(self, target_id: str, broken: list[BrokenCall]) -> None:
         while self._recent:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_connection.py
@@ -223,28 +223,26 @@
                 self._ready.set_result(stream)
                 await self._receive(stream)
         except STREAM_ERRORS as error:
-            self._record_end(error)
+            if self._ready.done():
+                _log_end(self._node, error)
+            else:
+                _fail(self._ready, error)
         finally:
             self._fail_all('stream ended')
 
-    def _record_end(self, error: Exception) -> None:
-        if not self._ready.done():
-            _fail(self._ready, error)
-            return
-        _LOG.info(
-            'stream to node ended',
-            extra={'node': self._node, 'reason': repr(error)},
-        )
-
     async def _receive(self, stream: FrameStream) -> None:
         while True:
-            frame = await stream.receive()
-            self.last_received_s = _now()
-            if isinstance(frame.body, _FRAMES_WITH_LOAD):
-                self._on_load(self._node, frame.body.load)
-            call_in_flight = self._in_flight_by_id.get(frame.request_id)
-            if call_in_flight is not None:
-                _apply(stream, frame, call_in_flight)
+            # A local variable would hold the frame, and its call, until the
+            # next one arrives.
+            self._apply(stream, await stream.receive())
+
+    def _apply(self, stream: FrameStream, frame: Frame) -> None:
+        self.last_received_s = _now()
+        if isinstance(frame.body, _FRAMES_WITH_LOAD):
+            self._on_load(self._node, frame.body.load)
+        call_in_flight = self._in_flight_by_id.get(frame.request_id)
+        if call_in_flight is not None:
+            _apply(stream, frame, call_in_flight)
 
     def _fail_all(self, reason: str) -> None:
         if not self._ready.done():
@@ -268,6 +266,13 @@
         call_in_flight.allow_run()
 
 
+def _log_end(node: str, error: Exception) -> None:
+    _LOG.info(
+        'stream to node ended',
+        extra={'node': node, 'reason': repr(error)},
+    )
+
+
 def _fail(ready: 'asyncio.Future[FrameStream]', error: Exception) -> None:
     ready.set_exception(error)
     # The error is read by calls only if any waits for the stream.
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_server.py
@@ -22,6 +22,7 @@
 )
 from mustardspur_core.wire import (
     FirstFrames,
+    Frame,
     FrameStream,
     MalformedFrame,
     MessageDispatcher,
@@ -171,12 +172,8 @@
     async def receive(self) -> None:
         """Process frames until the stream ends."""
         while True:
-            frame = await self._stream.receive()
-            handle = _FROM_NODES.handler_of(frame.body)
-            try:
-                handle(self, frame.request_id, frame.body)
-            except PlacementFault as fault:
-                self._send_fault(frame.request_id, fault)
+            # A local variable would hold the frame until the next one arrives.
+            self._handle(await self._stream.receive())
 
     @contextmanager
     def sending_heartbeats(self) -> Iterator[None]:
@@ -185,8 +182,16 @@
         try:
             yield
         finally:
-            heartbeat.cancel()
-            self._cancel_all()
+            self._partial_calls.discard_all()
+            for task in (heartbeat, *self._tasks.values()):
+                task.cancel()
+
+    def _handle(self, frame: Frame) -> None:
+        handle = _FROM_NODES.handler_of(frame.body)
+        try:
+            handle(self, frame.request_id, frame.body)
+        except PlacementFault as fault:
+            self._send_fault(frame.request_id, fault)
 
     async def _send_heartbeats(self) -> None:
         while True:
@@ -196,11 +201,6 @@
                     NodeHeartbeat(load=self._local.admission.load)
                 )
 
-    def _cancel_all(self) -> None:
-        self._partial_calls.discard_all()
-        for task in self._tasks.values():
-            task.cancel()
-
     @_FROM_NODES.handles(CallOpen)
     def _receive_call(self, call_id: int, call: CallOpen) -> None:
         if call.more and not call.body_bytes:
@@ -263,6 +263,7 @@
             self._server.running -= 1
 
     def _send_fault(self, call_id: int, fault: PlacementFault) -> None:
+        fault.forget_frames()
         self._stream.enqueue(
             CallFailed(
                 kind=fault.kind,
