Hold no bytes of an answer after it has failed

A node beside a target that sends a body without end was killed for its memory after 15 calls, although one answer is given up at 16 MiB. The failure refers to its traceback, the traceback to the frames with the buffer, and the garbage collector, which is tuned to be rare, is the first to free it. The buffer is now emptied at the end of the block that receives an answer.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/answer_budget.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/answer_budget.py
@@ -54,6 +54,7 @@
             yield held
         finally:
             self.release(held.size)
+            held.clear()
 
     def take(self, size: int) -> None:
         """Count further bytes.
@@ -104,6 +105,12 @@
 class HeldAnswer:
     """Parts of an answer that is being received.
 
+    Explanation
+    ===========
+
+    It holds nothing after the block of `AnswerBudget.receiving`, since the
+    traceback of a failure may refer to it until a garbage collection.
+
     Parameters
     ----------
     budget : AnswerBudget
@@ -119,9 +126,13 @@
         self.size = 0
 
     def take(self) -> bytes:
-        """Return the parts joined."""
+        """Return the parts joined, and hold them no longer."""
         return self._buffer.take()
 
+    def clear(self) -> None:
+        """Hold no part."""
+        self._buffer = BodyBuffer()
+
     def add(self, part: bytes) -> None:
         """Add a part.
 
--- a/tests/node/mesh/test_answer_budget.py
+++ b/tests/node/mesh/test_answer_budget.py
@@ -3,6 +3,8 @@
 import pytest
 from mustardspur_node.mesh.answer_budget import AnswerBudget, AnswerTooLong
 
+from tests.node.stand_ins.memory import uncollected_memory
+
 
 def test_answer_without_end_leaves_room_for_others() -> None:
     """Guards against one target that fails the answers of all others."""
@@ -32,3 +34,22 @@
         with budget.receiving() as held:
             held.add(bytes(50))
     assert budget.held_bytes == 0
+
+
+def test_failed_answer_holds_no_bytes() -> None:
+    """Guards against failures that hold what was received until a garbage
+    collection, and end the process for its memory.
+    """
+    budget = AnswerBudget(2_000_000)
+    with uncollected_memory() as allocated:
+        failures = [_fail_at_the_limit(budget) for _ in range(5)]
+        assert len(failures) == 5
+        assert allocated() < budget.answer_bytes
+
+
+def _fail_at_the_limit(budget: AnswerBudget) -> AnswerTooLong:
+    with pytest.raises(AnswerTooLong) as caught, budget.receiving() as held:
+        held.add(bytes(budget.answer_bytes))
+        held.add(bytes(1))
+    failure: AnswerTooLong = caught.value  # noqa: WPS441
+    return failure
