Release what a target sent once its call has failed

Calls that failed one after the other left up to 8 MiB each behind: the parser and the connection refer to each other, and a stored error refers to the frames of the reader and to the payload. Besides, the reason of a failure was the text of the parser's error, which repeats what the target sent; one line of the log had 792,604 characters. Both ended nodes for their memory.

The parser now keeps or discards each read as it arrives, in place of a task that reads the payload behind it, and drops the payload, the unparsed bytes and aiohttp's parser when the exchange ends. Failures are texts of a fixed set that state where the fault lies; no error is stored. The read that cannot belong to an answer aborts the connection, and so does what follows a whole answer; nothing after it is parsed. The bounds of an answer move to answer_limits.py.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/answer_parser.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/answer_parser.py
@@ -1,23 +1,26 @@
 """Parser for the HTTP answers of a target."""
 
 import asyncio
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Final
 
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http import HttpProcessingError
+from aiohttp.http_exceptions import LineTooLong
 from aiohttp.http_parser import HttpResponseParser, RawResponseMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
-from mustardspur_node.mesh.answer_budget import AnswerBudget, AnswerTooLong
+from mustardspur_node.mesh.answer_budget import AnswerTooLong, HeldAnswer
+from mustardspur_node.mesh.answer_limits import AnswerLimits
 from mustardspur_node.mesh.calls import Headers
 from mustardspur_node.mesh.names import HOP_BY_HOP
 
 READ_BUFFER_BYTES: Final = 65_536
 MAX_HEADER_BYTES: Final = 65_536
 MAX_HEADERS: Final = 256
-# Status line and headers of an answer together, with what comes before them.
-MAX_HEAD_BYTES: Final = 131_072
+CONNECTION_CLOSED: Final = 'connection closed'
+CONNECTION_RESET: Final = 'connection reset'
 _CONNECTION_HEADERS: Final = ('content-length', 'transfer-encoding')
 _STATUSES_WITHOUT_BODY: Final = frozenset(
     (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
@@ -27,7 +30,15 @@
 
 
 class BrokenAnswer(Exception):
-    """The connection or answer is broken; the call may have run."""
+    """The connection or answer is broken; the call may have run.
+
+    Its text is one of a fixed set and carries nothing that was received.
+    """
+
+
+# Returns whether an answer is the one to the request; raises `BrokenAnswer` if
+# none can be.
+IsWanted = Callable[[RawResponseMessage], bool]
 
 
 class RawAnswer:
@@ -60,22 +71,66 @@
         return None
 
 
+class ExpectedAnswer:
+    """What the answer to a request has to be.
+
+    Parameters
+    ----------
+    is_wanted : callable
+        Whether an answer is the one to the request.
+    limits : AnswerLimits
+        Limits on the answer.
+    held : HeldAnswer or None
+        Holds the body; None to discard it.
+    """
+
+    __slots__ = ('held', 'is_wanted', 'limits')
+
+    def __init__(
+        self,
+        is_wanted: IsWanted,
+        limits: AnswerLimits,
+        held: HeldAnswer | None,
+    ) -> None:
+        """Initialise the expectation."""
+        self.is_wanted = is_wanted
+        self.limits = limits
+        self.held = held
+
+
 class AnswerParser:
-    """Parses the answers on a connection that follow a request.
+    """Receives the answer to one request at a time.
+
+    Explanation
+    ===========
+
+    Each read is parsed, counted against the limits and kept or discarded as it
+    arrives. Nothing is parsed once the answer is complete or has failed, and
+    nothing that was received is held after `end`.
 
     Parameters
     ----------
     protocol : BaseProtocol
-        The connection; the parser can pause reading from it.
+        The connection.
+
+    Attributes
+    ----------
+    failure : str
+        Why there is no answer, empty if nothing failed.
+    has_more : bool
+        Whether anything followed the answer.
     """
 
     __slots__ = (
+        '_answer',
         '_changed',
-        '_failure',
+        '_expected',
+        '_message',
         '_payload',
         '_protocol',
         '_raw',
-        'messages',
+        'failure',
+        'has_more',
         'parser',
     )
 
@@ -83,109 +138,158 @@
         """Initialise the parser without a request."""
         self._protocol = protocol
         self._changed = asyncio.Event()
-        self._failure: BaseException | None = None
+        self._answer: RawAnswer | None = None
+        self._expected: ExpectedAnswer | None = None
+        # The wanted answer while its body is open.
+        self._message: RawResponseMessage | None = None
         self._payload: StreamReader | None = None
+        # What was received since the latest answer, up to the next head.
         self._raw = b''
-        self.messages: list[Message] = []
+        self.failure = ''
+        self.has_more = False
         self.parser: Any = None
 
-    @property
-    def has_more(self) -> bool:
-        """Whether anything followed the answer that was read."""
-        return bool(self.messages) or self._failure is not None
+    def begin(self, method: str, expected: ExpectedAnswer) -> None:
+        """Prepare to receive the answer to a request."""
+        if not self.failure:
+            self._changed.clear()
+        self.has_more = False
+        self._expected = expected
+        self.parser = self._new_parser(method)
 
-    def begin(self, method: str) -> None:
-        """Prepare to parse the answer to a request."""
-        self.messages.clear()
+    def end(self) -> None:
+        """Hold nothing of what was received."""
+        self._answer = None
+        self._expected = None
+        self._message = None
         self._payload = None
         self._raw = b''
-        self.parser = self._new_parser(method)
+        self.parser = None
 
     def feed(self, received: bytes) -> None:
         """Parse received bytes; fail if they are not a valid answer."""
-        if self._failure is not None:
+        if self._is_over or self._expected is None:
+            self.has_more = self.has_more or bool(received)
             return
-        if self._payload is None:
-            self._raw += received
         try:
-            messages, upgraded, _ = self.parser.feed_data(received)
+            self._receive(received, self._expected)
         except HttpProcessingError as error:
-            self._recover_first_answer(error)
-            return
-        if not messages and len(self._raw) > MAX_HEAD_BYTES:
-            # The parser limits each line only, and skips empty lines before
-            # the status line without a limit.
-            self.fail(BrokenAnswer('head of the answer is too long'))
-            return
-        if upgraded:
-            self.fail(BrokenAnswer('answer switches the protocol'))
-            return
-        self._add_messages(messages)
+            if not self._recover_first_answer(self._expected):
+                self.fail(self._malformed(error))
+        except (AnswerTooLong, BrokenAnswer) as error:
+            self.fail(str(error))
 
     def feed_eof(self) -> None:
         """Handle the end of the stream, which may complete an answer."""
-        if self.parser is None:
+        if self._is_over or self._expected is None:
             return
         try:
             self.parser.feed_eof()
-        except HttpProcessingError as error:
-            self.fail(error)
-
-    def fail(self, error: BaseException) -> None:
-        """Fail the incomplete answer; only the first error is stored."""
-        if self._failure is None:
-            self._failure = error
-        self._changed.set()
-        payload = self._payload
-        if payload is not None and not payload.is_eof():
-            payload.set_exception(BrokenAnswer(f'connection broke: {error!r}'))
-
-    def discard_first(self, payload: StreamReader) -> None:
-        """Prepare for the next answer after one was discarded."""
-        if self._payload is payload:
-            self._payload = None
-            self._raw = b''
+        except HttpProcessingError:
+            self.fail(CONNECTION_CLOSED)
+            return
+        if self._payload is not None:
+            self._receive_body(self._payload, self._expected)
+        self.fail(CONNECTION_CLOSED)
+
+    def fail(self, reason: str) -> None:
+        """Fail the incomplete answer; only the first reason is stored."""
+        if not self._is_over:
+            stage = 'no answer' if self._payload is None else 'answer broke off'
+            self.failure = f'{stage}: {reason}'
+            self._changed.set()
 
-    async def next_message(self) -> Message:
-        """Wait for the head of the next answer.
+    async def next_answer(self) -> RawAnswer:
+        """Wait for the answer.
 
         Raises
         ------
         BrokenAnswer
-            If the connection ends first.
+            If there is no complete one.
         """
-        while not self.messages:
-            if self._failure is not None:
-                raise BrokenAnswer(
-                    f'no answer: {self._failure!r}',
-                ) from self._failure
-            self._changed.clear()
-            await self._changed.wait()
-        return self.messages.pop(0)
+        await self._changed.wait()
+        if self._answer is None:
+            raise BrokenAnswer(self.failure)
+        return self._answer
 
-    def _add_messages(self, messages: list[Message]) -> None:
-        if messages:
+    @property
+    def _is_over(self) -> bool:
+        return self._answer is not None or bool(self.failure)
+
+    def _receive(self, received: bytes, expected: ExpectedAnswer) -> None:
+        payload = self._payload
+        if payload is None:
+            self._raw += received
+        messages, upgraded, _ = self.parser.feed_data(received)
+        if upgraded:
+            raise BrokenAnswer('answer switches the protocol')
+        if payload is not None:
+            self._receive_body(payload, expected)
+        self._begin_answers(messages, expected)
+        if payload is None and self._payload is None and not self._is_over:
+            expected.limits.add_head(len(received))
+
+    def _begin_answers(
+        self, messages: list[Message], expected: ExpectedAnswer
+    ) -> None:
+        for message, payload in messages:
+            if self._is_over:
+                self.has_more = True
+                return
             self._raw = b''
-            self._payload = messages[-1][1]
-            self.messages.extend(messages)
+            is_wanted = expected.is_wanted(message)
+            self._message = message if is_wanted else None
+            self._payload = payload
+            expected.limits.begin_body()
+            self._receive_body(payload, expected)
+
+    def _receive_body(
+        self, payload: StreamReader, expected: ExpectedAnswer
+    ) -> None:
+        """Keep or discard what was received of a body."""
+        part = b'' if payload is EMPTY_PAYLOAD else payload.read_nowait()
+        expected.limits.add_body(len(part))
+        message = self._message
+        held = None if message is None else expected.held
+        if held is not None and part:
+            held.add(part)
+        if not payload.is_eof():
+            return
+        self._payload = None
+        if message is not None:
+            self._answer = RawAnswer(message, held.take() if held else b'')
             self._changed.set()
 
-    def _recover_first_answer(self, error: HttpProcessingError) -> None:
+    def _recover_first_answer(self, expected: ExpectedAnswer) -> bool:
         """Recover a complete answer that is followed by invalid bytes.
 
         The parser discards all answers of a segment that contains invalid
         bytes, so the first answer is parsed again on its own.
+
+        Returns
+        -------
+        bool
+            Whether it is the one to the request.
         """
         end = _answer_end(self._raw)
-        if self._payload is None and end:
-            self.parser = self._new_parser('GET')
-            try:
-                messages, _, _ = self.parser.feed_data(self._raw[:end])
-            except HttpProcessingError as second:
-                self.fail(second)
-                return
-            self._add_messages(messages)
-        self.fail(error)
+        if self._payload is not None or not end:
+            return False
+        self.parser = self._new_parser('GET')
+        try:
+            self._begin_answers(
+                self.parser.feed_data(self._raw[:end])[0], expected
+            )
+        except (HttpProcessingError, AnswerTooLong, BrokenAnswer):
+            return False
+        self.has_more = True
+        return self._answer is not None
+
+    def _malformed(self, error: HttpProcessingError) -> str:
+        """Return where an error lies; its text carries what was received."""
+        part = 'head' if self._payload is None else 'body'
+        if isinstance(error, LineTooLong):
+            return f'{part} has too long a line'
+        return f'malformed {part}'
 
     def _new_parser(self, method: str) -> Any:
         return HttpResponseParser(
@@ -195,34 +299,12 @@
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
             max_headers=MAX_HEADERS,
-            payload_exception=BrokenAnswer,
             response_with_body=method != 'HEAD',
             read_until_eof=True,
             auto_decompress=False,
         )
 
 
-async def read_body(payload: StreamReader, budget: AnswerBudget) -> bytes:
-    """Return the complete body of an answer.
-
-    Raises
-    ------
-    BrokenAnswer
-        If the body is truncated or exceeds the budget.
-    """
-    if payload is EMPTY_PAYLOAD:
-        return b''
-    with budget.receiving() as held:
-        while not payload.at_eof():
-            try:
-                held.add(await payload.readany())
-            except (BrokenAnswer, HttpProcessingError, OSError) as error:
-                raise BrokenAnswer(f'answer broke off: {error!r}') from error
-            except AnswerTooLong as error:
-                raise BrokenAnswer(str(error)) from error
-        return held.take()
-
-
 def _answer_end(raw: bytes) -> int:
     """Return the end offset of an answer by its length, 0 if unknown."""
     head, separator, rest = raw.partition(b'\r\n\r\n')
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_connection.py
@@ -4,6 +4,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
 from typing import Final
 
@@ -11,12 +12,15 @@
 from aiohttp.http_parser import RawResponseMessage
 
 from mustardspur_node.mesh.answer_budget import AnswerBudget
+from mustardspur_node.mesh.answer_limits import AnswerLimits
 from mustardspur_node.mesh.answer_parser import (
+    CONNECTION_CLOSED,
+    CONNECTION_RESET,
     AnswerParser,
     BrokenAnswer,
+    ExpectedAnswer,
     RawAnswer,
     check_delimiters,
-    read_body,
 )
 from mustardspur_node.mesh.body_room import SMALL_BODY_BYTES
 
@@ -62,6 +66,7 @@
         '_carried',
         '_idle_timeout_s',
         '_in_flight',
+        '_skipped',
         'heard_s',
         'idle_since_s',
         'refused_ids',
@@ -80,6 +85,8 @@
         # Requests that this connection has carried.
         self._carried = 0
         self._in_flight = False
+        # Interim answers and answers to others since the latest request.
+        self._skipped = 0
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.heard_s = float('-inf')
         self.idle_since_s: float = 0
@@ -99,13 +106,19 @@
         )
 
     def data_received(self, received: bytes) -> None:
-        """Parse received bytes; abort if no request is in flight."""
+        """Parse received bytes; abort if they are no answer to a request."""
         self.heard_s = self._loop.time()
         if self._in_flight:
             self._answers.feed(received)
-        elif received:
+        if self._answers.failure or not self._in_flight:
             self.abort()
 
+    def pause_reading(self) -> None:
+        """Go on, since each read is kept or discarded as it arrives."""
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Do nothing, since reading never pauses."""
+
     def eof_received(self) -> None:
         """Handle the end of the stream, which may complete an answer.
 
@@ -113,16 +126,15 @@
         it reads, so SO_ERROR of the socket is checked as well.
         """
         self.reusable = False
-        error = self._socket_error()
-        if error:
-            self._answers.fail(ConnectionResetError(error, 'reset'))
+        if self.transport is not None and _is_reset(self.transport):
+            self._answers.fail(CONNECTION_RESET)
         else:
             self._answers.feed_eof()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the request in flight."""
         self.reusable = False
-        self._answers.fail(exc or BrokenAnswer('connection closed'))
+        self._answers.fail(CONNECTION_RESET if exc else CONNECTION_CLOSED)
         super().connection_lost(exc)
 
     def abort(self) -> None:
@@ -151,55 +163,59 @@
         BrokenAnswer
             If there is no complete answer; the call may have run.
         """
+        is_wanted = partial(self._is_wanted, identify)
+        with self._budget.receiving() as held:
+            limits = AnswerLimits(self._budget.answer_bytes)
+            expected = ExpectedAnswer(is_wanted, limits, held)
+            self._answers.begin(method, expected)
+            return await self._answer_to(head, body)
+
+    async def _answer_to(self, head: bytes, body: bytes) -> RawAnswer:
         transport = self.transport
         if transport is None:
-            raise BrokenAnswer('connection closed')
-        self._answers.begin(method)
-        self._parser = self._answers.parser
+            raise BrokenAnswer(CONNECTION_CLOSED)
         self._in_flight = True
+        self._skipped = 0
         self._carried += 1
         _write_request(transport, head, body)
         try:
-            answer = await self._matching_answer(identify)
+            answer = await self._answers.next_answer()
         except BaseException:
             self.abort()
             raise
+        finally:
+            self._in_flight = False
+            self._answers.end()
         self._finish(transport)
         return answer
 
-    def _socket_error(self) -> int:
-        transport = self.transport
-        if transport is None:
-            return 0
-        raw_socket = transport.get_extra_info('socket')
-        error: int = raw_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        return error
-
     def _finish(self, transport: asyncio.Transport) -> None:
-        self._in_flight = False
         if self._answers.has_more or transport.get_write_buffer_size():
-            self.reusable = False
+            self.abort()
         self.idle_since_s = self._loop.time()
         if not self.reusable:
             transport.close()
 
-    async def _matching_answer(
-        self,
-        identify: Identify,
-    ) -> RawAnswer:
-        skipped_statuses: deque[int] = deque(maxlen=MAX_SKIPPED_ANSWERS)
-        while len(skipped_statuses) < MAX_SKIPPED_ANSWERS:
-            message, payload = await self._answers.next_message()
-            body = await read_body(payload, self._budget)
-            self._apply_connection_headers(message)
-            if message.code >= HTTPStatus.OK:
-                if self._is_own(message, identify):
-                    check_delimiters(message)
-                    return RawAnswer(message, body)
-                self.reusable = False
-            skipped_statuses.append(message.code)
-            self._answers.discard_first(payload)
-        raise BrokenAnswer('answers belong to other requests')
+    def _is_wanted(
+        self, identify: Identify, message: RawResponseMessage
+    ) -> bool:
+        """Return whether an answer is the one to the request in flight.
+
+        Raises
+        ------
+        BrokenAnswer
+            If none can be.
+        """
+        self._apply_connection_headers(message)
+        if message.code >= HTTPStatus.OK:
+            if self._is_own(message, identify):
+                check_delimiters(message)
+                return True
+            self.reusable = False
+        self._skipped += 1
+        if self._skipped == MAX_SKIPPED_ANSWERS:
+            raise BrokenAnswer('answers belong to other requests')
+        return False
 
     def _is_own(self, message: RawResponseMessage, identify: Identify) -> bool:
         """Return whether an answer belongs to the request in flight.
@@ -243,3 +259,8 @@
         transport.write(body)
         return
     transport.write(head + body if body else head)
+
+
+def _is_reset(transport: asyncio.Transport) -> bool:
+    raw_socket = transport.get_extra_info('socket')
+    return bool(raw_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
