--- a/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
@@ -153,9 +153,8 @@
 
     def record_fault(self, fault: PlacementFault) -> None:
         """Record the fault of a placement and update the counts."""
-        # Its traceback refers to this call, which would otherwise be held until
-        # a collection of garbage.
-        self.faults.append(fault.with_traceback(None))
+        fault.forget_frames()
+        self.faults.append(fault)
         if fault.kind in TURNED_AWAY_KINDS:
             self.turned_away += 1
         if fault.kind == 'busy':
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -283,7 +283,6 @@
     ) -> None:
         target = offer.target
         progress.record_fault(fault)
-        fault.forget_frames()
         if fault.arrived:
             self.retries.record_arrival(progress)
         if offer.is_first and fault.kind == 'busy':
