--- a/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
@@ -153,6 +153,7 @@
 
     def record_fault(self, fault: PlacementFault) -> None:
         """Record the fault of a placement and update the counts."""
+        fault.forget_frames()
         self.faults.append(fault)
         if fault.kind in TURNED_AWAY_KINDS:
             self.turned_away += 1
