Record the failures of the own target where it is chosen

Callers at the node beside a target that gave no answers were sent to it again and again, although other targets of the service were sound: in 200 idempotent calls one after another it got 28 (least_expected) and 5 to 42 (first_free), against 2 to 6 of a target that answers 500, or of a faulty one at another node. Each took a retry, and once no retries were left, callers got 502.

Cause: the failure rate of a target reaches the nodes that choose it with the load that its node reports. Another node reports it with the answer and with the fault of a call. For the target of the own node it was recorded with answers only, so that a target without any kept the rate of its last answer.

The load of the own target is recorded with the fault of a call that was sent to it.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -285,6 +285,10 @@
         progress.record_fault(fault)
         if fault.arrived:
             self.retries.record_arrival(progress)
+            if target.node == self._settings.listen.stream:
+                # Other nodes report the load of their target with a fault.
+                load = self._local.admission.load
+                self.chooser.record_load(target.node, load)
         if offer.is_first and fault.kind == 'busy':
             # Counted only: lines about such refusals, which are frequent and
             # expected, would displace those about other faults.
--- a/tests/node/stand_ins/scripted.py
+++ b/tests/node/stand_ins/scripted.py
@@ -52,6 +52,10 @@
         self.connections = 0
         self._writers: list[asyncio.StreamWriter] = []
 
+    def respond(self, *steps: Step) -> None:
+        """Respond to the next requests with further steps."""
+        self._steps.extend(steps)
+
     def send_unsolicited(self, sent: bytes) -> None:
         """Send bytes on the newest connection without a request."""
         self._writers[-1].write(sent)
