Bound an answer as a whole before its bytes are kept

Extensions of chunks, chunks of a byte, an extension or a size without end ended their calls at the deadline only, with 504, and took up the loop until then; trailers of 15 kB took up to 16 MiB each, and a body of an announced length of 900 GB was read up to the limit of an answer.

AnswerLimits refuses an announced length over the limit with the head, not for HEAD, 204 and 304, and counts what is no payload of a body: 16 KiB since the latest payload, as for callers, and 256 KiB and the size of the payload over the whole answer. So all chunks of 6 bytes and more are accepted, and smaller ones up to 64 KiB of payload.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/answer_limits.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/answer_limits.py
@@ -2,13 +2,23 @@
 
 from typing import Final
 
-from mustardspur_core.framing_limits import FramingLimits, HeadTooLarge
+from aiohttp.http_parser import RawResponseMessage
+from mustardspur_core.framing_limits import (
+    DEFAULT_FRAMING_BYTES,
+    FramingLimits,
+    FramingTooLarge,
+    HeadTooLarge,
+)
 
 from mustardspur_node.mesh.answer_budget import AnswerTooLong
 
 # Status line and headers of an answer together, with what comes before them:
 # empty lines and interim answers.
 MAX_HEAD_BYTES: Final = 131_072
+# Sizes and extensions of chunks, and trailers, of a whole answer. Beyond it an
+# answer may have as many bytes of them as it has payload, so that only chunks
+# of less than 6 bytes or extensions exceed it.
+MAX_FRAMING_BYTES: Final = 262_144
 
 
 class AnswerLimits:
@@ -20,13 +30,14 @@
         Longest payload of one answer.
     """
 
-    __slots__ = ('_framing', '_payload_bytes', '_received')
+    __slots__ = ('_body_bytes', '_framing', '_payload_bytes', '_received')
 
     def __init__(self, payload_bytes: int) -> None:
         """Initialise without bytes."""
         self._payload_bytes = payload_bytes
         self._framing = FramingLimits()
-        # Payload of the open body.
+        # Bytes of the open body, and those of them that are payload.
+        self._body_bytes = 0
         self._received = 0
 
     def add_head(self, size: int) -> None:
@@ -42,18 +53,46 @@
         except HeadTooLarge:
             raise AnswerTooLong('head too long') from None
 
-    def begin_body(self) -> None:
-        """Count the payload of a body from now on."""
+    def begin_body(self, message: RawResponseMessage) -> None:
+        """Count the bytes of a body from now on.
+
+        Raises
+        ------
+        AnswerTooLong
+            If the stated length exceeds the limit.
+        """
+        self._body_bytes = 0
         self._received = 0
+        if message.chunked:
+            return
+        # The parser accepts digits only.
+        stated = message.headers.get('content-length', '0')
+        if int(stated) > self._payload_bytes:
+            raise AnswerTooLong('announced length too large')
+
+    def add_body(self, size: int, payload_size: int) -> None:
+        """Count received bytes of the open body.
 
-    def add_body(self, payload_size: int) -> None:
-        """Count received payload of the open body.
+        Parameters
+        ----------
+        size : int
+            The received bytes.
+        payload_size : int
+            Those of them that are payload.
 
         Raises
         ------
         AnswerTooLong
-            If the payload exceeds the limit.
+            If the payload, or what is no payload, exceeds the limit.
         """
+        self._body_bytes += size
         self._received += payload_size
         if self._received > self._payload_bytes:
             raise AnswerTooLong('body too long')
+        framing_bytes = self._body_bytes - self._received
+        if framing_bytes > MAX_FRAMING_BYTES + self._received:
+            raise AnswerTooLong('framing of the body too long')
+        try:
+            self._framing.add_body(size, self._received, DEFAULT_FRAMING_BYTES)
+        except FramingTooLarge:
+            raise AnswerTooLong('framing of the body too long') from None
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/answer_parser.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/answer_parser.py
@@ -189,7 +189,7 @@
             self.fail(CONNECTION_CLOSED)
             return
         if self._payload is not None:
-            self._receive_body(self._payload, self._expected)
+            self._receive_body(self._payload, 0, self._expected)
         self.fail(CONNECTION_CLOSED)
 
     def fail(self, reason: str) -> None:
@@ -224,7 +224,7 @@
         if upgraded:
             raise BrokenAnswer('answer switches the protocol')
         if payload is not None:
-            self._receive_body(payload, expected)
+            self._receive_body(payload, len(received), expected)
         self._begin_answers(messages, expected)
         if payload is None and self._payload is None and not self._is_over:
             expected.limits.add_head(len(received))
@@ -240,15 +240,19 @@
             is_wanted = expected.is_wanted(message)
             self._message = message if is_wanted else None
             self._payload = payload
-            expected.limits.begin_body()
-            self._receive_body(payload, expected)
+            if not payload.is_eof():
+                expected.limits.begin_body(message)
+            self._receive_body(payload, 0, expected)
 
     def _receive_body(
-        self, payload: StreamReader, expected: ExpectedAnswer
+        self,
+        payload: StreamReader,
+        size: int,
+        expected: ExpectedAnswer,
     ) -> None:
         """Keep or discard what was received of a body."""
         part = b'' if payload is EMPTY_PAYLOAD else payload.read_nowait()
-        expected.limits.add_body(len(part))
+        expected.limits.add_body(max(size, len(part)), len(part))
         message = self._message
         held = None if message is None else expected.held
         if held is not None and part:
--- a/tests/node/mesh/test_faulty_answers.py
+++ b/tests/node/mesh/test_faulty_answers.py
@@ -15,10 +15,15 @@
 _READ_BYTES: Final = 16_384
 _ANSWER_BYTES: Final = 1_048_576
 _CALLS: Final = 20
+_HANG_S: Final = 5
 _MARK: Final = b'mark'
 _MARKS: Final = _MARK * (_READ_BYTES // len(_MARK))
 _HEAD: Final = b'HTTP/1.1 200 OK\r\n'
 _CHUNKED: Final = b'%stransfer-encoding: chunked\r\n\r\n' % _HEAD
+_MANY_CHUNKS: Final = b'%s%s0\r\n' % (
+    _CHUNKED,
+    b'1000\r\n%s\r\n' % _MARKS[:4096] * 200,
+)
 _OTHER: Final = b'%sx-request-id: z\r\ncontent-length: %d\r\n\r\n%s' % (
     _HEAD,
     len(_MARKS),
@@ -71,16 +76,44 @@
             self._connection.exchange(method, b'', b'', _is_own),
         )
 
+    def receive(self, part: bytes) -> bool:
+        """Receive a read, and return whether the connection is open."""
+        self._connection.data_received(part)
+        return not self.transport.is_aborted
+
     async def answer(self, first: bytes, unit: bytes = b'') -> RawAnswer:
         """Return the answer to which bytes are sent until it is over."""
         await asyncio.sleep(0)
-        self._connection.data_received(first)
+        if first:
+            self._connection.data_received(first)
         for part in repeat(unit):
             if self._answer.done() or not unit:
                 break
             self._connection.data_received(part)
             await asyncio.sleep(0)  # noqa: WPS476
-        return await self._answer
+        async with asyncio.timeout(_HANG_S):
+            return await self._answer
+
+
+class _Reads:
+    """Bytes that arrive in reads of an exchange until its answer is over."""
+
+    def __init__(self, first: bytes, unit: bytes, size: int) -> None:
+        """Initialise with a first part and a number of bytes of another."""
+        count = size // len(unit) if unit else 0
+        self._sent = first + unit * count
+        self.unsent_bytes = len(self._sent)
+
+    async def answer(self) -> RawAnswer:
+        """Return the answer."""
+        exchange = _Exchange()
+        await asyncio.sleep(0)
+        for start in range(0, len(self._sent), _READ_BYTES):
+            part = self._sent[start : start + _READ_BYTES]
+            if not exchange.receive(part):
+                break
+            self.unsent_bytes -= len(part)
+        return await exchange.answer(b'')
 
 
 _FAULTY: Final = (
@@ -157,3 +190,86 @@
     )
     assert answer.body == b'good'
     assert exchange.transport.is_aborted
+
+
+@pytest.mark.parametrize(
+    ('name', 'first', 'unit'),
+    [
+        ('extensions', _CHUNKED, b'1;%s\r\nx\r\n' % _MARKS[:4000]),
+        ('an extension', b'%s1;' % _CHUNKED, _MARKS),
+        ('zeros as a size', _CHUNKED, b'0' * _READ_BYTES),
+        ('trailers', b'%s0\r\n' % _CHUNKED, b'a: %s\r\n' % _MARKS[:15_000]),
+        ('trailers behind a body', _MANY_CHUNKS, b'a: %s\r\n' % _MARKS[:4000]),
+        ('chunks of a byte', _CHUNKED, b'1\r\nx\r\n' * 2000),
+    ],
+)
+async def test_framing_of_a_body_is_bounded(
+    name: str, first: bytes, unit: bytes
+) -> None:
+    """Guards against bytes without end that are no payload of a body."""
+    sent = _Reads(first, unit, _ANSWER_BYTES)
+    with pytest.raises(BrokenAnswer, match='framing of the body too long'):
+        await sent.answer()
+    assert sent.unsent_bytes > 0, name
+
+
+async def test_announced_length_is_refused_with_the_head() -> None:
+    """Guards against bytes of a body that are kept until it is too long."""
+    head = b'%scontent-length: %d\r\n\r\n' % (_HEAD, _ANSWER_BYTES + 1)
+    with pytest.raises(BrokenAnswer, match='announced length too large'):
+        await _Exchange().answer(head)
+
+
+@pytest.mark.parametrize(
+    ('name', 'method', 'status'),
+    [
+        ('HEAD', 'HEAD', b'200 OK'),
+        ('no content', 'GET', b'204 No Content'),
+        ('not modified', 'GET', b'304 Not Modified'),
+    ],
+)
+async def test_length_of_no_body_is_not_limited(
+    name: str, method: str, status: bytes
+) -> None:
+    """Guards against refusing an answer that only states a length."""
+    answer = await _Exchange(method).answer(
+        b'HTTP/1.1 %s\r\ncontent-length: 99999999\r\n\r\n' % status,
+    )
+    assert answer.body == b'', name
+
+
+_INTERIM: Final = b'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n'
+_LARGEST: Final = bytes(_ANSWER_BYTES - 1)
+
+
+@pytest.mark.parametrize(
+    ('name', 'sent'),
+    [
+        (
+            'length',
+            b'%scontent-length: %d\r\n\r\n%s'
+            % (_HEAD, len(_LARGEST), _LARGEST),
+        ),
+        (
+            'chunks',
+            b'%s%x\r\n%s\r\n0\r\na: b\r\n\r\n'
+            % (_CHUNKED, len(_LARGEST), _LARGEST),
+        ),
+        (
+            'small chunks',
+            b'%s%s7\r\n1234567\r\n0\r\n\r\n'
+            % (_CHUNKED, b'8\r\n12345678\r\n' * (_ANSWER_BYTES // 8 - 1)),
+        ),
+        (
+            'long head',
+            b'%s%scontent-length: %d\r\n\r\n%s'
+            % (_HEAD, b'a: %s\r\n' % _MARKS * 6, len(_LARGEST), _LARGEST),
+        ),
+    ],
+)
+async def test_answer_within_the_limits_is_whole(
+    name: str, sent: bytes
+) -> None:
+    """Guards against refusing an answer that is legal and long."""
+    answer = await _Reads(_INTERIM * 2 + sent, b'', 0).answer()
+    assert len(answer.body) == len(_LARGEST), name
