Release what failed calls at targets have received

Memory grew with each failed call until a garbage collection, which is rare on purpose. A stream or future keeps the exception that ended it, the exception its traceback, and the frames of that refer to the stream again, with all that was received. A body that failed before its response had registered itself at it kept the response in the same way.

The tracebacks of such errors are removed where they are handled, since the path of a call logs none of them. A closed connection ends the body that was being received, and the response is registered at no failed body.

--- a/packages/mustardspur_node/src/mustardspur_node/calls/attempts.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/attempts.py
@@ -8,6 +8,7 @@
 from aiohttp import ClientConnectionError, ClientError, ClientResponse
 from aiohttp.connector import Connection
 from aiohttp.http import HttpProcessingError
+from mustardspur_core.tracebacks import release_frames
 from mustardspur_core.units import NS_PER_MS
 
 from mustardspur_node.calls import names
@@ -177,6 +178,7 @@
             self.call.possible_runs -= 1
             raise
         except (ClientError, HttpProcessingError, OSError) as error:
+            release_frames(error)
             raise ExchangeBroken('connection or answer broke') from error
         return reply
 
--- a/packages/mustardspur_node/src/mustardspur_node/calls/channels.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/channels.py
@@ -185,7 +185,13 @@
         read_bufsize=_READ_BUFFER_BYTES,
     )
     response = await request.send(connection)
-    return await response.start(connection)
+    await response.start(connection)
+    failure = response.content.exception()
+    if failure is not None:
+        # The body failed before the response has registered itself at it, and
+        # would refer to it until a garbage collection.
+        response.content.set_exception(failure)
+    return response
 
 
 async def _clean_connection(
--- a/packages/mustardspur_node/src/mustardspur_node/calls/relaying.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/relaying.py
@@ -5,6 +5,7 @@
 
 from aiohttp import ClientError, web
 from aiohttp.http import HttpProcessingError
+from mustardspur_core.tracebacks import release_frames
 from mustardspur_core.units import BYTES_PER_MIB
 
 from mustardspur_node.calls.attempts import Attempt, Reply
@@ -37,7 +38,8 @@
     await relayed.prepare(call.request)
     try:
         await _copy(attempt, reply, relayed)
-    except (ClientError, HttpProcessingError, OSError):
+    except (ClientError, HttpProcessingError, OSError) as error:
+        release_frames(error)
         abort_caller_connection(call.request)
     finally:
         response.close()
@@ -105,6 +107,7 @@
             parts.append(await content.readany())
             size += len(parts[-1])
     except (ClientError, HttpProcessingError, OSError) as error:
+        release_frames(error)
         raise unknown(
             HTTPStatus.BAD_GATEWAY,
             'answer broke on the way',
--- a/packages/mustardspur_node/src/mustardspur_node/calls/target_connections.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/target_connections.py
@@ -71,6 +71,11 @@
         elif left:
             self._fail('bytes belong to no call')
 
+    def close(self) -> None:
+        """Close the connection, without the rest of an answer."""
+        self._end_body('connection closed')
+        super().close()
+
     @property
     def _is_within_body(self) -> bool:
         payload = self._payload
@@ -144,13 +149,16 @@
     def _fail(self, reason: str) -> None:
         """End the connection, and the answer unless it is complete."""
         self._has_failed = True
-        payload = self._payload
-        if payload is not None and not payload.is_eof():
-            payload.set_exception(ClientPayloadError(reason))
+        self._end_body(reason)
         self.set_exception(ClientPayloadError(reason))
         if self.transport is not None:
             self.transport.abort()
 
+    def _end_body(self, reason: str) -> None:
+        payload = self._payload
+        if payload is not None and self._is_within_body:
+            payload.set_exception(ClientPayloadError(reason))
+
 
 def _is_final(message: RawResponseMessage) -> bool:
     """Return whether no further answer of the same call follows."""
--- a/tests/node/calls/test_answers_without_end.py
+++ b/tests/node/calls/test_answers_without_end.py
@@ -31,6 +31,7 @@
     b'POST /prescriptions HTTP/1.1\r\nhost: n\r\n'
     b'connection: close\r\ncontent-length: 0\r\n\r\n'
 )
+_DEADLINE: Final = b'x-mustardspur-deadline-ms: 200\r\n\r\n'
 _CALLS: Final = 12
 # What the kernel may take in for both ends of two connections, which is not
 # read by the caller.
@@ -49,6 +50,19 @@
             b'HTTP/1.1 200 OK\r\ncontent-length: 99999\r\n\r\ngood',
             CLOSE,
         ),
+        'no answer': (b'', KEEP),
+        'open head': (_HEAD, KEEP),
+        'open body': (b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\ngo', KEEP),
+        'open long body': (b''.join((_CHUNKED, b'1\r\na\r\n')), KEEP),
+        'endless body': (
+            b'HTTP/1.1 200 OK\r\ncontent-length: 900000000000\r\n\r\n',
+            ENDLESS,
+        ),
+        'refusal': (
+            b'HTTP/1.1 503 Busy\r\nx-mustardspur-refused: 1\r\n'
+            b'transfer-encoding: chunked\r\n\r\n',
+            ENDLESS,
+        ),
     },
 )
 # Objects that hold what was received.
@@ -85,10 +99,11 @@
     collection, which is rare.
     """
     async with _node(*(FAULTS[fault] for _ in range(_CALLS))) as (mesh, target):
+        request = b''.join((_REQUEST[:-2], _DEADLINE))
         with _no_collection():
             before = _held()
             while target.requests < _CALLS:
-                await mesh.raw(_REQUEST)
+                await mesh.raw(request)
             # A round of the event loop for the connections that are lost.
             await asyncio.sleep(0.1)
             left = _held() - before
