Keep no frames with the faults of calls with a key

A failed call with an idempotency key is remembered for 600 s, up to 10,000 of them, so that a resend gets the same fault. The fault was the exception itself, whose traceback and causes hold the request, the connection and up to 1 MiB of an answer that was too long.

A copy without them is kept and raised.

--- a/packages/mustardspur_node/src/mustardspur_node/calls/error_responses.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/error_responses.py
@@ -40,6 +40,10 @@
         self.outcome = outcome
         self.reason = reason
 
+    def without_frames(self) -> 'CallFault':
+        """Return the same fault without a traceback and a cause."""
+        return CallFault(self.status, self.outcome, self.reason)
+
 
 def not_run(status: HTTPStatus, reason: str) -> CallFault:
     """Return the fault of a call that certainly was not run."""
--- a/packages/mustardspur_node/src/mustardspur_node/calls/idempotency.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/idempotency.py
@@ -133,7 +133,7 @@
             )
         call_result = await asyncio.shield(record.completion)
         if isinstance(call_result, CallFault):
-            raise call_result
+            raise call_result.without_frames()
         return call_result.response(request.headers.get(names.REQUEST_ID))
 
     def expire(self) -> None:
@@ -188,7 +188,8 @@
     try:
         response = await run()
     except CallFault as fault:
-        return fault
+        # Kept as long as the key, with all that its frames would hold.
+        return fault.without_frames()
     if isinstance(response, web.Response):
         return StoredResponse(response)
     return unknown(HTTPStatus.CONFLICT, 'first answer was too long to keep')
--- a/tests/node/calls/test_answers_without_end.py
+++ b/tests/node/calls/test_answers_without_end.py
@@ -209,3 +209,23 @@
         target.endless_unit = units.get(begin, b'a: b\r\n')
         await mesh.raw(_REQUEST)
     assert target.endless_bytes < _KERNEL_BYTES
+
+
+async def test_failed_keyed_calls_leave_nothing() -> None:
+    """Guards against the faults of calls with an idempotency key that keep
+    what was received, for as long as the key is known.
+    """
+    head = b'HTTP/1.1 200 OK\r\ncontent-length: 900000000000\r\n\r\n'
+    steps = [(head, ENDLESS) for _ in range(_CALLS)]
+    async with _node(*steps) as (mesh, target):
+        with _no_collection():
+            before = _held()
+            while target.requests < _CALLS:
+                headers = {'idempotency-key': f'k{target.requests}'}
+                answer = await mesh.call(
+                    'POST', '/prescriptions', headers=headers
+                )
+                assert answer[:2] == (502, 'unknown')
+            await asyncio.sleep(0.1)
+            left = _held() - before
+    assert left < _CALLS / 2
