Bound and check the heads of answers from other nodes

Cause: a node trusted the answers of others. A head of up to 4 MiB was kept uncounted, with the first part of the body held twice; any status and lines in headers went to the caller, and a header that is no pair ended the request with 500. A part before the head was held, and its call waited for its deadline. Nothing ended a stream that went on with answers of ended calls.

A head that is none (status, header, line ends, size) fails its call with 502 and cancels it at the node, as an answer that is too long does now. A part before the head, a second head, a frame of more than 2 MiB and 32 MiB of answers of ended calls end the stream; the calls on it end as with any lost stream. Parts for a call that has ended are not kept.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/call_in_flight.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_in_flight.py
@@ -14,6 +14,7 @@
 from mustardspur_core.wire import MalformedFrame
 
 from mustardspur_node.mesh.answer_budget import AnswerTooLong, HeldAnswer
+from mustardspur_node.mesh.answer_heads import HeldHead, head_bytes
 from mustardspur_node.mesh.body_credit import BodyCreditBalance
 from mustardspur_node.mesh.calls import (
     PlacementFault,
@@ -32,6 +33,8 @@
         The call.
     held : HeldAnswer
         Receives the parts of the answer's body.
+    held_head : HeldHead
+        Counts the bytes of the answer's head.
     on_may_run : callable
         Called once the target may run the call.
 
@@ -46,8 +49,9 @@
     """
 
     __slots__ = (
-        '_first_part',
+        '_head',
         '_held',
+        '_held_head',
         '_on_may_run',
         '_once',
         'answer',
@@ -59,11 +63,13 @@
         self,
         call: CallOpen,
         held: HeldAnswer,
+        held_head: HeldHead,
         on_may_run: Callable[[], None],
     ) -> None:
         """Initialise a call that has not been sent."""
-        self._first_part: CallAnswer | None = None
+        self._head: CallAnswer | None = None
         self._held = held
+        self._held_head = held_head
         self._on_may_run = on_may_run
         self._once = call.confirm
         self.answer: asyncio.Future[TargetAnswer] = asyncio.Future()
@@ -90,12 +96,17 @@
         Raises
         ------
         MalformedFrame
-            If the frame is of another type.
+            If the frame is of another type, or a part comes before the head.
+        PlacementFault
+            If the answer is not one for a caller, or too long. The rest of it
+            is not waited for.
         """
         if isinstance(body, CallFailed):
             self.fail(_place_fault(body))
         elif isinstance(body, CallAnswer | CallPart):
-            self._add_part(body)
+            # What arrives after the end, or a failure, is not kept.
+            if not self.answer.done():
+                self._add_part(body)
         elif isinstance(body, BodyCredit):
             self.credit.add(body.bytes)
         else:
@@ -121,14 +132,18 @@
 
     def _add_part(self, body: CallAnswer | CallPart) -> None:
         """Add a part of the answer; the last part completes the call."""
+        head = self._head
         if isinstance(body, CallAnswer):
-            self._first_part = body
+            head = self._add_head(body)
+        if head is None:
+            raise MalformedFrame('type', 'CallPart before CallAnswer')
         try:
             self._held.add(body.body)
         except AnswerTooLong as error:
-            self.fail(maybe_run_fault('broken', str(error)))
-        head = self._first_part
-        if body.more or head is None or self.answer.done():
+            raise maybe_run_fault('broken', str(error)) from error
+        # The first part is held with the others.
+        head.body = b''
+        if body.more:
             return
         self.answer.set_result(
             TargetAnswer(
@@ -140,6 +155,13 @@
             ),
         )
 
+    def _add_head(self, body: CallAnswer) -> CallAnswer:
+        if self._head is not None:
+            raise MalformedFrame('type', 'CallAnswer after CallAnswer')
+        self._held_head.hold(head_bytes(body))
+        self._head = body
+        return body
+
 
 def _place_fault(failed: CallFailed) -> PlacementFault:
     # A node of another version may state a kind that is not known here, and a
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_connection.py
@@ -11,6 +11,7 @@
     CallConfirm,
     CallFailed,
     CallOpen,
+    CallPart,
     CallReserved,
     NodeHeartbeat,
     NodeHello,
@@ -24,8 +25,13 @@
     connect_stream,
 )
 
+from mustardspur_node.mesh.answer_heads import receiving_head
 from mustardspur_node.mesh.call_in_flight import CallInFlight
-from mustardspur_node.mesh.calls import TargetAnswer, not_sent_fault
+from mustardspur_node.mesh.calls import (
+    PlacementFault,
+    TargetAnswer,
+    not_sent_fault,
+)
 from mustardspur_node.mesh.outgoing_bodies import Uplink, send_by_size
 
 _LOG: Final = logging.getLogger(__name__)
@@ -37,6 +43,11 @@
 SILENCE_S: Final = 1.2
 # A stream without calls in flight is closed after this time.
 IDLE_TIMEOUT_S: Final = 20.0
+# A head of 128 KiB and a part of a body take a fifth of it; nodes of earlier
+# versions state up to 1 MiB in `CallFailed`.
+MAX_FRAME_BYTES: Final = 2_097_152
+# A node that is told that a call has ended sends what is on its way only.
+MAX_UNCLAIMED_BYTES: Final = 33_554_432
 STREAM_ERRORS: Final = (OSError, EOFError, TimeoutError, MalformedFrame)
 
 _FRAMES_WITH_LOAD: Final = (NodeHeartbeat, CallReserved, CallAnswer, CallFailed)
@@ -75,6 +86,7 @@
         '_ready',
         '_settings',
         '_task',
+        '_unclaimed_bytes',
         '_uplink',
         'last_received_s',
     )
@@ -94,6 +106,8 @@
         self._budget = uplink.answers
         self._in_flight_by_id: dict[int, CallInFlight] = {}
         self._next_id = 0
+        # Bytes of answers of ended calls since the latest frame of another.
+        self._unclaimed_bytes = 0
         self.last_received_s: float = 0
         self._last_used_s = _now()
         self._ready: asyncio.Future[FrameStream] = asyncio.Future()
@@ -136,8 +150,11 @@
             If the target gives no usable answer.
         """
         stream = await self._connected()
-        with self._budget.receiving() as held:
-            call_in_flight = CallInFlight(call, held, on_may_run)
+        with (
+            self._budget.receiving() as held,
+            receiving_head(self._budget) as held_head,
+        ):
+            call_in_flight = CallInFlight(call, held, held_head, on_may_run)
             return await self._exchange(stream, call, call_in_flight)
 
     def end_waits(self, reason: str, *, keeps_runs: bool = False) -> None:
@@ -234,7 +251,7 @@
         while True:
             # A local variable would hold the frame, and its call, until the
             # next one arrives.
-            self._apply(stream, await stream.receive())
+            self._apply(stream, await stream.receive(MAX_FRAME_BYTES))
 
     def _apply(self, stream: FrameStream, frame: Frame) -> None:
         self.last_received_s = _now()
@@ -242,7 +259,12 @@
             self._on_load(self._node, frame.body.load)
         call_in_flight = self._in_flight_by_id.get(frame.request_id)
         if call_in_flight is not None:
+            self._unclaimed_bytes = 0
             _apply(stream, frame, call_in_flight)
+        elif isinstance(frame.body, CallAnswer | CallPart):
+            self._unclaimed_bytes += len(frame.body.body)
+            if self._unclaimed_bytes > MAX_UNCLAIMED_BYTES:
+                raise MalformedFrame('length', 'answers of ended calls')
 
     def _fail_all(self, reason: str) -> None:
         if not self._ready.done():
@@ -259,7 +281,11 @@
     call_in_flight: CallInFlight,
 ) -> None:
     if not isinstance(frame.body, CallReserved):
-        call_in_flight.apply(frame.body)
+        try:
+            call_in_flight.apply(frame.body)
+        except PlacementFault as fault:
+            call_in_flight.fail(fault)
+            stream.enqueue(CallCancel(reason=fault.detail), frame.request_id)
     elif not call_in_flight.answer.done():
         # A call that was ended meanwhile is not confirmed, so it never runs.
         stream.enqueue(CallConfirm(confirmed=True), frame.request_id)
--- a/tests/node/stand_ins/faulty_node.py
+++ b/tests/node/stand_ins/faulty_node.py
@@ -8,6 +8,7 @@
 from mustardspur_core.mesh.call_messages import TargetLoad
 from mustardspur_core.record import Record
 from mustardspur_core.wire import FrameStream
+from mustardspur_node.mesh.outgoing_bodies import Uplink
 from mustardspur_node.mesh.peer_link import PeerCallLink
 
 from tests.node.mesh.builders import node_settings
@@ -35,6 +36,8 @@
     def __init__(self, *frames: Record) -> None:
         """Initialise without streams."""
         self.frames = frames
+        self.streams = 0
+        self.sent_bytes = 0
 
     async def serve(
         self,
@@ -43,6 +46,7 @@
     ) -> None:
         """Serve a stream until it ends."""
         stream = FrameStream(reader, writer)
+        self.streams += 1
         with suppress(EOFError, OSError, asyncio.CancelledError):
             await stream.receive()
             while True:
@@ -73,9 +77,12 @@
 
 
 @asynccontextmanager
-async def linked_node(node: FaultyNode) -> AsyncIterator[PeerCallLink]:
+async def linked_node(
+    node: FaultyNode,
+    uplink: Uplink | None = None,
+) -> AsyncIterator[PeerCallLink]:
     """Run a node, and yield a link to it."""
     async with serving_node(node) as address:
-        link = PeerCallLink(address, node_settings(), ignore)
+        link = PeerCallLink(address, node_settings(), ignore, uplink)
         yield link
         link.close()
