--- a/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/call_progress.py
@@ -7,6 +7,7 @@
 from mustardspur_core.mesh.call_messages import TargetLoad
 from mustardspur_core.mesh.model import MeshTarget
 from mustardspur_core.suspension import suspended_s
+from mustardspur_core.tracebacks import release_frames
 from mustardspur_core.units import MS_PER_S
 
 from mustardspur_node.mesh.call_value import max_wait_ms
@@ -153,7 +154,7 @@
 
     def record_fault(self, fault: PlacementFault) -> None:
         """Record the fault of a placement and update the counts."""
-        fault.forget_frames()
+        release_frames(fault)
         self.faults.append(fault)
         if fault.kind in TURNED_AWAY_KINDS:
             self.turned_away += 1
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/calls.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/calls.py
@@ -102,21 +102,6 @@
         self.not_run = not_run
         self.arrived = arrived
 
-    def forget_frames(self) -> None:
-        """Drop the tracebacks of the fault and of the errors that led to it.
-
-        Their frames hold the call, its body and what was received. The call
-        keeps its faults, so that frames and call would hold each other until a
-        garbage collection, and those are rare.
-        """
-        error: BaseException | None = self
-        while error is not None:
-            error.__traceback__ = None
-            earlier = error.__cause__ or error.__context__
-            error.__cause__ = None
-            error.__context__ = None
-            error = earlier
-
 
 class UnansweredCall(Exception):
     """A call ends without an answer of a target.
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_server.py
@@ -20,6 +20,7 @@
     NodeHello,
     TargetLoad,
 )
+from mustardspur_core.tracebacks import release_frames
 from mustardspur_core.wire import (
     FirstFrames,
     Frame,
@@ -263,7 +264,7 @@
             self._server.running -= 1
 
     def _send_fault(self, call_id: int, fault: PlacementFault) -> None:
-        fault.forget_frames()
+        release_frames(fault)
         self._stream.enqueue(
             CallFailed(
                 kind=fault.kind,
