Read answers in small parts and in turns

Beside a target that sends chunks of a byte, or an extension of a chunk without end, a sound service at the same node answered 2 to 14 instead of 20 to 30 calls in 3 to 4 s: one read brought up to 256 KiB, which were parsed at once, and each part of a body that was read parsed again.

Connections to the target read through InboundReads like those of callers, with the same turns for all of a target. Their reads have 64 KiB, and lines are counted by their carriage return, so that text without any is read as fast as other bodies; a long read is searched, which is faster than counted.

The test of chunks of a byte, and of text, failed before.

--- a/packages/mustardspur_core/src/mustardspur_core/inbound_reads.py
+++ b/packages/mustardspur_core/src/mustardspur_core/inbound_reads.py
@@ -9,11 +9,12 @@
 # Bytes of one read. A protocol of uvloop that has no buffer of its own gets up
 # to 256 KiB at once, which may hold thousands of requests.
 READ_BYTES: Final = 16_384
+MAX_READ_BYTES: Final = 65_536
 # Bytes of a costly read that are handled in one turn.
 TURN_BYTES: Final = 4096
 
 # What is read is copied before the next read, so one buffer serves all.
-_BUFFER: Final = memoryview(bytearray(READ_BYTES))
+_BUFFER: Final = memoryview(bytearray(MAX_READ_BYTES))
 
 
 class InboundReads(asyncio.BufferedProtocol):
@@ -30,11 +31,17 @@
     protocol : asyncio.Protocol
         Receives the bytes.
     turns : ReadTurns
-        Turns of all connections of the process.
+        Turns of all connections that share them.
+    line_end : bytes
+        End of a line that is costly to parse.
+    read_bytes : int
+        Bytes of one read, at most `MAX_READ_BYTES`.
     """
 
     __slots__ = (
+        '_buffer',
         '_ended',
+        '_line_end',
         '_lost',
         '_protocol',
         '_receive',
@@ -43,11 +50,19 @@
         '_unhandled',
     )
 
-    def __init__(self, protocol: Any, turns: ReadTurns) -> None:
+    def __init__(
+        self,
+        protocol: Any,
+        turns: ReadTurns,
+        line_end: bytes = b'\n',
+        read_bytes: int = READ_BYTES,
+    ) -> None:
         """Initialise without a connection."""
         self._protocol = protocol
         self._receive: Callable[[bytes], None] = protocol.data_received
         self._turns = turns
+        self._buffer = _BUFFER[:read_bytes]
+        self._line_end = line_end
         self._transport: PausableTransport | None = None
         # Read and not passed on yet.
         self._unhandled = b''
@@ -59,18 +74,18 @@
         self._transport = PausableTransport(transport)
         self._protocol.connection_made(self._transport)
 
-    def get_buffer(self, _: int) -> memoryview:
+    def get_buffer(self, _: int) -> memoryview:  # noqa: WPS615
         """Return the buffer of the next read."""
-        return _BUFFER
+        return self._buffer
 
     def buffer_updated(self, size: int) -> None:
         """Pass on a read, at once or in turn."""
-        received = bytes(_BUFFER[:size])
+        received = bytes(self._buffer[:size])
         if self._unhandled:
             # A paused transport of asyncio may complete one more read.
             self._unhandled += received
             return
-        if received.count(b'\n') <= COSTLY_LINES:
+        if not _is_costly(received, self._line_end):
             self._receive(received)
             return
         self._unhandled = received
@@ -102,7 +117,7 @@
     def _wait_for_turn(self) -> None:
         assert self._transport is not None
         self._transport.pause_for_turn()
-        lines = self._unhandled.count(b'\n', 0, TURN_BYTES)
+        lines = self._unhandled.count(self._line_end, 0, TURN_BYTES)
         self._turns.wait(lines, self._take_turn)
 
     def _take_turn(self) -> None:
@@ -122,6 +137,22 @@
             self._transport.close()
 
 
+def _is_costly(received: bytes, line_end: bytes) -> bool:
+    """Return whether a read has more than `COSTLY_LINES` lines.
+
+    In a long read with few of them, searching is many times faster than
+    counting.
+    """
+    if len(received) <= TURN_BYTES:
+        return received.count(line_end) > COSTLY_LINES
+    end = -1
+    for _ in range(COSTLY_LINES + 1):
+        end = received.find(line_end, end + 1)
+        if end < 0:
+            return False
+    return True
+
+
 class PausableTransport:
     """A transport whose reading the protocol and its reads pause separately.
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_pool.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_pool.py
@@ -5,12 +5,18 @@
 from contextlib import asynccontextmanager
 from typing import Final
 
+from mustardspur_core.inbound_reads import MAX_READ_BYTES, InboundReads
+from mustardspur_core.read_turns import ReadTurns
+
 from mustardspur_node.mesh.answer_budget import AnswerBudget
 from mustardspur_node.mesh.calls import PlacementFault, not_sent_fault
 from mustardspur_node.mesh.target_connection import TargetConnection
 
 # The target is on the same instance; a slower one is overloaded.
 CONNECT_TIMEOUT_S: Final = 1.0
+# Ends the lines of heads and chunks, and seldom those of a body, which cost
+# nothing.
+_LINE_END: Final = b'\r'
 
 
 class TargetPool:
@@ -43,6 +49,7 @@
         '_budget',
         '_idle',
         '_loop',
+        '_turns',
         'address',
         'closed',
         'connected_s',
@@ -55,6 +62,7 @@
         self.closed = False
         self._idle: list[TargetConnection] = []
         self._loop = asyncio.get_running_loop()
+        self._turns = ReadTurns()
         self.connected_s: float = 0
 
     @asynccontextmanager
@@ -163,11 +171,14 @@
             raise
 
     async def _create(self, host: str, port: int) -> TargetConnection:
-        _, connection = await self._loop.create_connection(
-            lambda: TargetConnection(self._loop, self._budget),
-            host,
-            port,
+        connection = TargetConnection(self._loop, self._budget)
+        reads = InboundReads(
+            connection,
+            self._turns,
+            _LINE_END,
+            MAX_READ_BYTES,
         )
+        await self._loop.create_connection(lambda: reads, host, port)
         self.connected_s = self._loop.time()
         connection.idle_since_s = self.connected_s
         return connection
--- a/tests/node/mesh/test_faulty_answers.py
+++ b/tests/node/mesh/test_faulty_answers.py
@@ -6,11 +6,16 @@
 
 import pytest
 from aiohttp.http_parser import RawResponseMessage
+from mustardspur_core.inbound_reads import MAX_READ_BYTES, TURN_BYTES
+from mustardspur_core.mesh.call_messages import TargetLoad
 from mustardspur_node.mesh.answer_budget import AnswerBudget
 from mustardspur_node.mesh.answer_parser import BrokenAnswer, RawAnswer
+from mustardspur_node.mesh.calls import PlacementFault
 from mustardspur_node.mesh.target_connection import TargetConnection
 
+from tests.node.mesh.builders import call_open, local_target
 from tests.node.stand_ins.memory import uncollected_memory
+from tests.node.stand_ins.scripted import CLOSE, run_scripted
 
 _READ_BYTES: Final = 16_384
 _ANSWER_BYTES: Final = 1_048_576
@@ -18,6 +23,7 @@
 _HANG_S: Final = 5
 _MARK: Final = b'mark'
 _MARKS: Final = _MARK * (_READ_BYTES // len(_MARK))
+_TEXT: Final = b'a line of text.\n' * 512
 _HEAD: Final = b'HTTP/1.1 200 OK\r\n'
 _CHUNKED: Final = b'%stransfer-encoding: chunked\r\n\r\n' % _HEAD
 _MANY_CHUNKS: Final = b'%s%s0\r\n' % (
@@ -31,6 +37,10 @@
 )
 
 
+async def _ignore(_: TargetLoad) -> None:
+    """Do nothing when the call may run."""
+
+
 class _Transport(asyncio.Transport):
     """A transport that only records how it ends."""
 
@@ -273,3 +283,42 @@
     """Guards against refusing an answer that is legal and long."""
     answer = await _Reads(_INTERIM * 2 + sent, b'', 0).answer()
     assert len(answer.body) == len(_LARGEST), name
+
+
+class _RecordedReads:
+    """Sizes of what connections to targets receive at a time."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Record from now on."""
+        self.sizes: list[int] = []
+        self._receive = TargetConnection.data_received
+        monkeypatch.setattr(
+            TargetConnection,
+            'data_received',
+            lambda connection, received: self._record(connection, received),
+        )
+
+    def _record(self, connection: TargetConnection, received: bytes) -> None:
+        self.sizes.append(len(received))
+        self._receive(connection, received)
+
+
+@pytest.mark.parametrize(
+    ('name', 'unit', 'largest'),
+    [
+        ('chunks of a byte', b'1\r\nx\r\n', TURN_BYTES),
+        ('text in large chunks', b'2000\r\n%s\r\n' % _TEXT, MAX_READ_BYTES),
+    ],
+)
+async def test_reads_of_costly_answers_take_turns(
+    name: str, unit: bytes, largest: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against chunks that take up the loop, and against text that is
+    read in small parts.
+    """
+    reads = _RecordedReads(monkeypatch)
+    sent = _CHUNKED + unit * (_ANSWER_BYTES // len(unit))
+    async with run_scripted((sent, CLOSE)) as (address, _):
+        with pytest.raises(PlacementFault, match='answer broke off'):
+            await local_target(address).run(call_open(), _ignore)
+    assert largest // 2 < max(reads.sizes) <= largest, name
