Let the limit on answers follow the memory of the process

All answers in flight could take 32 MiB and one answer 16 MiB in a process of any memory, and the reasons of failures at these limits contained counts of bytes. The limit is now 0.107 of mesh.memory_mb, 32 MiB of 300 as before and 13.7 MiB of 128, and one answer takes half; the reasons are fixed texts. The gauge answers.limit_bytes follows.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/answer_budget.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/answer_budget.py
@@ -5,14 +5,18 @@
 from functools import partial
 from typing import Final
 
+from mustardspur_core.held_bytes import DEFAULT_MEMORY_MB
+from mustardspur_core.units import BYTES_PER_MIB
+
 from mustardspur_node.mesh.body_buffer import BodyBuffer
 from mustardspur_node.mesh.body_room import SMALL_BODY_BYTES, BodyRoom
 from mustardspur_node.mesh.request_body import RequestBody
 
-# All answers in flight together, from all targets and other nodes. Each is held
-# whole before it is forwarded, so that a truncated one never looks complete. A
-# target that sends without end fails its call here.
-MAX_HELD_BYTES: Final = 33_554_432
+# Part of the memory of the process that all answers in flight may take
+# together, from all targets and other nodes; 32 MiB of 300. Each is held whole
+# before it is forwarded, so that a truncated one never looks complete.
+ANSWERS_PART: Final = 0.107
+MAX_HELD_BYTES: Final = int(ANSWERS_PART * DEFAULT_MEMORY_MB * BYTES_PER_MIB)
 # One answer takes half at most, so that one without end leaves room for others.
 ANSWER_FRACTION: Final = 0.5
 
@@ -46,6 +50,11 @@
         self.answer_bytes = int(ANSWER_FRACTION * limit_bytes)
         self.held_bytes = 0
 
+    def resize(self, memory_mb: float) -> None:
+        """Set the memory of the process, before any answer is held."""
+        self.limit_bytes = int(ANSWERS_PART * memory_mb * BYTES_PER_MIB)
+        self.answer_bytes = int(ANSWER_FRACTION * self.limit_bytes)
+
     @contextmanager
     def receiving(self) -> Iterator['HeldAnswer']:
         """Count the bytes of one answer until the end of a block."""
@@ -64,11 +73,8 @@
         AnswerTooLong
             If the limit would be exceeded.
         """
-        needed = self.held_bytes + size
-        if needed > self.limit_bytes:
-            raise AnswerTooLong(
-                f'{needed} bytes of answers, at most {self.limit_bytes}',
-            )
+        if self.held_bytes + size > self.limit_bytes:
+            raise AnswerTooLong('no room for further answers')
         self.hold(size)
 
     def hold(self, size: int) -> None:
@@ -143,7 +149,7 @@
         """
         size = self.size + len(part)
         if size > self._budget.answer_bytes:
-            raise AnswerTooLong(f'answer has more than {self.size} bytes')
+            raise AnswerTooLong('body too long')
         self._budget.take(len(part))
         self.size = size
         self._buffer.add(part)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/node_bodies.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/node_bodies.py
@@ -37,6 +37,7 @@
         """Set the memory of the process, before anything is held."""
         self.room.resize(memory_mb)
         self.held.resize(memory_mb)
+        self.answers.resize(memory_mb)
 
     def set_gauges(self, metrics: Metrics) -> None:
         """Set the gauges of the room and of the bodies that wait for it."""
--- a/tests/node/mesh/test_answer_budget.py
+++ b/tests/node/mesh/test_answer_budget.py
@@ -1,7 +1,9 @@
 """Tests of the limit on the bytes of answers."""
 
 import pytest
+from mustardspur_core.units import BYTES_PER_MIB
 from mustardspur_node.mesh.answer_budget import AnswerBudget, AnswerTooLong
+from mustardspur_node.mesh.node_bodies import NodeBodies
 
 from tests.node.stand_ins.memory import uncollected_memory
 
@@ -53,3 +55,16 @@
         held.add(bytes(1))
     failure: AnswerTooLong = caught.value  # noqa: WPS441
     return failure
+
+
+@pytest.mark.parametrize('memory_mb', [64, 128, 300])
+def test_answers_take_a_part_of_the_memory(memory_mb: float) -> None:
+    """Guards against answers that exceed the memory of a small process."""
+    bodies = NodeBodies()
+    bodies.resize(memory_mb)
+    limit_bytes = bodies.answers.limit_bytes
+    assert memory_mb / 10 < limit_bytes / BYTES_PER_MIB < memory_mb / 9
+    with bodies.answers.receiving() as held:
+        held.add(bytes(limit_bytes // 2))
+        with pytest.raises(AnswerTooLong):
+            held.add(bytes(1))
