Discard the bodies of answers to health checks

Health checks and probes read the answer like that to a call: up to 16 MiB were held, of the room of the calls' answers, and a check failed while these took all of it. Their bodies are now discarded as they arrive, at most 64 KiB of them; a longer one, or bytes that are no answer, fail the check and close the connection.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/confirmation.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/confirmation.py
@@ -94,12 +94,7 @@
             asyncio.timeout(HEALTH_TIMEOUT_S),
             local.pool.acquire() as connection,
         ):
-            answer = await connection.exchange(
-                'GET',
-                head.encode(),
-                b'',
-                lambda _: True,
-            )
+            answer = await connection.check(head.encode())
     except (PlacementFault, BrokenAnswer, TimeoutError) as error:
         _LOG.info('health check failed', extra={'reason': repr(error)})
         return False
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/silent_targets.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/silent_targets.py
@@ -266,7 +266,7 @@
         try:
             async with pool.acquire_new() as connection:
                 self._probed.append(connection)
-                await connection.exchange('GET', head, b'', lambda _: True)
+                await connection.check(head)
         except PlacementFault as fault:
             return isinstance(fault.__cause__, TimeoutError)
         except BrokenAnswer as error:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_connection.py
@@ -34,6 +34,8 @@
 MAX_SKIPPED_ANSWERS: Final = 4
 # Refused requests whose identifiers a connection remembers.
 MAX_REFUSED_IDS: Final = 64
+# Longest body of the answer to a health check, which is discarded.
+MAX_CHECK_BYTES: Final = 65_536
 
 
 # Returns whether an answer belongs to the request; None if it has no
@@ -170,6 +172,21 @@
             self._answers.begin(method, expected)
             return await self._answer_to(head, body)
 
+    async def check(self, head: bytes) -> RawAnswer:
+        """Send a health check and return its answer, whose body is discarded.
+
+        It takes nothing of the budget of answers to calls.
+
+        Raises
+        ------
+        BrokenAnswer
+            If there is no complete answer, or a long one.
+        """
+        limits = AnswerLimits(MAX_CHECK_BYTES)
+        is_wanted = partial(self._is_wanted, _is_any)
+        self._answers.begin('GET', ExpectedAnswer(is_wanted, limits, None))
+        return await self._answer_to(head, b'')
+
     async def _answer_to(self, head: bytes, body: bytes) -> RawAnswer:
         transport = self.transport
         if transport is None:
@@ -206,7 +223,9 @@
         BrokenAnswer
             If none can be.
         """
-        self._apply_connection_headers(message)
+        if message.should_close:
+            self.reusable = False
+        self._idle_timeout_s = _idle_timeout_s(message, self._idle_timeout_s)
         if message.code >= HTTPStatus.OK:
             if self._is_own(message, identify):
                 check_delimiters(message)
@@ -240,15 +259,6 @@
             return True
         return is_own
 
-    def _apply_connection_headers(self, message: RawResponseMessage) -> None:
-        if message.should_close:
-            self.reusable = False
-        stated = message.headers.get('keep-alive', '')
-        for part in stated.split(','):
-            name, _, digits = part.strip().partition('=')
-            if name.lower() == 'timeout' and digits.isdigit():
-                self._idle_timeout_s = max(int(digits) - IDLE_MARGIN_S, 0)
-
 
 def _write_request(
     transport: asyncio.Transport, head: bytes, body: bytes
@@ -261,6 +271,21 @@
     transport.write(head + body if body else head)
 
 
+def _idle_timeout_s(message: RawResponseMessage, default_s: float) -> float:
+    """Return the idle timeout that an answer states, with a margin."""
+    stated = message.headers.get('keep-alive', '')
+    for part in stated.split(','):
+        name, _, digits = part.strip().partition('=')
+        if name.lower() == 'timeout' and digits.isdigit():
+            return max(int(digits) - IDLE_MARGIN_S, 0)
+    return default_s
+
+
+def _is_any(_: RawResponseMessage) -> bool:
+    """Take the first answer on a connection for the one to the request."""
+    return True
+
+
 def _is_reset(transport: asyncio.Transport) -> bool:
     raw_socket = transport.get_extra_info('socket')
     return bool(raw_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
--- a/tests/node/mesh/test_confirmation.py
+++ b/tests/node/mesh/test_confirmation.py
@@ -4,8 +4,9 @@
 from collections.abc import Callable
 from typing import Final
 
+import pytest
 from mustardspur_core.mesh.packing import encode_table, table_delta
-from mustardspur_node.mesh.confirmation import confirm_target
+from mustardspur_node.mesh.confirmation import confirm_target, is_healthy
 from mustardspur_node.mesh.local_target import LocalTarget
 from mustardspur_node.mesh.names import HEADER_NAMES
 from mustardspur_node.mesh.reports import MAX_REPORT_DELAY_S, ReportStore
@@ -105,3 +106,39 @@
     assert not local.admission.load.open
     assert not task.done()
     task.cancel()
+
+
+_OK: Final = b'HTTP/1.1 200 OK\r\n'
+
+
+@pytest.mark.parametrize(
+    ('name', 'health'),
+    [
+        ('length', b'%scontent-length: 900000000\r\n\r\n' % _OK),
+        ('long', b'%scontent-length: 99999\r\n\r\n%s' % (_OK, bytes(99_999))),
+        ('no HTTP', bytes(99_999)),
+        ('to the end', b'%s\r\n%s' % (_OK, bytes(99_999))),
+    ],
+)
+async def test_long_answer_fails_the_health_check(
+    name: str, health: bytes
+) -> None:
+    """Guards against a health check that holds what a target sends without
+    end, and against calls to such a target.
+    """
+    async with run_scripted() as (address, target):
+        target.health = health
+        local = _unconfirmed(address)
+        assert not await is_healthy(local, '/healthz'), name
+        assert target.connections == 1
+
+
+async def test_health_check_takes_nothing_of_the_answers() -> None:
+    """Guards against health checks that fail while answers of calls take all
+    room that there is for them.
+    """
+    async with run_scripted() as (address, target):
+        target.health = b'%scontent-length: 4\r\n\r\ngood' % _OK
+        local = _unconfirmed(address)
+        local.budget.hold(local.budget.limit_bytes)
+        assert await is_healthy(local, '/healthz')
