Ignore idle timeouts of answers that are no number

An answer whose keep-alive header stated a timeout of 5000 digits, or of digits like superscripts, ended its exchange with an unexpected ValueError. Two of four cases of test_odd_idle_timeout_is_ignored failed before.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_connection.py
@@ -34,6 +34,8 @@
 MAX_SKIPPED_ANSWERS: Final = 4
 # Refused requests whose identifiers a connection remembers.
 MAX_REFUSED_IDS: Final = 64
+# Longest number of seconds that a stated idle timeout may have.
+MAX_TIMEOUT_DIGITS: Final = 9
 # Longest body of the answer to a health check, which is discarded.
 MAX_CHECK_BYTES: Final = 65_536
 
@@ -276,7 +278,8 @@
     stated = message.headers.get('keep-alive', '')
     for part in stated.split(','):
         name, _, digits = part.strip().partition('=')
-        if name.lower() == 'timeout' and digits.isdigit():
+        is_number = digits.isdecimal() and len(digits) <= MAX_TIMEOUT_DIGITS
+        if name.lower() == 'timeout' and is_number:
             return max(int(digits) - IDLE_MARGIN_S, 0)
     return default_s
 
--- a/tests/node/mesh/test_faulty_answers.py
+++ b/tests/node/mesh/test_faulty_answers.py
@@ -248,6 +248,18 @@
     assert answer.body == b'', name
 
 
+@pytest.mark.parametrize('stated', [b'9' * 5000, '²'.encode(), b'-1', b'x'])
+async def test_odd_idle_timeout_is_ignored(stated: bytes) -> None:
+    """Guards against an answer that is lost with an unexpected error, since
+    its target states a timeout that is no number or too large a one.
+    """
+    answer = await _Exchange().answer(
+        b'%scontent-length: 0\r\nkeep-alive: timeout=%s\r\n\r\n'
+        % (_HEAD, stated),
+    )
+    assert answer.status == 200
+
+
 _INTERIM: Final = b'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n'
 _LARGEST: Final = bytes(_ANSWER_BYTES - 1)
 
