--- a/packages/mustardspur_node/src/mustardspur_node/calls/attempts.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/attempts.py
@@ -8,6 +8,7 @@
 from aiohttp import ClientConnectionError, ClientError, ClientResponse
 from aiohttp.connector import Connection
 from aiohttp.http import HttpProcessingError
+from mustardspur_core.tracebacks import release_frames
 from mustardspur_core.units import NS_PER_MS
 
 from mustardspur_node.calls import names
@@ -28,7 +29,7 @@
     Parameters
     ----------
     reason : str
-        Description of the error.
+        Description of the error, without anything that was received.
     ran : bool
         False only if the target certainly did not run the call.
     """
@@ -177,6 +178,7 @@
             self.call.possible_runs -= 1
             raise
         except (ClientError, HttpProcessingError, OSError) as error:
+            release_frames(error)
             raise ExchangeBroken('connection or answer broke') from error
         return reply
 
@@ -195,7 +197,7 @@
             response = await send_request(request, connection)
         _check_response(response, call.headers[names.REQUEST_ID])
         if _is_refusal(response):
-            await response.read()
+            await _skip_short_body(response)
             raise CallRefused
         return Reply(response, await _read_short_body(response))
 
@@ -212,6 +214,15 @@
     return body
 
 
+async def _skip_short_body(response: ClientResponse) -> None:
+    content = response.content
+    size = 0
+    while not content.at_eof():
+        size += len(await content.readany())
+        if size > MAX_BUFFERED_RESPONSE_BYTES:
+            raise ExchangeBroken('refusal is too long')
+
+
 def _is_refusal(response: ClientResponse) -> bool:
     return (
         response.status == HTTPStatus.SERVICE_UNAVAILABLE
