Bound the memory that one frame takes when it is read

Cause: the length of a frame is bounded at 4 MiB, what it unpacks to is not. An empty list or map has one byte in the frame and 64 to 72 in memory, so that one legal frame of any peer ends a process of 256 or 300 MiB. Nodes, control instances and voters read frames by the same code.

Change: lists and maps are counted while a frame of more than 256 KiB is unpacked, and more than 262,144 are refused as malformed. The largest sound frames, of targets, have 100 bytes for each.

--- a/packages/mustardspur_core/src/mustardspur_core/wire/codec.py
+++ b/packages/mustardspur_core/src/mustardspur_core/wire/codec.py
@@ -12,6 +12,9 @@
 
 PROTOCOL_VERSION: Final = 1
 FRAME_FIELDS: Final = 4
+# Lists and maps of one frame. An empty one has one byte in a frame and 64 in
+# memory, so that a frame of 4 MiB could take 288 MiB.
+MAX_CONTAINERS: Final = 262_144
 
 _MessageT = TypeVar('_MessageT', bound=type[Record])
 _types_by_code: dict[int, type[Record]] = {}
@@ -48,6 +51,22 @@
     body: Record
 
 
+class _ContainerCount:
+    """Number of lists and maps of a frame while it is unpacked."""
+
+    __slots__ = ('_left',)
+
+    def __init__(self) -> None:
+        self._left = MAX_CONTAINERS
+
+    def add(self, container: Any) -> Any:
+        """Count a container and return it."""
+        self._left -= 1
+        if self._left < 0:
+            raise ValueError(f'more than {MAX_CONTAINERS} lists and maps')
+        return container
+
+
 def message(
     code: int,
     *,
@@ -134,19 +153,34 @@
 
 def _unpack(encoded: bytes) -> Any:
     try:
-        return msgpack.unpackb(encoded, raw=False, strict_map_key=False)
+        return _unpack_containers(encoded)
     except UnicodeDecodeError:
-        parts = msgpack.unpackb(
-            encoded,
-            raw=False,
-            strict_map_key=False,
-            unicode_errors=_BYTES_IN_TEXT,
-        )
+        parts = _unpack_containers(encoded, unicode_errors=_BYTES_IN_TEXT)
         if _is_of_any_bytes(parts):
             return parts
         raise
 
 
+def _unpack_containers(encoded: bytes, **options: Any) -> Any:
+    """Return the unpacked frame.
+
+    Raises
+    ------
+    ValueError
+        If it is invalid or has more than `MAX_CONTAINERS`.
+    """
+    # Shorter frames cannot have more, and need no call for each container.
+    if len(encoded) > MAX_CONTAINERS:
+        count = _ContainerCount()
+        options |= {'list_hook': count.add, 'object_hook': count.add}
+    return msgpack.unpackb(
+        encoded,
+        raw=False,
+        strict_map_key=False,
+        **options,
+    )
+
+
 def _is_of_any_bytes(parts: Any) -> bool:
     """Return whether a frame is of a type that may have any bytes in text."""
     is_frame = isinstance(parts, list) and len(parts) == FRAME_FIELDS
--- a/tests/core/wire/test_codec.py
+++ b/tests/core/wire/test_codec.py
@@ -1,16 +1,25 @@
 """Tests of the encoding of frames and the rejection of invalid ones."""
 
+import tracemalloc
+
 import msgpack
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from mustardspur_core.conversion import decode_mapping
+from mustardspur_core.mesh.control_messages import MeshTargets
 from mustardspur_core.messages import Busy, Heartbeat, Welcome
 from mustardspur_core.readers import DecodeError, dict_reader, scalar_reader
+from mustardspur_core.units import BYTES_PER_MIB
 from mustardspur_core.wire import MalformedFrame, decode_frame, encode_frame
+from mustardspur_core.wire.codec import MAX_CONTAINERS
+
+from tests.core.mesh.builders import target
 
 _LONG_BYTES = 100_000
 _MAX_TEXT_CHARS = 2000
+_FRAME_BYTES = 4_000_000
+_MEMORY_BYTES = 48 * BYTES_PER_MIB
 
 
 def test_round_trip_keeps_request_and_fields() -> None:
@@ -115,3 +124,34 @@
     assert len(str(nested.value)) < _MAX_TEXT_CHARS
     assert str(nested.value).startswith('counts.xxx')
     assert str(nested.value).endswith("expected int, found str 'one'")
+
+
+@pytest.mark.parametrize(
+    'unit', [b'\x90', b'\x80', b'\x91\x90', b'\x92\xa0\xa0']
+)
+@pytest.mark.parametrize('code', [161, 165, 2])
+def test_small_containers_do_not_fill_the_memory(
+    unit: bytes,
+    code: int,
+) -> None:
+    """Guards against a process that is killed for one frame of many lists,
+    each of which takes 64 times its bytes.
+    """
+    count = _FRAME_BYTES // len(unit)
+    fields = b'\xdd%b%b' % (count.to_bytes(4, 'big'), unit * count)
+    frame = b'\x94\x01%b\x00%b' % (msgpack.packb(code), fields)
+    tracemalloc.start()
+    with pytest.raises(MalformedFrame):
+        decode_frame(frame)
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert peak_bytes < _MEMORY_BYTES
+
+
+def test_largest_frame_of_targets_is_read() -> None:
+    """Guards against a limit that a sound frame exceeds."""
+    sound = [target(str(number)) for number in range(12_000)]
+    update = MeshTargets(full=True, upserts=sound, removed=[])
+    encoded = encode_frame(update)
+    assert len(encoded) > MAX_CONTAINERS
+    assert decode_frame(encoded).body == update
