Handle a bounded number of frames of a stream in one turn

Cause: frames that have arrived are read without a wait. One read of a stream brings up to ten thousand small frames at 20 us and more each, so that a peer that sends frames without end, each legal, holds up all calls of a process for a fifth of a second at a time.

Change: after 32 frames a stream lets the other tasks run.

Failed before: test_many_small_frames_leave_turns_to_others (320 frames in one turn).

--- a/packages/mustardspur_core/src/mustardspur_core/wire/streams.py
+++ b/packages/mustardspur_core/src/mustardspur_core/wire/streams.py
@@ -18,6 +18,9 @@
 LENGTH_BYTES: Final = 4
 CLOSE_TIMEOUT_S: Final = 0.5
 MAX_FRAME_BYTES: Final = 4 * BYTES_PER_MIB
+# Frames of a stream that are handled in one iteration of the event loop. One
+# read can bring ten thousand small ones, and each takes 20 us and more.
+FRAMES_PER_TURN: Final = 32
 
 
 class FrameStream:
@@ -32,6 +35,7 @@
     """
 
     __slots__ = (
+        '_left_in_turn',
         '_reader',
         '_writer',
         'peer_address',
@@ -45,6 +49,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         """Initialise a stream over an open connection."""
+        self._left_in_turn = FRAMES_PER_TURN
         self._reader = reader
         self._writer = writer
         # uvloop no longer returns the address once the connection is closed.
@@ -112,6 +117,12 @@
         MalformedFrame
             If the frame is too long, truncated or invalid.
         """
+        if not self._left_in_turn:
+            # Frames that have arrived are read without a wait, so that other
+            # tasks would not run before the last of them is handled.
+            await asyncio.sleep(0)
+            self._left_in_turn = FRAMES_PER_TURN
+        self._left_in_turn -= 1
         prefix = await self._read(LENGTH_BYTES)
         length = int.from_bytes(prefix, 'big')
         if length > limit:
--- a/tests/core/wire/test_streams.py
+++ b/tests/core/wire/test_streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from unittest.mock import MagicMock
 
 import pytest
 from mustardspur_core.event_loop import run_in_loop
@@ -11,8 +12,10 @@
     MAX_FRAME_BYTES,
     FrameStream,
     connect_stream,
+    encode_frame,
     raise_on_silence,
 )
+from mustardspur_core.wire.streams import FRAMES_PER_TURN, LENGTH_BYTES
 
 from tests.support.virtual_time import VirtualLoop, in_virtual_time
 
@@ -99,3 +102,23 @@
     """Guards against waiting without end for a peer that reads nothing."""
     leaving = asyncio.wait_for(_leave_unread_peer(), HANG_LIMIT_S)
     assert run_in_loop(leaving)
+
+
+async def test_many_small_frames_leave_turns_to_others() -> None:
+    """Guards against a peer that holds up all calls of a process with small
+    frames, which are read faster than they are handled.
+    """
+    reader = asyncio.StreamReader()
+    writer = MagicMock(spec=asyncio.StreamWriter)
+    stream = FrameStream(reader, writer)
+    encoded = encode_frame(HEARTBEAT)
+    frame = len(encoded).to_bytes(LENGTH_BYTES, 'big') + encoded
+    frames = 10 * FRAMES_PER_TURN
+    reader.feed_data(frame * frames)
+    receiving = asyncio.create_task(_receive(stream))
+    read = []
+    while stream.received_bytes < frames * len(frame):
+        read.append(stream.received_bytes // len(frame))
+        await asyncio.sleep(0)
+    receiving.cancel()
+    assert len(read) >= 10
