Bound the answers that are kept for resends together

Each kept answer to a call with an idempotency key was bounded, 1 MiB, and their number, 10,000, but not their sum: a target with answers of 1 MB ended a node of 300 MiB after about 250 calls.

At most 32 MiB are kept. The first caller still gets its whole answer; a resend whose answer is not kept is told that the outcome is unknown, as after one that is too long, and is not run again. test_kept_answers_are_bounded_together: 40 of 40 answers of 1 MB were kept before, 33 are now.

--- a/packages/mustardspur_node/src/mustardspur_node/calls/idempotency.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/idempotency.py
@@ -21,6 +21,8 @@
 RETENTION_S: Final = 600.0
 MAX_KEYS: Final = 10_000
 MAX_KEY_CHARS: Final = 200
+# Bodies of all answers that are kept.
+MAX_KEPT_BYTES: Final = 33_554_432
 
 
 class StoredResponse:
@@ -33,6 +35,7 @@
         self.status = response.status
         self.reason = response.reason
         self.headers = CIMultiDict(response.headers)
+        assert isinstance(response.body, bytes)
         self.body = response.body
 
     def response(self, request_id: str | None) -> web.Response:
@@ -60,14 +63,16 @@
 
 
 class _Record:
-    __slots__ = ('completion', 'digest', 'expires_at')
+    __slots__ = ('completion', 'digest', 'expires_at', 'size')
 
     def __init__(
         self,
         digest: int,
-        completion: asyncio.Task[_CallResult],
+        completion: asyncio.Future[_CallResult],
     ) -> None:
         self.digest = digest
+        # Bytes of the answer that is kept.
+        self.size = 0
         self.completion = completion
         self.expires_at: float = 0
 
@@ -81,14 +86,17 @@
     A call with a key runs in a separate task and continues after its caller
     disconnects, since the caller is expected to resend it. A resend gets the
     first response, or the first fault while the outcome is unknown. A call
-    that was not run is removed and may be sent again as a new one.
+    that was not run is removed and may be sent again as a new one. An answer
+    that exceeds the bytes of all answers that are kept is not kept; a resend is
+    then told that the outcome is unknown.
     """
 
-    __slots__ = ('_loop', '_records_by_key')
+    __slots__ = ('_kept_bytes', '_loop', '_records_by_key')
 
     def __init__(self) -> None:
         """Initialise an empty store."""
         self._loop = asyncio.get_running_loop()
+        self._kept_bytes = 0
         self._records_by_key: dict[tuple[str, str], _Record] = {}
 
     async def execute_once(
@@ -142,7 +150,7 @@
         records = self._records_by_key
         for key, record in list(records.items()):
             if record.expires_at and record.expires_at <= now:
-                records.pop(key)
+                self._kept_bytes -= records.pop(key).size
 
     def _check_new_key(
         self,
@@ -180,6 +188,17 @@
             and call_result.outcome is Outcome.NOT_RUN
         ):
             self._records_by_key.pop(key, None)
+        elif isinstance(call_result, StoredResponse):
+            self._keep(record, call_result)
+
+    def _keep(self, record: _Record, response: StoredResponse) -> None:
+        size = len(response.body)
+        if self._kept_bytes + size > MAX_KEPT_BYTES:
+            record.completion = self._loop.create_future()
+            record.completion.set_result(_not_kept())
+        else:
+            record.size = size
+            self._kept_bytes += size
 
 
 async def _run(
@@ -192,6 +211,10 @@
         return fault.without_frames()
     if isinstance(response, web.Response):
         return StoredResponse(response)
+    return _not_kept()
+
+
+def _not_kept() -> CallFault:
     return unknown(HTTPStatus.CONFLICT, 'first answer was too long to keep')
 
 
--- a/tests/node/calls/test_idempotency.py
+++ b/tests/node/calls/test_idempotency.py
@@ -4,8 +4,9 @@
 from types import MappingProxyType
 
 from aiohttp import web
+from mustardspur_node.calls.idempotency import MAX_KEPT_BYTES
 
-from tests.node.stand_ins.mesh import run_mesh, run_target
+from tests.node.stand_ins.mesh import Mesh, run_mesh, run_target
 from tests.node.stand_ins.scripted import CLOSE, GOOD, KEEP, run_scripted
 from tests.node.stand_ins.views import make_target, make_view
 
@@ -115,3 +116,39 @@
             headers = {'x-request-id': 'second', **KEY}
             async with mesh.client.post(url, headers=headers) as answer:
                 assert answer.headers['x-request-id'] == 'second'
+
+
+_LARGE = bytes(1_000_000)
+_LARGE_CALLS = 40
+
+
+async def _call_with_keys(mesh: Mesh) -> list[tuple[int, str | None, bytes]]:
+    """Make a call with each of the keys at once."""
+    return await asyncio.gather(
+        *(
+            mesh.call(
+                'POST',
+                '/prescriptions',
+                headers={'idempotency-key': f'k{number}'},
+            )
+            for number in range(_LARGE_CALLS)
+        ),
+    )
+
+
+async def test_kept_answers_are_bounded_together() -> None:
+    """Guards against a node that ends for the memory of kept answers, and
+    against a second run of a call whose answer is not kept.
+    """
+    head = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % len(_LARGE)
+    steps = [(b''.join((head, _LARGE)), KEEP) for _ in range(_LARGE_CALLS)]
+    async with run_scripted(*steps) as (address, target):
+        async with run_mesh(make_view([make_target(address)])) as mesh:
+            answers = await _call_with_keys(mesh)
+            resent = await _call_with_keys(mesh)
+    assert set(answers) == {(200, None, _LARGE)}
+    kept = resent.count((200, None, _LARGE))
+    told = [answer[:2] for answer in resent].count((409, 'unknown'))
+    assert kept == MAX_KEPT_BYTES // len(_LARGE)
+    assert kept + told == _LARGE_CALLS
+    assert target.requests == _LARGE_CALLS
