Release the second attempt of a hedged call

A second attempt that failed or was cancelled stayed until a garbage collection with its connection and what that had received: its task keeps the exception, whose frames refer to the object that keeps the task.

That object gives the task up once it is cancelled.

--- a/packages/mustardspur_node/src/mustardspur_node/calls/hedging.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/hedging.py
@@ -69,10 +69,9 @@
         try:
             reply = await self._tracker.run(self._first)
         except AttemptError:
-            second = self._second
-            if second is None:
+            if self._second is None:
                 raise
-            completed = await asyncio.shield(second)
+            completed = await asyncio.shield(self._second)
             self._second = None
             return completed
         return self._first, reply
@@ -104,6 +103,8 @@
 
     def _cancel_second(self) -> None:
         second = self._second
+        # Its exception refers to this object, with all that was received.
+        self._second = None
         if second is not None:
             second.cancel()
             second.add_done_callback(self._discard)
--- a/tests/node/calls/test_answers_without_end.py
+++ b/tests/node/calls/test_answers_without_end.py
@@ -229,3 +229,37 @@
             await asyncio.sleep(0.1)
             left = _held() - before
     assert left < _CALLS / 2
+
+
+async def test_hedged_calls_leave_nothing() -> None:
+    """Guards against a second attempt whose error is kept with what it has
+    received until a garbage collection.
+    """
+    once = {'attempts': 1, 'budget_ratio': 0, 'hedge_after_ms': 0}
+    hedged = {'attempts': 2, 'budget_ratio': 1, 'hedge_after_ms': 20}
+    steps = [FAULTS['no answer'] for _ in range(2 * _CALLS)]
+    request = b''.join((b'GET /stock HTTP/1.1\r\nhost: n\r\n', _DEADLINE))
+    async with (
+        run_scripted(*steps) as (first, _),
+        run_scripted(*steps) as (second, _),
+        run_mesh(
+            make_view(
+                [make_target(first), make_target(second)],
+                retries={'once': once, 'fetch': hedged},
+            ),
+        ) as mesh,
+    ):
+        with _no_collection():
+            before = _held()
+            await _repeat(mesh, request)
+            left = _held() - before
+    assert left < _CALLS / 2
+
+
+async def _repeat(mesh: Mesh, request: bytes) -> None:
+    """Make a call again and again on connections of their own."""
+    request = request.replace(b'host', b'connection: close\r\nhost')
+    for _ in range(_CALLS):
+        await mesh.raw(request)  # noqa: WPS476
+    # A round of the event loop for the connections that are lost.
+    await asyncio.sleep(0.1)
