Count the room of bodies when their requests start

Cause: a request was started if the account of callers was not full, and counted with 24 KiB. Its body is counted as it arrives, up to 48 KiB that are not read yet. 1,400 requests started within the limit of 36 MiB and held 83 to 103 MiB once their bodies had come, beside 80 MiB in the account of bodies.

A request is now counted with what may still arrive of its body unread, from its start on, also where it had waited for room.

`test_started_requests_have_room_for_their_bodies` failed before: connections of callers inside all limits were reset, as the account was exceeded.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_payload.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_payload.py
@@ -7,6 +7,9 @@
 
 # A client that sends less in a read makes no progress.
 PROGRESS_BYTES: Final = 1024
+# Longest part of a body that is received and not read: reading pauses at twice
+# the buffer of the parser, and one more read may complete.
+MAX_UNREAD_BYTES: Final = 49_152
 
 
 class CallerPayload:
@@ -16,6 +19,8 @@
     ----------
     reader : StreamReader
         Receives the body from the parser.
+    stated_bytes : int or None
+        Length that the caller states.
 
     Attributes
     ----------
@@ -29,15 +34,23 @@
 
     __slots__ = (
         '_read_bytes',
+        '_stated_bytes',
         'is_taken',
         'on_awaited',
         'on_taken',
         'reader',
     )
 
-    def __init__(self, reader: StreamReader, *, is_empty: bool) -> None:
+    def __init__(
+        self,
+        reader: StreamReader,
+        stated_bytes: int | None,
+        *,
+        is_empty: bool,
+    ) -> None:
         """Initialise a body of which nothing is read."""
         self.reader = reader
+        self._stated_bytes = stated_bytes
         self._read_bytes = 0
         self.is_taken = is_empty
         self.on_awaited: Callable[[], None] | None = None
@@ -55,6 +68,15 @@
         """Bytes that were received and are not read."""
         return self.reader.total_bytes - self._read_bytes
 
+    @property
+    def expected_bytes(self) -> int:
+        """Most bytes that may be received and not read from now on."""
+        if self.is_taken or self.reader.is_eof():
+            return self.unread_bytes
+        if self._stated_bytes is None:
+            return MAX_UNREAD_BYTES
+        return min(self._stated_bytes - self._read_bytes, MAX_UNREAD_BYTES)
+
     async def read(self) -> bytes:
         """Return the next part."""
         part = await self.reader.readany()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_room.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_room.py
@@ -203,7 +203,10 @@
         if self._received_bytes > _SMALL_READ_BYTES:
             request.held_bytes += _head_bytes(message)
         self.pending.append(request)
-        self._share.resize(self._share.size + request.held_bytes)
+        held = request.held_bytes
+        if request.body is not None:
+            held += request.body.payload.expected_bytes
+        self._share.resize(self._share.size + held)
 
     def update(self, size: int = 0, *, is_head: bool) -> None:
         """Count what is held for the connection.
@@ -226,7 +229,7 @@
         is_owing = is_head or is_unread
         latest = self.pending[-1].body if self.pending else None
         if latest is not None:
-            held += latest.payload.unread_bytes
+            held += latest.payload.expected_bytes
             is_owing = is_owing or latest.payload.is_awaited
         if is_head:
             held += self._received_bytes * _HEAD_FACTOR
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/request_body.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/request_body.py
@@ -88,7 +88,9 @@
         self._message = message
         self._payload = payload
         is_empty = payload is EMPTY_PAYLOAD
-        self.payload = CallerPayload(payload, is_empty=is_empty)
+        self.payload = CallerPayload(
+            payload, self.stated_bytes, is_empty=is_empty
+        )
         self._limit = limit
         self._transport = transport
         self.on_read_end: Callable[[], None] | None = None
--- a/tests/node/mesh/test_caller_room.py
+++ b/tests/node/mesh/test_caller_room.py
@@ -8,8 +8,10 @@
 
 from aiohttp.http_parser import RawRequestMessage
 from mustardspur_core.held_bytes import HeldBytes
+from mustardspur_core.record import replaced
 from mustardspur_node.mesh.caller_answers import CallerAnswer
 from mustardspur_node.mesh.caller_connections import CallerConnections, ReadBody
+from mustardspur_node.mesh.caller_payload import MAX_UNREAD_BYTES
 from mustardspur_node.mesh.caller_room import REQUEST_BYTES
 
 from tests.core.mesh.builders import LIMITS
@@ -27,6 +29,11 @@
         bytes(_BODY),
     )
 )
+_LONG_BODY: Final = 60_000
+_LONG_POST: Final = (
+    b'POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n\r\n' % _LONG_BODY
+)
+_LIMITS: Final = replaced(LIMITS, body_bytes=_LONG_BODY)
 _GET: Final = b'GET /a HTTP/1.1\r\nhost: h\r\n\r\n'
 
 
@@ -35,12 +42,13 @@
 
     def __init__(self, memory_mb: float = 300) -> None:
         self.started = 0
+        self.most_held = 0
         self.release = asyncio.Event()
         self.held = HeldBytes(memory_mb)
         self.connections = CallerConnections('Retry-After', self.held)
 
     def connect(self) -> asyncio.BaseProtocol:
-        return self.connections.add(lambda: LIMITS, self.answer, bool)
+        return self.connections.add(lambda: _LIMITS, self.answer, bool)
 
     async def answer(
         self,
@@ -50,6 +58,7 @@
         self.started += 1
         await self.release.wait()
         await body()
+        self.most_held = max(self.most_held, self.held.held_bytes)
         return CallerAnswer(
             status=200, reason='OK', headers=[], body=_ANSWER, closes=False
         )
@@ -136,3 +145,29 @@
         await asyncio.sleep(0.1)
         assert 0 < held <= node.held.limit_bytes + REQUEST_BYTES
         assert not node.held.held_bytes
+
+
+async def test_started_requests_have_room_for_their_bodies() -> None:
+    """Guards against a node that is killed for the bodies of requests that it
+    has started, of which only what had arrived was counted.
+    """
+    node = _Node(_MEMORY_MB)
+    async with _serving(node) as address:
+        opening = (asyncio.open_connection(*address) for _ in range(10))
+        callers = await asyncio.gather(*opening)
+        for _, writer in callers:
+            writer.write(_LONG_POST)
+        await asyncio.sleep(0.1)
+        for _, writer in callers:
+            writer.write(bytes(_LONG_BODY))
+        await asyncio.sleep(0.1)
+        held = node.held.held_bytes
+        node.release.set()
+        reading = (_read_answers(each, 1) for each, _ in callers)
+        await asyncio.gather(*reading)
+        for _, writer in callers:
+            writer.close()
+    most = node.held.limit_bytes + REQUEST_BYTES + MAX_UNREAD_BYTES
+    assert 0 < held <= most
+    assert node.most_held <= most
+    assert node.started == len(callers)
