Hold nothing that callers have sent who left

A connection that is lost stays with the server until the next removal of lost ones, and refers to itself until a collection of garbage. It kept what was received and not started, up to 16 KiB, the body of its latest request and the parser, after its share of the account was given back.

They are let go of with the connection.

`test_bytes_of_callers_that_left_are_forgotten` failed before.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -168,6 +168,8 @@
         # The cancelled calls have their bodies, and the server removes lost
         # connections only from time to time.
         self._pending.clear()
+        self.room.intake.end()
+        self._parser = None
         self.room.release()
         if self._writer is not None:
             self._writer.cancel()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_intake.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_intake.py
@@ -143,6 +143,11 @@
         self.parser = None
         self.unparsed = b''
 
+    def end(self) -> None:
+        """Hold nothing of what was received, since the caller has left."""
+        self.close()
+        self.body = EMPTY_PAYLOAD
+
     def _parse(self, received: bytes) -> bool:
         """Parse and start requests as far as they may start."""
         try:
--- a/tests/node/mesh/test_caller_stalls.py
+++ b/tests/node/mesh/test_caller_stalls.py
@@ -200,3 +200,21 @@
     transport.abort()
     await asyncio.sleep(STALL_S)
     assert not calls.bodies
+
+
+@in_virtual_time
+async def test_bytes_of_callers_that_left_are_forgotten() -> None:
+    """Guards against a node that holds what callers had sent before they left,
+    as long as it has their connections.
+    """
+    node = _Node()
+    running = node.fill()
+    caller = node.connect()
+    transport = _Transport(caller)
+    caller.data_received(_POST)
+    assert caller.room.intake.unparsed
+    transport.abort()
+    await asyncio.sleep(STALL_S)
+    assert not caller.room.intake.unparsed
+    assert caller.room.intake.parser is None
+    assert running.size
