Fail answers whose number is no status of HTTP

A target that answered 000, 042 or 099 was taken for one that sends an interim answer: the caller waited until its deadline and got 504. 600 and 999 were forwarded as answers, by nodes of a mesh and outside of one.

Cause: the parsers accept three digits, and only a number below 200 was looked at.

Change: a number below 100 or above 599 is none, and the call ends with 502 at once, which promises nothing; its connection is closed.

Before: the five cases of test_number_that_is_no_status_fails_the_call failed, three with a timeout and two with an answer, and so did the cases of 600 and 999 in test_answer_faults.py.

--- a/packages/mustardspur_node/src/mustardspur_node/calls/attempts.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/attempts.py
@@ -8,6 +8,7 @@
 from aiohttp import ClientConnectionError, ClientError, ClientResponse
 from aiohttp.connector import Connection
 from aiohttp.http import HttpProcessingError
+from mustardspur_core.http_statuses import is_final_status
 from mustardspur_core.tracebacks import release_frames
 from mustardspur_core.units import NS_PER_MS
 
@@ -235,8 +236,9 @@
     headers = response.headers
     if headers.get(names.REQUEST_ID, request_id) != request_id:
         raise ExchangeBroken('answer belongs to another request')
-    if response.status < HTTPStatus.OK:
-        raise ExchangeBroken('answer switches the protocol')
+    if not is_final_status(response.status):
+        # It switches the protocol, or its number is no status.
+        raise ExchangeBroken('answer has no final status')
     delimiters = len(headers.getall(names.CONTENT_LENGTH, ()))
     delimiters += len(headers.getall(names.TRANSFER_ENCODING, ()))
     if delimiters > 1 or not delimiters and response.status not in _BODYLESS:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/answer_heads.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/answer_heads.py
@@ -5,6 +5,7 @@
 from itertools import chain
 from typing import Final
 
+from mustardspur_core.http_statuses import is_final_status
 from mustardspur_core.mesh.call_messages import CallAnswer
 
 from mustardspur_node.mesh.answer_budget import AnswerBudget, AnswerTooLong
@@ -15,8 +16,6 @@
 MAX_HEAD_BYTES: Final = 262_144
 # Memory that a header takes besides its characters.
 HEADER_BYTES: Final = 200
-_MIN_STATUS: Final = 200
-_MAX_STATUS: Final = 599
 _HEADER_FIELDS: Final = 2
 _LINE_ENDS: Final = ('\r', '\n', '\0')
 
@@ -30,7 +29,7 @@
         If it cannot be written as the head of an answer to a caller, or is
         too long.
     """
-    if not _MIN_STATUS <= answer.status <= _MAX_STATUS:
+    if not is_final_status(answer.status):
         raise maybe_run_fault('broken', 'node sent a status that is none')
     if any(len(header) != _HEADER_FIELDS for header in answer.headers):
         raise maybe_run_fault('broken', 'node sent a header without a value')
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_connection.py
@@ -10,6 +10,7 @@
 
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http_parser import RawResponseMessage
+from mustardspur_core.http_statuses import is_status
 
 from mustardspur_node.mesh.answer_budget import AnswerBudget
 from mustardspur_node.mesh.answer_limits import AnswerLimits
@@ -228,6 +229,8 @@
         if message.should_close:
             self.reusable = False
         self._idle_timeout_s = _idle_timeout_s(message, self._idle_timeout_s)
+        if not is_status(message.code):
+            raise BrokenAnswer('status is none of HTTP')
         if message.code >= HTTPStatus.OK:
             if self._is_own(message, identify):
                 check_delimiters(message)
--- a/tests/node/calls/test_answer_faults.py
+++ b/tests/node/calls/test_answer_faults.py
@@ -47,6 +47,10 @@
             b'connection: upgrade\r\n\r\n',
             KEEP,
         ),
+        **{
+            f'status {status.decode()}': (GOOD.replace(b'200', status, 1), KEEP)
+            for status in (b'000', b'042', b'099', b'600', b'999')
+        },
     },
 )
 CHUNKED = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n%b'
--- a/tests/node/mesh/test_target_connection.py
+++ b/tests/node/mesh/test_target_connection.py
@@ -325,6 +325,25 @@
         assert not fault.value.not_run
 
 
+@pytest.mark.parametrize('status', ['000', '042', '099', '600', '999'])
+async def test_number_that_is_no_status_fails_the_call(
+    status: str,
+) -> None:
+    """Guards against an answer that is forwarded, or waited behind until the
+    deadline, though its status is none.
+    """
+    sent = GOOD.replace(b'200', status.encode(), 1)
+    async with run_scripted((sent, KEEP)) as (address, target):
+        local = local_target(address)
+        with pytest.raises(PlacementFault) as fault:
+            await _run(local)
+        after = await _run(local, 'r2')
+    assert fault.value.kind == 'broken'
+    assert not fault.value.not_run
+    assert after.body == b'good'
+    assert target.connections == 2
+
+
 _HANG_LIMIT_S: Final = 60
 _HEADS: Final = (
     GOOD,
