Count the heads of unfinished calls, and hold their first parts once

A play of a faulty peer on a real node (memory 256 MiB, 8 streams, 4 s): calls with long heads, or with parts of 60 KB, whose bodies never end, ended it.

Cause: a call whose body is not complete was kept with the first part of its body beside the buffer that has it too, and its head was not counted. A call opened twice under one number left its bytes counted for ever.

Change: head and parts count as bodies that the node holds, from before they are kept, the first part is held once, and a call that is opened again ends its stream.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/partial_calls.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/partial_calls.py
@@ -15,15 +15,28 @@
 MAX_PARTIAL_BYTES: Final = 67_108_864
 
 
+# Memory that a call and each of its headers take besides their characters.
+CALL_BYTES: Final = 2000
+HEADER_BYTES: Final = 200
+
+
 class _PartialCall:
-    """A call and the parts of its body that have arrived."""
+    """A call and the parts of its body that have arrived.
+
+    Attributes
+    ----------
+    size : int
+        Memory that its head and its parts take.
+    """
 
-    __slots__ = ('buffer', 'call')
+    __slots__ = ('buffer', 'call', 'size')
 
     def __init__(self, call: CallOpen) -> None:
         """Initialise without parts."""
-        self.call = call
+        # The first part is held with the others.
+        self.call = replaced(call, body=b'')
         self.buffer = BodyBuffer()
+        self.size = 0
 
 
 class PartialCalls:
@@ -48,11 +61,15 @@
 
         Raises
         ------
+        MalformedFrame
+            If the call is open, or the calls exceed `MAX_PARTIAL_BYTES`.
         PlacementFault
-            If the node has no room for the part.
+            If the node has no room for the call.
         """
+        if call_id in self._calls_by_id:
+            raise MalformedFrame('type', 'CallOpen after CallOpen')
         self._calls_by_id[call_id] = _PartialCall(call)
-        self._add(call_id, call.body)
+        self._add(call_id, call.body, _head_bytes(call))
 
     def add(self, call_id: int, part: CallPart) -> CallOpen | None:
         """Add a part, and return the call if it is the last part.
@@ -80,24 +97,34 @@
         """Remove a call and its parts."""
         partial_call = self._calls_by_id.pop(call_id, None)
         if partial_call is not None:
-            self._size -= partial_call.buffer.size
-            self._room.release(partial_call.buffer.size)
+            self._size -= partial_call.size
+            self._room.release(partial_call.size)
 
     def discard_all(self) -> None:
         """Remove all calls and their parts."""
         for call_id in list(self._calls_by_id):
             self.discard(call_id)
 
-    def _add(self, call_id: int, part: bytes) -> None:
-        size = len(part)
+    def _add(self, call_id: int, part: bytes, head_bytes: int = 0) -> None:
+        size = len(part) + head_bytes
         if not self._room.fits(size):
             self.discard(call_id)
             held = self._room.held_bytes
             raise not_sent_fault('busy', f'{held} bytes of bodies are held')
-        self._calls_by_id[call_id].buffer.add(part)
+        partial_call = self._calls_by_id[call_id]
+        partial_call.buffer.add(part)
+        partial_call.size += size
         self._size += size
         self._room.hold(size)
         if self._size > MAX_PARTIAL_BYTES:
             raise MalformedFrame(
                 'length', f'{self._size} bytes of unfinished calls'
             )
+
+
+def _head_bytes(call: CallOpen) -> int:
+    """Return the memory that a call takes without its body."""
+    texts = sum(len(name) + len(text) for name, text in call.headers)
+    return (
+        CALL_BYTES + len(call.path) + texts + HEADER_BYTES * len(call.headers)
+    )
