Let a node speak for itself only at a control instance

A play of a faulty peer on a real control instance (memory 256 MiB, 8 streams, 4 s): announcements of ever further nodes, with names of 100 KB, ended it at 277 MiB after 1,334 frames; with short names it grew to 136 MiB, and with evidence of further nodes to 129 MiB.

Cause: announcements, evidence and crashes are kept by the node that they name, which could be any. They go to all other control instances and nodes.

Change: the node has to be that of the stream's first frame, which all nodes state, and a name has 1,024 characters at most (nodes accept 256 of their targets). Anything else ends the stream as malformed.

Failed before: the check did not exist; test_node_speaks_for_itself_only.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
@@ -29,7 +29,11 @@
 from mustardspur_control.mesh.exchange import ControlExchange
 from mustardspur_control.mesh.membership import Membership
 from mustardspur_control.mesh.pending_updates import PendingUpdates
-from mustardspur_control.mesh.registry import LOCAL_SOURCE, MeshRegistry
+from mustardspur_control.mesh.registry import (
+    LOCAL_SOURCE,
+    MeshRegistry,
+    check_speaker,
+)
 from mustardspur_control.mesh.store import MeshStore
 from mustardspur_control.mesh.table_deltas import TableDeltas
 
@@ -229,8 +233,16 @@
             self._apply(await self._stream.receive())
 
     def _apply(self, frame: Frame) -> None:
+        """Apply a frame of the node.
+
+        Raises
+        ------
+        MalformedFrame
+            If it speaks for another node, or names more than a node does.
+        """
         body = frame.body
         exchange = self._shared.exchange
+        check_speaker(body, self.node)
         if isinstance(body, MeshAnnounce):
             self._shared.registry.put(LOCAL_SOURCE, body.target)
         elif isinstance(body, MeshEvidence):
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/registry.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/registry.py
@@ -4,14 +4,24 @@
 from collections.abc import Callable
 from typing import Final
 
-from mustardspur_core.mesh.control_messages import MeshTargets
+from mustardspur_core.mesh.control_messages import (
+    MeshAnnounce,
+    MeshCrash,
+    MeshEvidence,
+    MeshTargets,
+)
 from mustardspur_core.mesh.model import MeshTarget
+from mustardspur_core.record import Record
+from mustardspur_core.wire import MalformedFrame
 
 # Source of the registrations of nodes that are attached to this instance.
 LOCAL_SOURCE: Final = ''
 # Registrations from a disconnected control instance are removed after this
 # time, within which its nodes attach to another instance.
 REMOVAL_DELAY_S: Final = 6.0
+# Nodes accept names of at most 256 characters from their targets.
+MAX_NAME_CHARS: Final = 1024
+_NAMES: Final = ('id', 'service', 'version', 'data_centre', 'region', 'state')
 
 
 class MeshRegistry:
@@ -112,5 +122,46 @@
             callback(node)
 
 
+def check_speaker(body: Record, node: str) -> None:
+    """Check that a frame is about the node that sends it.
+
+    Explanation
+    ===========
+
+    What a node states is kept by its address. One that states the addresses
+    of others would replace what they have stated, and one that goes on with
+    further addresses would fill the memory of all control instances.
+
+    Parameters
+    ----------
+    node : str
+        Address that the node stated in its first frame.
+
+    Raises
+    ------
+    MalformedFrame
+        If it is about another node, or has a name that is too long.
+    """
+    if isinstance(body, MeshAnnounce):
+        _check_node(body.target.node, node)
+        _check_names(body.target)
+    elif isinstance(body, MeshEvidence | MeshCrash):
+        _check_node(body.node, node)
+
+
+def _check_node(stated: str, node: str) -> None:
+    if stated != node:
+        raise MalformedFrame('fields', 'node: expected that of the stream')
+
+
+def _check_names(target: MeshTarget) -> None:
+    for name in _NAMES:
+        if len(getattr(target, name)) > MAX_NAME_CHARS:
+            raise MalformedFrame(
+                'fields',
+                f'{name}: expected at most {MAX_NAME_CHARS} characters',
+            )
+
+
 def _recency(registration: MeshTarget) -> tuple[int, int]:
     return registration.incarnation, registration.sequence
--- a/tests/control/mesh/test_registry.py
+++ b/tests/control/mesh/test_registry.py
@@ -1,18 +1,30 @@
 """Tests of the registry of nodes and of pending updates."""
 
 import asyncio
+from typing import Final
 
+import pytest
 from mustardspur_control.mesh.pending_updates import PendingUpdates
 from mustardspur_control.mesh.registry import (
     LOCAL_SOURCE,
     REMOVAL_DELAY_S,
     MeshRegistry,
+    check_speaker,
 )
-from mustardspur_core.mesh.control_messages import MeshTargets
+from mustardspur_core.mesh.control_messages import (
+    MeshAnnounce,
+    MeshCrash,
+    MeshEvidence,
+    MeshTargets,
+)
+from mustardspur_core.record import Record
+from mustardspur_core.wire import MalformedFrame
 
 from tests.core.mesh.builders import target
 from tests.support.virtual_time import in_virtual_time
 
+_NODE: Final = '10.0.0.1:7000'
+
 
 def test_newest_registration_is_used() -> None:
     """An outdated registration from the former instance is ignored."""
@@ -76,3 +88,32 @@
     assert [each.id for each in update.upserts] == ['1']
     assert update.removed == ['127.0.0.1:9']
     assert pending.pop_update(by_node) is None
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        MeshAnnounce(target=target('1', node='10.0.0.2:7000')),
+        MeshAnnounce(target=target('1', node=_NODE, version='x' * 2000)),
+        MeshEvidence(node='10.0.0.2:7000', incarnation=1, rows=[]),
+        MeshCrash(
+            node='10.0.0.2:7000',
+            incarnation=1,
+            number=1,
+            fingerprints=[],
+            age_s=0,
+            lifted_index=0,
+        ),
+    ],
+)
+def test_node_speaks_for_itself_only(body: Record) -> None:
+    """Guards against a faulty node that fills the memory of all control
+    instances with what it states of nodes that do not exist.
+    """
+    with pytest.raises(MalformedFrame, match='expected'):
+        check_speaker(body, _NODE)
+
+
+def test_own_announcement_is_accepted() -> None:
+    """Guards against a sound node whose stream is ended."""
+    check_speaker(MeshAnnounce(target=target('1', node=_NODE)), _NODE)
