Bound what a control instance may state to another

A play of a faulty control instance (memory 256 MiB, 8 streams, 4 s): nodes without end ended the other at 258 MiB, and limits without end brought it to 203 MiB.

Change: 16,384 nodes (the mesh is designed for 2,800) and 65,536 limits of one instance are kept; names have at most 256 and 1,024 characters. What exceeds it ends the stream as malformed, before it is kept.

Failed before: test_nodes_of_another_instance_are_bounded and test_demand_of_another_instance_is_bounded (there was no bound).

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/allowance_shares.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/allowance_shares.py
@@ -4,7 +4,10 @@
 from typing import Final
 
 from mustardspur_core.mesh.control_messages import AllowanceDemand
+from mustardspur_core.wire import MalformedFrame
 
+# Limits for which another instance may state its demand.
+MAX_LIMITS: Final = 65_536
 # Part of a limit that is divided equally; the rest follows the demand.
 FIXED_PART: Final = 0.2
 # Part of the rate that counts as demand before any call.
@@ -37,9 +40,18 @@
         self.weight: float = 1
 
     def apply(self, update: AllowanceDemand) -> None:
-        """Store what the instance sent."""
+        """Store what the instance sent.
+
+        Raises
+        ------
+        MalformedFrame
+            If it has stated the demand for too many limits.
+        """
         if update.full:
             self._per_s.clear()
+        limits = {demand.limit for demand in update.demands}
+        if len(limits | self._per_s.keys()) > MAX_LIMITS:
+            raise MalformedFrame('length', f'more than {MAX_LIMITS} limits')
         for demand in update.demands:
             self._per_s[demand.limit] = demand.per_s
 
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/registry.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/registry.py
@@ -19,9 +19,20 @@
 # Registrations from a disconnected control instance are removed after this
 # time, within which its nodes attach to another instance.
 REMOVAL_DELAY_S: Final = 6.0
-# Nodes accept names of at most 256 characters from their targets.
-MAX_NAME_CHARS: Final = 1024
-_NAMES: Final = ('id', 'service', 'version', 'data_centre', 'region', 'state')
+# Nodes accept names of at most this length from their targets.
+MAX_NAME_CHARS: Final = 256
+# Nodes that another control instance may report, six times the size that the
+# mesh is designed for.
+MAX_REPORTED: Final = 16_384
+_NAMES: Final = (
+    'id',
+    'service',
+    'version',
+    'node',
+    'data_centre',
+    'region',
+    'state',
+)
 
 
 class MeshRegistry:
@@ -55,13 +66,24 @@
         self._update_newest(node)
 
     def apply_update(self, source: str, update: MeshTargets) -> None:
-        """Apply an update from another control instance."""
+        """Apply an update from another control instance.
+
+        Raises
+        ------
+        MalformedFrame
+            If it reports too many nodes, or a name is too long.
+        """
+        for upsert in update.upserts:
+            _check_names(upsert)
         updated = {registration.node for registration in update.upserts}
         if update.full:
             for missing in self.registrations_from(source).keys() - updated:
                 self.remove(source, missing)
         for node in update.removed:
             self.remove(source, node)
+        known = self._by_source.get(source, {}).keys()
+        if len(updated | known) > MAX_REPORTED:
+            raise MalformedFrame('length', f'more than {MAX_REPORTED} nodes')
         for registration in update.upserts:
             self.put(source, registration)
 
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/allowance_checks.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/allowance_checks.py
@@ -22,6 +22,8 @@
 # Calls that a request states; a node that has refused more states this number.
 MAX_CALLS: Final = 1_000_000
 MAX_DEMAND_PER_S: Final = 1e9
+# Of the name of a limit.
+MAX_NAME_CHARS: Final = 1024
 # Some years; a share of a limit of a call a day has a token in some months.
 MAX_TIME_MS: Final = 1e12
 
@@ -48,9 +50,14 @@
     Raises
     ------
     MalformedFrame
-        If a number is out of its range.
+        If a number is out of its range, or a name is too long.
     """
     for demand in update.demands:
+        if len(demand.limit) > MAX_NAME_CHARS:
+            raise MalformedFrame(
+                'fields',
+                f'limit: expected at most {MAX_NAME_CHARS} characters',
+            )
         _check('per_s', demand.per_s, MAX_DEMAND_PER_S)
 
 
--- a/tests/control/mesh/test_registry.py
+++ b/tests/control/mesh/test_registry.py
@@ -4,20 +4,25 @@
 from typing import Final
 
 import pytest
+from mustardspur_control.mesh.allowance_shares import MAX_LIMITS, PeerDemand
 from mustardspur_control.mesh.pending_updates import PendingUpdates
 from mustardspur_control.mesh.registry import (
     LOCAL_SOURCE,
+    MAX_REPORTED,
     REMOVAL_DELAY_S,
     MeshRegistry,
     check_speaker,
 )
+from mustardspur_core.mesh.allowance_checks import check_demand
 from mustardspur_core.mesh.control_messages import (
+    AllowanceDemand,
+    LimitDemand,
     MeshAnnounce,
     MeshCrash,
     MeshEvidence,
     MeshTargets,
 )
-from mustardspur_core.record import Record
+from mustardspur_core.record import Record, replaced
 from mustardspur_core.wire import MalformedFrame
 
 from tests.core.mesh.builders import target
@@ -117,3 +122,42 @@
 def test_own_announcement_is_accepted() -> None:
     """Guards against a sound node whose stream is ended."""
     check_speaker(MeshAnnounce(target=target('1', node=_NODE)), _NODE)
+
+
+def test_nodes_of_another_instance_are_bounded() -> None:
+    """Guards against a faulty control instance that fills the memory of the
+    others with nodes without end.
+    """
+    registry = MeshRegistry()
+    reported = [target(str(each)) for each in range(MAX_REPORTED)]
+    registry.apply_update(
+        'c2', MeshTargets(full=True, upserts=reported, removed=[])
+    )
+    further = MeshTargets(full=False, upserts=[target('more')], removed=[])
+    with pytest.raises(MalformedFrame, match='nodes'):
+        registry.apply_update('c2', further)
+    registry.apply_update('c2', replaced(further, removed=['127.0.0.1:1']))
+    assert len(registry.registrations_from('c2')) == MAX_REPORTED
+    long = MeshTargets(full=False, upserts=[target('x' * 300)], removed=[])
+    with pytest.raises(MalformedFrame, match='characters'):
+        registry.apply_update('c2', long)
+
+
+def test_demand_of_another_instance_is_bounded() -> None:
+    """Guards against a faulty control instance that fills the memory of the
+    others with limits without end.
+    """
+    peer = PeerDemand()
+    demands = [
+        LimitDemand(limit=str(each), per_s=1) for each in range(MAX_LIMITS)
+    ]
+    peer.apply(AllowanceDemand(full=False, demands=demands))
+    peer.apply(AllowanceDemand(full=False, demands=demands))
+    more = [LimitDemand(limit='more', per_s=1)]
+    with pytest.raises(MalformedFrame, match='limits'):
+        peer.apply(AllowanceDemand(full=False, demands=more))
+    peer.apply(AllowanceDemand(full=True, demands=more))
+    assert peer.per_s('more') == 1
+    long = [LimitDemand(limit='x' * 2000, per_s=1)]
+    with pytest.raises(MalformedFrame, match='characters'):
+        check_demand(AllowanceDemand(full=False, demands=long))
