Serve callers outside of a mesh within limits

Hostile callers ended a node outside of a mesh, which served them with the limits of the library: reads of up to 256 KiB, heads bounded by line and number of lines, bodies parsed for requests that wait behind another one.

Its connections are now those of the other HTTP interfaces, with one request at a time, reads of 16 KiB in turns, a whole head of 64 KiB and 16 KiB of a body in chunks without payload. The limits of lines stay, 8 KiB and 100 of them, as does 400 for a malformed request. A head that is too long gets 431 with the outcome not-run.

A second request behind a refused one was malformed for the parser, which hid the answer to the first: its reason now reaches the caller.

--- a/packages/mustardspur_core/src/mustardspur_core/http_clients.py
+++ b/packages/mustardspur_core/src/mustardspur_core/http_clients.py
@@ -35,9 +35,46 @@
 # For the rest of a body that its request did not need.
 _REST_S: Final = 3.0
 
+_TOO_LARGE: Final = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+_REFUSAL: Final = plain_answer(_TOO_LARGE, text=_TOO_LARGE.phrase)
+
 OnClose = Callable[[str], None]
 
 
+class HeadLimits:
+    """Limits on the head of a request.
+
+    Parameters
+    ----------
+    head_bytes : int, optional
+        Longest head, with the empty lines before it.
+    line_bytes : int, optional
+        Longest line of it.
+    headers : int, optional
+        Most headers.
+    refusal : bytes, optional
+        Answer to a request whose head is longer.
+    """
+
+    __slots__ = ('head_bytes', 'headers', 'line_bytes', 'refusal')
+
+    def __init__(
+        self,
+        head_bytes: int = MAX_HEAD_BYTES,
+        line_bytes: int = MAX_HEAD_BYTES,
+        headers: int = MAX_HEADERS,
+        refusal: bytes = _REFUSAL,
+    ) -> None:
+        """Initialise from the limits."""
+        self.head_bytes = head_bytes
+        self.line_bytes = line_bytes
+        self.headers = headers
+        self.refusal = refusal
+
+
+_DEFAULT_LIMITS: Final = HeadLimits()
+
+
 class ClientConnection(web.RequestHandler):
     """Connection of a client, with one request at a time.
 
@@ -54,6 +91,8 @@
         Server of the application.
     on_close : callable
         Called with the reason before a connection is closed at a limit.
+    limits : HeadLimits, optional
+        Limits on the head of a request.
 
     Attributes
     ----------
@@ -66,12 +105,18 @@
         '_framing',
         '_is_closed',
         '_is_handling',
+        '_limits',
         '_on_close',
         '_unparsed',
         'timer',
     )
 
-    def __init__(self, server: web.Server, on_close: OnClose) -> None:
+    def __init__(
+        self,
+        server: web.Server,
+        on_close: OnClose,
+        limits: HeadLimits = _DEFAULT_LIMITS,
+    ) -> None:
         """Initialise without a connection."""
         loop = asyncio.get_running_loop()
         super().__init__(
@@ -87,15 +132,16 @@
             self,
             loop,
             _READ_BUFFER_BYTES,
-            max_line_size=MAX_HEAD_BYTES,
-            max_field_size=MAX_HEAD_BYTES,
-            max_headers=MAX_HEADERS,
+            max_line_size=limits.line_bytes,
+            max_field_size=limits.line_bytes,
+            max_headers=limits.headers,
             payload_exception=RequestPayloadError,
             auto_decompress=False,
             # The parser pauses behind each request.
             max_msg_queue_size=1,
         )
         self._parser = parser
+        self._limits = limits
         self._on_close = on_close
         self._framing = FramingLimits()
         self._body: StreamReader = EMPTY_PAYLOAD
@@ -172,7 +218,7 @@
         if request.writer.output_size > 0:
             raise ConnectionError('response has already been started')
         if isinstance(exc, LineTooLong):
-            status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+            status = _TOO_LARGE
         # The message of the error contains what was received.
         response = web.Response(status=status, text=HTTPStatus(status).phrase)
         response.force_close()
@@ -185,9 +231,9 @@
             self._start_request()
             return
         try:
-            self._framing.add_head(len(received), MAX_HEAD_BYTES)
+            self._framing.add_head(len(received), self._limits.head_bytes)
         except HeadTooLarge:
-            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+            self._refuse_head()
             return
         if self._framing.head_bytes and not self.timer.is_running:
             self.timer.limit(HEAD_S, 'head not complete in time')
@@ -242,13 +288,13 @@
         if self._buffer_paused:
             self._resume_reading_for_buffer()
 
-    def _refuse(self, status: HTTPStatus) -> None:
+    def _refuse_head(self) -> None:
         """Answer a request that is not parsed, and close."""
         if self.transport is None:
             return
-        self._on_close(status.phrase)
+        self._on_close(_TOO_LARGE.phrase)
         self._is_closed = True
-        self.transport.write(plain_answer(status, text=status.phrase))
+        self.transport.write(self._limits.refusal)
         self.transport.write_eof()
         # What arrives meanwhile is ignored; unread, it would reset the
         # connection before the client has read the answer.
--- a/packages/mustardspur_core/src/mustardspur_core/refusals.py
+++ b/packages/mustardspur_core/src/mustardspur_core/refusals.py
@@ -95,7 +95,12 @@
         self._unlogged = 0
 
 
-def plain_answer(status: HTTPStatus, *headers: str, text: str) -> bytes:
+def plain_answer(
+    status: HTTPStatus,
+    *headers: str,
+    text: str,
+    content_type: str = 'text/plain',
+) -> bytes:
     """Return an answer that ends its connection.
 
     Parameters
@@ -106,12 +111,14 @@
         Further lines of its head.
     text : str
         Line of its body.
+    content_type : str, optional
+        Type of its body.
     """
     body = f'{text}\n'
     return '\r\n'.join(
         (
             f'HTTP/1.1 {status.value} {status.phrase}',
-            'content-type: text/plain',
+            f'content-type: {content_type}',
             *headers,
             f'content-length: {len(body)}',
             'connection: close',
--- a/packages/mustardspur_node/src/mustardspur_node/calls/serving.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/serving.py
@@ -1,7 +1,6 @@
 """HTTP server for the callers of a node."""
 
 import asyncio
-import logging
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import asynccontextmanager
 from http import HTTPStatus
@@ -9,66 +8,18 @@
 
 from aiohttp import web
 from mustardspur_core.listening import listening_socket
-from mustardspur_core.units import BYTES_PER_KIB
-
-from mustardspur_node.calls.error_responses import (
-    CallFault,
-    fault_response,
-    not_run,
-    unknown,
-)
+
+from mustardspur_node.calls.call_connections import CallServer
 from mustardspur_node.calls.forwarder import CallForwarder
 from mustardspur_node.paths import READY_PATH
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 NODE_API_PREFIX: Final = '/mustardspur/'
-MAX_HEADER_BYTES: Final = 8 * BYTES_PER_KIB
-MAX_HEADERS: Final = 100
-# Time for a caller to read an early error response while it sends its body.
-_LINGERING_S: Final = 1.0
 _BACKLOG: Final = 512
 # The drain has already waited for calls; aiohttp would wait 60 s more.
 _CLEANUP_S: Final = 0.5
 
-_logger = logging.getLogger(__name__)
-
-
-class CallProtocol(web.RequestHandler):
-    """Connection of a caller; reports malformed requests as not run."""
-
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = HTTPStatus.INTERNAL_SERVER_ERROR,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """Return the response for an error outside of the handler."""
-        if request.writer.output_size > 0:
-            raise ConnectionError('response has already been started')
-        response = fault_response(_error_fault(status, exc), '')
-        response.force_close()
-        return response
-
-
-class CallServer(web.Server):
-    """Server that cancels a call when its caller disconnects."""
-
-    def __call__(self) -> CallProtocol:
-        """Return the protocol of a new connection."""
-        return CallProtocol(
-            self,
-            loop=asyncio.get_running_loop(),
-            # aiohttp accepts None for no access log.
-            access_log=None,  # type: ignore[arg-type]
-            auto_decompress=False,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
-            max_headers=MAX_HEADERS,
-            lingering_time=_LINGERING_S,
-        )
-
 
 @asynccontextmanager
 async def run_forwarder(
@@ -99,7 +50,7 @@
         READY_PATH: _ready_handler(forwarder),
         **(own_handlers_by_path or {}),
     }
-    server = CallServer(_dispatch(forwarder, own), handler_cancellation=True)
+    server = CallServer(_dispatch(forwarder, own))
     runner = web.ServerRunner(server, shutdown_timeout=_CLEANUP_S)
     await runner.setup()
     listening = listening_socket(address)
@@ -149,10 +100,3 @@
         )
 
     return factory
-
-
-def _error_fault(status: int, error: BaseException | None) -> CallFault:
-    if status < HTTPStatus.INTERNAL_SERVER_ERROR:
-        return not_run(HTTPStatus(status), 'request is malformed')
-    _logger.error('call failed inside the node', exc_info=error)
-    return unknown(HTTPStatus(status), 'call failed inside the node')
