--- a/tests/daemon/crowds/limited_node.py
+++ b/tests/daemon/crowds/limited_node.py
@@ -14,6 +14,7 @@
 from mustardspur_node.paths import ANNOUNCEMENTS_PATH, READY_PATH
 
 from tests.daemon.processes import (
+    BINARY,
     HANG_LIMIT_S,
     POLL_S,
     answer_of,
@@ -21,7 +22,7 @@
     node_document,
     running_daemon,
 )
-from tests.platform.crowds.limited_mesh import Usage
+from tests.platform.crowds.limited_mesh import MAX_DESCRIPTORS, Usage
 
 # All bounds of the tests on memory are this one.
 MEMORY_MIB: Final = 128
@@ -104,7 +105,10 @@
 
 @asynccontextmanager
 async def limited_node(
-    folder: Path, targets: dict[str, str], faulty_timeout_ms: int = 500
+    folder: Path,
+    targets: dict[str, str],
+    faulty_timeout_ms: int = 500,
+    descriptors: int = MAX_DESCRIPTORS,
 ) -> AsyncIterator[LimitedNode]:
     """Run a control instance and a node that is killed beyond its memory.
 
@@ -116,6 +120,8 @@
         Addresses of the targets by version.
     faulty_timeout_ms : int, optional
         Longest time of a call of the faulty target.
+    descriptors : int, optional
+        Descriptors that the node may open.
     """
     control = control_document(folder)
     http = control['listen']['http']
@@ -128,7 +134,8 @@
         await answer_of(f'http://{http}{_STATUS_PATH}')
         await _put_profile(folder, http, faulty_timeout_ms)
         stream = control['listen']['stream']
-        node = await enter(_running_node(folder, stream, session))
+        supervisor = ('prlimit', f'--nofile={descriptors}')
+        node = await enter(_running_node(folder, stream, session, supervisor))
         await asyncio.gather(*map(node.announce, _announcements(targets)))
         await node.ask_sound()
         yield node
@@ -136,14 +143,19 @@
 
 @asynccontextmanager
 async def _running_node(
-    folder: Path, control: str, session: ClientSession
+    folder: Path,
+    control: str,
+    session: ClientSession,
+    supervisor: tuple[str, ...],
 ) -> AsyncIterator[LimitedNode]:
     document = node_document(folder, control)
     document['intervals'] = {'lease_s': _LEASE_S}
     address = document['listen']['http']
     log = folder / 'n1.log'
     async with (
-        running_daemon(folder, document, log) as process,
+        running_daemon(
+            folder, document, log, (*supervisor, str(BINARY))
+        ) as process,
         _watched(process) as usage,
     ):
         node = LimitedNode(address, log, usage, session)
