Bound the connections of callers outside of a mesh

Callers that connect and send nothing held all descriptors of a node outside of a mesh, which then accepted nobody: only a request started the time of a connection.

Callers get the share of descriptors that they have in a mesh.

--- a/packages/mustardspur_core/src/mustardspur_core/refusals.py
+++ b/packages/mustardspur_core/src/mustardspur_core/refusals.py
@@ -34,6 +34,8 @@
         Name of the listener in the log.
     retry_after : str, optional
         Name of the header that says when to try again.
+    headers : tuple of str, optional
+        Further lines of the head of a refusal.
 
     Attributes
     ----------
@@ -50,11 +52,17 @@
         'open',
     )
 
-    def __init__(self, listener: str, retry_after: str = 'Retry-After') -> None:
+    def __init__(
+        self,
+        listener: str,
+        retry_after: str = 'Retry-After',
+        headers: tuple[str, ...] = (),
+    ) -> None:
         """Initialise without connections."""
         self._answer = plain_answer(
             HTTPStatus.SERVICE_UNAVAILABLE,
             f'{retry_after}: 1',
+            *headers,
             text=_REASON,
         )
         self._listener = listener
--- a/packages/mustardspur_node/src/mustardspur_node/calls/call_connections.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/call_connections.py
@@ -2,18 +2,17 @@
 
 import logging
 from http import HTTPStatus
-from typing import Any, Final
+from typing import Final
 
 from aiohttp import web
+from mustardspur_core.bounded_connections import BoundedConnections
+from mustardspur_core.descriptors import descriptor_limit, max_callers
 from mustardspur_core.http_clients import (
     ClientConnection,
     HeadLimits,
     OnClose,
 )
-from mustardspur_core.inbound_reads import InboundReads
-from mustardspur_core.read_turns import ReadTurns
-from mustardspur_core.refusals import plain_answer
-from mustardspur_core.repeated_warning import RepeatedWarning
+from mustardspur_core.refusals import RefusedConnections, plain_answer
 from mustardspur_core.units import BYTES_PER_KIB
 
 from mustardspur_node.calls import names
@@ -31,6 +30,7 @@
 MAX_HEAD_BYTES: Final = 65_536
 MAX_HEADER_BYTES: Final = 8 * BYTES_PER_KIB
 MAX_HEADERS: Final = 100
+_NOT_RUN: Final = f'{names.OUTCOME}: {Outcome.NOT_RUN}'
 
 
 def _head_limits() -> HeadLimits:
@@ -38,7 +38,7 @@
     response = fault_response(not_run(status, 'head is too long'), '')
     refusal = plain_answer(
         status,
-        f'{names.OUTCOME}: {Outcome.NOT_RUN}',
+        _NOT_RUN,
         text=response.text or '',
         content_type=response.content_type,
     )
@@ -80,21 +80,21 @@
         return response
 
 
-class CallServer(web.Server):
-    """Server that cancels a call when its caller disconnects."""
+def call_connections(server: web.Server) -> BoundedConnections:
+    """Return the connections of callers, up to the limit of descriptors.
 
-    def __init__(self, handler: Any) -> None:
-        """Initialise without connections."""
-        super().__init__(handler, handler_cancellation=True)
-        self._turns = ReadTurns()
-        self._closed = RepeatedWarning(_LOG, 'caller closed')
-
-    def __call__(self) -> Any:
-        """Return the protocol of a new connection."""
-        return InboundReads(CallConnection(self, self._report), self._turns)
-
-    def _report(self, reason: str) -> None:
-        self._closed.log(reason=reason, connections=len(self.connections))
+    Parameters
+    ----------
+    server : web.Server
+        Server of the node.
+    """
+    return BoundedConnections(
+        server,
+        'callers',
+        max_callers(descriptor_limit()),
+        RefusedConnections('callers', headers=(_NOT_RUN,)),
+        CallConnection,
+    )
 
 
 def _error_fault(status: int, error: BaseException | None) -> CallFault:
--- a/packages/mustardspur_node/src/mustardspur_node/calls/serving.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/serving.py
@@ -7,9 +7,9 @@
 from typing import Final
 
 from aiohttp import web
-from mustardspur_core.listening import listening_socket
+from mustardspur_core.listening import listen
 
-from mustardspur_node.calls.call_connections import CallServer
+from mustardspur_node.calls.call_connections import call_connections
 from mustardspur_node.calls.forwarder import CallForwarder
 from mustardspur_node.paths import READY_PATH
 
@@ -50,27 +50,29 @@
         READY_PATH: _ready_handler(forwarder),
         **(own_handlers_by_path or {}),
     }
-    server = CallServer(_dispatch(forwarder, own))
-    runner = web.ServerRunner(server, shutdown_timeout=_CLEANUP_S)
-    await runner.setup()
-    listening = listening_socket(address)
-    await web.SockSite(runner, listening, backlog=_BACKLOG).start()
+    # A call is cancelled when its caller disconnects.
+    server = web.Server(_dispatch(forwarder, own), handler_cancellation=True)
+    create = call_connections(server).create
+    listener = await listen(create, address, _BACKLOG)
     maintenance = asyncio.create_task(forwarder.maintenance.run())
     try:
-        yield '{}:{}'.format(*runner.addresses[0][:2])
+        yield '{}:{}'.format(*listener.sockets[0].getsockname())
     finally:
         await forwarder.drain(drain_s)
-        await _stop(forwarder, runner, maintenance)
+        await _stop(forwarder, listener, server, maintenance)
 
 
 async def _stop(
     forwarder: CallForwarder,
-    runner: web.ServerRunner,
+    listener: asyncio.Server,
+    server: web.Server,
     maintenance: asyncio.Task[None],
 ) -> None:
     maintenance.cancel()
     await asyncio.gather(maintenance, return_exceptions=True)
-    await runner.cleanup()
+    listener.close()
+    server.pre_shutdown()
+    await server.shutdown(_CLEANUP_S)
     await forwarder.close()
 
 
--- a/tests/node/calls/test_request_faults.py
+++ b/tests/node/calls/test_request_faults.py
@@ -5,6 +5,7 @@
 
 import pytest
 from aiohttp import web
+from mustardspur_node.calls import call_connections
 
 from tests.node.stand_ins.mesh import run_mesh, run_target
 from tests.node.stand_ins.views import make_target, make_view
@@ -123,3 +124,14 @@
     assert received[9:12] == b'431'
     assert b'x-mustardspur-outcome: not-run' in received
     assert b'{"outcome": "not-run"' in received
+
+
+async def test_call_beyond_the_connections_is_not_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a refused connection whose caller may not resend."""
+    monkeypatch.setattr(call_connections, 'max_callers', lambda _: 0)
+    async with run_mesh(make_view([make_target('127.0.0.1:1')])) as mesh:
+        received = await mesh.raw(_request((STOCK,), ''))
+    assert received[9:12] == b'503'
+    assert b'x-mustardspur-outcome: not-run' in received
