Bound the heads that callers outside of a mesh leave open

A head was bounded, 64 KiB, but not what all connections hold of heads that are not completed, about 105 KB each: 400 of them took a node from 54 to 96 MiB.

--- a/packages/mustardspur_node/src/mustardspur_node/calls/call_connections.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/call_connections.py
@@ -1,12 +1,14 @@
 """Connections of the callers of a node, within limits."""
 
 import logging
+from functools import partial
 from http import HTTPStatus
 from typing import Final
 
 from aiohttp import web
 from mustardspur_core.bounded_connections import BoundedConnections
 from mustardspur_core.descriptors import descriptor_limit, max_callers
+from mustardspur_core.held_bytes import HeldBytes, HeldShare
 from mustardspur_core.http_clients import (
     ClientConnection,
     HeadLimits,
@@ -30,6 +32,8 @@
 MAX_HEAD_BYTES: Final = 65_536
 MAX_HEADER_BYTES: Final = 8 * BYTES_PER_KIB
 MAX_HEADERS: Final = 100
+# Bytes that a byte of an open head takes in memory.
+_HEAD_FACTOR: Final = 3
 _NOT_RUN: Final = f'{names.OUTCOME}: {Outcome.NOT_RUN}'
 
 
@@ -57,13 +61,33 @@
         Server of the node.
     on_close : callable
         Called with the reason before a connection is closed at a limit.
+    held : HeldBytes
+        Account of the heads that are not complete, of all callers.
     """
 
-    __slots__ = ()
+    __slots__ = ('_share',)
 
-    def __init__(self, server: web.Server, on_close: OnClose) -> None:
+    def __init__(
+        self, server: web.Server, on_close: OnClose, held: HeldBytes
+    ) -> None:
         """Initialise with the limits of calls."""
         super().__init__(server, on_close, _LIMITS)
+        self._share = HeldShare(held, self._end, _has_progressed)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes, and count an open head."""
+        super().data_received(data)
+        size = self._framing.head_bytes * _HEAD_FACTOR
+        if size and not self._is_closed:
+            self._share.owe(has_progressed=True)
+            self._share.resize(size)
+        elif self._share.size:
+            self._share.release()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Hold nothing for the connection."""
+        self._share.release()
+        super().connection_lost(exc)
 
     def handle_error(
         self,
@@ -79,6 +103,9 @@
         response.force_close()
         return response
 
+    def _end(self) -> None:
+        self.abort('no room for heads')
+
 
 def call_connections(server: web.Server) -> BoundedConnections:
     """Return the connections of callers, up to the limit of descriptors.
@@ -93,10 +120,15 @@
         'callers',
         max_callers(descriptor_limit()),
         RefusedConnections('callers', headers=(_NOT_RUN,)),
-        CallConnection,
+        partial(CallConnection, held=HeldBytes()),
     )
 
 
+def _has_progressed() -> bool:
+    """Return False, since callers with an open head have no answer to read."""
+    return False
+
+
 def _error_fault(status: int, error: BaseException | None) -> CallFault:
     if status < HTTPStatus.INTERNAL_SERVER_ERROR:
         return not_run(HTTPStatus(status), 'request is malformed')
--- a/tests/node/calls/test_request_faults.py
+++ b/tests/node/calls/test_request_faults.py
@@ -1,13 +1,16 @@
 """Guards against request smuggling."""
 
+import asyncio
 import re
+from functools import partial
 from itertools import repeat
 
 import pytest
 from aiohttp import web
+from mustardspur_core.held_bytes import HeldBytes
 from mustardspur_node.calls import call_connections
 
-from tests.node.stand_ins.mesh import run_mesh, run_target
+from tests.node.stand_ins.mesh import HANG_S, run_mesh, run_target
 from tests.node.stand_ins.views import make_target, make_view
 
 STOCK = 'GET /stock HTTP/1.1'
@@ -135,3 +138,23 @@
         received = await mesh.raw(_request((STOCK,), ''))
     assert received[9:12] == b'503'
     assert b'x-mustardspur-outcome: not-run' in received
+
+
+async def test_open_heads_are_bounded_together(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against heads that are not completed on many connections."""
+    # The account of a process of 1 MiB has room for one head.
+    monkeypatch.setattr(call_connections, 'HeldBytes', partial(HeldBytes, 1))
+    head = _request((STOCK, *repeat('x: '.ljust(4000, 'a'), 8)), '')[:-2]
+    async with run_mesh(make_view([make_target('127.0.0.1:1')])) as mesh:
+        opened = [asyncio.create_task(mesh.raw(head)) for _ in range(8)]
+        done: set[asyncio.Task[bytes]] = set()
+        async with asyncio.timeout(HANG_S):
+            while len(done) < len(opened) - 1:
+                done, _ = await asyncio.wait(opened, timeout=0.1)
+        answer = await mesh.call('GET', '/stock')
+        for left in opened:
+            left.cancel()
+    assert answer[:2] == (503, 'not-run')
+    assert {task.result() for task in done} == {b''}
