Hold nothing of refused bodies while their callers send on

What was seen in a trial: 2,000 callers with bodies of 4 MiB that stop short of their end, and come back when they are closed, took a node of 300 MiB over its memory: killed at 302, 307 and 302 MiB, 3 of 3.

Cause: a connection that is closed within a body is kept for up to 5 s, so that its caller can read the refusal. What had been received of the body, up to 48 KiB, stayed with it, after its share of the account was given back a second after the answer: 42 MiB in 3,349 connections, and 8,194 refused bodies in 15 s.

What was received is let go of when the writing side is closed.

`test_body_of_a_refused_request_is_not_held` failed before.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -168,8 +168,8 @@
         # The cancelled calls have their bodies, and the server removes lost
         # connections only from time to time.
         self._pending.clear()
-        self.room.intake.end()
         self._parser = None
+        self.room.intake.end()
         self.room.release()
         if self._writer is not None:
             self._writer.cancel()
@@ -321,6 +321,11 @@
             return
         within_body = bool(self._pending) and self._pending[0].within_body
         self.linger = Linger(transport, within_body=within_body)
+        self._parser = None
+        # Nothing that was received is processed any more.
+        self.room.intake.end()
+        for request in self._pending:
+            request.drop_body()
         # Reading may be paused within a body whose rest is discarded.
         self._resume_transport_reading()
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_intake.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_intake.py
@@ -144,7 +144,7 @@
         self.unparsed = b''
 
     def end(self) -> None:
-        """Hold nothing of what was received, since the caller has left."""
+        """Hold nothing of what was received; nothing is parsed any more."""
         self.close()
         self.body = EMPTY_PAYLOAD
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_payload.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_payload.py
@@ -95,3 +95,9 @@
             self._read_bytes += len(self.reader.read_nowait())
         if self.on_taken is not None:
             self.on_taken()
+
+    def drop(self) -> None:
+        """Hold nothing of a body of which nothing is read any more."""
+        self.is_taken = True
+        if self.unread_bytes and not self.reader.exception():
+            self._read_bytes += len(self.reader.read_nowait())
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_room.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_room.py
@@ -85,6 +85,11 @@
         """Whether its call reads no further part of the body."""
         return self.body is None or self.body.payload.is_taken
 
+    def drop_body(self) -> None:
+        """Hold nothing of the body, since its call has ended."""
+        if self.body is not None:
+            self.body.payload.drop()
+
     def end(self) -> None:
         """Hold the answer no longer."""
         if self.body is not None:
--- a/tests/node/mesh/test_caller_connection.py
+++ b/tests/node/mesh/test_caller_connection.py
@@ -597,3 +597,21 @@
         _, body = await _answer(reader)
         _, second = await _answer(reader)
     assert (body, second) == (b'/first', b'/second')
+
+
+async def test_body_of_a_refused_request_is_not_held() -> None:
+    """Guards against a node that is killed for what it has received of refused
+    bodies, as long as their callers send on.
+    """
+    node = _Node()
+    async with _connected(node) as (reader, writer):
+        head = _get('/unread').replace(b'GET', b'POST')[:-2]
+        part = bytes(LIMITS.body_bytes // 2)
+        length = LIMITS.body_bytes
+        writer.write(b'%bcontent-length: %d\r\n\r\n%b' % (head, length, part))
+        await _answer(reader)
+        room = node.connections[0].room
+        assert room.pending[0].body is not None
+        assert not room.pending[0].body.payload.unread_bytes
+        assert room.intake.body.is_eof()
+        assert room.intake.parser is None
