Read no calls from a node that does not take the answers

Cause: refusals of calls are queued on the stream without a wait, so that a node that sends calls without end, and reads nothing, filled the memory of the other with refusals.

Change: while more than 1 MiB waits to be sent on a stream, no further frames are read from it.

Failed before: test_unread_refusals_are_bounded (64 MiB of calls were read, and their refusals held).

--- a/packages/mustardspur_core/src/mustardspur_core/wire/streams.py
+++ b/packages/mustardspur_core/src/mustardspur_core/wire/streams.py
@@ -98,6 +98,12 @@
                 size,
             )
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes in the write buffer, which the peer has not taken."""
+        transport = self._writer.transport
+        return 0 if transport is None else transport.get_write_buffer_size()
+
     async def drain(self) -> None:
         """Wait until the write buffer is below its limit."""
         await self._writer.drain()
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_server.py
@@ -44,6 +44,8 @@
 HELLO_TIMEOUT_S: Final = 2.0
 # A reachable node confirms within one round trip between regions.
 CONFIRM_TIMEOUT_S: Final = 0.5
+# No further calls are read from a node that does not take the answers.
+MAX_UNSENT_BYTES: Final = 1_048_576
 _FROM_NODES: Final = MessageDispatcher('a node')
 
 
@@ -172,6 +174,9 @@
     async def receive(self) -> None:
         """Process frames until the stream ends."""
         while True:
+            if self._stream.unsent_bytes > MAX_UNSENT_BYTES:
+                # Refusals are queued without a wait.
+                await self._stream.drain()
             # A local variable would hold the frame until the next one arrives.
             self._handle(await self._stream.receive())
 
--- a/tests/node/mesh/test_peer_streams.py
+++ b/tests/node/mesh/test_peer_streams.py
@@ -4,7 +4,7 @@
 import gc
 import time
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from functools import partial
 from typing import Any
 
@@ -18,7 +18,8 @@
     TargetLoad,
 )
 from mustardspur_core.metrics import NullMetrics
-from mustardspur_core.wire import FrameStream, connect_stream
+from mustardspur_core.units import BYTES_PER_MIB
+from mustardspur_core.wire import FrameStream, connect_stream, encode_frame
 from mustardspur_node.mesh.answer_budget import MAX_HELD_BYTES
 from mustardspur_node.mesh.body_parts import PART_BYTES
 from mustardspur_node.mesh.calls import PlacementFault, TargetAnswer
@@ -35,6 +36,10 @@
 from tests.support.ports import free_address
 
 
+# Above what sockets and buffers hold.
+_UNREAD_BYTES = 64 * BYTES_PER_MIB
+
+
 class _Pair:
     """A node with a target and the link from another node to it."""
 
@@ -406,6 +411,30 @@
         assert (await pair.run()).body == b'good'
 
 
+async def test_unread_refusals_are_bounded() -> None:
+    """Guards against a peer that fills the memory of the node with refusals
+    of its calls, which it does not read.
+    """
+    async with _pair() as (pair, _):
+        reader, writer = await asyncio.open_connection(
+            *pair.address.split(':'), limit=1
+        )
+        stream = FrameStream(reader, writer)
+        await stream.send(NodeHello(node='n2', data_centre='a', region='b'))
+        call = encode_frame(call_open(target='other'), 1)
+        frames = (len(call).to_bytes(4, 'big') + call) * 1000
+        sent = 0
+        with suppress(TimeoutError):
+            while sent < _UNREAD_BYTES:
+                writer.write(frames)
+                sent += len(frames)
+                async with asyncio.timeout(2):
+                    await writer.drain()
+        assert sent < _UNREAD_BYTES
+        assert (await pair.run()).body == b'good'
+        writer.close()
+
+
 async def _send_without_end(
     sent: list[int],
     reader: asyncio.StreamReader,
--- a/tests/node/stand_ins/links.py
+++ b/tests/node/stand_ins/links.py
@@ -75,6 +75,7 @@
         self.latency_s = 0.001
         self.is_cut = False
         self.is_stuck = False
+        self.unsent_bytes = 0
         self.peer_address = 'simulated'
         self.sent: list[Record] = []
         self._received: asyncio.Queue[bytes] = asyncio.Queue()
