--- a/packages/mustardspur_node/src/mustardspur_node/calls/attempts.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/attempts.py
@@ -8,6 +8,8 @@
 from aiohttp import ClientConnectionError, ClientError, ClientResponse
 from aiohttp.connector import Connection
 from aiohttp.http import HttpProcessingError
+from mustardspur_core.http_statuses import is_final_status
+from mustardspur_core.tracebacks import release_frames
 from mustardspur_core.units import NS_PER_MS
 
 from mustardspur_node.calls import names
@@ -28,7 +30,7 @@
     Parameters
     ----------
     reason : str
-        Description of the error.
+        Description of the error, without anything that was received.
     ran : bool
         False only if the target certainly did not run the call.
     """
@@ -177,6 +179,7 @@
             self.call.possible_runs -= 1
             raise
         except (ClientError, HttpProcessingError, OSError) as error:
+            release_frames(error)
             raise ExchangeBroken('connection or answer broke') from error
         return reply
 
@@ -195,7 +198,7 @@
             response = await send_request(request, connection)
         _check_response(response, call.headers[names.REQUEST_ID])
         if _is_refusal(response):
-            await response.read()
+            await _skip_short_body(response)
             raise CallRefused
         return Reply(response, await _read_short_body(response))
 
@@ -212,6 +215,15 @@
     return body
 
 
+async def _skip_short_body(response: ClientResponse) -> None:
+    content = response.content
+    size = 0
+    while not content.at_eof():
+        size += len(await content.readany())
+        if size > MAX_BUFFERED_RESPONSE_BYTES:
+            raise ExchangeBroken('refusal is too long')
+
+
 def _is_refusal(response: ClientResponse) -> bool:
     return (
         response.status == HTTPStatus.SERVICE_UNAVAILABLE
@@ -224,8 +236,9 @@
     headers = response.headers
     if headers.get(names.REQUEST_ID, request_id) != request_id:
         raise ExchangeBroken('answer belongs to another request')
-    if response.status < HTTPStatus.OK:
-        raise ExchangeBroken('answer switches the protocol')
+    if not is_final_status(response.status):
+        # It switches the protocol, or its number is no status.
+        raise ExchangeBroken('answer has no final status')
     delimiters = len(headers.getall(names.CONTENT_LENGTH, ()))
     delimiters += len(headers.getall(names.TRANSFER_ENCODING, ()))
     if delimiters > 1 or not delimiters and response.status not in _BODYLESS:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_connection.py
@@ -168,6 +168,8 @@
         # The cancelled calls have their bodies, and the server removes lost
         # connections only from time to time.
         self._pending.clear()
+        self.room.intake.end()
+        self._parser = None
         self.room.release()
         if self._writer is not None:
             self._writer.cancel()
@@ -317,12 +319,10 @@
         transport = self.transport
         if transport is None:
             return
-        if transport.can_write_eof():
-            transport.write_eof()
-        # Reading may be paused within a body whose rest is discarded.
-        self._resume_transport_reading()
         within_body = bool(self._pending) and self._pending[0].within_body
         self.linger = Linger(transport, within_body=within_body)
+        # Reading may be paused within a body whose rest is discarded.
+        self._resume_transport_reading()
 
 
 def _cancel(requests: Iterable[PendingRequest]) -> None:
--- a/tests/node/mesh/test_answer_budget.py
+++ b/tests/node/mesh/test_answer_budget.py
@@ -1,7 +1,11 @@
 """Tests of the limit on the bytes of answers."""
 
 import pytest
+from mustardspur_core.units import BYTES_PER_MIB
 from mustardspur_node.mesh.answer_budget import AnswerBudget, AnswerTooLong
+from mustardspur_node.mesh.node_bodies import NodeBodies
+
+from tests.node.stand_ins.memory import uncollected_memory
 
 
 def test_answer_without_end_leaves_room_for_others() -> None:
@@ -32,3 +36,35 @@
         with budget.receiving() as held:
             held.add(bytes(50))
     assert budget.held_bytes == 0
+
+
+def test_failed_answer_holds_no_bytes() -> None:
+    """Guards against failures that hold what was received until a garbage
+    collection, and end the process for its memory.
+    """
+    budget = AnswerBudget(2_000_000)
+    with uncollected_memory() as allocated:
+        failures = [_fail_at_the_limit(budget) for _ in range(5)]
+        assert len(failures) == 5
+        assert allocated() < budget.answer_bytes
+
+
+def _fail_at_the_limit(budget: AnswerBudget) -> AnswerTooLong:
+    with pytest.raises(AnswerTooLong) as caught, budget.receiving() as held:
+        held.add(bytes(budget.answer_bytes))
+        held.add(bytes(1))
+    failure: AnswerTooLong = caught.value  # noqa: WPS441
+    return failure
+
+
+@pytest.mark.parametrize('memory_mb', [64, 128, 300])
+def test_answers_take_a_part_of_the_memory(memory_mb: float) -> None:
+    """Guards against answers that exceed the memory of a small process."""
+    bodies = NodeBodies()
+    bodies.resize(memory_mb)
+    limit_bytes = bodies.answers.limit_bytes
+    assert memory_mb / 10 < limit_bytes / BYTES_PER_MIB < memory_mb / 9
+    with bodies.answers.receiving() as held:
+        held.add(bytes(limit_bytes // 2))
+        with pytest.raises(AnswerTooLong):
+            held.add(bytes(1))
