Deliver a whole answer whose last part comes with invalid bytes

Answers are parsed as they are received since they are bounded as a whole. An error of the parser in the read that completes a body then failed the answer, although all of it had arrived: 502 where the caller got the answer before, and where it still gets it if head and body arrive in one read. A body that is complete at the error now completes the answer; the connection is aborted.

Trial: a target that sends a body in two parts and invalid bytes with the second one, with a stated length and in chunks: 502 in both, now 200 with the whole body. test_answer_is_whole_before_invalid_bytes failed before in both cases.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/answer_parser.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/answer_parser.py
@@ -174,8 +174,8 @@
         try:
             self._receive(received, self._expected)
         except HttpProcessingError as error:
-            if not self._recover_first_answer(self._expected):
-                self.fail(self._malformed(error))
+            if not self._recover_answer(self._expected):
+                self.fail(_fault_of(error, is_head=self._payload is None))
         except (AnswerTooLong, BrokenAnswer) as error:
             self.fail(str(error))
 
@@ -264,11 +264,12 @@
             self._answer = RawAnswer(message, held.take() if held else b'')
             self._changed.set()
 
-    def _recover_first_answer(self, expected: ExpectedAnswer) -> bool:
+    def _recover_answer(self, expected: ExpectedAnswer) -> bool:
         """Recover a complete answer that is followed by invalid bytes.
 
         The parser discards all answers of a segment that contains invalid
-        bytes, so the first answer is parsed again on its own.
+        bytes, so the first answer is parsed again on its own. Of an answer
+        that began in an earlier segment it has received the rest.
 
         Returns
         -------
@@ -276,25 +277,19 @@
             Whether it is the one to the request.
         """
         end = _answer_end(self._raw)
-        if self._payload is not None or not end:
-            return False
-        self.parser = self._new_parser('GET')
         try:
-            self._begin_answers(
-                self.parser.feed_data(self._raw[:end])[0], expected
-            )
+            if self._payload is not None:
+                self._receive_body(self._payload, 0, expected)
+            elif end:
+                self.parser = self._new_parser('GET')
+                self._begin_answers(
+                    self.parser.feed_data(self._raw[:end])[0], expected
+                )
         except (HttpProcessingError, AnswerTooLong, BrokenAnswer):
             return False
         self.has_more = True
         return self._answer is not None
 
-    def _malformed(self, error: HttpProcessingError) -> str:
-        """Return where an error lies; its text carries what was received."""
-        part = 'head' if self._payload is None else 'body'
-        if isinstance(error, LineTooLong):
-            return f'{part} has too long a line'
-        return f'malformed {part}'
-
     def _new_parser(self, method: str) -> Any:
         return HttpResponseParser(
             self._protocol,
@@ -309,6 +304,14 @@
         )
 
 
+def _fault_of(error: HttpProcessingError, *, is_head: bool) -> str:
+    """Return where an error lies; its text carries what was received."""
+    part = 'head' if is_head else 'body'
+    if isinstance(error, LineTooLong):
+        return f'{part} has too long a line'
+    return f'malformed {part}'
+
+
 def _answer_end(raw: bytes) -> int:
     """Return the end offset of an answer by its length, 0 if unknown."""
     head, separator, rest = raw.partition(b'\r\n\r\n')
--- a/tests/node/mesh/test_faulty_answers.py
+++ b/tests/node/mesh/test_faulty_answers.py
@@ -202,6 +202,38 @@
     assert exchange.transport.is_aborted
 
 
+@pytest.mark.parametrize(
+    ('name', 'first', 'rest'),
+    [
+        ('length', b'%scontent-length: 4\r\n\r\ngo' % _HEAD, b'od'),
+        ('chunks', b'%s2\r\ngo\r\n' % _CHUNKED, b'2\r\nod\r\n0\r\n\r\n'),
+    ],
+)
+async def test_answer_is_whole_before_invalid_bytes(
+    name: str, first: bytes, rest: bytes
+) -> None:
+    """Guards against the loss of a whole answer whose last part arrives in
+    one read with invalid bytes.
+    """
+    exchange = _Exchange()
+    await asyncio.sleep(0)
+    exchange.receive(first)
+    answer = await exchange.answer(rest + _MARKS)
+    assert answer.body == b'good', name
+    assert exchange.transport.is_aborted
+
+
+async def test_body_of_another_answer_is_not_completed() -> None:
+    """Guards against invalid bytes behind an answer to another request that
+    are taken for the end of the wanted answer.
+    """
+    exchange = _Exchange()
+    await asyncio.sleep(0)
+    exchange.receive(_OTHER[:-4])
+    with pytest.raises(BrokenAnswer, match='malformed'):
+        await exchange.answer(_OTHER[-4:] + _MARKS)
+
+
 @pytest.mark.parametrize(
     ('name', 'first', 'unit'),
     [
