Read compressed answers in whole reads

A read of a target's answer waits for its turn when it has more than 64 line ends, which were counted as carriage returns. Compressed and other binary bodies have one in 256 bytes, so that all their reads were handled in parts of 4 KiB, one in an iteration of the event loop, and large answers took as long as the loop is busy. The lines of chunks end with both bytes, which are now counted once the carriage returns exceed the limit; one byte is found faster.

--- a/packages/mustardspur_core/src/mustardspur_core/inbound_reads.py
+++ b/packages/mustardspur_core/src/mustardspur_core/inbound_reads.py
@@ -140,17 +140,18 @@
 def _is_costly(received: bytes, line_end: bytes) -> bool:
     """Return whether a read has more than `COSTLY_LINES` lines.
 
-    In a long read with few of them, searching is many times faster than
-    counting.
+    In a long read with few of them, searching for one byte is many times
+    faster than counting. Compressed bytes contain every byte often.
     """
     if len(received) <= TURN_BYTES:
         return received.count(line_end) > COSTLY_LINES
+    first = line_end[:1]
     end = -1
     for _ in range(COSTLY_LINES + 1):
-        end = received.find(line_end, end + 1)
+        end = received.find(first, end + 1)
         if end < 0:
             return False
-    return True
+    return received.count(line_end) > COSTLY_LINES
 
 
 class PausableTransport:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_pool.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_pool.py
@@ -14,9 +14,9 @@
 
 # The target is on the same instance; a slower one is overloaded.
 CONNECT_TIMEOUT_S: Final = 1.0
-# Ends the lines of heads and chunks, and seldom those of a body, which cost
-# nothing.
-_LINE_END: Final = b'\r'
+# Ends the lines of chunks and of most heads, and seldom those of a body, which
+# cost nothing. One byte of it is common in compressed bodies.
+_LINE_END: Final = b'\r\n'
 
 
 class TargetPool:
--- a/tests/node/mesh/test_faulty_answers.py
+++ b/tests/node/mesh/test_faulty_answers.py
@@ -24,6 +24,8 @@
 _MARK: Final = b'mark'
 _MARKS: Final = _MARK * (_READ_BYTES // len(_MARK))
 _TEXT: Final = b'a line of text.\n' * 512
+# Every byte as often as in a compressed body.
+_ALL_BYTES: Final = bytes(range(256)) * 32
 _HEAD: Final = b'HTTP/1.1 200 OK\r\n'
 _CHUNKED: Final = b'%stransfer-encoding: chunked\r\n\r\n' % _HEAD
 _MANY_CHUNKS: Final = b'%s%s0\r\n' % (
@@ -352,13 +354,14 @@
     [
         ('chunks of a byte', b'1\r\nx\r\n', TURN_BYTES),
         ('text in large chunks', b'2000\r\n%s\r\n' % _TEXT, MAX_READ_BYTES),
+        ('all bytes', b'2000\r\n%s\r\n' % _ALL_BYTES, MAX_READ_BYTES),
     ],
 )
 async def test_reads_of_costly_answers_take_turns(
     name: str, unit: bytes, largest: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Guards against chunks that take up the loop, and against text that is
-    read in small parts.
+    """Guards against chunks that take up the loop, and against text and
+    compressed bytes that are read in small parts.
     """
     reads = _RecordedReads(monkeypatch)
     sent = _CHUNKED + unit * (_ANSWER_BYTES // len(unit))
