Read text and compressed answers whole outside of a mesh

As in a mesh: reads of answers waited for their turn when they had more than 64 line feeds, which text has in every kilobyte or two and compressed bytes in a quarter of one. The ends of lines of chunks are counted instead.

--- a/packages/mustardspur_node/src/mustardspur_node/calls/connectors.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/connectors.py
@@ -1,7 +1,7 @@
 """Connector of a node for the connections to one target."""
 
 import asyncio
-from typing import Any
+from typing import Any, Final
 
 from aiohttp import ClientRequest, ClientTimeout, TCPConnector
 from aiohttp.client_proto import ResponseHandler
@@ -10,6 +10,10 @@
 
 from mustardspur_node.calls.target_connections import TargetConnection
 
+# Ends the lines of chunks and of most heads, and seldom those of a body, which
+# cost nothing.
+_LINE_END: Final = b'\r\n'
+
 
 class _TargetReads(InboundReads):
     """Reads of a connection to a target, in turns.
@@ -23,7 +27,7 @@
     __slots__ = ('protocol',)
 
     def __init__(self, protocol: ResponseHandler, turns: ReadTurns) -> None:
-        super().__init__(protocol, turns)
+        super().__init__(protocol, turns, _LINE_END)
         self.protocol = protocol
 
 
--- a/tests/node/calls/test_answers_without_end.py
+++ b/tests/node/calls/test_answers_without_end.py
@@ -10,8 +10,9 @@
 import pytest
 from aiohttp import ClientResponse, StreamReader
 from aiohttp.client_proto import ResponseHandler
-from mustardspur_core.inbound_reads import READ_BYTES
+from mustardspur_core.inbound_reads import READ_BYTES, TURN_BYTES
 from mustardspur_node.calls.attempts import AttemptError
+from mustardspur_node.calls.target_connections import TargetConnection
 
 from tests.node.stand_ins.mesh import HANG_S, Mesh, run_mesh
 from tests.node.stand_ins.scripted import (
@@ -137,6 +138,40 @@
             self.turns += 1
 
 
+class _RecordedReads:
+    """Sizes of what connections to targets receive at a time."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Record from now on."""
+        self.sizes: list[int] = []
+        self._receive = TargetConnection.data_received
+        monkeypatch.setattr(
+            TargetConnection,
+            'data_received',
+            lambda connection, data: self._record(connection, data),
+        )
+
+    def _record(self, connection: TargetConnection, received: bytes) -> None:
+        self.sizes.append(len(received))
+        self._receive(connection, received)
+
+
+@pytest.mark.parametrize(
+    'body', [b'a line of text.\n' * 32_768, bytes(range(128)) * 4096]
+)
+async def test_ordinary_bodies_are_read_whole(
+    body: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against long answers of text or compressed bytes that are read in
+    small parts, and take as long as the event loop is busy.
+    """
+    reads = _RecordedReads(monkeypatch)
+    sent = b'%scontent-length: %d\r\n\r\n%s' % (_HEAD, len(body), body)
+    async with _node((sent, CLOSE)) as (mesh, _):
+        await mesh.raw(_REQUEST)
+    assert TURN_BYTES < max(reads.sizes) <= READ_BYTES
+
+
 async def test_slow_caller_pauses_the_target() -> None:
     """Guards against an answer that is kept while its caller reads nothing."""
     length = b'content-length: 900000000000\r\n\r\n'
