--- a/packages/mustardspur_node/src/mustardspur_node/mesh/answer_parser.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/answer_parser.py
@@ -174,7 +174,7 @@
         try:
             self._receive(received, self._expected)
         except HttpProcessingError as error:
-            if not self._recover_first_answer(self._expected):
+            if not self._recover_answer(self._expected):
                 self.fail(_fault_of(error, is_head=self._payload is None))
         except (AnswerTooLong, BrokenAnswer) as error:
             self.fail(str(error))
@@ -268,11 +268,12 @@
             self._answer = RawAnswer(message, held.take() if held else b'')
             self._changed.set()
 
-    def _recover_first_answer(self, expected: ExpectedAnswer) -> bool:
+    def _recover_answer(self, expected: ExpectedAnswer) -> bool:
         """Recover a complete answer that is followed by invalid bytes.
 
         The parser discards all answers of a segment that contains invalid
-        bytes, so the first answer is parsed again on its own.
+        bytes, so the first answer is parsed again on its own. Of an answer
+        that began in an earlier segment it has received the rest.
 
         Returns
         -------
@@ -280,13 +281,14 @@
             Whether it is the one to the request.
         """
         end = _answer_end(self._raw)
-        if self._payload is not None or not end:
-            return False
-        self.parser = self._new_parser('GET')
         try:
-            self._begin_answers(
-                self.parser.feed_data(self._raw[:end])[0], expected
-            )
+            if self._payload is not None:
+                self._receive_body(self._payload, 0, expected)
+            elif end:
+                self.parser = self._new_parser('GET')
+                self._begin_answers(
+                    self.parser.feed_data(self._raw[:end])[0], expected
+                )
         except (HttpProcessingError, AnswerTooLong, BrokenAnswer):
             return False
         self.has_more = True
