Read frames beside large answers on slow links

Reading from a node paused while 1 MiB waited to be sent to it. Sixteen large answers in flight have a part of 64 KiB each in the buffer, and the confirmations of other calls on the stream, which are awaited for 0.5 s, waited behind them on a slow link. The bound on refusals that are not read is 8 MiB now; test_unread_refusals_are_bounded holds with it.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/peer_server.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/peer_server.py
@@ -45,8 +45,10 @@
 HELLO_TIMEOUT_S: Final = 2.0
 # A reachable node confirms within one round trip between regions.
 CONFIRM_TIMEOUT_S: Final = 0.5
-# No further calls are read from a node that does not take the answers.
-MAX_UNSENT_BYTES: Final = 1_048_576
+# No further frames are read from a node that does not take the answers. Parts
+# of all answers that a slow link carries at a time stay below; confirmations
+# of other calls would otherwise be late.
+MAX_UNSENT_BYTES: Final = 8_388_608
 _FROM_NODES: Final = MessageDispatcher('a node')
 
 
