Count faulty answers apart from lost connections

Cause: `calls.fault.broken` counts both, so that a target whose answers cannot be any looks like one that ends again and again.

Change: the node beside the target exports `target.faulty_answers` and `target.lost_connections`.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/instance.py
@@ -171,6 +171,7 @@
         self.view.discard_retained()
         self.callers.allowances.check()
         self._set_gauges()
+        self.local.runs.set_gauges(self._metrics)
 
     def _set_gauges(self) -> None:
         self.local.admission.link.check(self._metrics)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -291,6 +291,7 @@
             self.runs.record_unanswered(call, report, started_ns)
             raise
         except BrokenAnswer as error:
+            self.runs.count_broken(str(error))
             self.runs.record_broken(call, report, started_ns, self.pool)
             raise maybe_run_fault('broken', str(error)) from error
         self.statements.apply(report, answer, sent_s)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/run_recorder.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/run_recorder.py
@@ -1,11 +1,17 @@
 """Records of the runs at the local target."""
 
 import time
+from typing import Final
 
 from mustardspur_core.mesh.call_messages import CallOpen
+from mustardspur_core.metrics import Metrics
 from mustardspur_core.units import NS_PER_MS
 
 from mustardspur_node.mesh.admission import AdmissionControl
+from mustardspur_node.mesh.answer_parser import (
+    CONNECTION_CLOSED,
+    CONNECTION_RESET,
+)
 from mustardspur_node.mesh.crashes import CrashObserver
 from mustardspur_node.mesh.names import HeaderNames
 from mustardspur_node.mesh.reports import ReportStore, TargetReport, is_ready
@@ -13,6 +19,9 @@
 from mustardspur_node.mesh.target_pool import TargetPool
 from mustardspur_node.mesh.transfer_evidence import TransferEvidence
 
+# Ends of the reasons of `BrokenAnswer`.
+_LOST_CONNECTION: Final = (CONNECTION_CLOSED, CONNECTION_RESET)
+
 
 class RunRecorder:
     """Records run times, evidence on transfers and crashes.
@@ -27,7 +36,15 @@
         Reports of the target.
     """
 
-    __slots__ = ('_admission', '_reports', 'crashes', 'evidence', 'silence')
+    __slots__ = (
+        '_admission',
+        '_faulty_answers',
+        '_lost_connections',
+        '_reports',
+        'crashes',
+        'evidence',
+        'silence',
+    )
 
     def __init__(
         self,
@@ -37,6 +54,9 @@
     ) -> None:
         """Initialise without runs."""
         self._admission = admission
+        # Runs whose answer could not be one, and whose connection was lost.
+        self._faulty_answers = 0
+        self._lost_connections = 0
         self._reports = reports
         self.crashes = CrashObserver(names)
         self.silence = SilenceObserver(self.crashes)
@@ -69,6 +89,18 @@
             self.crashes.record_broken(call, pool)
         self._record(call, report, started_ns, failed=True)
 
+    def count_broken(self, reason: str) -> None:
+        """Count a run without an answer by the reason of `BrokenAnswer`."""
+        if reason.endswith(_LOST_CONNECTION):
+            self._lost_connections += 1
+        else:
+            self._faulty_answers += 1
+
+    def set_gauges(self, metrics: Metrics) -> None:
+        """Set the gauges of the runs without an answer."""
+        metrics.gauge('target.faulty_answers', self._faulty_answers)
+        metrics.gauge('target.lost_connections', self._lost_connections)
+
     def record_unanswered(
         self,
         call: CallOpen,
