Count an answer that is kept while its call is retried

A service whose targets answer 500 with 16 MB and then hang ended the node of the callers: with 40 calls that came 0.15 s apart, each with 6 s, it was killed at 300 MiB after about 17 calls in three runs.

Cause: an answer with a server error is kept until the retry has ended, since it goes to the caller if the retry brings no other one. Its bytes were counted while it was received, and from then on no more, so that neither the bound on all answers nor that on all bodies saw them.

They are counted until the end of the call. The new test fails without the change (0 bytes counted instead of 100,000).

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/placing.py
@@ -195,6 +195,9 @@
             raise
         finally:
             self._timeouts_by_progress.pop(progress)
+            if progress.failed_answer is not None:
+                kept_bytes = len(progress.failed_answer.body)
+                self._local.budget.release(kept_bytes)
 
     async def _place_until_final(
         self,
@@ -341,7 +344,9 @@
             return True
         if progress.failed_answer is not None:
             return True
+        # Kept while the retry runs, since it may bring no other answer.
         progress.failed_answer = answer
+        self._local.budget.hold(len(answer.body))
         return not self._may_retry(progress)
 
     def _unanswered(
--- a/tests/node/mesh/test_placing.py
+++ b/tests/node/mesh/test_placing.py
@@ -12,6 +12,7 @@
     MeshBlocks,
     MeshTargets,
 )
+from mustardspur_core.mesh.model import MeshTarget
 from mustardspur_core.metrics import NullMetrics
 from mustardspur_core.record import replaced
 from mustardspur_core.settings import MeshSettings
@@ -20,6 +21,7 @@
 from mustardspur_node.mesh.fingerprints import call_fingerprint
 from mustardspur_node.mesh.local_target import LocalTarget
 from mustardspur_node.mesh.names import HEADER_NAMES
+from mustardspur_node.mesh.peer_server import PeerServer
 from mustardspur_node.mesh.placing import Placer
 from mustardspur_node.mesh.retry_after import (
     BLOCKED_RETRY_AFTER_S,
@@ -43,6 +45,7 @@
     waiting_request,
 )
 from tests.node.stand_ins.scripted import KEEP, run_scripted
+from tests.support.ports import free_address
 from tests.support.virtual_time import in_virtual_time
 
 FULL_LOAD: Final = TargetLoad(
@@ -56,6 +59,12 @@
 )
 
 
+_LARGE_BYTES: Final = 100_000
+_LARGE_ERROR: Final = (
+    b'HTTP/1.1 500 Error\r\nx-request-id: {id}\r\n'
+    b'content-length: 100000\r\n\r\n%s'
+) % bytes(_LARGE_BYTES)
+
 # Its calls may wait for a slot, so that a target in use is eligible.
 _PATIENT_ROUTE: Final = route('drafts', objective_ms=1000.0)
 
@@ -322,3 +331,35 @@
         calls = [mesh_call(route=_PATIENT_ROUTE) for _ in range(10)]
         await asyncio.gather(*(placer.place(call) for call in calls))
         assert placer.retries.try_acquire('forms')
+
+
+def _view_of(*targets: MeshTarget) -> MeshView:
+    view = MeshView()
+    view.apply_targets(
+        MeshTargets(full=True, upserts=list(targets), removed=[]),
+    )
+    return view
+
+
+async def test_failed_answer_counts_during_its_retry() -> None:
+    """Guards against a node that runs out of memory for answers with a server
+    error, which it keeps while their retries wait for another target.
+    """
+    node = free_address()
+    view = _view_of(target('2', id='t1'), target('3', id='t1', node=node))
+    async with (
+        run_scripted((_LARGE_ERROR, KEEP)) as (address, _),
+        run_scripted((b'', KEEP)) as (other_address, hanging),
+        PeerServer(local_target(other_address)).serving(node),
+    ):
+        placer = _placer(view, address)
+        answers = placer.link.bodies.answers
+        placing = asyncio.create_task(placer.place(mesh_call()))
+        async with asyncio.timeout(5):
+            while not hanging.requests:
+                await asyncio.sleep(0.005)
+        assert answers.held_bytes == _LARGE_BYTES
+        with pytest.raises(UnansweredCall):
+            await placing
+        assert not answers.held_bytes
+        placer.links.close()
