--- a/packages/mustardspur_core/src/mustardspur_core/refusals.py
+++ b/packages/mustardspur_core/src/mustardspur_core/refusals.py
@@ -35,6 +35,8 @@
         Name of the listener in the log.
     retry_after : str, optional
         Name of the header that says when to try again.
+    headers : tuple of str, optional
+        Further lines of the head of a refusal.
 
     Attributes
     ----------
@@ -51,11 +53,17 @@
         'open',
     )
 
-    def __init__(self, listener: str, retry_after: str = 'Retry-After') -> None:
+    def __init__(
+        self,
+        listener: str,
+        retry_after: str = 'Retry-After',
+        headers: tuple[str, ...] = (),
+    ) -> None:
         """Initialise without connections."""
         self._answer = plain_answer(
             HTTPStatus.SERVICE_UNAVAILABLE,
             f'{retry_after}: 1',
+            *headers,
             text=_REASON,
         )
         self._listener = listener
@@ -96,7 +104,12 @@
         self._unlogged = 0
 
 
-def plain_answer(status: HTTPStatus, *headers: str, text: str) -> bytes:
+def plain_answer(
+    status: HTTPStatus,
+    *headers: str,
+    text: str,
+    content_type: str = 'text/plain',
+) -> bytes:
     """Return an answer that ends its connection.
 
     Parameters
@@ -107,12 +120,14 @@
         Further lines of its head.
     text : str
         Line of its body.
+    content_type : str, optional
+        Type of its body.
     """
     body = f'{text}\n'
     return '\r\n'.join(
         (
             f'HTTP/1.1 {status.value} {status.phrase}',
-            'content-type: text/plain',
+            f'content-type: {content_type}',
             *headers,
             f'content-length: {len(body)}',
             'connection: close',
