Refuse answers whose length the parser takes for none

A length of more than 4,300 digits raised an error that nothing expected: the connection ended with a traceback in the log, and a call outside of a mesh with 500. Lengths of more than 18 digits without leading zeros, or of more than 64 characters, are refused now, and the call ends with 502.

--- a/packages/mustardspur_core/src/mustardspur_core/framing_limits.py
+++ b/packages/mustardspur_core/src/mustardspur_core/framing_limits.py
@@ -5,6 +5,11 @@
 # Bytes that are no payload of a chunked body. The size line of a chunk is less
 # than this, and ordinary clients send neither extensions nor trailers.
 DEFAULT_FRAMING_BYTES: Final = 16_384
+# Longest length of a body in digits. The parser takes the greatest number of
+# 64 bits for no length, and passes on a body without bytes.
+MAX_LENGTH_DIGITS: Final = 18
+# Longest text of a length; `int` fails at 4,300 digits, also of zeros.
+MAX_LENGTH_CHARS: Final = 64
 
 
 class HeadTooLarge(Exception):
@@ -15,6 +20,10 @@
     """Extensions or trailers of a chunked body exceed the limit."""
 
 
+class LengthTooLarge(Exception):
+    """The stated length of a body is larger than any body."""
+
+
 class FramingLimits:
     """Counts the bytes since the latest head, or the latest part of a body.
 
@@ -81,3 +90,17 @@
         self._framing_bytes += size
         if self._framing_bytes > limit:
             raise FramingTooLarge
+
+
+def parse_length(stated: str) -> int:
+    """Return the stated length of a body, which the parser has accepted.
+
+    Raises
+    ------
+    LengthTooLarge
+        If it has more than `MAX_LENGTH_DIGITS` or `MAX_LENGTH_CHARS`.
+    """
+    digits = stated.lstrip('0')
+    if len(digits) > MAX_LENGTH_DIGITS or len(stated) > MAX_LENGTH_CHARS:
+        raise LengthTooLarge
+    return int(digits or '0')
--- a/packages/mustardspur_node/src/mustardspur_node/calls/target_connections.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/target_connections.py
@@ -14,6 +14,8 @@
     FramingLimits,
     FramingTooLarge,
     HeadTooLarge,
+    LengthTooLarge,
+    parse_length,
 )
 
 # Head of an answer with all that comes before it: empty lines and interim
@@ -140,7 +142,11 @@
             self._should_close = True
         self._payload = payload
         stated = message.headers.get('content-length')
-        self._body_left = None if stated is None else int(stated)
+        try:
+            self._body_left = None if stated is None else parse_length(stated)
+        except LengthTooLarge:
+            self._fail('length of the answer is too large')
+            return
         body = payload
         if self._skip_payload or message.code in EMPTY_BODY_STATUS_CODES:
             body = EMPTY_PAYLOAD
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/answer_limits.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/answer_limits.py
@@ -8,6 +8,8 @@
     FramingLimits,
     FramingTooLarge,
     HeadTooLarge,
+    LengthTooLarge,
+    parse_length,
 )
 
 from mustardspur_node.mesh.answer_budget import AnswerTooLong
@@ -65,9 +67,7 @@
         self._received = 0
         if message.chunked:
             return
-        # The parser accepts digits only.
-        stated = message.headers.get('content-length', '0')
-        if int(stated) > self._payload_bytes:
+        if announced_bytes(message) > self._payload_bytes:
             raise AnswerTooLong('announced length too large')
 
     def add_body(self, size: int, payload_size: int) -> None:
@@ -96,3 +96,17 @@
             self._framing.add_body(size, self._received, DEFAULT_FRAMING_BYTES)
         except FramingTooLarge:
             raise AnswerTooLong('framing of the body too long') from None
+
+
+def announced_bytes(message: RawResponseMessage) -> int:
+    """Return the length that an answer states, 0 if it states none.
+
+    Raises
+    ------
+    AnswerTooLong
+        If no body has it.
+    """
+    try:
+        return parse_length(message.headers.get('content-length', '0'))
+    except LengthTooLarge:
+        raise AnswerTooLong('announced length too large') from None
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/answer_parser.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/answer_parser.py
@@ -10,9 +10,10 @@
 from aiohttp.http_exceptions import LineTooLong
 from aiohttp.http_parser import HttpResponseParser, RawResponseMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
+from mustardspur_core.framing_limits import MAX_LENGTH_CHARS
 
 from mustardspur_node.mesh.answer_budget import AnswerTooLong, HeldAnswer
-from mustardspur_node.mesh.answer_limits import AnswerLimits
+from mustardspur_node.mesh.answer_limits import AnswerLimits, announced_bytes
 from mustardspur_node.mesh.calls import Headers
 from mustardspur_node.mesh.names import HOP_BY_HOP
 
@@ -237,6 +238,8 @@
                 self.has_more = True
                 return
             self._raw = b''
+            # The parser passes on no body if the length is too large for it.
+            announced_bytes(message)
             is_wanted = expected.is_wanted(message)
             self._message = message if is_wanted else None
             self._payload = payload
@@ -318,7 +321,7 @@
     for line in head.split(b'\r\n')[1:]:
         name, _, stated = line.partition(b':')
         if name.strip().lower() == b'content-length':
-            digits = stated.strip()
+            digits = stated.strip()[:MAX_LENGTH_CHARS]
             if separator and digits.isdigit() and int(digits) <= len(rest):
                 return len(head) + len(separator) + int(digits)
     return 0
--- a/tests/node/calls/test_answers_without_end.py
+++ b/tests/node/calls/test_answers_without_end.py
@@ -220,6 +220,27 @@
         assert await mesh.call('GET', '/stock') == (200, None, b'good')
 
 
+@pytest.mark.parametrize(
+    ('stated', 'expected'),
+    [
+        (b'18446744073709551615', (502, 'unknown')),
+        (b'9' * 19, (502, 'unknown')),
+        (b'%s4' % (b'0' * 5000), (502, 'unknown')),
+        (b'%s4' % (b'0' * 20), (200, None)),
+    ],
+)
+async def test_odd_lengths_are_read(
+    stated: bytes, expected: tuple[int, str | None]
+) -> None:
+    """Guards against an answer without its body, since the parser takes its
+    length for none, and against an unexpected error.
+    """
+    answer = b'%scontent-length: %s\r\n\r\ngood' % (_HEAD, stated)
+    async with _node((answer, KEEP)) as (mesh, _):
+        received = await mesh.call('POST', '/prescriptions', data=b'rx')
+    assert received[:2] == expected
+
+
 async def test_whole_answer_before_letters_is_delivered() -> None:
     """Guards against a whole answer that is lost for what follows it."""
     async with _node((GOOD, ENDLESS)) as (mesh, target):
--- a/tests/node/mesh/test_faulty_answers.py
+++ b/tests/node/mesh/test_faulty_answers.py
@@ -257,9 +257,16 @@
     assert sent.unsent_bytes > 0, name
 
 
-async def test_announced_length_is_refused_with_the_head() -> None:
-    """Guards against bytes of a body that are kept until it is too long."""
-    head = b'%scontent-length: %d\r\n\r\n' % (_HEAD, _ANSWER_BYTES + 1)
+@pytest.mark.parametrize(
+    'length',
+    [b'%d' % (_ANSWER_BYTES + 1), b'%d' % (2**64 - 1)],
+)
+async def test_announced_length_is_refused_with_the_head(length: bytes) -> None:
+    """Guards against bytes of a body that are kept until it is too long, and
+    against an answer without its body, since the parser takes a length for
+    none.
+    """
+    head = b'%scontent-length: %s\r\n\r\nbody' % (_HEAD, length)
     with pytest.raises(BrokenAnswer, match='announced length too large'):
         await _Exchange().answer(head)
 
@@ -282,6 +289,23 @@
     assert answer.body == b'', name
 
 
+async def test_length_of_too_many_zeros_is_no_answer() -> None:
+    """Guards against an unexpected error that is logged with its traceback."""
+    head = b'%scontent-length: %s\r\n\r\n' % (_HEAD, b'0' * 5000)
+    for sent in (head, head + _MARKS):
+        with pytest.raises(BrokenAnswer, match='no answer'):
+            await _Exchange().answer(sent)  # noqa: WPS476
+
+
+async def test_length_of_many_zeros_is_read() -> None:
+    """Guards against refusing a legal length for its digits."""
+    answer = await _Exchange().answer(
+        b'%scontent-length: %s4\r\n\r\ngo' % (_HEAD, b'0' * 20),
+        b'od',
+    )
+    assert answer.body == b'good'
+
+
 @pytest.mark.parametrize('stated', [b'9' * 5000, '²'.encode(), b'-1', b'x'])
 async def test_odd_idle_timeout_is_ignored(stated: bytes) -> None:
     """Guards against an answer that is lost with an unexpected error, since
