Fail an answer with a status that is none of HTTP at once

Statuses below 100 were taken for interim answers in a mesh: the call waited for another answer until its deadline, 504. Those above 599 were passed on to callers, except from another node. Both end the call with 502 now, which promises nothing; outside of a mesh those above 599, as those below 200 did.

test_status_that_is_none_fails_at_once failed before for all of 000, 099, 600 and 999, test_status_that_is_none_is_no_answer for 600 and 999.

--- a/packages/mustardspur_node/src/mustardspur_node/calls/attempts.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/attempts.py
@@ -18,6 +18,7 @@
 from mustardspur_node.calls.pending_calls import PendingCall
 
 MAX_BUFFERED_RESPONSE_BYTES: Final = 65_536
+_MAX_STATUS: Final = 599
 _BODYLESS: Final = frozenset(
     (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED),
 )
@@ -235,8 +236,8 @@
     headers = response.headers
     if headers.get(names.REQUEST_ID, request_id) != request_id:
         raise ExchangeBroken('answer belongs to another request')
-    if response.status < HTTPStatus.OK:
-        raise ExchangeBroken('answer switches the protocol')
+    if not HTTPStatus.OK <= response.status <= _MAX_STATUS:
+        raise ExchangeBroken('answer has no final status')
     delimiters = len(headers.getall(names.CONTENT_LENGTH, ()))
     delimiters += len(headers.getall(names.TRANSFER_ENCODING, ()))
     if delimiters > 1 or not delimiters and response.status not in _BODYLESS:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_connection.py
@@ -38,6 +38,7 @@
 MAX_TIMEOUT_DIGITS: Final = 9
 # Longest body of the answer to a health check, which is discarded.
 MAX_CHECK_BYTES: Final = 65_536
+MAX_STATUS: Final = 599
 
 
 # Returns whether an answer belongs to the request; None if it has no
@@ -225,6 +226,8 @@
         BrokenAnswer
             If none can be.
         """
+        if not HTTPStatus.CONTINUE <= message.code <= MAX_STATUS:
+            raise BrokenAnswer('status is none of HTTP')
         if message.should_close:
             self.reusable = False
         self._idle_timeout_s = _idle_timeout_s(message, self._idle_timeout_s)
--- a/tests/node/calls/test_answers_without_end.py
+++ b/tests/node/calls/test_answers_without_end.py
@@ -241,6 +241,15 @@
     assert received[:2] == expected
 
 
+@pytest.mark.parametrize('status', [b'000', b'099', b'600', b'999'])
+async def test_status_that_is_none_is_no_answer(status: bytes) -> None:
+    """Guards against callers that get a status that is none of HTTP."""
+    answer = b'HTTP/1.1 %s A\r\ncontent-length: 0\r\n\r\n' % status
+    async with _node((answer, KEEP)) as (mesh, _):
+        received = await mesh.call('POST', '/prescriptions', data=b'rx')
+    assert received[:2] == (502, 'unknown')
+
+
 async def test_whole_answer_before_letters_is_delivered() -> None:
     """Guards against a whole answer that is lost for what follows it."""
     async with _node((GOOD, ENDLESS)) as (mesh, target):
--- a/tests/node/mesh/test_faulty_answers.py
+++ b/tests/node/mesh/test_faulty_answers.py
@@ -289,6 +289,16 @@
     assert answer.body == b'', name
 
 
+@pytest.mark.parametrize('status', [b'000', b'099', b'600', b'999'])
+async def test_status_that_is_none_fails_at_once(status: bytes) -> None:
+    """Guards against a call that waits for another answer until its deadline,
+    and against callers that get such a status.
+    """
+    sent = b'HTTP/1.1 %s A\r\ncontent-length: 0\r\n\r\n' % status
+    with pytest.raises(BrokenAnswer, match='status is none of HTTP'):
+        await _Exchange().answer(sent)
+
+
 async def test_length_of_too_many_zeros_is_no_answer() -> None:
     """Guards against an unexpected error that is logged with its traceback."""
     head = b'%scontent-length: %s\r\n\r\n' % (_HEAD, b'0' * 5000)
