Add up the evidence of nodes before their restarts

A control instance kept the last counts of each earlier incarnation of a node until the end of the transfer, or for ever without one. A node that restarts again and again, or that states another incarnation with each message, takes its memory. The counts are added up by service, version, route and node, at most 32,768 sums; further ones are left out.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/evidence.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/evidence.py
@@ -17,6 +17,9 @@
 # Minimum retention of the counts of a silent node. No code enforces it: the
 # counts are kept until `remove_service`.
 _MIN_RETENTION_S: Final = 2 * WINDOW_S
+# Sums of the counts before restarts. A node may state any names, and restart
+# with each message; 2,800 nodes that all restart have 10 routes each.
+MAX_SUMS: Final = 32_768
 
 
 class RunTotals:
@@ -98,6 +101,45 @@
 _History = deque[tuple[float, Totals]]
 
 
+class _SumsBeforeRestarts:
+    """Counts of the earlier incarnations of all nodes, added up."""
+
+    __slots__ = ('_by_service', '_size')
+
+    def __init__(self) -> None:
+        self._by_service: dict[str, Totals] = {}
+        self._size = 0
+
+    def add(self, evidence: MeshEvidence) -> None:
+        """Add the counts of a node, as far as there is room for them."""
+        for row in evidence.rows:
+            key = RunKey(row.version, row.route, evidence.node)
+            totals = self._by_service.get(row.service, {})
+            if key not in totals:
+                if self._size == MAX_SUMS:
+                    continue
+                self._size += 1
+                self._by_service[row.service] = totals
+            totals.setdefault(key, RunTotals()).add_message(row)
+
+    def totals(self, service: str) -> Totals:
+        """Return a copy of the counts of a service."""
+        totals: Totals = {}
+        for key, counts in self._by_service.get(service, {}).items():
+            totals[key] = RunTotals()
+            totals[key].add(counts)
+        return totals
+
+    def remove_service(self, service: str) -> None:
+        """Remove the counts of a service."""
+        self._size -= len(self._by_service.pop(service, {}))
+
+    def clear(self) -> None:
+        """Remove all counts."""
+        self._by_service.clear()
+        self._size = 0
+
+
 class EvidenceAggregator:
     """Sums the counts of all nodes since the start of each transfer."""
 
@@ -107,7 +149,7 @@
         """Initialise the aggregator without counts."""
         self._by_node: dict[str, MeshEvidence] = {}
         self._received_s: dict[str, float] = {}
-        self._before_restart: list[MeshEvidence] = []
+        self._before_restart = _SumsBeforeRestarts()
         self._history: dict[str, _History] = {}
 
     def record(self, evidence: MeshEvidence) -> None:
@@ -117,7 +159,7 @@
             previous is not None
             and previous.incarnation != evidence.incarnation
         ):
-            self._before_restart.append(previous)
+            self._before_restart.add(previous)
         self._by_node[evidence.node] = evidence
         self._received_s[evidence.node] = time.monotonic()
 
@@ -132,8 +174,8 @@
 
     def totals(self, service: str) -> Totals:
         """Return the counts of a service by version, route and node."""
-        totals: Totals = {}
-        for evidence in (*self._before_restart, *self._by_node.values()):
+        totals = self._before_restart.totals(service)
+        for evidence in self._by_node.values():
             for row in evidence.rows:
                 if row.service == service:
                     key = RunKey(row.version, row.route, evidence.node)
@@ -174,7 +216,8 @@
     def remove_service(self, service: str) -> None:
         """Remove the counts of a service, before its next transfer."""
         self._history.pop(service, None)
-        for evidence in (*self._before_restart, *self._by_node.values()):
+        self._before_restart.remove_service(service)
+        for evidence in self._by_node.values():
             evidence.rows = [
                 row for row in evidence.rows if row.service != service
             ]
--- a/tests/control/mesh/test_evidence.py
+++ b/tests/control/mesh/test_evidence.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 from mustardspur_control.mesh.evidence import (
     WINDOW_S,
     EvidenceAggregator,
@@ -13,6 +14,7 @@
     RouteOutcomeCounts,
 )
 
+from tests.node.stand_ins.memory import uncollected_memory
 from tests.support.virtual_time import in_virtual_time
 
 _KEY = RunKey(version='v2', route='drafts', node='n1')
@@ -76,6 +78,40 @@
     )
 
 
+def test_restarts_without_end_are_added_up() -> None:
+    """Guards against a node that states another incarnation with each message,
+    and ends a control instance for its memory.
+    """
+    aggregator = EvidenceAggregator()
+    with uncollected_memory() as allocated:
+        for incarnation in range(2000):
+            aggregator.record(_evidence('n1', 2, 1, incarnation))
+        assert allocated() < 100_000
+    assert _runs_and_failures(aggregator.totals('forms')[_KEY]) == (4000, 2000)
+    # Totals are the caller's own.
+    aggregator.totals('forms')[_KEY].runs = 0
+    assert aggregator.totals('forms')[_KEY].runs == 4000
+    aggregator.remove_service('forms')
+    assert not aggregator.totals('forms')
+
+
+def test_names_before_restarts_are_bounded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a node that states other names in each incarnation."""
+    monkeypatch.setattr('mustardspur_control.mesh.evidence.MAX_SUMS', 2)
+    aggregator = EvidenceAggregator()
+    for number in range(5):
+        stated = _evidence('n1', 1, 0, number)
+        stated.rows[0].route = str(number)
+        aggregator.record(stated)
+    assert len(aggregator.totals('forms')) == 3
+    aggregator.remove_service('forms')
+    aggregator.record(_evidence('n1', 1, 0, 5))
+    aggregator.record(_evidence('n1', 1, 0, 6))
+    assert aggregator.totals('forms')[_KEY].runs == 2
+
+
 @in_virtual_time
 async def test_recent_counts_exclude_old_ones() -> None:
     """A late fault is not outweighed by successful calls before it."""
