--- a/tests/node/calls/test_answers_without_end.py
+++ b/tests/node/calls/test_answers_without_end.py
@@ -220,6 +220,36 @@
         assert await mesh.call('GET', '/stock') == (200, None, b'good')
 
 
+@pytest.mark.parametrize(
+    ('stated', 'expected'),
+    [
+        (b'18446744073709551615', (502, 'unknown')),
+        (b'9' * 19, (502, 'unknown')),
+        (b'%s4' % (b'0' * 5000), (502, 'unknown')),
+        (b'%s4' % (b'0' * 20), (200, None)),
+    ],
+)
+async def test_odd_lengths_are_read(
+    stated: bytes, expected: tuple[int, str | None]
+) -> None:
+    """Guards against an answer without its body, since the parser takes its
+    length for none, and against an unexpected error.
+    """
+    answer = b'%scontent-length: %s\r\n\r\ngood' % (_HEAD, stated)
+    async with _node((answer, KEEP)) as (mesh, _):
+        received = await mesh.call('POST', '/prescriptions', data=b'rx')
+    assert received[:2] == expected
+
+
+@pytest.mark.parametrize('status', [b'000', b'099', b'600', b'999'])
+async def test_status_that_is_none_is_no_answer(status: bytes) -> None:
+    """Guards against callers that get a status that is none of HTTP."""
+    answer = b'HTTP/1.1 %s A\r\ncontent-length: 0\r\n\r\n' % status
+    async with _node((answer, KEEP)) as (mesh, _):
+        received = await mesh.call('POST', '/prescriptions', data=b'rx')
+    assert received[:2] == (502, 'unknown')
+
+
 async def test_whole_answer_before_letters_is_delivered() -> None:
     """Guards against a whole answer that is lost for what follows it."""
     async with _node((GOOD, ENDLESS)) as (mesh, target):
