Bound the control instances that another one names

A faulty control instance may name any number of others in its heartbeats: all were kept for ever and connected to. At most 256 that were not seen are kept now, and they are forgotten when they are not named for a minute, from when no connection was attempted to them before either.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/known_controls.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/known_controls.py
@@ -10,6 +10,8 @@
 
 # No connection is attempted to a non-voter that is silent for this long.
 PEER_EXPIRY_S: Final = 60.0
+# Instances that were named and not seen; at most 22 are set aside for control.
+MAX_NAMED: Final = 256
 _NEVER_S: Final = float('-inf')
 
 
@@ -99,11 +101,15 @@
         """Record instances that another one named, with their addresses.
 
         A new instance is told of its seeds only, and the leader, which adds
-        it, may be none of them.
+        it, may be none of them. A faulty one may name any number: those above
+        `MAX_NAMED` are left out.
         """
+        self._forget_named()
         for peer in peers:
-            self._peers_by_id.setdefault(peer.id, peer)
-            self._named_s[peer.id] = _now()
+            is_named = peer.id in self._named_s
+            if is_named or len(self._named_s) < MAX_NAMED:
+                self._peers_by_id.setdefault(peer.id, peer)
+                self._named_s[peer.id] = _now()
 
     def is_live(self, peer_id: str) -> bool:
         """Whether an instance was seen within ``silence_s``."""
@@ -122,6 +128,15 @@
         """
         return _now() - max(self._last_seen_s.get(peer_id, since_s), since_s)
 
+    def _forget_named(self) -> None:
+        """Forget instances that were not named for `PEER_EXPIRY_S`."""
+        oldest_s = _now() - PEER_EXPIRY_S
+        for peer_id, named_s in list(self._named_s.items()):
+            if named_s <= oldest_s:
+                self._named_s.pop(peer_id)
+                if peer_id not in self._last_seen_s:
+                    self._peers_by_id.pop(peer_id, None)
+
     def _last_known_s(self, peer_id: str) -> float:
         return max(
             self._last_seen_s.get(peer_id, _NEVER_S),
--- a/tests/control/mesh/test_membership.py
+++ b/tests/control/mesh/test_membership.py
@@ -7,7 +7,7 @@
 from expression import Ok, Result
 from mustardspur_agreement import Committed, ProposalError
 from mustardspur_control.mesh.formation import own_peer
-from mustardspur_control.mesh.known_controls import PEER_EXPIRY_S
+from mustardspur_control.mesh.known_controls import MAX_NAMED, PEER_EXPIRY_S
 from mustardspur_control.mesh.membership import (
     REMOVE_AFTER_S,
     REMOVE_REPLACED_AFTER_S,
@@ -213,6 +213,23 @@
     assert 'leader' not in members.other_peers
 
 
+@in_virtual_time
+async def test_named_instances_are_bounded() -> None:
+    """Guards against an instance that names others without end, which are all
+    kept and connected to.
+    """
+    members = _Group('c1').members
+    members.record_named(
+        [_peer(f'a{number}') for number in range(2 * MAX_NAMED)]
+    )
+    members.record_named([_peer('late')])
+    assert len(members.other_peers) <= MAX_NAMED
+    assert 'late' not in members.other_peers
+    await asyncio.sleep(PEER_EXPIRY_S + 1)
+    members.record_named([_peer('leader')])
+    assert set(members.other_peers) == {'leader'}
+
+
 @in_virtual_time
 async def test_voters_and_live_instances_are_named() -> None:
     """Guards against naming instances that nobody has heard for a while."""
