Bound what the command line client reads of an answer

The client read answers of a control instance whole and without a bound, for up to 12 s, and gave the text of any error. It reads 64 MiB at most now, and shows the start and the end of a text of an error.

The case of a long answer of test_request_that_may_have_arrived failed before.

--- a/packages/mustardspur_client/src/mustardspur_client/transport.py
+++ b/packages/mustardspur_client/src/mustardspur_client/transport.py
@@ -1,16 +1,20 @@
 """Transport of a request to one control instance."""
 
+import json
 from typing import Any, Final, Protocol
 
 import aiohttp
 from mustardspur_core.readers import describe
 from mustardspur_core.record import Record
+from mustardspur_core.texts import describe_error
 
 from mustardspur_client.answers import ControlAnswer
 
 # Longer than a control instance waits for a commit, which is 10 s.
 REQUEST_TIMEOUT_S: Final = 12
 CONNECT_TIMEOUT_S: Final = 2
+# A control instance has 256 MiB, of which its answers take a part.
+MAX_ANSWER_BYTES: Final = 67_108_864
 
 _NOT_SENT_ERRORS: Final = (
     aiohttp.ClientConnectorError,
@@ -86,7 +90,8 @@
         except _NOT_SENT_ERRORS as error:
             raise SendError(False, f'{address}: {error}') from error
         except _EXCHANGE_ERRORS as error:
-            raise SendError(True, f'{address}: {error!r}') from error
+            detail = describe_error(error)
+            raise SendError(True, f'{address}: {detail}') from error
 
     async def _exchange(self, address: str, request: Request) -> ControlAnswer:
         timeout = aiohttp.ClientTimeout(
@@ -100,7 +105,23 @@
             timeout=timeout,
             allow_redirects=False,
         ) as response:
-            body = await response.json(content_type=None)
+            body = json.loads(await _read(response.content))
             if isinstance(body, dict):
                 return ControlAnswer(status=response.status, body=body)
         raise ValueError(f'expected an object, found {describe(body)}')
+
+
+async def _read(content: aiohttp.StreamReader) -> bytes:
+    """Return the body of an answer.
+
+    Raises
+    ------
+    ValueError
+        If it has more than `MAX_ANSWER_BYTES`.
+    """
+    received = bytearray()
+    async for part in content.iter_any():
+        received += part
+        if len(received) > MAX_ANSWER_BYTES:
+            raise ValueError(f'answer of more than {MAX_ANSWER_BYTES} bytes')
+    return bytes(received)
--- a/tests/client/test_transport.py
+++ b/tests/client/test_transport.py
@@ -37,12 +37,17 @@
     return response
 
 
+async def _send_long_answer(request: web.Request) -> web.StreamResponse:
+    return web.json_response({'index': 'x' * 2000})
+
+
 BAD_SERVERS = MappingProxyType(
     {
         'closes': _close_connection,
         'no JSON': _send_no_json,
         'no object': _send_no_object,
         'cut answer': _truncate_answer,
+        'long answer': _send_long_answer,
     }
 )
 
@@ -51,8 +56,14 @@
 async def test_request_that_may_have_arrived(
     aiohttp_server: StartServer,
     name: str,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against reporting 'not committed' after the edit was sent."""
+    """Guards against reporting 'not committed' after the edit was sent, and
+    against an answer without end that takes the memory.
+    """
+    monkeypatch.setattr(
+        'mustardspur_client.transport.MAX_ANSWER_BYTES', 1000, raising=False
+    )
     app = web.Application()
     app.router.add_route('PUT', '/', BAD_SERVERS[name])
     server = await aiohttp_server(app)
