--- a/packages/mustardspur_control/src/mustardspur_control/mesh/registry.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/registry.py
@@ -4,14 +4,35 @@
 from collections.abc import Callable
 from typing import Final
 
-from mustardspur_core.mesh.control_messages import MeshTargets
+from mustardspur_core.mesh.control_messages import (
+    MeshAnnounce,
+    MeshCrash,
+    MeshEvidence,
+    MeshTargets,
+)
 from mustardspur_core.mesh.model import MeshTarget
+from mustardspur_core.record import Record
+from mustardspur_core.wire import MalformedFrame
 
 # Source of the registrations of nodes that are attached to this instance.
 LOCAL_SOURCE: Final = ''
 # Registrations from a disconnected control instance are removed after this
 # time, within which its nodes attach to another instance.
 REMOVAL_DELAY_S: Final = 6.0
+# Nodes accept names of at most this length from their targets.
+MAX_NAME_CHARS: Final = 256
+# Nodes that another control instance may report, six times the size that the
+# mesh is designed for.
+MAX_REPORTED: Final = 16_384
+_NAMES: Final = (
+    'id',
+    'service',
+    'version',
+    'node',
+    'data_centre',
+    'region',
+    'state',
+)
 
 
 class MeshRegistry:
@@ -45,13 +66,24 @@
         self._update_newest(node)
 
     def apply_update(self, source: str, update: MeshTargets) -> None:
-        """Apply an update from another control instance."""
+        """Apply an update from another control instance.
+
+        Raises
+        ------
+        MalformedFrame
+            If it reports too many nodes, or a name is too long.
+        """
+        for upsert in update.upserts:
+            _check_names(upsert)
         updated = {registration.node for registration in update.upserts}
         if update.full:
             for missing in self.registrations_from(source).keys() - updated:
                 self.remove(source, missing)
         for node in update.removed:
             self.remove(source, node)
+        known = self._by_source.get(source, {}).keys()
+        if len(updated | known) > MAX_REPORTED:
+            raise MalformedFrame('length', f'more than {MAX_REPORTED} nodes')
         for registration in update.upserts:
             self.put(source, registration)
 
@@ -112,5 +144,46 @@
             callback(node)
 
 
+def check_speaker(body: Record, node: str) -> None:
+    """Check that a frame is about the node that sends it.
+
+    Explanation
+    ===========
+
+    What a node states is kept by its address. One that states the addresses
+    of others would replace what they have stated, and one that goes on with
+    further addresses would fill the memory of all control instances.
+
+    Parameters
+    ----------
+    node : str
+        Address that the node stated in its first frame.
+
+    Raises
+    ------
+    MalformedFrame
+        If it is about another node, or has a name that is too long.
+    """
+    if isinstance(body, MeshAnnounce):
+        _check_node(body.target.node, node)
+        _check_names(body.target)
+    elif isinstance(body, MeshEvidence | MeshCrash):
+        _check_node(body.node, node)
+
+
+def _check_node(stated: str, node: str) -> None:
+    if stated != node:
+        raise MalformedFrame('fields', 'node: expected that of the stream')
+
+
+def _check_names(target: MeshTarget) -> None:
+    for name in _NAMES:
+        if len(getattr(target, name)) > MAX_NAME_CHARS:
+            raise MalformedFrame(
+                'fields',
+                f'{name}: expected at most {MAX_NAME_CHARS} characters',
+            )
+
+
 def _recency(registration: MeshTarget) -> tuple[int, int]:
     return registration.incarnation, registration.sequence
--- a/packages/mustardspur_node/src/mustardspur_node/calls/attempts.py
+++ b/packages/mustardspur_node/src/mustardspur_node/calls/attempts.py
@@ -8,6 +8,7 @@
 from aiohttp import ClientConnectionError, ClientError, ClientResponse
 from aiohttp.connector import Connection
 from aiohttp.http import HttpProcessingError
+from mustardspur_core.http_statuses import is_final_status
 from mustardspur_core.tracebacks import release_frames
 from mustardspur_core.units import NS_PER_MS
 
@@ -18,7 +19,6 @@
 from mustardspur_node.calls.pending_calls import PendingCall
 
 MAX_BUFFERED_RESPONSE_BYTES: Final = 65_536
-_MAX_STATUS: Final = 599
 _BODYLESS: Final = frozenset(
     (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED),
 )
@@ -236,7 +236,8 @@
     headers = response.headers
     if headers.get(names.REQUEST_ID, request_id) != request_id:
         raise ExchangeBroken('answer belongs to another request')
-    if not HTTPStatus.OK <= response.status <= _MAX_STATUS:
+    if not is_final_status(response.status):
+        # It switches the protocol, or its number is no status.
         raise ExchangeBroken('answer has no final status')
     delimiters = len(headers.getall(names.CONTENT_LENGTH, ()))
     delimiters += len(headers.getall(names.TRANSFER_ENCODING, ()))
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/answer_parser.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/answer_parser.py
@@ -185,13 +185,11 @@
         if self._is_over or self._expected is None:
             return
         try:
-            self.parser.feed_eof()
+            self._receive_eof(self._expected)
         except HttpProcessingError:
             self.fail(CONNECTION_CLOSED)
-            return
-        if self._payload is not None:
-            self._receive_body(self._payload, 0, self._expected)
-        self.fail(CONNECTION_CLOSED)
+        except AnswerTooLong as error:
+            self.fail(str(error))
 
     def fail(self, reason: str) -> None:
         """Fail the incomplete answer; only the first reason is stored."""
@@ -230,6 +228,12 @@
         if payload is None and self._payload is None and not self._is_over:
             expected.limits.add_head(len(received))
 
+    def _receive_eof(self, expected: ExpectedAnswer) -> None:
+        self.parser.feed_eof()
+        if self._payload is not None:
+            self._receive_body(self._payload, 0, expected)
+        self.fail(CONNECTION_CLOSED)
+
     def _begin_answers(
         self, messages: list[Message], expected: ExpectedAnswer
     ) -> None:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_connection.py
@@ -10,6 +10,7 @@
 
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http_parser import RawResponseMessage
+from mustardspur_core.http_statuses import is_status
 
 from mustardspur_node.mesh.answer_budget import AnswerBudget
 from mustardspur_node.mesh.answer_limits import AnswerLimits
@@ -38,7 +39,6 @@
 MAX_TIMEOUT_DIGITS: Final = 9
 # Longest body of the answer to a health check, which is discarded.
 MAX_CHECK_BYTES: Final = 65_536
-MAX_STATUS: Final = 599
 
 
 # Returns whether an answer belongs to the request; None if it has no
@@ -226,11 +226,11 @@
         BrokenAnswer
             If none can be.
         """
-        if not HTTPStatus.CONTINUE <= message.code <= MAX_STATUS:
-            raise BrokenAnswer('status is none of HTTP')
         if message.should_close:
             self.reusable = False
         self._idle_timeout_s = _idle_timeout_s(message, self._idle_timeout_s)
+        if not is_status(message.code):
+            raise BrokenAnswer('status is none of HTTP')
         if message.code >= HTTPStatus.OK:
             if self._is_own(message, identify):
                 check_delimiters(message)
--- a/tests/node/calls/test_request_faults.py
+++ b/tests/node/calls/test_request_faults.py
@@ -1,14 +1,23 @@
 """Guards against request smuggling."""
 
+import asyncio
+import re
+from functools import partial
+from itertools import repeat
+
 import pytest
 from aiohttp import web
+from mustardspur_core.held_bytes import HeldBytes
+from mustardspur_node.calls import call_connections
 
-from tests.node.stand_ins.mesh import run_mesh, run_target
+from tests.node.stand_ins.mesh import HANG_S, run_mesh, run_target
 from tests.node.stand_ins.views import make_target, make_view
 
 STOCK = 'GET /stock HTTP/1.1'
 POST = 'POST /prescriptions HTTP/1.1'
 CHUNKS = 'transfer-encoding: chunked'
+# A reason may name a version of HTTP.
+_STATUS_LINE = re.compile(rb'HTTP/1\.\d \d{3} ')
 NO_CHUNK = '0\r\n\r\n'
 # Name, lines of the head, body.
 FAULTS = (
@@ -71,7 +80,7 @@
             received = await mesh.raw(b''.join((sent, smuggled)))
     assert received[9:12] in {b'400', b'413'}
     assert b'x-mustardspur-outcome: not-run' in received
-    assert received.count(b'HTTP/1.') == 1
+    assert len(_STATUS_LINE.findall(received)) == 1
     assert not calls
 
 
@@ -107,3 +116,45 @@
             await mesh.send_and_close(_request(lines, body))
             assert await mesh.call('GET', '/stock') == (200, None, b'')
     assert calls == ['/stock']
+
+
+async def test_long_head_of_short_lines_is_refused() -> None:
+    """Guards against a head of which only the lines are bounded."""
+    line = 'x: '.ljust(4000, 'a')
+    lines = (STOCK, *repeat(line, 99))
+    async with run_mesh(make_view([make_target('127.0.0.1:1')])) as mesh:
+        received = await mesh.raw(_request(lines, ''))
+    assert received[9:12] == b'431'
+    assert b'x-mustardspur-outcome: not-run' in received
+    assert b'{"outcome": "not-run"' in received
+
+
+async def test_call_beyond_the_connections_is_not_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a refused connection whose caller may not resend."""
+    monkeypatch.setattr(call_connections, 'max_callers', lambda _: 0)
+    async with run_mesh(make_view([make_target('127.0.0.1:1')])) as mesh:
+        received = await mesh.raw(_request((STOCK,), ''))
+    assert received[9:12] == b'503'
+    assert b'x-mustardspur-outcome: not-run' in received
+
+
+async def test_open_heads_are_bounded_together(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against heads that are not completed on many connections."""
+    # The account of a process of 1 MiB has room for one head.
+    monkeypatch.setattr(call_connections, 'HeldBytes', partial(HeldBytes, 1))
+    head = _request((STOCK, *repeat('x: '.ljust(4000, 'a'), 8)), '')[:-2]
+    async with run_mesh(make_view([make_target('127.0.0.1:1')])) as mesh:
+        opened = [asyncio.create_task(mesh.raw(head)) for _ in range(8)]
+        done: set[asyncio.Task[bytes]] = set()
+        async with asyncio.timeout(HANG_S):
+            while len(done) < len(opened) - 1:
+                done, _ = await asyncio.wait(opened, timeout=0.1)
+        answer = await mesh.call('GET', '/stock')
+        for left in opened:
+            left.cancel()
+    assert answer[:2] == (503, 'not-run')
+    assert {task.result() for task in done} == {b''}
