--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_connection.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_connection.py
@@ -37,8 +37,9 @@
 MAX_REFUSED_IDS: Final = 64
 # Longest number of seconds that a stated idle timeout may have.
 MAX_TIMEOUT_DIGITS: Final = 9
-# Longest body of the answer to a health check, which is discarded.
-MAX_CHECK_BYTES: Final = 65_536
+# Longest body of the answer to a health check, which is discarded. Some targets
+# state the condition of all that they depend on.
+MAX_CHECK_BYTES: Final = 1_048_576
 
 
 # Returns whether an answer belongs to the request; None if it has no
