Close stalled callers when answers have no room

Cause: answers that are not written fill the account of all answers, whose limit follows the memory since: 13.7 MiB of 128. Callers that stall are closed only while the account of callers is full, and it was not. At 300 MB the same takes 32 MiB of answers that nobody reads.

An answer that has no room now closes the caller that has stalled for the longest time.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/answer_budget.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/answer_budget.py
@@ -1,6 +1,6 @@
 """Limit on the bytes of answers that a node holds."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager, contextmanager, nullcontext
 from functools import partial
 from typing import Final
@@ -22,6 +22,10 @@
 _NO_ROOM: Final = 'no room for further answers'
 
 
+def _do_nothing() -> None:
+    """Stand in for a callback that is not set."""
+
+
 class AnswerTooLong(Exception):
     """An answer, or all in flight, exceed the bytes that a node holds."""
 
@@ -42,6 +46,11 @@
     room : BodyRoom or None
         Bytes of all bodies that the node holds, in which answers are counted;
         None for one of its own.
+
+    Attributes
+    ----------
+    on_full : callable
+        Called when an answer has no room.
     """
 
     __slots__ = (
@@ -50,6 +59,7 @@
         'answer_bytes',
         'held_bytes',
         'limit_bytes',
+        'on_full',
     )
 
     def __init__(
@@ -64,6 +74,7 @@
         self.limit_bytes = limit_bytes
         self.answer_bytes = int(ANSWER_FRACTION * limit_bytes)
         self.held_bytes = 0
+        self.on_full: Callable[[], object] = _do_nothing
 
     def resize(self, memory_mb: float) -> None:
         """Set the memory of the process, before any answer is held."""
@@ -98,6 +109,7 @@
             If the limit would be exceeded.
         """
         if self.held_bytes + size > self.limit_bytes:
+            self.on_full()
             raise AnswerTooLong(_NO_ROOM)
         self.hold(size)
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/node_bodies.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/node_bodies.py
@@ -31,6 +31,8 @@
         self.room = BodyRoom()
         self.held = HeldBytes()
         self.answers = AnswerBudget(room=self.room)
+        # Answers that callers do not read would keep out all others.
+        self.answers.on_full = self.held.close_stalled
         self.uploads = CallerUploads(self.room)
 
     def resize(self, memory_mb: float) -> None:
--- a/tests/node/mesh/test_answer_budget.py
+++ b/tests/node/mesh/test_answer_budget.py
@@ -96,3 +96,16 @@
         held.add(bytes(limit_bytes // 2))
         with pytest.raises(AnswerTooLong):
             held.add(bytes(1))
+
+
+def test_answer_without_room_asks_for_it() -> None:
+    """Guards against answers that callers do not read and that keep out all
+    others, while no caller is closed.
+    """
+    budget = AnswerBudget(100)
+    refusals: list[int] = []
+    budget.on_full = lambda: refusals.append(budget.held_bytes)
+    budget.hold(100)
+    with pytest.raises(AnswerTooLong), budget.receiving() as held:
+        held.add(bytes(1))
+    assert refusals == [100]
