Show traffic at a version that was rolled back

During a rollout, a node counts all servers of other versions as old ones, also those of a version that was just rolled back and has not drained yet. The order of the next version so brings the bad one back into use.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -88,6 +88,8 @@
 
     def send_signal(self, ip, number):
         """Send a signal to the process of a machine."""
+        if number == signal.SIGTERM:
+            self._ended_by_test.add(ip)
         self.processes[ip].send_signal(number)
 
     async def kill(self, ip):
