--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -25,6 +25,8 @@
     ----------
     runs : list of tuple
         Time, method, path and id of each request that ran.
+    failed_s : list of float
+        Times of the answers with 500.
     fails : callable
         Whether a request is answered with 500 after it has run.
     """
@@ -45,6 +47,7 @@
         self.version = version
         self.state = 'ready'
         self.runs = []
+        self.failed_s = []
         self.fails = lambda: False
 
     async def start(self):
@@ -124,7 +127,10 @@
         async with self._free_slots:
             self.runs.append((time.monotonic(), method, path, request_id))
             await asyncio.sleep(self._work_s)
-        status = 500 if self.fails() else 200
+        status = 200
+        if self.fails():
+            status = 500
+            self.failed_s.append(time.monotonic())
         named = [('Request-Id', request_id), ('Response-Signature', f's.{request_id}')]
         writer.write(_answer(status, named, f'{self.id} {request_id}'.encode()))
 
