Start the requests that the parser holds from an earlier read

Cause: the parser stops behind each request and keeps what follows. After a request without a body that was the only one of its read, parsing stopped at once, to save a call of the parser. This looked only at the bytes that were passed in, not at those that the parser had kept from an earlier read because no further request could start then. Parsing went on only when the caller sent something else.

The shortcut is removed, so that the parser is asked until it has no complete request, or none may start; nothing has to be known of what it holds.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_intake.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_intake.py
@@ -17,7 +17,6 @@
 
 _HEAD_END: Final = b'\r\n\r\n'
 _LINE_END: Final = b'\n'
-_LINE_ENDS: Final = (b'\r', _LINE_END)
 # A connection holds up to three times as much of a body that is not read.
 READ_BUFFER_BYTES: Final = 16_384
 # A name, a colon and the end of the line.
@@ -65,7 +64,6 @@
     __slots__ = (
         '_framing',
         '_header_bytes',
-        '_is_upgrade',
         '_may_start',
         '_refuse',
         '_start',
@@ -94,7 +92,6 @@
         self.head_lines = 0
         self.is_held = False
         self.unparsed = b''
-        self._is_upgrade = False
         self.parser: Any = HttpRequestParser(
             protocol,
             asyncio.get_running_loop(),
@@ -162,25 +159,14 @@
 
     def _parse_next(self, received: bytes) -> bool:
         is_complete, has_head = self._parse_one(received, received)
-        if is_complete and self._is_single(received):
-            return False
         while is_complete:
-            # Further requests may follow it.
+            # The parser may hold further requests, also of an earlier read.
             if not self._may_start():
                 self.is_held = True
                 break
             is_complete, _ = self._parse_one(b'', received)
         return has_head
 
-    def _is_single(self, received: bytes) -> bool:
-        """Return whether nothing can follow the request that is complete."""
-        if self.body is not EMPTY_PAYLOAD or self._is_upgrade:
-            return False
-        # A read that begins within the end of a head may have two.
-        if not received.endswith(_HEAD_END) or received.startswith(_LINE_ENDS):
-            return False
-        return received.find(_HEAD_END) == len(received) - len(_HEAD_END)
-
     def _parse_one(self, part: bytes, received: bytes) -> tuple[bool, bool]:
         """Parse up to the end of a request.
 
@@ -203,7 +189,6 @@
             self.head_lines += part.count(_LINE_END)
         for message, payload in messages:
             self.body = payload
-            self._is_upgrade = message.upgrade
             is_followed = not received or _goes_on(received)
             self._start(message, payload, is_followed)
         has_parsed = within_body or bool(messages)
