--- a/tests/core/test_http_clients.py
+++ b/tests/core/test_http_clients.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, closing
+from random import Random
 from typing import Final
 
 import pytest
@@ -137,6 +138,49 @@
     assert answer.endswith(str(_BODY_BYTES).encode())
 
 
+async def _write_in_parts(
+    writer: asyncio.StreamWriter, sent: bytes, random: Random
+) -> None:
+    while sent:
+        size = random.choice([10, 100, 1000, len(sent)])
+        writer.write(sent[:size])
+        sent = sent[size:]
+        await asyncio.sleep(random.choice([0, 0.002]))
+
+
+async def _read_answers(reader: asyncio.StreamReader, count: int) -> list[int]:
+    answered: list[int] = []
+    while len(answered) < count:
+        head = await reader.readuntil(b'\r\n\r\n')
+        length = int(head.lower().split(b'content-length: ')[1].split()[0])
+        answered.append(int(await reader.readexactly(length)))
+    return answered
+
+
+async def _answers(interface: _Interface, seed: int) -> bool:
+    """Send requests behind one another; return whether all are answered."""
+    random = Random(seed)
+    sizes = random.choices([0, 1, 900, 40_000], k=30)
+    requests = [b'%s\r\n' % (_SIZED % size) + bytes(size) for size in sizes]
+    reader, writer = await interface.connect()
+    with closing(writer):
+        writing = asyncio.create_task(
+            _write_in_parts(writer, b''.join(requests), random)
+        )
+        answered = await _read_answers(reader, len(sizes))
+        await writing
+    return answered == sizes
+
+
+async def test_requests_are_answered_however_they_are_cut() -> None:
+    """Guards against a request that waits for further bytes of its client,
+    since it was received together with a part of another one.
+    """
+    async with _serving() as interface:
+        plays = (_answers(interface, seed) for seed in range(20))
+        assert all(await asyncio.gather(*plays))
+
+
 async def test_stalled_client_gives_way_to_a_new_one(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
