Keep versions rolled back until they are ordered again

Cause: a service has one record of a transfer, so the next order replaced the one that said that the version was rolled back, and nodes took every version but the new one for the old one.

The replicated state now lists the rolled-back versions of each service until they are ordered again, and nodes are told. The fields are left out while they are empty, so earlier bytes stay readable.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
@@ -325,6 +325,7 @@
                 transfers=list(state.transfers.values()),
                 base_versions=state.base_versions,
                 evacuated=state.evacuated,
+                rolled_back=state.rolled_back,
             ),
         )
 
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/store.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/store.py
@@ -21,6 +21,8 @@
 
 # Number of the latest accepted edits among which a retry is recognised.
 MAX_ACCEPTED_DIGESTS: Final = 20_000
+# Number of the latest versions of a service that stay rolled back.
+MAX_ROLLED_BACK: Final = 16
 # A repeated order of a finished transfer counts as a retry within this time.
 RETRY_WINDOW_S: Final = 10.0
 
@@ -60,6 +62,9 @@
     lifted : dict of int
         Log index of the latest lift of each call's block, oldest first, by
         the fingerprint in hexadecimal digits.
+    rolled_back : dict of list of str
+        Versions of each service that were rolled back and not ordered since,
+        oldest first.
     """
 
     __slots__ = (
@@ -74,9 +79,10 @@
         'base_versions',
         'evacuated',
         'lifted',
+        'rolled_back',
     )
     optional: ClassVar[Defaults] = MappingProxyType(
-        {'evacuated': list, 'lifted': dict},
+        {'evacuated': list, 'lifted': dict, 'rolled_back': dict},
     )
     index: int
     number: int
@@ -89,6 +95,7 @@
     base_versions: dict[str, str]
     evacuated: list[str]
     lifted: dict[str, int]
+    rolled_back: dict[str, list[str]]
 
 
 def empty_state() -> MeshState:
@@ -105,6 +112,7 @@
         base_versions={},
         evacuated=[],
         lifted={},
+        rolled_back={},
     )
 
 
@@ -249,6 +257,10 @@
         step=0,
     )
     state.started_at[entry.service] = entry.at_s
+    rolled_back = state.rolled_back.pop(entry.service, [])
+    others = [each for each in rolled_back if each != entry.version]
+    if others:
+        state.rolled_back[entry.service] = others
     return answer(state, ACCEPTED)
 
 
@@ -264,6 +276,10 @@
     transfer.step += 1
     if entry.state == TransferState.COMPLETED:
         state.base_versions[entry.service] = entry.version
+    elif entry.state == TransferState.ROLLED_BACK:
+        rolled_back = state.rolled_back.get(entry.service, [])
+        latest = [*rolled_back, entry.version][-MAX_ROLLED_BACK:]
+        state.rolled_back[entry.service] = latest
     return answer(state, ACCEPTED)
 
 
--- a/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
@@ -134,6 +134,9 @@
         transfer = self._store.state.transfers.get(service)
         if transfer is not None:
             versions.discard(transfer.version)
+        versions.difference_update(
+            self._store.state.rolled_back.get(service, []),
+        )
         if len(versions) != 1:
             return None
         return SetBaseVersion(service=service, version=versions.pop())
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/control_messages.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/control_messages.py
@@ -89,16 +89,26 @@
     ----------
     evacuated : list of str
         Data centres whose targets receive no calls.
+    rolled_back : dict of list of str
+        Versions of each service that receive no calls until they are ordered
+        again.
     """
 
-    __slots__ = ('index', 'transfers', 'base_versions', 'evacuated')
+    __slots__ = (
+        'index',
+        'transfers',
+        'base_versions',
+        'evacuated',
+        'rolled_back',
+    )
     optional: ClassVar[Defaults] = MappingProxyType(
-        {'evacuated': list},
+        {'evacuated': list, 'rolled_back': dict},
     )
     index: int
     transfers: list[Transfer]
     base_versions: dict[str, str]
     evacuated: list[str]
+    rolled_back: dict[str, list[str]]
 
 
 @message(125)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/view.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/view.py
@@ -83,6 +83,7 @@
         '_transfers_index',
         'base_versions',
         'evacuated',
+        'rolled_back',
         'routes',
         'table_index',
         'targets_by_node',
@@ -96,6 +97,7 @@
         self.table_index = 0
         self.transfers: dict[str, Transfer] = {}
         self.base_versions: dict[str, str] = {}
+        self.rolled_back: dict[str, list[str]] = {}
         self.targets_by_node: dict[str, MeshTarget] = {}
         self.targets_by_service: dict[str, list[MeshTarget]] = {}
         self.evacuated = EvacuatedDataCentres()
@@ -146,6 +148,7 @@
             self._log_change(transfer, update.index)
         self.transfers = {each.service: each for each in update.transfers}
         self.base_versions = update.base_versions
+        self.rolled_back = update.rolled_back
         self.evacuated.apply(update)
         return started
 
--- a/tests/control/mesh/test_store.py
+++ b/tests/control/mesh/test_store.py
@@ -5,7 +5,7 @@
 
 import pytest
 import xxhash
-from mustardspur_control.mesh.store import MeshStore
+from mustardspur_control.mesh.store import MAX_ROLLED_BACK, MeshStore
 from mustardspur_core.compression import (
     compress_bytes,
     compress_change,
@@ -209,3 +209,32 @@
     assert log.store.state.transfers['forms'].from_version == 'v1'
     log.apply(_step(0, 'completed', 1.0))
     assert log.store.state.base_versions == {'forms': 'v2'}
+
+
+def test_version_stays_rolled_back_until_it_is_ordered() -> None:
+    """Guards against an order of the next version that undoes the roll-back of
+    the one before.
+    """
+    log = _Log()
+    log.apply(_order())
+    log.apply(_step(0, 'rolled_back', 0))
+    log.apply(_order(version='v3'))
+    assert log.store.state.rolled_back == {'forms': ['v2']}
+    restored = MeshStore()
+    restored.restore(log.index, log.store.snapshot())
+    assert restored.state == log.store.state
+    log.apply(replaced(_step(0, 'completed', 1.0), version='v3'))
+    assert log.store.state.rolled_back == {'forms': ['v2']}
+    log.apply(_order(200.0))
+    assert not log.store.state.rolled_back
+
+
+def test_rolled_back_versions_are_bounded() -> None:
+    """Guards against a state that grows with each bad version."""
+    log = _Log()
+    versions = [f'v{number}' for number in range(2 * MAX_ROLLED_BACK)]
+    for version in versions:
+        log.apply(_order(version=version))
+        log.apply(replaced(_step(0, 'rolled_back', 0), version=version))
+    latest = versions[-MAX_ROLLED_BACK:]
+    assert log.store.state.rolled_back == {'forms': latest}
--- a/tests/control/mesh/test_transfers.py
+++ b/tests/control/mesh/test_transfers.py
@@ -173,6 +173,18 @@
     assert mesh.store.state.base_versions == {'forms': 'v1'}
 
 
+@in_virtual_time
+async def test_rolled_back_version_is_not_the_base() -> None:
+    """Guards against a service without a base version, or with a bad one, since
+    targets of a version that was rolled back are still there.
+    """
+    mesh = _Mesh()
+    mesh.store.state.rolled_back = {'forms': ['v2']}
+    async with background(mesh.driver().run()):
+        await asyncio.sleep(1)
+    assert mesh.store.state.base_versions == {'forms': 'v1'}
+
+
 @in_virtual_time
 async def test_evidence_of_an_earlier_term_is_not_used() -> None:
     """Failures of a previous version must not hide those of the next one."""
--- a/tests/node/mesh/test_evacuation.py
+++ b/tests/node/mesh/test_evacuation.py
@@ -44,6 +44,7 @@
             transfers=[],
             base_versions={},
             evacuated=list(evacuated),
+            rolled_back={},
         ),
     )
 
--- a/tests/node/mesh/test_view.py
+++ b/tests/node/mesh/test_view.py
@@ -129,6 +129,7 @@
         ],
         base_versions={'forms': 'v2' if state == 'completed' else 'v1'},
         evacuated=[],
+        rolled_back={},
     )
 
 
@@ -157,6 +158,54 @@
     assert counts == expected
 
 
+async def _shares(update: MeshTransfers, *versions: str) -> dict[str, int]:
+    """Return how many of 1,000 calls each version may get."""
+    rows = [target(version[1:], version=version) for version in versions]
+    view = _view(*rows)
+    view.apply_transfers(update)
+    choice = random.Random(1)
+    counts = Counter(
+        each.version
+        for _ in range(1000)
+        for each in eligible_targets(view, 'forms', choice, Homes())
+    )
+    return dict(counts)
+
+
+async def test_rolled_back_version_gets_no_further_calls() -> None:
+    """Guards against calls to a bad version that was rolled back, once the
+    next version is ordered and as long as its targets are there.
+    """
+    update = _transfer('running', 0.2)
+    update.transfers[0].version = 'v3'
+    update.rolled_back = {'forms': ['v2']}
+    counts = await _shares(update, 'v1', 'v2', 'v3')
+    assert sorted(counts) == ['v1', 'v3']
+    assert counts['v3'] < 300
+
+
+@pytest.mark.parametrize('state', ['running', 'completed', 'rolled_back'])
+async def test_rolled_back_version_replaces_no_other(state: str) -> None:
+    """Guards against calls to a bad version while no target of the base
+    version is ready.
+    """
+    update = _transfer(state, 0)
+    update.transfers[0].version = 'v3'
+    update.base_versions = {'forms': 'v1'}
+    update.rolled_back = {'forms': ['v2']}
+    assert not await _shares(update, 'v2')
+    assert await _shares(update, 'v2', 'v4') == {'v4': 1000}
+
+
+async def test_unordered_version_gets_no_calls_of_a_transfer() -> None:
+    """Guards against calls to targets that are started before their version
+    is ordered, during the transfer of another one.
+    """
+    update = _transfer('running', 0.2)
+    counts = await _shares(update, 'v1', 'v2', 'v3')
+    assert sorted(counts) == ['v1', 'v2']
+
+
 async def test_new_version_gets_no_calls_before_transfer() -> None:
     """Guards against calls to targets of a version without a transfer."""
     view = _view(target('1'), target('2', version='v2'))
