Count runs that hang until their deadline as failed

Such a run now counts as failed if it lasted more than four times the usual time of its route. Runs of a target that is only full are shorter. A deadline that is noticed more than 100 ms late does not count, since the node did not run then, nor does a cold target, nor a caller that leaves before its deadline.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/local_target.py
@@ -285,7 +285,7 @@
                         lambda message: self._requests.identify(call, message),
                     )
         except TimeoutError as error:
-            self.runs.record_unanswered(call, report, started_ns)
+            self.runs.record_timeout(call, report, started_ns, left_ms)
             raise maybe_run_fault('timeout', 'no answer in time') from error
         except asyncio.CancelledError:
             self.runs.record_unanswered(call, report, started_ns)
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/route_run_times.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/route_run_times.py
@@ -109,6 +109,11 @@
         if not failed:
             self._record_answered(max(run_ms, 1), route)
 
+    def usual_ms(self, route: str) -> float:
+        """Return the usual time of a run of a route."""
+        usual = self._usual_by_route.get(route)
+        return usual.mean_ms if usual else super().usual_ms(route)
+
     def _record_answered(self, run_ms: float, route: str) -> None:
         usual = self._usual_by_route.get(route)
         if usual is None:
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/run_recorder.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/run_recorder.py
@@ -19,6 +19,9 @@
 from mustardspur_node.mesh.target_pool import TargetPool
 from mustardspur_node.mesh.transfer_evidence import TransferEvidence
 
+# A deadline that is noticed later says nothing about the target, since a node
+# that does not run reads no answers.
+MAX_DELAY_MS: Final = 100.0
 # Ends of the reasons of `BrokenAnswer`.
 _LOST_CONNECTION: Final = (CONNECTION_CLOSED, CONNECTION_RESET)
 
@@ -114,6 +117,33 @@
             timed=not self._reports.is_cold,
         )
 
+    def record_timeout(
+        self,
+        call: CallOpen,
+        report: TargetReport,
+        started_ns: int,
+        left_ms: float,
+    ) -> None:
+        """Record a run that ended at its deadline.
+
+        It counts as failed if it lasted far longer than usual. The mean run
+        time, which has the answered runs only, does not show a target that
+        hangs.
+
+        Parameters
+        ----------
+        left_ms : float
+            Time from the start of the run until its deadline.
+        """
+        self.record_unanswered(call, report, started_ns)
+        run_ms = _elapsed_ms(started_ns)
+        is_delayed = run_ms - left_ms > MAX_DELAY_MS
+        if is_delayed or self._reports.is_cold:
+            return
+        run_times = self._admission.run_times
+        if run_times.is_hanging(run_ms, call.route):
+            run_times.record(run_ms, failed=True, route=call.route)
+
     def _record(
         self,
         call: CallOpen,
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/run_times.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/run_times.py
@@ -17,6 +17,9 @@
 # whose runs differ in length.
 MIN_OPEN_RUNS: Final = 3
 SLOW_FACTOR: Final = 2.5
+# A run that has no answer at its deadline has failed from this multiple of the
+# usual run time on. Shorter ones may be those of a full target.
+HANGING_FACTOR: Final = 4.0
 
 
 class RunTimes:
@@ -91,6 +94,14 @@
             self._mean_ms += RUN_TIME_WEIGHT * (run_ms - self._mean_ms)
         self.failure_rate += FAILURE_WEIGHT * (failed - self.failure_rate)
 
+    def usual_ms(self, route: str) -> float:
+        """Return the usual time of a run of a route."""
+        return self._mean_ms
+
+    def is_hanging(self, run_ms: float, route: str) -> bool:
+        """Return whether a run that was not answered is far too long."""
+        return run_ms > HANGING_FACTOR * self.usual_ms(route)
+
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/node/mesh/test_failing_targets.py
+++ b/tests/node/mesh/test_failing_targets.py
@@ -141,12 +141,15 @@
         assert faulty.requests - before <= _MAX_FAULTY
 
 
+@pytest.mark.parametrize('policy', ['least_expected', 'first_free', 'auto'])
 @pytest.mark.parametrize('at_own_node', [True, False], ids=['own', 'other'])
-async def test_hanging_target_is_chosen_less(*, at_own_node: bool) -> None:
+async def test_hanging_target_is_chosen_less(
+    policy: str, *, at_own_node: bool
+) -> None:
     """Guards against calls that go on being sent, one after another, to a
     target that lets them all run out of time.
     """
-    async with _service('least_expected', at_own_node=at_own_node) as service:
+    async with _service(policy, at_own_node=at_own_node) as service:
         await service.call(_SOUND_CALLS)
         hanging = service.first
         before = hanging.requests
