Compare the slots of a new version with those that it replaces

As long as targets of a rolled-back version stay, a healthy next version is held at a part of the calls and is rolled back at its deadline.

Cause: the share of a new version is bounded by its slots relative to those of all other versions, rolled-back ones among them, which get no calls. With as many targets of each of three versions the share ended at a half.

Slots of rolled-back versions do not count any more. The test, test_rolled_back_targets_delay_no_transfer, failed before; tests/control/mesh: 216 passed.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/transfers.py
@@ -274,20 +274,21 @@
 
     def _max_share_by_slots(self, transfer: Transfer) -> float:
         """Return the highest share that the new version has slots for."""
-        new = self._ready_slots(transfer, new=True)
-        old = self._ready_slots(transfer, new=False)
+        service = transfer.service
+        rolled_back = self._store.state.rolled_back.get(service, [])
+        new = 0
+        old = 0
+        for target in self._registry.by_node.values():
+            if not _is_ready(target, service):
+                continue
+            if target.version == transfer.version:
+                new += target.slots
+            elif target.version not in rolled_back:
+                old += target.slots
         if not new:
             return 0
         return min(1.0, new / max(old, 1))
 
-    def _ready_slots(self, transfer: Transfer, *, new: bool) -> int:
-        return sum(
-            target.slots
-            for target in self._registry.by_node.values()
-            if _is_ready(target, transfer.service)
-            and (target.version == transfer.version) is new
-        )
-
     def _elapsed_ms(self, transfer: Transfer) -> float:
         """Return the time since the start of a transfer, in milliseconds.
 
--- a/tests/control/mesh/test_transfers.py
+++ b/tests/control/mesh/test_transfers.py
@@ -104,11 +104,13 @@
         ]
         self.evidence.record(MeshEvidence(node=node, incarnation=1, rows=rows))
 
-    async def report_runs_for(self, seconds: float) -> None:
+    async def report_runs_for(
+        self, seconds: float, version: str = 'v2'
+    ) -> None:
         """Report more runs of a healthy version each 0.2 s."""
         async for _ in ticks(round(seconds / 0.2), 0.2):
             self.runs += 10
-            self.report(self.runs, 1)
+            self.report(self.runs, 1, version)
 
 
 @in_virtual_time
@@ -173,6 +175,20 @@
     assert mesh.store.state.base_versions == {'forms': 'v1'}
 
 
+@in_virtual_time
+async def test_rolled_back_targets_delay_no_transfer() -> None:
+    """Guards against a healthy version that is rolled back at its deadline,
+    since targets of an earlier bad one are still there.
+    """
+    mesh = _Mesh()
+    mesh.registry.put(LOCAL_SOURCE, target('3', version='v3'))
+    mesh.store.state.rolled_back = {'forms': ['v2']}
+    await mesh.order('v3')
+    async with background(mesh.driver().run()):
+        await mesh.report_runs_for(_DURATION_S, 'v3')
+    assert mesh.transfer.state == 'completed'
+
+
 @in_virtual_time
 async def test_rolled_back_version_is_not_the_base() -> None:
     """Guards against a service without a base version, or with a bad one, since
