Notice callers that leave while their further requests wait

The calls of a caller that had left went on, at most 32 of them, until one of their answers was written.

Cause: while requests wait behind those in flight, reading of the connection is paused, and the event loop reports an end only where it reads.

The kernel is asked for the end of such a connection every 0.2 s, as it is for uploads that wait. A connection that is closing is left alone, since its last answer may still be sent to a caller that has ended its side.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/caller_room.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/caller_room.py
@@ -12,6 +12,7 @@
 from mustardspur_node.mesh.caller_intake import CallerIntake
 from mustardspur_node.mesh.caller_payload import PROGRESS_BYTES
 from mustardspur_node.mesh.request_body import RequestBody
+from mustardspur_node.mesh.unread_end import UnreadEnd
 
 # A request in flight: its task, its call and an answer that is not counted as
 # a large one.
@@ -127,6 +128,7 @@
         '_resume',
         '_share',
         '_transport',
+        '_unread_end',
         '_unsent_bytes',
         '_waits',
         'intake',
@@ -150,6 +152,11 @@
         self._waits = False
         # Bytes of the reads in which the next head began.
         self._received_bytes = 0
+        self._unread_end = UnreadEnd(
+            self._abort,
+            # The last answer may still be sent.
+            is_closed=lambda: self.is_closed,
+        )
         self._unsent_bytes = 0
         self.pending: deque[PendingRequest] = deque()
         self._transport: asyncio.Transport | None = None
@@ -194,6 +201,7 @@
         if self.intake.unparsed and not self._is_paused:
             self._is_paused = True
             self._pause()
+            self._unread_end.start(self._transport)
         return is_head
 
     def go_on(self) -> None:
@@ -201,6 +209,7 @@
         self.intake.go_on()
         if self._is_paused and not self.intake.is_held:
             self._is_paused = False
+            self._unread_end.stop()
             self._resume()
 
     def add(self, request: PendingRequest, message: RawRequestMessage) -> None:
@@ -265,6 +274,7 @@
     def release(self) -> None:
         """Hold nothing, since the connection is lost."""
         self._account.end_wait(self._end_wait)
+        self._unread_end.stop()
         self._share.release()
 
     def _has_progressed(self) -> bool:
--- a/tests/node/mesh/test_caller_connection.py
+++ b/tests/node/mesh/test_caller_connection.py
@@ -17,6 +17,7 @@
 from mustardspur_node.mesh.caller_connection import CallerConnection
 from mustardspur_node.mesh.caller_connections import ReadBody
 from mustardspur_node.mesh.caller_linger import LINGER_S
+from mustardspur_node.mesh.caller_room import MAX_REQUESTS_IN_FLIGHT
 from mustardspur_node.mesh.request_body import CallerBodyError
 from mustardspur_node.mesh.socket_state import has_arrived
 
@@ -615,3 +616,59 @@
         assert not room.pending[0].body.payload.unread_bytes
         assert room.intake.body.is_eof()
         assert room.intake.parser is None
+
+
+_AT_ONCE: Final = MAX_REQUESTS_IN_FLIGHT + 8
+
+
+async def _pipeline(writer: asyncio.StreamWriter) -> list[bytes]:
+    """Send more requests than may be in flight; return their paths."""
+    paths = [f'/{number}' for number in range(_AT_ONCE)]
+    writer.write(b''.join(map(_get, ['/slow', *paths])))
+    await asyncio.sleep(0.02)
+    writer.write(_get('/last'))
+    return [b'/slow', *(path.encode() for path in paths), b'/last']
+
+
+async def test_requests_beyond_those_in_flight_are_answered() -> None:
+    """Guards against requests that were received whole and are never answered,
+    since nothing arrives behind them.
+    """
+    async with _connected(_Node()) as (reader, writer):
+        expected = await _pipeline(writer)
+        while expected:
+            _, body = await _answer(reader)
+            assert body == expected.pop(0)
+
+
+async def test_requests_beyond_those_in_flight_at_a_stop() -> None:
+    """Guards against a connection that stays open without answers, or closes
+    before those that are owed, when a node stops while requests wait.
+    """
+    node = _Node()
+    async with _connected(node) as (reader, writer):
+        await _pipeline(writer)
+        await asyncio.sleep(0.02)
+        node.closing = True
+        node.connections[0].drain()
+        async with asyncio.timeout(2):
+            answers = await reader.read()
+    heads = answers.split(b'HTTP/1.1 200 OK')[1:]
+    assert len(heads) == len(node.paths) == MAX_REQUESTS_IN_FLIGHT
+    closing = [b'connection: close' in head.lower() for head in heads]
+    assert closing.index(True) == MAX_REQUESTS_IN_FLIGHT - 1
+
+
+async def test_caller_that_leaves_while_requests_wait() -> None:
+    """Guards against calls that go on for a caller that has left, since its
+    connection is not read while further requests wait.
+    """
+    node = _Node()
+    async with _connected(node) as (_, writer):
+        writer.write(_get('/hang') * _AT_ONCE)
+        await asyncio.sleep(0.02)
+        writer.write(_get('/last'))
+        await asyncio.sleep(0.02)
+        writer.close()
+        await asyncio.sleep(0.5)
+        assert node.cancelled == len(node.paths) == MAX_REQUESTS_IN_FLIGHT
--- a/tests/node/mesh/test_target_resets.py
+++ b/tests/node/mesh/test_target_resets.py
@@ -83,6 +83,12 @@
     return None
 
 
+def _connection(own: socket.socket) -> TargetConnection:
+    connection = TargetConnection(asyncio.get_running_loop(), AnswerBudget())
+    connection.transport = _SocketTransport(own)
+    return connection
+
+
 async def _end(own: socket.socket, *, writes: bool) -> RawAnswer:
     """Report the end of the stream of an answer, behind a write if it writes.
 
@@ -91,8 +97,7 @@
     BrokenAnswer
         If the answer does not count as complete.
     """
-    connection = TargetConnection(asyncio.get_running_loop(), AnswerBudget())
-    connection.transport = _SocketTransport(own)
+    connection = _connection(own)
     exchange = asyncio.create_task(
         connection.exchange('POST', b'', b'', _is_own),
     )
@@ -117,6 +122,19 @@
             await _end(own, writes=writes)
 
 
+async def test_health_answer_that_is_reset_is_broken() -> None:
+    """Guards against a target that counts as healthy by a part of an answer."""
+    with _connected() as (own, target):
+        connection = _connection(own)
+        check = asyncio.create_task(connection.check(b''))
+        await asyncio.sleep(0)
+        connection.data_received(_ANSWER)
+        _reset(target)
+        connection.eof_received()
+        with pytest.raises(BrokenAnswer, match='reset'):
+            await check
+
+
 @pytest.mark.parametrize('writes', [False, True])
 @pytest.mark.parametrize('end', [_reset_after_the_end, socket.socket.close])
 async def test_answer_that_ends_in_order_is_whole(
