Detect targets that their first call silences

Cause: a silence is looked for only at a target that has shown a sign of life, and those of health checks were kept by their connection alone. A target that had answered its health check, but no call within the idle timeout of that connection, could be silenced by its first call unseen, and the call was free to silence the next one.

Change: the pool of connections to a target keeps the time of the latest bytes on the connections that were released, and it counts as a sign of life.

--- a/packages/mustardspur_node/src/mustardspur_node/mesh/silent_targets.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/silent_targets.py
@@ -187,7 +187,10 @@
         """Return the time of the latest sign of life of the target."""
         connections = [each.connection for each in self._open.values()]
         heard_s = [each.heard_s for each in (*connections, *self._probed)]
-        return max([self._alive_s, *heard_s])
+        # The pool has those of health checks, the only ones of a target that
+        # has answered no call yet.
+        pool_s = self._pool.heard_s if self._pool else NEVER_S
+        return max([self._alive_s, pool_s, *heard_s])
 
     async def _check_target(
         self,
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/target_pool.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/target_pool.py
@@ -43,6 +43,9 @@
         Whether the target was replaced by another one.
     connected_s : float
         Time on the event loop's clock of the latest connect.
+    heard_s : float
+        Time on the event loop's clock of the latest bytes on a connection that
+        was released.
     """
 
     __slots__ = (
@@ -53,6 +56,7 @@
         'address',
         'closed',
         'connected_s',
+        'heard_s',
     )
 
     def __init__(self, address: str, budget: AnswerBudget) -> None:
@@ -64,6 +68,7 @@
         self._loop = asyncio.get_running_loop()
         self._turns = ReadTurns()
         self.connected_s: float = 0
+        self.heard_s = float('-inf')
 
     @asynccontextmanager
     async def acquire(
@@ -147,6 +152,7 @@
         return None
 
     def _release(self, connection: TargetConnection) -> None:
+        self.heard_s = max(self.heard_s, connection.heard_s)
         if self.closed:
             connection.abort()
         elif connection.is_fresh:
--- a/tests/node/mesh/test_silent_targets.py
+++ b/tests/node/mesh/test_silent_targets.py
@@ -5,7 +5,9 @@
 
 import pytest
 from mustardspur_node.mesh.calls import PlacementFault
+from mustardspur_node.mesh.confirmation import is_healthy
 from mustardspur_node.mesh.local_target import LocalTarget
+from mustardspur_node.mesh.target_connection import DEFAULT_IDLE_TIMEOUT_S
 
 from tests.node.mesh.builders import call_open, local_target
 from tests.node.stand_ins.mesh import run_raw_target
@@ -114,6 +116,21 @@
     ]
 
 
+@in_virtual_time
+async def test_silence_at_the_first_call_is_a_crash() -> None:
+    """Guards against a target that its first call silences unseen, as it has
+    answered health checks only, on a connection that has been closed since.
+    """
+    target = _HangingTarget({})
+    async with run_raw_target(target.serve) as address:
+        local = _observed(address)
+        assert await is_healthy(local, _HEALTH_PATH)
+        await asyncio.sleep(DEFAULT_IDLE_TIMEOUT_S)
+        await _call(local, _HANG_PATH)
+        await asyncio.sleep(_AFTER_S + 1)
+    assert len(local.runs.crashes.crashes) == 1
+
+
 @pytest.mark.parametrize(
     'reactions',
     [
