--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 .DEFAULT_GOAL := help
 
 .PHONY: check-agreement help setup format lint types tests test demo demo-faults demo-repair soak clean
-.PHONY: bench-calls bench-capacity bench-distribution bench-mesh bench-moves bench-uploads
+.PHONY: bench-calls bench-capacity bench-distribution bench-mesh bench-moves bench-transfers bench-uploads
 
 help: ## List the commands
 	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 24
@@ -50,6 +50,9 @@
 bench-moves: $(STAMP) ## Measure the decisions on moves in virtual time
 	$(BIN)/python -m benchmarks.moves
 
+bench-transfers: $(STAMP) ## Measure the decisions on transfers in virtual time
+	$(BIN)/python -m benchmarks.transfers
+
 demo-faults: $(STAMP) ## The demo with many processes killed in the middle of a move
 	$(BIN)/python -m demo --faults
 
--- /dev/null
+++ b/benchmarks/transfers/__init__.py
@@ -0,0 +1,1 @@
+"""Measures how transfers to good and bad versions are decided."""
