Send rolled-back versions only to nodes that know them

Callers of nodes of earlier builds: once a version was rolled back, such a node ended its stream to every control instance at the field that it does not know, attached again and was sent the same, so it learned of no change any more. Cause: added rolled_back to MeshTransfers as an optional field, which is left out only while it is empty; it stays filled until the version is ordered again.

Change: a node states by the request identifier of its first frame that it accepts the field, which earlier control instances ignore, as heartbeats state that an instance accepts requests for tokens. Other nodes are sent the message without the field. Nodes and control instances attach to each other in both orders of an upgrade as before.

--- a/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
+++ b/packages/mustardspur_control/src/mustardspur_control/mesh/node_feed.py
@@ -15,18 +15,18 @@
     MeshEvidence,
     MeshHeartbeat,
     MeshHello,
-    MeshPackedTable,
     MeshSubscribe,
-    MeshTable,
-    MeshTransfers,
 )
-from mustardspur_core.mesh.packing import TableDelta
 from mustardspur_core.settings import Peer, Settings
 from mustardspur_core.tasks import run_until_first_end
 from mustardspur_core.wire import Frame, FrameStream, raise_on_silence
 
 from mustardspur_control.mesh.evidence import EvidenceAggregator
 from mustardspur_control.mesh.exchange import ControlExchange
+from mustardspur_control.mesh.feed_messages import (
+    table_message,
+    transfers_message,
+)
 from mustardspur_control.mesh.membership import Membership
 from mustardspur_control.mesh.pending_updates import PendingUpdates
 from mustardspur_control.mesh.registry import (
@@ -304,15 +304,14 @@
         delta = self._shared.tables.delta(self._table_index)
         if delta is not None:
             self._table_index = delta.index
-            self._stream.enqueue(self._table_message(delta))
-
-    def _table_message(self, delta: TableDelta) -> MeshTable | MeshPackedTable:
-        if self._accepts_packed:
-            return MeshPackedTable(
-                packed=self._shared.tables.packed(delta),
-                confirmed=self._confirmed,
+            self._stream.enqueue(
+                table_message(
+                    self._shared.tables,
+                    delta,
+                    packed=self._accepts_packed,
+                    confirmed=self._confirmed,
+                ),
             )
-        return MeshTable(delta=delta, confirmed=self._confirmed)
 
     def _send_transfers(self) -> None:
         state = self._shared.store.state
@@ -320,13 +319,7 @@
             return
         self._transfers_index = state.index
         self._stream.enqueue(
-            MeshTransfers(
-                index=state.index,
-                transfers=list(state.transfers.values()),
-                base_versions=state.base_versions,
-                evacuated=state.evacuated,
-                rolled_back=state.rolled_back,
-            ),
+            transfers_message(state, self._stream.greeting_id),
         )
 
     def _send_blocks(self) -> None:
--- a/packages/mustardspur_core/src/mustardspur_core/mesh/control_messages.py
+++ b/packages/mustardspur_core/src/mustardspur_core/mesh/control_messages.py
@@ -18,6 +18,10 @@
 # send 0 and ignore the identifier; so does an instance whose table has no
 # limits.
 ACCEPTS_ALLOWANCES: Final = 1
+# Request identifier of the first frame of a node that accepts `rolled_back` in
+# `MeshTransfers`. Builds that do not know the field send 0 and ignore the
+# identifier.
+ACCEPTS_ROLLED_BACK: Final = 1
 
 
 @message(120)
@@ -91,7 +95,7 @@
         Data centres whose targets receive no calls.
     rolled_back : dict of list of str
         Versions of each service that receive no calls until they are ordered
-        again.
+        again; empty for nodes of builds that do not know the field.
     """
 
     __slots__ = (
--- a/packages/mustardspur_core/src/mustardspur_core/wire/first_frames.py
+++ b/packages/mustardspur_core/src/mustardspur_core/wire/first_frames.py
@@ -51,7 +51,9 @@
         """
         with self._listed(stream):
             async with asyncio.timeout(time_s):
-                return await stream.receive(MAX_FIRST_FRAME_BYTES)
+                frame = await stream.receive(MAX_FIRST_FRAME_BYTES)
+        stream.greeting_id = frame.request_id
+        return frame
 
     @contextmanager
     def _listed(self, stream: FrameStream) -> Iterator[None]:
--- a/packages/mustardspur_core/src/mustardspur_core/wire/streams.py
+++ b/packages/mustardspur_core/src/mustardspur_core/wire/streams.py
@@ -32,12 +32,19 @@
         Receiving side of the connection.
     writer : asyncio.StreamWriter
         Sending side of the connection.
+
+    Attributes
+    ----------
+    greeting_id : int
+        Request identifier of the first frame of an accepted stream, by which
+        the sender states what it accepts.
     """
 
     __slots__ = (
         '_left_in_turn',
         '_reader',
         '_writer',
+        'greeting_id',
         'peer_address',
         'received_bytes',
         'sent_bytes',
@@ -54,6 +61,7 @@
         self._writer = writer
         # uvloop no longer returns the address once the connection is closed.
         self.peer_address = _peer_address(writer)
+        self.greeting_id = 0
         self.received_bytes = 0
         self.sent_bytes = 0
 
--- a/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
+++ b/packages/mustardspur_node/src/mustardspur_node/mesh/control_link.py
@@ -6,6 +6,7 @@
 
 from mustardspur_core.mesh.control_messages import (
     ACCEPTS_ALLOWANCES,
+    ACCEPTS_ROLLED_BACK,
     AllowanceGrant,
     MeshAnnounce,
     MeshBlocks,
@@ -177,6 +178,7 @@
                 region=self._settings.region,
                 table_index=self._view.table_index,
             ),
+            ACCEPTS_ROLLED_BACK,
         )
         while True:
             frame = await stream.receive()
