--- a/benchmarks/transfers/__main__.py
+++ b/benchmarks/transfers/__main__.py
@@ -18,6 +18,7 @@
     case_figures,
     run_play,
 )
+from benchmarks.transfers.judges import JUDGES
 
 OUTPUT: Final = Path('build/bench/transfers.json')
 DEFAULT_SEEDS: Final = 200
@@ -39,12 +40,13 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seeds', type=int, default=DEFAULT_SEEDS)
     parser.add_argument('--kinds', nargs='+', default=[''], help='prefixes')
+    parser.add_argument('--judge', choices=list(JUDGES), default='sums')
     parser.add_argument('--processes', type=int, default=PROCESS_COUNT)
     arguments = parser.parse_args()
     started_s = time.perf_counter()
     prefixes = tuple(arguments.kinds)
     cases = [case for case in all_cases() if case.kind.startswith(prefixes)]
-    rows = _play(cases, arguments.seeds, arguments.processes)
+    rows = _play(cases, arguments)
     console = Console(width=120)
     console.print(_table(rows))
     OUTPUT.parent.mkdir(parents=True, exist_ok=True)
@@ -53,9 +55,12 @@
     console.print(f'{OUTPUT}: {arguments.seeds} plays a row in {took_s:.0f} s')
 
 
-def _play(cases: list[Case], seeds: int, processes: int) -> list[CaseFigures]:
-    jobs = list(product(cases, range(seeds)))
-    with Pool(processes) as pool:
+def _play(
+    cases: list[Case], arguments: argparse.Namespace
+) -> list[CaseFigures]:
+    seeds = arguments.seeds
+    jobs = list(product(cases, range(seeds), [arguments.judge]))
+    with Pool(arguments.processes) as pool:
         plays = pool.starmap(run_play, jobs, PLAYS_PER_CHUNK)
     return [
         case_figures(case, plays[number * seeds : (number + 1) * seeds])
--- a/benchmarks/transfers/cases.py
+++ b/benchmarks/transfers/cases.py
@@ -8,6 +8,7 @@
 from mustardspur_core.record import Record
 
 from benchmarks.transfers import bad_kinds, good_kinds
+from benchmarks.transfers.judges import JUDGES
 from benchmarks.transfers.kinds import FaultKind, all_kinds
 from benchmarks.transfers.loads import LOADS
 from benchmarks.transfers.play import TransferPlay
@@ -91,11 +92,12 @@
     return next(kind for kind in all_kinds() if kind.name == case.kind)
 
 
-def run_play(case: Case, seed: int) -> PlayFigures:
-    """Play a transfer in virtual time."""
+def run_play(case: Case, seed: int, judge: str = 'sums') -> PlayFigures:
+    """Play a transfer in virtual time, with a judge by its name."""
     kind = kind_of(case)
     fault = kind.create(random.Random(f'fault {seed}'))
-    play = TransferPlay(Service(seed, fault, LOADS[case.load]))
+    service = Service(seed, fault, LOADS[case.load])
+    play = TransferPlay(service, JUDGES[judge])
     in_virtual_time(play.run)()
     is_rolled_back = play.state == 'rolled_back'
     return PlayFigures(
--- a/benchmarks/transfers/play.py
+++ b/benchmarks/transfers/play.py
@@ -42,6 +42,8 @@
     ----------
     service : Service
         The service, without targets.
+    driver_type : type, optional
+        Class of the driver, which judges the new version.
 
     Attributes
     ----------
@@ -51,9 +53,14 @@
         Reports to the leader.
     """
 
-    def __init__(self, service: Service) -> None:
+    def __init__(
+        self,
+        service: Service,
+        driver_type: type[TransferDriver] = TransferDriver,
+    ) -> None:
         """Initialise with the targets of the old version."""
         self.service = service
+        self._driver_type = driver_type
         self.log = LeaderLog(service)
         self._registry = MeshRegistry()
         self._aggregator = EvidenceAggregator()
@@ -92,7 +99,7 @@
                 ),
             ),
         )
-        driver = TransferDriver(
+        driver = self._driver_type(
             mesh_settings(),
             cast(Any, self.log),
             self.log.store,
