--- a/benchmarks/transfers/bad_kinds.py
+++ b/benchmarks/transfers/bad_kinds.py
@@ -12,7 +12,7 @@
     SlowPart,
 )
 from benchmarks.transfers.kinds import fault_kind
-from benchmarks.transfers.loads import DURATION_S, LOADED_S
+from benchmarks.transfers.loads import DURATION_S, FAULTY_RATE
 from benchmarks.transfers.service import ROUTES
 
 
@@ -81,4 +81,4 @@
 
 
 def _is_loaded(run: Run) -> bool:
-    return LOADED_S[0] < run.at_s < LOADED_S[1]
+    return run.new_rate >= FAULTY_RATE
--- a/benchmarks/transfers/cases.py
+++ b/benchmarks/transfers/cases.py
@@ -10,7 +10,7 @@
 from benchmarks.transfers import bad_kinds, good_kinds
 from benchmarks.transfers.judges import JUDGES
 from benchmarks.transfers.kinds import FaultKind, all_kinds
-from benchmarks.transfers.loads import LOADS
+from benchmarks.transfers.loads import FAULTY_RATE, LOADS
 from benchmarks.transfers.play import TransferPlay
 from benchmarks.transfers.service import Service
 from tests.support.virtual_time import in_virtual_time
@@ -83,7 +83,7 @@
 def all_cases() -> Iterator[Case]:
     """Return the cases whose fault can appear under their load."""
     for kind, (name, load) in product(all_kinds(), LOADS.items()):
-        if not kind.is_under_load or load.loaded > load.usual:
+        if not kind.is_under_load or load.loaded >= FAULTY_RATE:
             yield Case(kind.name, name)
 
 
--- a/benchmarks/transfers/faults.py
+++ b/benchmarks/transfers/faults.py
@@ -16,6 +16,9 @@
         Name of its route.
     at_s : float
         Time of its start since the order of the transfer.
+    new_rate : float
+        Rate of calls to the new version at its start, as a part of the usual
+        rate of the service.
     is_small_class : bool
         Whether its call is of the smaller class.
 
@@ -25,15 +28,29 @@
         Whether it fails.
     """
 
-    __slots__ = ('at_s', 'failed', 'is_small_class', 'route', 'run_ms')
+    __slots__ = (
+        'at_s',
+        'failed',
+        'is_small_class',
+        'new_rate',
+        'route',
+        'run_ms',
+    )
 
     def __init__(
-        self, run_ms: float, route: str, at_s: float, *, is_small_class: bool
+        self,
+        run_ms: float,
+        route: str,
+        at_s: float,
+        new_rate: float,
+        *,
+        is_small_class: bool,
     ) -> None:
         """Initialise a healthy run."""
         self.run_ms = run_ms
         self.route = route
         self.at_s = at_s
+        self.new_rate = new_rate
         self.is_small_class = is_small_class
         self.failed = False
 
--- a/benchmarks/transfers/kinds.py
+++ b/benchmarks/transfers/kinds.py
@@ -22,7 +22,7 @@
     is_bad : bool
         Whether a version with the fault has to be rolled back.
     is_under_load : bool
-        Whether the fault appears only while the load is raised.
+        Whether the fault appears only at a rate of `FAULTY_RATE`.
     create : callable
         Returns the fault of a play, from a generator of its draws.
     """
--- a/benchmarks/transfers/loads.py
+++ b/benchmarks/transfers/loads.py
@@ -10,6 +10,9 @@
 DURATION_S: Final = 16.0
 # Start and end of the changed load, since the order of the transfer.
 LOADED_S: Final = (5.0, 13.0)
+# Rate of calls to the new version, as a part of the usual rate, from which on
+# faults under load appear.
+FAULTY_RATE: Final = 0.8
 # A target refuses calls beyond this multiple of its slots.
 MAX_OVERLOAD: Final = 2
 
--- a/benchmarks/transfers/service.py
+++ b/benchmarks/transfers/service.py
@@ -99,6 +99,7 @@
             speed * MEDIAN_RUN_MS * math.exp(self._random.gauss(0, SPREAD)),
             route=route,
             at_s=_now(),
+            new_rate=self.share * self._load.factor(_now()),
             is_small_class=self._classes.random() < SMALL_CLASS,
         )
         if is_new:
--- a/tests/control/mesh/test_transfer_cases.py
+++ b/tests/control/mesh/test_transfer_cases.py
@@ -9,11 +9,11 @@
 )
 
 
-def test_faults_under_load_need_a_raised_load() -> None:
+def test_faults_under_load_need_enough_calls() -> None:
     """Guards against rows of bad versions whose fault never appears."""
     cases = list(all_cases())
     under_load = {case.load for case in cases if case.kind.endswith('load')}
-    assert under_load == {'burst', 'overloaded'}
+    assert under_load == {'usual', 'burst', 'overloaded'}
     assert len(set(cases)) == len(cases)
 
 
