Wait until a node has accepted the callers that hold its connections

test_idle_and_stalled_callers_give_way[nothing] failed once, in a run of tests/core, tests/control, tests/node/mesh and tests/client at a load of about 25: 503 in place of 200. The test waits 0.1 s longer than the time from which on an idle connection gives way, from the connects on. The kernel completes a connect before the node accepts it, and plain processes stood still for 1.7 to 3.7 s at that load, so a connection can be idle for less.

With the first accept put off by 0.15 s the test failed in the same way, and passes now that it waits for the accepts. The bound of 1.1 s is unchanged.

--- a/tests/node/mesh/test_caller_replacement.py
+++ b/tests/node/mesh/test_caller_replacement.py
@@ -16,6 +16,8 @@
 from tests.core.mesh.builders import LIMITS
 
 _CONNECTIONS: Final = 3
+_HANG_LIMIT_S: Final = 5
+_POLL_S: Final = 0.01
 _GET: Final = b'GET /%b HTTP/1.1\r\nhost: h\r\n\r\n'
 
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
@@ -50,6 +52,10 @@
     address = server.sockets[0].getsockname()
     opening = (_send(address, sent) for _ in range(_CONNECTIONS))
     held = await asyncio.gather(*opening)
+    async with asyncio.timeout(_HANG_LIMIT_S):
+        # A busy kernel may complete a connect before the node accepts it.
+        while connections.accepted < _CONNECTIONS:
+            await asyncio.sleep(_POLL_S)
     sending: list[asyncio.Task[None]] = []
     if sends_on:
         sending = [asyncio.create_task(_send_on(each)) for _, each in held]
