--- a/tests/platform/soak/patterns.py
+++ b/tests/platform/soak/patterns.py
@@ -31,6 +31,9 @@
         outcome = await self._outcome(reader, ids.pop(0), sent_s)
         # After the end of the connection the others are lost at once.
         async for request_id in _in_turn(ids):
+            if self._has_given_up:
+                # The next answer is that of the lost request.
+                break
             outcome = await self._outcome(
                 reader, request_id, sent_s, is_behind=True
             )
--- a/tests/platform/soak/traffic.py
+++ b/tests/platform/soak/traffic.py
@@ -54,6 +54,8 @@
         self._address = address
         self._observations = observations
         self._numbers = count()
+        # Whether an answer on the current connection was no longer awaited.
+        self._has_given_up = False
         self.stopped = False
 
     async def run(self) -> None:
@@ -64,6 +66,7 @@
             except OSError:
                 await asyncio.sleep(_RECONNECT_S)
                 continue
+            self._has_given_up = False
             await self._call_until_closed(reader, writer)
             writer.close()
 
@@ -141,7 +144,8 @@
         try:
             async with asyncio.timeout(_ANSWER_LIMIT_S):
                 outcome = await _read_answer(reader)
-        except (OSError, EOFError, TimeoutError):
+        except (OSError, EOFError, TimeoutError) as error:
+            self._has_given_up = isinstance(error, TimeoutError)
             loss = Loss(
                 request_id=request_id,
                 host=self._address[0],
